Let a stage say which token comes next, and a process advertise an address

A replacement stage must know whether the stage after it has run a token already; an agent behind a relay listens elsewhere than it is reached.

--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -94,6 +94,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
@@ -115,6 +116,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
--- a/src/hemlocktiller/_internal/schemas/entry_settings.py
+++ b/src/hemlocktiller/_internal/schemas/entry_settings.py
@@ -85,6 +85,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -656,12 +656,12 @@
 
 def check_refused(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target', 'config_version'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target']) - data.keys()
+        data__missing_keys = set(['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target', 'config_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target', 'config_version'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -705,8 +705,16 @@
             data__target = data["target"]
             if not isinstance(data__target, (str)):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "config_version" in data_keys:
+            data_keys.remove("config_version")
+            data__configversion = data["config_version"]
+            if not isinstance(data__configversion, (int)) and not (isinstance(data__configversion, float) and data__configversion.is_integer()) or isinstance(data__configversion, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be integer", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+            if isinstance(data__configversion, (int, float, Decimal)) and not isinstance(data__configversion, bool):
+                if data__configversion < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be bigger than or equal to 0", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'reason', 'retry_after_s', 'target', 'config_version'], 'properties': {'type': {'const': 'refused', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'reason': {'type': 'string'}, 'retry_after_s': {'type': 'number', 'minimum': 0}, 'target': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
@@ -1239,12 +1247,12 @@
 
 def check_opened(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index', 'next_token'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}, 'next_token': {'type': 'integer', 'minimum': 0}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['type', 'request', 'attempt', 'stage_index']) - data.keys()
+        data__missing_keys = set(['type', 'request', 'attempt', 'stage_index', 'next_token']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index', 'next_token'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}, 'next_token': {'type': 'integer', 'minimum': 0}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -1278,8 +1286,16 @@
             if isinstance(data__stageindex, (int, float, Decimal)) and not isinstance(data__stageindex, bool):
                 if data__stageindex < 0:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".stage_index must be bigger than or equal to 0", value=data__stageindex, name="" + (name_prefix or "data") + ".stage_index", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "next_token" in data_keys:
+            data_keys.remove("next_token")
+            data__nexttoken = data["next_token"]
+            if not isinstance(data__nexttoken, (int)) and not (isinstance(data__nexttoken, float) and data__nexttoken.is_integer()) or isinstance(data__nexttoken, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".next_token must be integer", value=data__nexttoken, name="" + (name_prefix or "data") + ".next_token", definition={'type': 'integer', 'minimum': 0}, rule='type')
+            if isinstance(data__nexttoken, (int, float, Decimal)) and not isinstance(data__nexttoken, bool):
+                if data__nexttoken < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".next_token must be bigger than or equal to 0", value=data__nexttoken, name="" + (name_prefix or "data") + ".next_token", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'request', 'attempt', 'stage_index', 'next_token'], 'properties': {'type': {'const': 'opened', 'type': 'string'}, 'request': {'type': 'string', 'maxLength': 64}, 'attempt': {'type': 'integer', 'minimum': 0}, 'stage_index': {'type': 'integer', 'minimum': 0}, 'next_token': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -141,6 +141,7 @@
     reason: str
     retry_after_s: float
     target: str
+    config_version: int
 
 
 class TokenRun(TypedDict, closed=True):
@@ -240,6 +241,7 @@
     request: str
     attempt: int
     stage_index: int
+    next_token: int
 
 
 class Hop(TypedDict, closed=True):
