--- /dev/null
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -0,0 +1,344 @@
+"""Start-time fair queue by plan, then by workspace within a plan.
+
+Costs are in estimated tokens and corrected once the real cost is known.
+The queue is work-conserving: a plan without waiting work leaves its share
+to the others and gets it back with its next request.
+"""
+
+import bisect
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from prometheus_client import Counter
+
+from hemlocktiller._internal.policy import start_tags
+from hemlocktiller._internal.schemas import agent_settings
+
+DISPLACED = Counter(
+    "hemlocktiller_queue_displaced_requests",
+    "Requests that lost their place in a full queue, by plan",
+    ["plan"],
+)
+EXPIRED = Counter(
+    "hemlocktiller_queue_expired_requests",
+    "Requests that could no longer meet their deadline, by plan",
+    ["plan"],
+)
+SHORT = "short"
+LONG = "long"
+LANES = (SHORT, LONG)
+
+
+class Item(NamedTuple):
+    """A request that waits.
+
+    Attributes:
+        request: Request id.
+        plan: Plan that pays for it.
+        workspace: Workspace that sent it.
+        cost_tokens: Estimated cost.
+        worth: Worth of an answer in time.
+        deadline_s: Time by which the answer must be complete.
+        expected_run_s: Expected time from start to the complete answer.
+    """
+
+    request: str
+    plan: str
+    workspace: str
+    cost_tokens: float
+    worth: float
+    deadline_s: float
+    expected_run_s: float = 0.0
+
+
+class Pushed(NamedTuple):
+    """The outcome of a push.
+
+    Attributes:
+        accepted: Whether the item waits now.
+        displaced: The item that lost its place to it.
+    """
+
+    accepted: bool
+    displaced: Item | None = None
+
+
+Order = Callable[[Item], tuple[float, float]]
+
+
+def by_worth_per_token(item: Item) -> tuple[float, float]:
+    """Orders by worth per token, then by deadline."""
+    return (-item.worth / max(item.cost_tokens, 1.0), item.deadline_s)
+
+
+def by_worth_and_deadline(item: Item) -> tuple[float, float]:
+    """Orders by worth, then by deadline."""
+    return (-item.worth, item.deadline_s)
+
+
+class _Waiting(NamedTuple):
+    """An item with its place in the order of its workspace."""
+
+    order: tuple[float, float]
+    number: int
+    item: Item
+
+
+class _Workspace:
+    """The waiting items of a workspace, by lane, in order."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[str, list[_Waiting]] = {lane: [] for lane in LANES}
+
+    def __len__(self) -> int:
+        return sum(len(lane) for lane in self.lanes.values())
+
+    def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
+        return min((head for head in heads if head), default=None)
+
+    def last(self) -> _Waiting:
+        return max(lane[-1] for lane in self.lanes.values() if lane)
+
+
+class _Plan:
+    """The backlogged workspaces of a plan and their start tags."""
+
+    def __init__(self) -> None:
+        self.tags = start_tags.StartTags()
+        self.workspaces: dict[str, _Workspace] = {}
+
+    def __len__(self) -> int:
+        return sum(len(workspace) for workspace in self.workspaces.values())
+
+    def heads(self, lanes: list[str], now_s: float) -> dict[str, _Waiting]:
+        """Returns the item that each workspace would start next."""
+        heads = {}
+        for name, workspace in self.workspaces.items():
+            head = workspace.first(lanes, now_s)
+            if head is not None:
+                heads[name] = head
+        return heads
+
+
+class FairQueue:
+    """A bounded queue that shares service by plan and workspace.
+
+    Args:
+        limits: Limits of the agent: places, reserved places, queue length.
+        shares: Entitled share of each plan.
+        order: Order of the requests of one workspace.
+    """
+
+    def __init__(
+        self,
+        limits: agent_settings.AgentLimits,
+        shares: Mapping[str, float],
+        order: Order = by_worth_per_token,
+    ) -> None:
+        self._limits = limits
+        self._shares = shares
+        self._order = order
+        self._tags = start_tags.StartTags()
+        self._plans: dict[str, _Plan] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, request: str) -> bool:
+        return request in self._waiting
+
+    @property
+    def cost_tokens(self) -> float:
+        """Cost of all that waits."""
+        return sum(entry.item.cost_tokens for entry in self._waiting.values())
+
+    def set_shares(self, shares: Mapping[str, float]) -> None:
+        """Takes the shares of a new configuration."""
+        self._shares = shares
+
+    def push(self, item: Item) -> Pushed:
+        """Queues an item; a full queue refuses or displaces one.
+
+        The place comes from the plan that is furthest over its share of
+        the queue, the new item counted.
+        """
+        if item.request in self._waiting:
+            return Pushed(False)
+        self._insert(item)
+        if len(self._waiting) <= self._limits["queued"]:
+            return Pushed(True)
+        displaced = self._furthest_over_share()
+        DISPLACED.labels(displaced.plan).inc()
+        self.remove(displaced.request)
+        if displaced is item:
+            return Pushed(False)
+        return Pushed(True, displaced)
+
+    def pop(
+        self, now_s: float, running_short: int, running_long: int
+    ) -> Item | None:
+        """Takes the item to start next, if a place is free for one.
+
+        Items past hope are passed over; `expired` returns them.
+
+        Args:
+            now_s: The time.
+            running_short: Short requests that run.
+            running_long: Long requests that run.
+        """
+        lanes = self._open_lanes(running_short, running_long)
+        heads = {
+            name: plan.heads(lanes, now_s)
+            for name, plan in self._plans.items()
+        }
+        plans = [name for name, workspaces in heads.items() if workspaces]
+        if not plans:
+            return None
+        plan = self._tags.first(plans)
+        workspace = self._plans[plan].tags.first(heads[plan])
+        item = heads[plan][workspace].item
+        self._charge(item)
+        self.remove(item.request)
+        return item
+
+    def remove(self, request: str) -> Item | None:
+        """Takes an item out, if it waits."""
+        entry = self._waiting.pop(request, None)
+        if entry is None:
+            return None
+        item = entry.item
+        plan = self._plans[item.plan]
+        workspace = plan.workspaces[item.workspace]
+        lane = workspace.lanes[self.lane(item)]
+        del lane[bisect.bisect_left(lane, entry)]
+        if not len(workspace):
+            del plan.workspaces[item.workspace]
+        return item
+
+    def correct(
+        self,
+        plan: str,
+        workspace: str,
+        estimated_tokens: float,
+        actual_tokens: float,
+    ) -> None:
+        """Replaces the estimated cost of a started item by the real one."""
+        change = actual_tokens - estimated_tokens
+        self._tags.correct(plan, change, self._weight(plan))
+        if plan in self._plans:
+            self._plans[plan].tags.correct(workspace, change, 1.0)
+
+    def expired(self, now_s: float) -> list[Item]:
+        """Takes out the items that can't meet their deadline any more."""
+        expired = [
+            entry.item
+            for entry in self._waiting.values()
+            if _hopeless(entry.item, now_s)
+        ]
+        for item in expired:
+            EXPIRED.labels(item.plan).inc()
+            self.remove(item.request)
+        return expired
+
+    def estimate_wait_s(self, item: Item, tokens_per_s: float) -> float:
+        """Estimates how long an item would wait if it were pushed now.
+
+        Args:
+            item: The item.
+            tokens_per_s: Cost that the target serves in a second.
+        """
+        plans = {name for name, plan in self._plans.items() if len(plan)}
+        plans.add(item.plan)
+        weight = self._weight(item.plan)
+        fraction = weight / sum(self._weight(name) for name in plans)
+        ahead = self._tags.lag(item.plan, weight)
+        ahead += self._cost_ahead(item)
+        tokens = min(ahead / fraction, self.cost_tokens)
+        return tokens / max(tokens_per_s, 1e-9)
+
+    def lane(self, item: Item) -> str:
+        """Returns the lane of an item."""
+        if item.cost_tokens <= self._limits["short_cost_tokens"]:
+            return SHORT
+        return LONG
+
+    def _open_lanes(self, running_short: int, running_long: int) -> list[str]:
+        """Returns the lanes that may start one more item."""
+        free = self._limits["running"] - running_short - running_long
+        kept_short = self._limits["reserved_short"] - running_short
+        kept_long = self._limits["reserved_long"] - running_long
+        lanes = []
+        if free > max(0, kept_long):
+            lanes.append(SHORT)
+        if free > max(0, kept_short):
+            lanes.append(LONG)
+        return lanes
+
+    def _cost_ahead(self, item: Item) -> float:
+        """Returns the cost that the plan would serve before the item."""
+        plan = self._plans.get(item.plan)
+        if plan is None:
+            return 0.0
+        own = plan.workspaces.get(item.workspace)
+        others = len(plan.workspaces) - (own is not None)
+        if own is None:
+            return 0.0
+        order = self._order(item)
+        cost = sum(
+            entry.item.cost_tokens
+            for lane in own.lanes.values()
+            for entry in lane
+            if entry.order <= order
+        )
+        return cost * (others + 1)
+
+    def _insert(self, item: Item) -> None:
+        """Adds an item to its lane."""
+        plan = self._plans.setdefault(item.plan, _Plan())
+        if not len(plan):
+            self._tags.activate(item.plan)
+        if item.workspace not in plan.workspaces:
+            plan.tags.activate(item.workspace)
+            plan.workspaces[item.workspace] = _Workspace()
+        self._number += 1
+        entry = _Waiting(self._order(item), self._number, item)
+        self._waiting[item.request] = entry
+        lane = plan.workspaces[item.workspace].lanes[self.lane(item)]
+        bisect.insort(lane, entry)
+
+    def _charge(self, item: Item) -> None:
+        """Charges the cost of a started item to its plan and workspace."""
+        weight = self._weight(item.plan)
+        self._tags.charge(item.plan, item.cost_tokens, weight)
+        tags = self._plans[item.plan].tags
+        tags.charge(item.workspace, item.cost_tokens, 1.0)
+
+    def _furthest_over_share(self) -> Item:
+        """Returns the last item of the plan furthest over its share."""
+        plan = max(
+            (plan for plan in self._plans if len(self._plans[plan])),
+            key=lambda name: len(self._plans[name]) / self._weight(name),
+        )
+        workspaces = self._plans[plan].workspaces
+        workspace = max(workspaces, key=lambda name: len(workspaces[name]))
+        return workspaces[workspace].last().item
+
+    def _weight(self, plan: str) -> float:
+        """Returns the weight of a plan."""
+        return max(self._shares.get(plan, 0.0), start_tags.MIN_WEIGHT)
+
+
+def _hopeless(item: Item, now_s: float) -> bool:
+    """Returns whether an item would miss its deadline if started now."""
+    return now_s + item.expected_run_s > item.deadline_s
+
+
+def _first_hopeful(lane: list[_Waiting], now_s: float) -> _Waiting | None:
+    """Returns the first item of a lane that can meet its deadline."""
+    return next(
+        (entry for entry in lane if not _hopeless(entry.item, now_s)), None
+    )
