--- /dev/null
+++ b/src/hemlocktiller/_internal/links/dialer.py
@@ -0,0 +1,119 @@
+"""Keeps one link to an address open, with backoff between tries."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+
+from hemlocktiller._internal.links import link as link_module
+
+BACKOFF_FACTOR = 2.0
+
+
+class Address(NamedTuple):
+    """Where a peer accepts links."""
+
+    host: str
+    port: int
+
+
+class Dialer:
+    """State of an outbound link that is opened again when it is lost.
+
+    Attributes:
+        link: The link of the current connection, or None.
+        refused: Whether the last try found no listener, which proves
+            that the process is gone.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Any,
+        local: link_module.Local,
+        address: Address,
+        handlers: link_module.Handlers,
+        on_refused: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self.link: link_module.Link | None = None
+        self.address = address
+        self.refused = False
+        self._reactor = reactor
+        self._settings = settings
+        self._local = local
+        self._handlers = handlers
+        self._on_refused = on_refused
+        self._rng = rng
+        self._wait_s = settings["reconnect_min_s"]
+        self._stopped = False
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Dials now."""
+        self._timer = None
+        if self._stopped:
+            return
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            self.address.host,
+            self.address.port,
+            timeout=self._settings["connect_timeout_s"],
+        )
+        factory = protocol.Factory.forProtocol(self._new_link)
+        factory.noisy = False
+        connected = endpoint.connect(factory)
+        connected.addErrback(self._on_connect_failed)
+
+    def stop(self) -> None:
+        """Closes the link and dials no more."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self.link is not None:
+            self.link.close()
+
+    def _new_link(self) -> link_module.Link:
+        handlers = link_module.Handlers(
+            self._on_open, self._handlers.on_message, self._on_down
+        )
+        self.link = link_module.DialledLink(
+            self._reactor, self._settings, self._local, handlers
+        )
+        return self.link
+
+    def _on_open(self, link: link_module.Link) -> None:
+        self.refused = False
+        self._wait_s = self._settings["reconnect_min_s"]
+        self._handlers.on_open(link)
+
+    def _on_down(self, link: link_module.Link, reason: str) -> None:
+        self.link = None
+        was_open = link.peer is not None
+        if was_open:
+            self._handlers.on_down(link, reason)
+        self._dial_later(0.0 if was_open else self._next_wait_s())
+
+    def _on_connect_failed(self, reason: failure.Failure) -> None:
+        self.link = None
+        self.refused = reason.check(error.ConnectionRefusedError) is not None
+        if self.refused:
+            self._on_refused()
+        self._dial_later(self._next_wait_s())
+
+    def _next_wait_s(self) -> float:
+        wait_s = self._wait_s
+        longest_s = self._settings["reconnect_max_s"]
+        self._wait_s = min(wait_s * BACKOFF_FACTOR, longest_s)
+        return wait_s * self._rng.uniform(0.5, 1.0)
+
+    def _dial_later(self, wait_s: float) -> None:
+        if self._stopped:
+            return
+        self._timer = self._reactor.callLater(wait_s, self.start)
--- /dev/null
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -0,0 +1,300 @@
+"""One websocket link between two processes, on a Twisted transport.
+
+The websocket protocol itself is the Sans-I/O implementation of the
+`websockets` library; this module moves its bytes, opens the link with a
+`hello` from each end, and keeps it alive with heartbeats.
+"""
+
+from collections.abc import Callable
+import hmac
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+from twisted.internet import protocol
+from twisted.internet import task
+from twisted.python import failure
+from websockets import client as ws_client
+from websockets import exceptions as ws_exceptions
+from websockets import frames
+from websockets import http11
+from websockets import protocol as ws_protocol
+from websockets import server as ws_server
+from websockets import uri as ws_uri
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.links import codec
+
+SUBPROTOCOLS = ("hemlocktiller.v1",)
+AUTHORIZATION = "Authorization"
+RTT_WEIGHT = 0.2  # Share of a new sample in the moving average.
+
+FRAMES = prometheus_client.Counter(
+    "hemlocktiller_link_frames", "Link frames by direction", ["direction"]
+)
+FRAME_BYTES = prometheus_client.Counter(
+    "hemlocktiller_link_frame_bytes",
+    "Bytes of link frames by direction",
+    ["direction"],
+)
+LINKS_LOST = prometheus_client.Counter(
+    "hemlocktiller_links_lost", "Links lost by reason", ["reason"]
+)
+
+
+class Handlers(NamedTuple):
+    """What the owner of a link does on its events."""
+
+    on_open: Callable[["Link"], None]
+    on_message: Callable[["Link", codec.Message], None]
+    on_down: Callable[["Link", str], None]
+
+
+class Local(NamedTuple):
+    """What a process says of itself on each link."""
+
+    process: str
+    role: str
+    name: str
+    data_centre: str
+    config_version: Callable[[], int]
+
+
+class Link(protocol.Protocol):
+    """State of one link; either end may have dialled it.
+
+    Attributes:
+        peer: The peer's hello, or None before it arrived.
+        rtt_s: Moving average of the heartbeat's round trip.
+    """
+
+    def __init__(
+        self, reactor: Any, settings: Any, local: Local, handlers: Handlers
+    ) -> None:
+        self.peer: codec.Message | None = None
+        self.rtt_s = 0.0
+        self.up = False
+        self._reactor = reactor
+        self._settings = settings
+        self._local = local
+        self._handlers = handlers
+        self._ws: ws_protocol.Protocol = self._new_ws()
+        self._heard_s = 0.0
+        self._sequence = 0
+        self._sent_s: dict[int, float] = {}
+        self._down_reason = "closed"
+        self._down = False
+        self._heartbeat = task.LoopingCall(self._beat)
+        self._heartbeat.clock = reactor
+
+    def connectionMade(self) -> None:
+        """Starts the handshake and the silence timer."""
+        self.transport.setTcpNoDelay(True)
+        self._heard_s = self._reactor.seconds()
+        self._begin()
+        interval_s = self._settings["heartbeat_interval_s"]
+        self._heartbeat.start(interval_s, now=False)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feeds received bytes to the websocket protocol."""
+        self._heard_s = self._reactor.seconds()
+        self._ws.receive_data(data)
+        try:
+            for event in self._ws.events_received():
+                self._on_event(event)
+        except exceptions.ProtocolError:
+            self._down_reason = "protocol error"
+            self._ws.fail(frames.CloseCode.PROTOCOL_ERROR)
+        self._flush()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Tells the owner that the link is down, once."""
+        if self._heartbeat.running:
+            self._heartbeat.stop()
+        was_up = self.up
+        self.up = False
+        if self._down:
+            return
+        self._down = True
+        if was_up:
+            LINKS_LOST.labels(self._down_reason).inc()
+        self._handlers.on_down(self, self._down_reason)
+
+    def send(self, message: codec.Message) -> None:
+        """Sends one message.
+
+        Raises:
+            LinkDown: The link is not open.
+        """
+        if not self.up:
+            raise exceptions.LinkDown("the link is not open")
+        self._send_now(message)
+
+    def close(self) -> None:
+        """Closes the link after what was sent before."""
+        if self._ws.state is ws_protocol.State.OPEN:
+            self._ws.send_close(frames.CloseCode.GOING_AWAY)
+            self._flush()
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def abort(self, reason: str) -> None:
+        """Drops the link at once, whatever is still to be sent."""
+        self._down_reason = reason
+        self.transport.abortConnection()
+
+    def _new_ws(self) -> ws_protocol.Protocol:
+        raise NotImplementedError
+
+    def _begin(self) -> None:
+        """Starts the handshake, if this end does."""
+
+    def _on_handshake(self, event: Any) -> None:
+        raise NotImplementedError
+
+    def _on_event(self, event: Any) -> None:
+        if not isinstance(event, frames.Frame):
+            self._on_handshake(event)
+            return
+        if event.opcode is frames.Opcode.BINARY and event.fin:
+            FRAMES.labels("in").inc()
+            FRAME_BYTES.labels("in").inc(len(event.data))
+            self._on_message(codec.decode(event.data))
+        elif event.opcode in frames.DATA_OPCODES:
+            raise exceptions.ProtocolError("only whole binary frames")
+
+    def _on_message(self, message: codec.Message) -> None:
+        kind = message["type"]
+        if kind == "hello":
+            self._on_hello(message)
+        elif self.peer is None:
+            raise exceptions.ProtocolError("a message came before hello")
+        else:
+            if kind == "heartbeat":
+                self._on_heartbeat(message)
+            self._handlers.on_message(self, message)
+
+    def _on_hello(self, message: codec.Message) -> None:
+        if self.peer is not None:
+            raise exceptions.ProtocolError("hello came twice")
+        self.peer = message
+        self.up = True
+        self._handlers.on_open(self)
+
+    def _say_hello(self) -> None:
+        self._send_now(
+            {
+                "type": "hello",
+                "process": self._local.process,
+                "role": self._local.role,
+                "name": self._local.name,
+                "data_centre": self._local.data_centre,
+                "config_version": self._local.config_version(),
+            }
+        )
+
+    def _beat(self) -> None:
+        now_s = self._reactor.seconds()
+        if now_s - self._heard_s > self._settings["silence_timeout_s"]:
+            self.abort("silence")
+            return
+        if self.up:
+            self._sequence += 1
+            self._sent_s = {self._sequence: now_s}
+            self._send_heartbeat(self._sequence, echo=False)
+
+    def _send_heartbeat(self, sequence: int, echo: bool) -> None:
+        self._send_now(
+            {
+                "type": "heartbeat",
+                "sequence": sequence,
+                "echo": echo,
+                "config_version": self._local.config_version(),
+            }
+        )
+
+    def _on_heartbeat(self, message: codec.Message) -> None:
+        if not message["echo"]:
+            self._send_heartbeat(message["sequence"], echo=True)
+            return
+        sent_s = self._sent_s.pop(message["sequence"], None)
+        if sent_s is None:
+            return
+        sample_s = self._reactor.seconds() - sent_s
+        if self.rtt_s == 0.0:
+            self.rtt_s = sample_s
+        self.rtt_s += RTT_WEIGHT * (sample_s - self.rtt_s)
+
+    def _send_now(self, message: codec.Message) -> None:
+        if self._ws.state is not ws_protocol.State.OPEN:
+            return
+        data = codec.encode(message)
+        FRAMES.labels("out").inc()
+        FRAME_BYTES.labels("out").inc(len(data))
+        self._ws.send_binary(data)
+        self._flush()
+
+    def _flush(self) -> None:
+        for data in self._ws.data_to_send():
+            if data:
+                self.transport.write(data)
+            else:
+                self.transport.loseConnection()
+        if self._ws.close_expected():
+            self.transport.loseConnection()
+
+
+class DialledLink(Link):
+    """The end that opened the connection."""
+
+    def _new_ws(self) -> ws_protocol.Protocol:
+        return ws_client.ClientProtocol(
+            ws_uri.parse_uri("ws://link/link"),
+            subprotocols=list(SUBPROTOCOLS),
+            max_size=self._settings["frame_bytes"],
+        )
+
+    def _begin(self) -> None:
+        request = self._ws.connect()
+        secret = self._settings["secret"]
+        request.headers[AUTHORIZATION] = f"Bearer {secret}"
+        self._ws.send_request(request)
+        self._flush()
+
+    def _on_handshake(self, event: Any) -> None:
+        if self._ws.handshake_exc is not None:
+            self._down_reason = "handshake refused"
+            self.transport.loseConnection()
+            return
+        self._say_hello()
+
+
+class AcceptedLink(Link):
+    """The end that accepted the connection."""
+
+    def _new_ws(self) -> ws_protocol.Protocol:
+        return ws_server.ServerProtocol(
+            subprotocols=list(SUBPROTOCOLS),
+            max_size=self._settings["frame_bytes"],
+        )
+
+    def _on_handshake(self, event: http11.Request) -> None:
+        if self._is_authentic(event):
+            response = self._ws.accept(event)
+        else:
+            response = self._ws.reject(401, "the shared secret differs\n")
+        self._ws.send_response(response)
+        if self._ws.state is ws_protocol.State.OPEN:
+            self._say_hello()
+
+    def _is_authentic(self, request: http11.Request) -> bool:
+        try:
+            given = request.headers.get(AUTHORIZATION, "")
+        except ws_exceptions.WebSocketException:
+            return False
+        except LookupError:
+            return False
+        wanted = f"Bearer {self._settings['secret']}"
+        return hmac.compare_digest(given.encode(), wanted.encode())
