--- /dev/null
+++ b/tests/fakes/model.py
@@ -0,0 +1,68 @@
+"""A deterministic model whose answer shows each layer that was run.
+
+The state of a sequence at a layer is one hash over all units that went
+through, so a layer that is skipped, repeated or run out of order changes
+every later token.
+"""
+
+import xxhash
+
+VOCABULARY = 50_000
+STOP_DIVISOR = 4096
+EMPTY_KV = bytes(8)
+UNIT_BYTES = 8
+
+
+def prompt_unit(prompt):
+    """Returns the unit of a prompt."""
+    return prompt.encode()
+
+
+def token_unit(token):
+    """Returns the unit of a token."""
+    return token.to_bytes(UNIT_BYTES, "little")
+
+
+def prefix_units(prompt, generated):
+    """Returns the units of a prompt with the tokens after it."""
+    return [prompt_unit(prompt), *(token_unit(t) for t in generated)]
+
+
+def run_layer(layer, kv, unit):
+    """Runs a unit through one layer; returns the new state and unit."""
+    kv = xxhash.xxh64_digest(kv + unit)
+    unit = xxhash.xxh64_digest(bytes([layer]) + kv + unit)
+    return kv, unit
+
+
+def run_layers(kvs, unit):
+    """Runs a unit through layers; `kvs` maps layer to state in place."""
+    for layer in sorted(kvs):
+        kvs[layer], unit = run_layer(layer, kvs[layer], unit)
+    return unit
+
+
+def empty_kvs(first_layer, end_layer):
+    """Returns the state of a sequence before its first unit."""
+    return dict.fromkeys(range(first_layer, end_layer), EMPTY_KV)
+
+
+def token_of(unit):
+    """Returns the token and whether it is the last one."""
+    number = int.from_bytes(unit, "big")
+    return number % VOCABULARY, number % STOP_DIVISOR == 0
+
+
+def reference(prompt, layer_count, count, generated=()):
+    """Returns up to `count` tokens after `generated`."""
+    kvs = empty_kvs(0, layer_count)
+    for unit in prefix_units(prompt, generated):
+        result = run_layers(kvs, unit)
+    tokens = []
+    while len(tokens) < count:
+        token, final = token_of(result)
+        tokens.append(token)
+        if final:
+            break
+        result = run_layers(kvs, token_unit(token))
+    return tokens
