--- /dev/null
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -0,0 +1,239 @@
+"""The queue before a target: admits, refuses, orders and starts requests.
+
+A refusal is proof that the request did not run, so the entry may send it
+elsewhere.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+
+from hemlocktiller._internal.agent import heads
+from hemlocktiller._internal.agent import runs
+from hemlocktiller._internal.config import snapshot as snapshot_module
+from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.policy import fair_queue
+
+EXPIRY_INTERVAL_S = 0.1
+RATE_WEIGHT = 0.2  # Share of a new sample in the moving average.
+MIN_TOKENS_PER_S = 1.0
+
+REFUSED = prometheus_client.Counter(
+    "hemlocktiller_refused", "Requests refused by reason", ["reason"]
+)
+QUEUED = prometheus_client.Gauge(
+    "hemlocktiller_queued_requests", "Requests that wait"
+)
+RUNNING = prometheus_client.Gauge(
+    "hemlocktiller_running_requests", "Requests that run"
+)
+
+
+class Waiting(NamedTuple):
+    """A request with the link on which its answer goes back."""
+
+    message: Any
+    link: link_module.Link
+    item: fair_queue.Item
+
+
+class Door:
+    """The requests that wait for this target or run at it."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Any,
+        current_config: Callable[[], snapshot_module.Snapshot],
+        begin: Callable[[Any, link_module.Link], None],
+    ) -> None:
+        self.leaving = False
+        self.unready = ""
+        self.served_tokens: dict[str, float] = {}
+        self.tokens_per_s = 0.0
+        self._reactor = reactor
+        self._settings = settings
+        self._current_config = current_config
+        self._begin = begin
+        self._queue = fair_queue.FairQueue(settings["limits"], {})
+        self._waiting: dict[str, Waiting] = {}
+        self._running: dict[str, Waiting] = {}
+        self._sampled_s = reactor.seconds()
+        self._sample_tokens = 0.0
+        self._timer: Any = None
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Requests that run."""
+        return len(self._running)
+
+    @property
+    def queued_cost_tokens(self) -> float:
+        """Estimated cost of what waits."""
+        return self._queue.cost_tokens
+
+    def on_config(self, snapshot: snapshot_module.Snapshot) -> None:
+        """Takes the shares of a new configuration."""
+        self._queue.set_shares(
+            {name: plan["share"] for name, plan in snapshot.plans.items()}
+        )
+
+    def submit(self, message: Any, link: link_module.Link) -> None:
+        """Queues a request, or refuses it at once."""
+        reason = self.refusal_reason(message)
+        if reason:
+            self._refuse(message, link, reason)
+            return
+        waiting = Waiting(message, link, self._item(message))
+        pushed = self._queue.push(waiting.item)
+        if not pushed.accepted:
+            self._refuse(message, link, "full")
+            return
+        self._waiting[waiting.item.request] = waiting
+        if pushed.displaced is not None:
+            self._drop(pushed.displaced.request, "displaced")
+        self.pump()
+
+    def refusal_reason(self, message: Any) -> str:
+        """Returns why a request can't be taken, or an empty string."""
+        if self.leaving:
+            return "leaving"
+        if self.unready:
+            return self.unready
+        if message["config_version"] < self._current_config().version:
+            return "stale_config"
+        if message["expires_in_s"] <= 0:
+            return "expired"
+        return ""
+
+    def pump(self) -> None:
+        """Starts what may start and refuses what can't be in time."""
+        now_s = self._reactor.seconds()
+        for item in self._queue.expired(now_s):
+            self._drop(item.request, "expired")
+        while True:
+            item = self._queue.pop(now_s, *self._running_by_lane())
+            if item is None:
+                break
+            waiting = self._waiting.pop(item.request)
+            self._running[item.request] = waiting
+            self._begin(self._with_time_left(waiting), waiting.link)
+        QUEUED.set(len(self._waiting))
+        RUNNING.set(len(self._running))
+        self._check_later()
+
+    def done(self, done: heads.Done) -> None:
+        """Frees the place of a request and corrects its cost."""
+        waiting = self._running.pop(_name(done.key), None)
+        if waiting is None:
+            return
+        item = waiting.item
+        prompt_tokens = item.cost_tokens - waiting.message.get("max_tokens", 0)
+        actual_tokens = max(prompt_tokens, 0) + done.token_count
+        self._queue.correct(
+            item.plan, item.workspace, item.cost_tokens, actual_tokens
+        )
+        served = self.served_tokens.get(item.plan, 0.0)
+        self.served_tokens[item.plan] = served + actual_tokens
+        self._sample_tokens += actual_tokens
+        self._reactor.callLater(0, self.pump)
+
+    def cancel(self, key: runs.Key) -> bool:
+        """Forgets a request that waits; tells whether it did."""
+        name = _name(key)
+        self._queue.remove(name)
+        return self._waiting.pop(name, None) is not None
+
+    def drop_link(self, link: link_module.Link) -> None:
+        """Forgets what waits for an entry that is gone."""
+        names = [
+            name
+            for name, waiting in self._waiting.items()
+            if waiting.link is link
+        ]
+        for name in names:
+            self._queue.remove(name)
+            del self._waiting[name]
+
+    def refuse_waiting(self, reason: str) -> None:
+        """Gives all that waits back, as not run."""
+        for name in list(self._waiting):
+            self._queue.remove(name)
+            self._drop(name, reason)
+
+    def sample_rate(self) -> float:
+        """Returns the moving average of the service rate in tokens/s."""
+        now_s = self._reactor.seconds()
+        elapsed_s = now_s - self._sampled_s
+        if elapsed_s > 0:
+            rate = self._sample_tokens / elapsed_s
+            self.tokens_per_s += RATE_WEIGHT * (rate - self.tokens_per_s)
+        self._sampled_s = now_s
+        self._sample_tokens = 0.0
+        return self.tokens_per_s
+
+    def _with_time_left(self, waiting: Waiting) -> Any:
+        left_s = waiting.item.deadline_s - self._reactor.seconds()
+        return {**waiting.message, "expires_in_s": max(left_s, 0.0)}
+
+    def _running_by_lane(self) -> tuple[int, int]:
+        short = sum(
+            self._queue.lane(waiting.item) == fair_queue.SHORT
+            for waiting in self._running.values()
+        )
+        return short, len(self._running) - short
+
+    def _item(self, message: Any) -> fair_queue.Item:
+        return fair_queue.Item(
+            _name(runs.place_of(message)),
+            message["plan"],
+            message["workspace"],
+            message["cost_tokens"],
+            message["worth"],
+            self._reactor.seconds() + message["expires_in_s"],
+        )
+
+    def _drop(self, name: str, reason: str) -> None:
+        waiting = self._waiting.pop(name, None)
+        if waiting is not None:
+            self._refuse(waiting.message, waiting.link, reason)
+
+    def _refuse(
+        self, message: Any, link: link_module.Link, reason: str
+    ) -> None:
+        REFUSED.labels(reason).inc()
+        if not link.up:
+            return
+        wait_s = self._queue.estimate_wait_s(
+            self._item(message), max(self.tokens_per_s, MIN_TOKENS_PER_S)
+        )
+        link.send(
+            heads.refusal(
+                message,
+                reason,
+                self._settings["name"],
+                wait_s,
+                self._current_config().version,
+            )
+        )
+
+    def _check_later(self) -> None:
+        if self._timer is None and self._waiting:
+            self._timer = self._reactor.callLater(
+                EXPIRY_INTERVAL_S, self._check
+            )
+
+    def _check(self) -> None:
+        self._timer = None
+        self.pump()
+
+
+def _name(key: runs.Key) -> str:
+    return f"{key[0]}/{key[1]}"
--- a/src/hemlocktiller/_internal/agent/engine.py
+++ b/src/hemlocktiller/_internal/agent/engine.py
@@ -111,7 +111,7 @@
     def step(self, step: Step) -> defer.Deferred[Output]:
         """Runs a step; fails with EngineFailed or StepFailed."""
         waiting = _Waiting(step, defer.Deferred())
-        if step.first or step.rebuild:
+        if step.first:
             self._run([waiting])
             return waiting.done
         self._waiting.append(waiting)
@@ -120,6 +120,19 @@
             self._reactor.callLater(0, self._run_waiting)
         return waiting.done
 
+    def steps(self, steps: list[Step]) -> defer.Deferred[list[Output]]:
+        """Runs steps in their order, in one call.
+
+        Fails as `step` does, with the first failure.
+        """
+        batch = [_Waiting(step, defer.Deferred()) for step in steps]
+        done = defer.gatherResults(
+            [waiting.done for waiting in batch], consumeErrors=True
+        )
+        done.addErrback(lambda reason: reason.value.subFailure)
+        self._run(batch)
+        return done
+
     def close(self, sequences: list[str]) -> None:
         """Releases the cache of sequences; a failure does not matter."""
         closed = self._call("close", {"sequences": sequences})
--- /dev/null
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -0,0 +1,484 @@
+"""Runs one stage of many chains, and replaces the next stage if it dies.
+
+Each hop names its request, attempt, token and first layer. A stage runs
+a token once: a repeated hop is answered with the kept output. A stage
+keeps what it sent on; when the next stage is lost, an alternate rebuilds
+its cache from these inputs and takes the current token again, so no
+earlier layer runs twice for a token.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+from twisted.python import failure
+
+from hemlocktiller._internal.agent import engine as engine_module
+from hemlocktiller._internal.agent import peers as peers_module
+from hemlocktiller._internal.agent import runs
+from hemlocktiller._internal.links import coalesce
+from hemlocktiller._internal.links import link as link_module
+
+NO_ALTERNATE = "no_alternate"
+SILENCE = "silence"
+UPSTREAM_GRACE_S = 6.0  # Time for the stage before to connect again.
+
+REPLACED = prometheus_client.Counter(
+    "hemlocktiller_stages_replaced", "Stages replaced during a request"
+)
+REPEATED_HOPS = prometheus_client.Counter(
+    "hemlocktiller_hops_repeated", "Hops that came again for a token"
+)
+REBUILT_TOKENS = prometheus_client.Counter(
+    "hemlocktiller_tokens_rebuilt", "Tokens whose cache was rebuilt"
+)
+REBUILD_BYTES = prometheus_client.Counter(
+    "hemlocktiller_rebuild_bytes", "Bytes of kept inputs sent to rebuild"
+)
+STAGE_FAILURES = prometheus_client.Counter(
+    "hemlocktiller_stage_failures", "Stages that failed by reason", ["reason"]
+)
+
+
+class Events(NamedTuple):
+    """What the owner of the first stages does on events of a chain."""
+
+    on_opened: Callable[[runs.Run], None]
+    on_token: Callable[[runs.Run, int, engine_module.Output], None]
+    on_failed: Callable[[runs.Run, str], None]
+
+
+class Pipeline:
+    """The runs of this stage and the way to their neighbours."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        engine: engine_module.EngineClient,
+        peers: peers_module.Peers,
+        admit: Callable[[Any], str],
+        events: Events,
+    ) -> None:
+        self.runs: dict[runs.Key, runs.Run] = {}
+        self._reactor = reactor
+        self._engine = engine
+        self._peers = peers
+        self._admit = admit
+        self._events = events
+        self._batches: dict[tuple[str, str], coalesce.Coalescer] = {}
+
+    def open_head(self, run: runs.Run) -> None:
+        """Reserves all later stages of a chain that starts here."""
+        self._add(run)
+        if run.is_last:
+            self._events.on_opened(run)
+        else:
+            self._open_next(run)
+
+    def feed(
+        self, run: runs.Run, token_index: int, data: bytes, first: bool
+    ) -> None:
+        """Runs the layers of this stage for one token."""
+        run.busy = True
+        run.fed = True
+        step = engine_module.Step(
+            run.sequence,
+            token_index,
+            data,
+            first,
+            token_index < run.downstream_token,
+        )
+        done = self._engine.step(step)
+        done.addCallback(self._on_output, run, token_index)
+        done.addErrback(self._on_step_failed, run)
+
+    def close(self, key: runs.Key) -> None:
+        """Releases this stage and all later ones."""
+        run = self._remove(key)
+        if run is None:
+            return
+        self._engine.close([run.sequence])
+        if not run.is_last:
+            message = {"type": "close", **run.place}
+            self._peers.send(run.next_stage["target"], message)
+
+    def on_open(self, link: link_module.Link, message: Any) -> None:
+        """Reserves this stage, or finds that it is reserved already."""
+        run = self.runs.get(runs.place_of(message))
+        if run is not None:
+            self._reopen(run, link, message)
+            return
+        reason = self._admit(message)
+        if reason:
+            link.send(_refusal(message, reason))
+            return
+        run = self._new_run(message)
+        run.upstream = link.peer["name"]
+        self._add(run)
+        self._rebuild(run, message["rebuild_inputs"])
+        if not run.is_last:
+            self._open_next(run)
+        self._reply_if_open(run)
+
+    def on_opened(self, link: link_module.Link, message: Any) -> None:
+        """Goes on once the next stage is reserved."""
+        run = self._run_before(link, message)
+        if run is None:
+            return
+        run.next_open = True
+        run.downstream_token = message["next_token"]
+        if run.index > 0:
+            self._reply_if_open(run)
+        elif not run.fed:
+            self._events.on_opened(run)
+        self._send_newest(run)
+
+    def on_refused(self, link: link_module.Link, message: Any) -> None:
+        """Tries an alternate in place of a stage that refused."""
+        run = self._run_before(link, message)
+        if run is not None:
+            self._replace_next(run, message["reason"])
+
+    def on_hop(self, link: link_module.Link, hop: Any) -> None:
+        """Runs a token, or answers a repeated hop from what is kept."""
+        run = self.runs.get(runs.place_of(hop))
+        if run is None or not run.ready:
+            self._send_failed(link.peer["name"], hop, "unknown_run", [])
+            return
+        token_index = hop["token_index"]
+        if token_index < run.next_token or run.busy:
+            REPEATED_HOPS.inc()
+            self._repeat(run, token_index)
+            return
+        if not _follows(run, hop):
+            self._fail(run, "out_of_order", [])
+            return
+        self.feed(run, token_index, hop["data"], token_index == run.base_token)
+
+    def on_hop_result(self, result: Any) -> None:
+        """Passes a token from the last stage to the owner of the chain."""
+        run = self.runs.get(runs.place_of(result))
+        if run is None or run.index != 0:
+            return
+        output = engine_module.Output(
+            token=result["token"], final=result["final"]
+        )
+        self._events.on_token(run, result["token_index"], output)
+
+    def on_stage_failed(self, link: link_module.Link, message: Any) -> None:
+        """Replaces the next stage, or gives up with it."""
+        run = self._run_before(link, message)
+        if run is None:
+            return
+        run.dead.update(message["dead_targets"])
+        if message["reason"] == NO_ALTERNATE:
+            self._fail(run, NO_ALTERNATE, sorted(run.dead))
+        else:
+            self._replace_next(run, message["reason"])
+
+    def on_peer_up(self, name: str) -> None:
+        """Sends results again that a lost link may have swallowed."""
+        for run in list(self.runs.values()):
+            if run.is_last and run.last and run.head["target"] == name:
+                self._send_result(run)
+
+    def on_peer_down(self, name: str, reason: str) -> None:
+        """Connects to the next stages at a lost peer, or replaces them."""
+        for run in list(self.runs.values()):
+            if not run.is_last and run.next_stage["target"] == name:
+                self._next_lost(run, reason)
+            if run.upstream == name:
+                self._lapse_later(run)
+
+    def _next_lost(self, run: runs.Run, reason: str) -> None:
+        target = run.next_stage["target"]
+        if reason == SILENCE or target in run.reconnected:
+            self._replace_next(run, reason)
+            return
+        run.reconnected.add(target)
+        self._open_next(run)
+
+    def _replace_next(self, run: runs.Run, reason: str) -> None:
+        STAGE_FAILURES.labels(reason).inc()
+        run.tried.add(run.next_stage["target"])
+        alternate = runs.alternate_for(run)
+        if alternate is None:
+            self._fail(run, NO_ALTERNATE, sorted(run.dead))
+            return
+        REPLACED.inc()
+        run.chain[run.index + 1] = alternate
+        run.next_process = ""
+        self._open_next(run)
+
+    def _open_next(self, run: runs.Run) -> None:
+        run.next_open = False
+        stage = run.next_stage
+        waiter = peers_module.Waiter(
+            lambda link: self._send_open(run, stage, link),
+            lambda reason: self._on_unreachable(run, stage, reason),
+        )
+        self._peers.with_link(stage, waiter)
+
+    def _on_unreachable(self, run: runs.Run, stage: Any, reason: str) -> None:
+        if not self._is_next(run, stage):
+            return
+        if reason == peers_module.REFUSED:
+            run.dead.add(stage["target"])
+        self._replace_next(run, reason)
+
+    def _send_open(
+        self, run: runs.Run, stage: Any, link: link_module.Link
+    ) -> None:
+        if not self._is_next(run, stage):
+            return
+        process = link.peer["process"]
+        same = process == run.next_process
+        run.next_process = process
+        inputs = [] if same else run.kept[:-1]
+        REBUILD_BYTES.inc(sum(len(data) for data in inputs))
+        link.send(
+            {
+                "type": "open",
+                **run.place,
+                "stage_index": run.index + 1,
+                "chain": run.chain,
+                "alternates": run.alternates,
+                "config_version": run.terms.config_version,
+                "priority": run.terms.priority,
+                "expires_in_s": self._time_left_s(run),
+                "rebuild_inputs": inputs,
+                "rebuild_kv": b"",
+                "first_token": run.base_token + len(inputs),
+                "traceparent": run.terms.traceparent,
+            }
+        )
+
+    def _is_next(self, run: runs.Run, stage: Any) -> bool:
+        return self.runs.get(run.key) is run and run.next_stage is stage
+
+    def _run_before(
+        self, link: link_module.Link, message: Any
+    ) -> runs.Run | None:
+        """Returns the run whose next stage sent a message, or None."""
+        run = self.runs.get(runs.place_of(message))
+        if run is None or run.is_last:
+            return None
+        if run.next_stage["target"] != link.peer["name"]:
+            return None
+        return run
+
+    def _reopen(
+        self, run: runs.Run, link: link_module.Link, message: Any
+    ) -> None:
+        if message["stage_index"] != run.index:
+            link.send(_refusal(message, "wrong_stage"))
+            return
+        run.upstream = link.peer["name"]
+        self._reply_if_open(run)
+        if run.last is None:
+            return
+        if run.is_last:
+            self._send_result(run)
+
+    def _rebuild(self, run: runs.Run, inputs: list[bytes]) -> None:
+        """Fills the cache of this stage from kept inputs, in order."""
+        if not inputs:
+            return
+        run.ready = False
+        run.base_token = run.next_token - len(inputs)
+        REBUILT_TOKENS.inc(len(inputs))
+        steps = [
+            engine_module.Step(
+                run.sequence, run.base_token + offset, data, rebuild=True
+            )
+            for offset, data in enumerate(inputs)
+        ]
+        done = self._engine.steps(steps)
+        done.addCallback(self._on_rebuilt, run)
+        done.addErrback(self._on_step_failed, run)
+
+    def _on_rebuilt(
+        self, outputs: list[engine_module.Output], run: runs.Run
+    ) -> None:
+        run.ready = True
+        if not run.is_last:
+            run.kept = [output.data for output in outputs]
+        self._reply_if_open(run)
+
+    def _reply_if_open(self, run: runs.Run) -> None:
+        if not run.ready or not run.next_open:
+            return
+        message = {
+            "type": "opened",
+            **run.place,
+            "stage_index": run.index,
+            "next_token": run.next_token,
+        }
+        self._peers.send(run.upstream, message)
+
+    def _on_output(
+        self, output: engine_module.Output, run: runs.Run, token_index: int
+    ) -> None:
+        if self.runs.get(run.key) is not run:
+            return
+        run.busy = False
+        run.next_token = token_index + 1
+        run.last = output
+        if not run.is_last:
+            run.kept.append(output.data)
+            self._send_newest(run)
+        elif run.index == 0:
+            self._events.on_token(run, token_index, output)
+        else:
+            self._send_result(run)
+
+    def _on_step_failed(self, reason: failure.Failure, run: runs.Run) -> None:
+        engine_died = reason.check(engine_module.EngineFailed) is not None
+        dead = [run.stage["target"]] if engine_died else []
+        self._fail(run, "engine_failed" if engine_died else "step", dead)
+
+    def _fail(self, run: runs.Run, reason: str, dead: list[str]) -> None:
+        if self.runs.get(run.key) is not run:
+            return
+        STAGE_FAILURES.labels(reason).inc()
+        run.dead.update(dead)
+        self._remove(run.key)
+        self._engine.close([run.sequence])
+        if run.index == 0:
+            self._events.on_failed(run, reason)
+        else:
+            self._send_failed(run.upstream, run.place, reason, run.dead)
+
+    def _send_failed(
+        self, name: str, place: Any, reason: str, dead: Any
+    ) -> None:
+        message = {
+            "type": "stage_failed",
+            "request": place["request"],
+            "attempt": place["attempt"],
+            "stage_index": place.get("stage_index", 0),
+            "reason": reason,
+            "dead_targets": sorted(dead),
+        }
+        self._peers.send(name, message)
+
+    def _repeat(self, run: runs.Run, token_index: int) -> None:
+        """Sends the newest output again if it is the one asked for."""
+        if run.busy or token_index != run.next_token - 1:
+            return
+        if run.is_last:
+            self._send_result(run)
+        else:
+            self._send_newest(run)
+
+    def _send_newest(self, run: runs.Run) -> None:
+        token_index = run.newest_kept_token
+        if not run.next_open or not run.kept:
+            return
+        if token_index < run.downstream_token:
+            return
+        hop = {
+            **run.place,
+            "stage_index": run.index + 1,
+            "token_index": token_index,
+            "next_layer": run.next_stage["first_layer"],
+            "data": run.kept[-1],
+        }
+        self._batch(run.next_stage["target"], "hops", "hops").add(hop)
+
+    def _send_result(self, run: runs.Run) -> None:
+        waiter = peers_module.Waiter(
+            lambda link: self._add_result(run), lambda reason: None
+        )
+        self._peers.with_link(run.head, waiter)
+
+    def _add_result(self, run: runs.Run) -> None:
+        if run.last is None:
+            return
+        result = {
+            **run.place,
+            "token_index": run.next_token - 1,
+            "token": run.last.token,
+            "final": run.last.final,
+        }
+        name = run.head["target"]
+        self._batch(name, "hop_results", "results").add(result)
+
+    def _batch(self, name: str, kind: str, field: str) -> coalesce.Coalescer:
+        """Returns the batch of one kind of message to one peer."""
+        batch = self._batches.get((name, kind))
+        if batch is None:
+            batch = coalesce.Coalescer(
+                self._reactor,
+                0.0,
+                lambda items: self._peers.send(
+                    name, {"type": kind, field: items}
+                ),
+            )
+            self._batches[(name, kind)] = batch
+        return batch
+
+    def _new_run(self, message: Any) -> runs.Run:
+        terms = runs.Terms(
+            message["config_version"],
+            message["priority"],
+            self._reactor.seconds() + message["expires_in_s"],
+            message["traceparent"],
+        )
+        return runs.Run(
+            runs.place_of(message),
+            message["stage_index"],
+            message["chain"],
+            message["alternates"],
+            terms,
+            message["first_token"],
+        )
+
+    def _add(self, run: runs.Run) -> None:
+        self.runs[run.key] = run
+        run.timer = self._reactor.callLater(
+            self._time_left_s(run) + UPSTREAM_GRACE_S, self.close, run.key
+        )
+
+    def _remove(self, key: runs.Key) -> runs.Run | None:
+        run = self.runs.pop(key, None)
+        if run is not None and run.timer.active():
+            run.timer.cancel()
+        return run
+
+    def _time_left_s(self, run: runs.Run) -> float:
+        left_s = run.terms.expires_at_s - self._reactor.seconds()
+        return max(left_s, 0.0)
+
+    def _lapse_later(self, run: runs.Run) -> None:
+        """Releases a run unless the stage before connects again."""
+        name = run.upstream
+        run.upstream = ""
+        self._reactor.callLater(UPSTREAM_GRACE_S, self._lapse, run, name)
+
+    def _lapse(self, run: runs.Run, name: str) -> None:
+        if run.upstream == "" and self.runs.get(run.key) is run:
+            self.close(run.key)
+
+
+def _follows(run: runs.Run, hop: Any) -> bool:
+    """Tells whether a hop is the next one for this stage."""
+    return (
+        hop["token_index"] == run.next_token
+        and hop["stage_index"] == run.index
+        and hop["next_layer"] == run.stage["first_layer"]
+    )
+
+
+def _refusal(message: Any, reason: str) -> dict[str, Any]:
+    stage = message["chain"][message["stage_index"]]
+    return {
+        "type": "refused",
+        "request": message["request"],
+        "attempt": message["attempt"],
+        "reason": reason,
+        "retry_after_s": 0.0,
+        "target": stage["target"],
+        "config_version": 0,
+    }
