--- /dev/null
+++ b/tests/unit/test_policy_routing.py
@@ -0,0 +1,154 @@
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hemlocktiller._internal.policy import breaker
+from hemlocktiller._internal.policy import loads
+from hemlocktiller._internal.policy import prefixes
+from hemlocktiller._internal.policy import routing
+
+PROMPT = " ".join(f"word{number}" for number in range(200))
+
+
+@pytest.fixture
+def view():
+    return routing.View(
+        loads.Loads(), prefixes.CachedPrefixes(), breaker.Breaker()
+    )
+
+
+@pytest.fixture
+def rng():
+    return random.Random(1)
+
+
+def make_load(target, queued=0, cost=0.0, rate=100.0, **fields):
+    report = {
+        "type": "load",
+        "target": target,
+        "queued": queued,
+        "running": 4,
+        "max_running": 4,
+        "queued_cost_tokens": cost,
+        "tokens_per_s": rate,
+        "leaving": False,
+        "plan_served_tokens": {},
+        "prefixes": [],
+    }
+    return {**report, **fields}
+
+
+def make_candidates(count):
+    return [routing.Candidate(f"t{number}") for number in range(count)]
+
+
+def best(view, rng, candidates, request, now_s=0.0):
+    return routing.rank(candidates, request, view, now_s, rng)[0]
+
+
+def test_the_wait_counts_by_the_speed_of_the_accelerator(view, rng):
+    view.loads.report(make_load("t0", 1, 100.0, rate=50.0), 0.0)
+    view.loads.report(make_load("t1", 2, 300.0, rate=400.0), 0.0)
+    choice = best(view, rng, make_candidates(2), routing.Request(10.0))
+    assert choice.candidate.target == "t1"
+    assert "wait 0.750 s" in choice.explanation
+
+
+def test_own_requests_since_the_report_are_added(view, rng):
+    view.loads.report(make_load("t0", 1, 50.0), 1.0)
+    view.loads.report(make_load("t1", 1, 100.0), 1.0)
+    view.loads.sent("t0", "old", 500.0, 0.5)
+    view.loads.sent("t0", "new", 80.0, 1.5)
+    choice = best(view, rng, make_candidates(2), routing.Request(10.0))
+    assert choice.candidate.target == "t1"
+    view.loads.done("t0", "new")
+    choice = best(view, rng, make_candidates(2), routing.Request(10.0))
+    assert choice.candidate.target == "t0"
+
+
+def test_a_cached_prefix_attracts_until_the_queue_outweighs_it(view, rng):
+    request = routing.Request(10.0, 200, 10, prefixes.digests(PROMPT))
+    for number in range(20):
+        view.loads.report(make_load(f"t{number}"), 0.0)
+    view.cached.note("t7", request.prefixes, 0.0)
+    choice = best(view, rng, make_candidates(20), request)
+    assert choice.candidate.target == "t7"
+    view.loads.report(make_load("t7", 5, 200.0), 1.0)
+    choice = best(view, rng, make_candidates(20), request)
+    assert choice.candidate.target != "t7"
+
+
+def test_gaps_and_age_of_cache_reports(view):
+    known = prefixes.digests(PROMPT)
+    assert len(known) == 4
+    view.cached.note("t", known[2:3], 0.0)
+    assert view.cached.cached_words("t", known, 1.0) == 64
+    view.cached.note("t", [], 2.0)
+    assert view.cached.cached_words("t", known, 3.0) == 64
+    old_s = prefixes.CACHED_TTL_S + 1.0
+    assert view.cached.cached_words("t", known, old_s) == 0
+
+
+def test_a_late_report_does_not_draw_all_requests_to_one_target(view, rng):
+    for number in range(10):
+        view.loads.report(make_load(f"t{number}", 1, 100.0), 0.0)
+    view.loads.report(make_load("t0", 0, 0.0), 0.0)
+    chosen = collections.Counter()
+    for _ in range(1000):
+        choice = best(view, rng, make_candidates(10), routing.Request(10.0))
+        chosen[choice.candidate.target] += 1
+    assert chosen["t0"] < 500
+
+
+def test_leaving_and_failing_targets_are_left_out(view, rng):
+    view.loads.report(make_load("t0", leaving=True), 0.0)
+    for _ in range(breaker.FAILURES_TO_OPEN):
+        view.breaker.failed("t1", 0.0)
+    request = routing.Request(10.0)
+    choices = routing.rank(make_candidates(3), request, view, 0.1, rng)
+    assert [choice.candidate.target for choice in choices] == ["t2"]
+
+
+def test_an_open_breaker_lets_one_probe_through():
+    state = breaker.Breaker()
+    for _ in range(breaker.FAILURES_TO_OPEN):
+        assert state.allows("t", 0.0)
+        state.failed("t", 0.0)
+    assert not state.allows("t", 0.1)
+    assert state.allows("t", 0.6)
+    state.sent("t", 0.6)
+    assert not state.allows("t", 0.7)
+    state.failed("t", 0.8)
+    assert not state.allows("t", 1.5)
+    assert state.allows("t", 1.9)
+    state.succeeded("t")
+    assert state.allows("t", 1.9)
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(strategies.lists(strategies.sampled_from("abc")))
+def test_common_prefixes_have_common_digests(words):
+    short = prefixes.digests(" ".join(words))
+    extended = prefixes.digests("  ".join([*words, *("x" * 40)]))
+    assert extended[: len(short)] == short
+    changed = prefixes.digests(" ".join(["y", *words[1:]]))
+    assert not set(changed) & set(short)
+
+
+@hypothesis.settings(derandomize=True, max_examples=50, deadline=None)
+@hypothesis.given(strategies.integers(0, 30), strategies.integers(0, 1000))
+def test_ranking_is_of_distinct_candidates(count, seed):
+    view = routing.View(
+        loads.Loads(), prefixes.CachedPrefixes(), breaker.Breaker()
+    )
+    request = routing.Request(1.0, 200, 1, prefixes.digests(PROMPT))
+    view.cached.note("t0", request.prefixes, 0.0)
+    choices = routing.rank(
+        make_candidates(count), request, view, 0.0, random.Random(seed)
+    )
+    targets = [choice.candidate.target for choice in choices]
+    assert len(set(targets)) == len(targets)
+    assert bool(targets) == bool(count)
