--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -169,10 +169,13 @@
             self._drop(name, reason)
 
     def sample_rate(self) -> float:
-        """Returns the moving average of the service rate in tokens/s."""
+        """Returns the moving average of the service rate in tokens/s.
+
+        Idle time does not count, so the rate tells what a backlog gets.
+        """
         now_s = self._reactor.seconds()
         elapsed_s = now_s - self._sampled_s
-        if elapsed_s > 0:
+        if elapsed_s > 0 and self._sample_tokens > 0:
             rate = self._sample_tokens / elapsed_s
             self.tokens_per_s += RATE_WEIGHT * (rate - self.tokens_per_s)
         self._sampled_s = now_s
--- /dev/null
+++ b/src/hemlocktiller/_internal/entry/attempts.py
@@ -0,0 +1,53 @@
+"""What all requests of an entry share: targets, budget, journal, clock."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+
+from hemlocktiller._internal.config import snapshot as snapshot_module
+from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.observe import explain
+from hemlocktiller._internal.observe import traces
+from hemlocktiller._internal.policy import budget
+
+ATTEMPTS = prometheus_client.Counter(
+    "hemlocktiller_attempts", "Attempts sent to targets"
+)
+RETRIES = prometheus_client.Counter(
+    "hemlocktiller_retries", "Attempts after the first, by reason", ["reason"]
+)
+STALE_ANSWERS = prometheus_client.Counter(
+    "hemlocktiller_stale_answers", "Messages of old attempts that were dropped"
+)
+
+
+class Shared(NamedTuple):
+    """The parts of an entry that requests use."""
+
+    reactor: Any
+    settings: Any
+    targets: targets_module.Targets
+    current_config: Callable[[], snapshot_module.Snapshot]
+    push_config: Callable[[Any], None]
+    budget: budget.RetryBudget
+    journal: explain.Journal
+    tracer: traces.Tracer
+    rng: random.Random
+
+
+def may_retry(shared: Shared, attempt: int, reason: str) -> bool:
+    """Tells whether an attempt may follow, and spends the budget."""
+    if attempt >= shared.settings["retries"]["attempts"]:
+        return False
+    if not shared.budget.try_retry(shared.reactor.seconds()):
+        return False
+    RETRIES.labels(reason).inc()
+    return True
+
+
+def backoff_s(shared: Shared, attempt: int) -> float:
+    """Returns the wait before the attempt that follows this one."""
+    return budget.backoff_s(attempt, shared.settings["retries"], shared.rng)
--- /dev/null
+++ b/src/hemlocktiller/_internal/entry/bodies.py
@@ -0,0 +1,98 @@
+"""Reads the bodies of model requests."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+from hemlocktiller._internal import exceptions
+
+DEFAULT_MAX_TOKENS = 16
+
+
+class ModelBody(NamedTuple):
+    """What the body of a model request asks for."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+
+
+def completion(body: bytes) -> ModelBody:
+    """Returns what the body of a completion asks for.
+
+    Raises:
+        InvalidRequest: The body is malformed.
+    """
+    fields = _fields(body)
+    return _model_body(fields, _text(fields, "prompt"))
+
+
+def chat_completion(body: bytes) -> ModelBody:
+    """Returns what the body of a chat completion asks for.
+
+    Raises:
+        InvalidRequest: The body is malformed.
+    """
+    fields = _fields(body)
+    return _model_body(fields, _chat_prompt(fields.get("messages")))
+
+
+def _fields(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.InvalidRequest(
+            f"the body is not JSON: {error}"
+        ) from None
+    if not isinstance(fields, dict):
+        raise exceptions.InvalidRequest("the body is not a JSON object")
+    return fields
+
+
+def _model_body(fields: dict[str, Any], prompt: str) -> ModelBody:
+    return ModelBody(
+        _text(fields, "model"),
+        prompt,
+        _max_tokens(fields),
+        _flag(fields, "stream"),
+    )
+
+
+def _text(fields: dict[str, Any], name: str) -> str:
+    value = fields.get(name)
+    if not isinstance(value, str) or not value:
+        raise exceptions.InvalidRequest(f"{name} must be a non-empty string")
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise exceptions.InvalidRequest(
+            f"{name} holds characters that are not text"
+        ) from None
+    return value
+
+
+def _max_tokens(fields: dict[str, Any]) -> int:
+    value = fields.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+        raise exceptions.InvalidRequest("max_tokens must be 1 or more")
+    return value
+
+
+def _flag(fields: dict[str, Any], name: str) -> bool:
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        raise exceptions.InvalidRequest(f"{name} must be true or false")
+    return value
+
+
+def _chat_prompt(messages: Any) -> str:
+    if not isinstance(messages, list) or not messages:
+        raise exceptions.InvalidRequest("messages must be a non-empty list")
+    lines = []
+    for message in messages:
+        if not isinstance(message, dict):
+            raise exceptions.InvalidRequest("a message must be an object")
+        role = _text(message, "role")
+        lines.append(f"{role}: {_text(message, 'content')}\n")
+    return "".join(lines)
--- /dev/null
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -0,0 +1,286 @@
+"""The pages for callers."""
+
+from collections.abc import Callable
+import re
+import secrets
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+import xxhash
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.config import snapshot as snapshot_module
+from hemlocktiller._internal.entry import answers
+from hemlocktiller._internal.entry import bodies
+from hemlocktiller._internal.entry import outcomes
+from hemlocktiller._internal.entry import registry as registry_module
+
+MAX_KEY_CHARACTERS = 255
+TRACEPARENT = re.compile(r"^00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$")
+
+REQUESTS = prometheus_client.Counter(
+    "hemlocktiller_requests", "Requests of callers by page", ["page"]
+)
+HANG_UPS = prometheus_client.Counter(
+    "hemlocktiller_hang_ups", "Callers that went before their answer"
+)
+
+
+class Context(NamedTuple):
+    """What the pages use of the entry."""
+
+    settings: Any
+    registry: registry_module.Registry
+    current_config: Callable[[], snapshot_module.Snapshot]
+    draining: Callable[[], bool]
+    models: Callable[[], list[str]]
+    services: Callable[[], list[str]]
+
+
+class CallerRequest(server.Request):
+    """A caller's request with a bounded body."""
+
+    body_limit_bytes = 0
+    received_bytes = 0
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Stores a part of the body, up to the limit."""
+        self.received_bytes += len(data)
+        if self.received_bytes > self.body_limit_bytes:
+            self._refuse_body()
+            return
+        super().handleContentChunk(data)
+
+    def _refuse_body(self) -> None:
+        """Answers before the body is complete and closes."""
+        if self.received_bytes < 0 or self.channel is None:
+            return
+        body = _too_large(self.body_limit_bytes)
+        self.channel.transport.write(
+            b"HTTP/1.1 413 Content Too Large\r\n"
+            b"content-type: application/json\r\nconnection: close\r\n"
+            b"content-length: " + str(len(body)).encode() + b"\r\n\r\n" + body
+        )
+        self.received_bytes = -(2**62)
+        self.channel.loseConnection()
+
+
+def site(reactor: Any, context: Context) -> server.Site:
+    """Returns the site for callers."""
+    limits = context.settings["limits"]
+
+    class BoundedRequest(CallerRequest):
+        """A request with the limit of the settings."""
+
+        body_limit_bytes = limits["body_bytes"]
+
+    built = server.Site(
+        Pages(context),
+        requestFactory=BoundedRequest,
+        timeout=limits["body_timeout_s"],
+        reactor=reactor,
+    )
+    built.displayTracebacks = False
+    built.noisy = False
+    return built
+
+
+class Pages(resource.Resource):
+    """Finds the page of each request."""
+
+    isLeaf = True
+
+    def __init__(self, context: Context) -> None:
+        super().__init__()
+        self._context = context
+        self._process = secrets.token_hex(8)
+        self._count = 0
+
+    def render(self, request: http.Request) -> int:
+        """Begins the answer to a request."""
+        self._count += 1
+        request_id = f"{self._process}-{self._count}"
+        request.setHeader(b"x-request-id", request_id.encode())
+        if self._context.draining():
+            request.setHeader(b"connection", b"close")
+        try:
+            self._serve(request, request_id)
+        except exceptions.RequestError as error:
+            answers.write_error(request, error, request_id)
+        return server.NOT_DONE_YET
+
+    def _serve(self, request: http.Request, request_id: str) -> None:
+        path = request.path.decode("utf-8", "replace")
+        method = request.method.decode("ascii", "replace")
+        caller = self._caller(request)
+        if path == "/v1/models" and method == "GET":
+            REQUESTS.labels("models").inc()
+            self._models(request, caller)
+        elif path == "/v1/completions" and method == "POST":
+            REQUESTS.labels("completions").inc()
+            body = bodies.completion(request.content.read())
+            self._model(request, request_id, caller, body, chat=False)
+        elif path == "/v1/chat/completions" and method == "POST":
+            REQUESTS.labels("chat").inc()
+            body = bodies.chat_completion(request.content.read())
+            self._model(request, request_id, caller, body, chat=True)
+        elif path.startswith("/services/"):
+            REQUESTS.labels("services").inc()
+            self._service(request, request_id, caller)
+        else:
+            raise exceptions.UnknownName(f"no page {method} {path}")
+
+    def _caller(self, request: http.Request) -> outcomes.Caller:
+        config = self._context.current_config()
+        if config.version == 0:
+            raise exceptions.NoTarget(
+                "no configuration is in force yet", retry_after_s=1.0
+            )
+        header = request.getHeader("authorization") or ""
+        scheme, _, key = header.partition(" ")
+        view = None
+        if scheme.lower() == "bearer":
+            view = snapshot_module.workspace_of_key(config, key.strip())
+        if view is None:
+            raise exceptions.Unauthorized("no workspace has this key")
+        return outcomes.Caller(view, config.version)
+
+    def _models(self, request: http.Request, caller: outcomes.Caller) -> None:
+        names = [
+            name
+            for name in self._context.models()
+            if snapshot_module.may_use_model(caller.view, name)
+        ]
+        data = [{"id": name, "object": "model"} for name in names]
+        answers.write_json(request, 200, {"object": "list", "data": data})
+
+    def _model(
+        self,
+        request: http.Request,
+        request_id: str,
+        caller: outcomes.Caller,
+        body: bodies.ModelBody,
+        chat: bool,
+    ) -> None:
+        self._check_model(caller.view, body)
+        call = outcomes.ModelCall(
+            request_id,
+            caller,
+            body.model,
+            body.prompt,
+            body.max_tokens,
+            _traceparent(request),
+            _digest(caller, f"{body.model}\0{body.prompt}".encode()),
+        )
+        form = answers.Form(request_id, body.model, chat)
+        registry = self._context.registry
+
+        def grant(tokens: int) -> None:
+            registry.grant(request_id, tokens)
+
+        if body.stream:
+            sink = answers.EventStream(request, form, grant).sink()
+        else:
+            sink = answers.whole_sink(request, form, grant)
+        self._cancel_on_hang_up(request, request_id)
+        registry.begin_model(call, sink)
+
+    def _check_model(
+        self, view: snapshot_module.WorkspaceView, body: bodies.ModelBody
+    ) -> None:
+        if body.model not in self._context.models():
+            raise exceptions.UnknownName(f"no model {body.model}")
+        if not snapshot_module.may_use_model(view, body.model):
+            raise exceptions.NotAllowed(
+                f"plan {view.plan['plan']} may not use {body.model}"
+            )
+        if body.max_tokens > view.limits["output_tokens"]:
+            raise exceptions.LimitExceeded(
+                f"max_tokens is over {view.limits['output_tokens']}"
+            )
+
+    def _service(
+        self, request: http.Request, request_id: str, caller: outcomes.Caller
+    ) -> None:
+        path = request.uri.decode("ascii", "replace")
+        name, _, rest = path.removeprefix("/services/").partition("/")
+        name = name.partition("?")[0]
+        if name not in self._context.services():
+            raise exceptions.UnknownName(f"no service {name}")
+        if not snapshot_module.may_use_service(caller.view, name):
+            raise exceptions.NotAllowed(
+                f"plan {caller.view.plan['plan']} may not use {name}"
+            )
+        body = request.content.read()
+        call = outcomes.ServiceCall(
+            request_id,
+            caller,
+            name,
+            request.method.decode("ascii", "replace"),
+            f"/{rest}",
+            request.getHeader("content-type") or "",
+            body,
+            _idempotency_key(request),
+            _traceparent(request),
+            _digest(caller, path.encode() + b"\0" + body),
+        )
+
+        def on_answer(answer: outcomes.ServiceAnswer) -> None:
+            _write_service_answer(request, answer)
+
+        def on_error(error: exceptions.RequestError) -> None:
+            answers.write_error(request, error, request_id)
+
+        self._cancel_on_hang_up(request, request_id)
+        self._context.registry.begin_service(call, on_answer, on_error)
+
+    def _cancel_on_hang_up(
+        self, request: http.Request, request_id: str
+    ) -> None:
+        def on_hang_up(_: Any) -> None:
+            HANG_UPS.inc()
+            self._context.registry.cancel(request_id)
+
+        request.notifyFinish().addErrback(on_hang_up)
+
+
+def _write_service_answer(
+    request: http.Request, answer: outcomes.ServiceAnswer
+) -> None:
+    request.setResponseCode(answer.status)
+    if answer.content_type:
+        request.setHeader(b"content-type", answer.content_type.encode())
+    if answer.replayed:
+        request.setHeader(b"idempotency-replayed", b"true")
+    request.setHeader(b"content-length", str(len(answer.body)).encode())
+    request.write(answer.body)
+    request.finish()
+
+
+def _idempotency_key(request: http.Request) -> str:
+    key = request.getHeader("idempotency-key") or ""
+    if len(key) > MAX_KEY_CHARACTERS:
+        raise exceptions.InvalidRequest(
+            f"Idempotency-Key is over {MAX_KEY_CHARACTERS} characters"
+        )
+    return key
+
+
+def _traceparent(request: http.Request) -> str:
+    header = request.getHeader("traceparent") or ""
+    return header if TRACEPARENT.match(header) else ""
+
+
+def _digest(caller: outcomes.Caller, body: bytes) -> int:
+    workspace = caller.view.workspace.encode()
+    return xxhash.xxh64_intdigest(workspace + b"\0" + body)
+
+
+def _too_large(limit_bytes: int) -> bytes:
+    error = exceptions.BodyTooLarge(f"the body is over {limit_bytes} bytes")
+    document = answers.error_document(error, "")
+    return answers.json.dumps(document).encode()
--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -50,6 +50,7 @@
     """
 
     timeout_s: NotRequired[float]
+    notice_s: NotRequired[float]
 
 
 class Engine(TypedDict, closed=True):
