--- /dev/null
+++ b/tests/unit/config/test_patch.py
@@ -0,0 +1,143 @@
+import zlib
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from hemlocktiller._internal.config import patch
+from hemlocktiller._internal.config import snapshot
+
+REPEATABLE = settings(derandomize=True, max_examples=200, deadline=None)
+
+names = strategies.text(min_size=1, max_size=8)
+amounts = strategies.floats(0, 1000)
+name_lists = strategies.lists(names, max_size=3, unique=True)
+
+
+def _list_of(key, fields, optional):
+    return strategies.lists(
+        strategies.fixed_dictionaries(
+            {key: names, **fields}, optional=optional
+        ),
+        unique_by=lambda item: item[key],
+        max_size=4,
+    )
+
+
+@strategies.composite
+def documents(draw):
+    limits = strategies.fixed_dictionaries(
+        {},
+        optional={
+            "requests_per_s": amounts,
+            "output_tokens": amounts.map(int),
+        },
+    )
+    plans = draw(
+        _list_of(
+            "plan",
+            {
+                "share": strategies.sampled_from([0.0, 0.1, 0.25]),
+                "worth": amounts,
+                "deadline_s": strategies.floats(1, 10),
+                "workspaces": name_lists,
+            },
+            {"limits": limits},
+        )
+    )
+    taken = set()
+    for plan in plans:
+        fresh = [name for name in plan["workspaces"] if name not in taken]
+        taken.update(fresh)
+        plan["workspaces"] = [
+            {"workspace": name, "key_digest": snapshot.key_digest(name)}
+            for name in fresh
+        ]
+    allowances = [
+        {"plan": plan["plan"], "models": draw(name_lists), "services": []}
+        for plan in plans
+    ]
+    return {"plans": plans, "allowances": allowances}
+
+
+@REPEATABLE
+@given(documents(), documents())
+def test_an_update_leads_to_the_newer_document(old, new):
+    before = snapshot.build(3, old)
+    after = snapshot.build(5, new)
+    for base in (None, snapshot.EMPTY, before):
+        update = patch.make(base, after)
+        applied = patch.apply(before, update).ok
+        assert applied.document == new
+        assert applied.version == 5
+
+
+@REPEATABLE
+@given(documents(), documents(), strategies.integers(0, 5))
+def test_an_update_never_leads_to_a_lower_version(old, new, version):
+    current = snapshot.build(5, old)
+    update = patch.make(None, snapshot.build(version, new))
+    assert patch.apply(current, update).error == patch.NOT_NEWER
+
+
+@REPEATABLE
+@given(strategies.binary(max_size=64), strategies.integers(0, 1))
+def test_any_body_is_refused_or_read(body, base_version):
+    current = snapshot.build(1, {"plans": [], "allowances": []})
+    for content in (body, zlib.compress(body)):
+        update = patch.make(None, snapshot.build(2, current.document))
+        update |= {"body": content, "base_version": base_version}
+        assert patch.apply(current, update).error == patch.MALFORMED
+
+
+@pytest.fixture
+def edited(config_document):
+    before = snapshot.build(3, config_document)
+    plans = [dict(plan) for plan in config_document["plans"]]
+    plans[0]["share"] = 0.5
+    del plans[0]["limits"]
+    return before, snapshot.build(4, dict(config_document, plans=plans))
+
+
+def test_one_edit_goes_as_a_patch(edited):
+    update = patch.make(*edited)
+    assert update["base_version"] == 3
+    assert zlib.decompress(update["body"]) == (
+        b'{"plans":{"gold":{"limits":null,"share":0.5}}}'
+    )
+
+
+def test_a_patch_for_another_base_asks_for_the_whole(edited):
+    before, after = edited
+    update = patch.make(before, after)
+    for version in (2, 0):
+        current = snapshot.build(version, before.document)
+        assert patch.apply(current, update).error == patch.OTHER_BASE
+
+
+def test_a_new_order_goes_as_the_whole(edited):
+    before, after = edited
+    turned = dict(after.document, plans=after.document["plans"][::-1])
+    update = patch.make(before, snapshot.build(9, turned))
+    assert update["base_version"] == 0
+    assert patch.apply(before, update).ok.document == turned
+
+
+@pytest.mark.parametrize(
+    "content", [b"[]", b'{"plans":{"x":3}}', b"[" * 100_000]
+)
+@pytest.mark.parametrize("base_version", [0, 3])
+def test_a_document_with_findings_is_malformed(edited, content, base_version):
+    before, _ = edited
+    update = patch.make(None, snapshot.build(9, before.document))
+    update["body"] = zlib.compress(content)
+    update["base_version"] = base_version
+    assert patch.apply(before, update).error == patch.MALFORMED
+
+
+def test_a_body_that_inflates_without_bound_is_malformed(edited):
+    before, _ = edited
+    update = patch.make(None, snapshot.build(9, before.document))
+    update["body"] = zlib.compress(b" " * (patch.MAX_BODY_BYTES + 1))
+    assert patch.apply(before, update).error == patch.MALFORMED
