--- /dev/null
+++ b/tests/functional/harness.py
@@ -0,0 +1,382 @@
+"""Deployments of product processes and stand-ins on the loopback."""
+
+import hashlib
+import json
+from pathlib import Path
+import signal
+from typing import Any
+from typing import NamedTuple
+
+from tests.functional import client
+from tests.functional.process import Address
+from tests.functional.process import poll
+from tests.functional.process import Process
+
+MODEL = "drafts"
+SERVICE = "booking"
+DATA_CENTRE = "dc1"
+LINK_SECRET = "secret-of-the-functional-tests"
+READY_POLLS = 400
+CALL_TIMEOUT_S = 2.0
+KEYS = {"events": "key-events", "federation": "key-federation"}
+PLAN_LIMITS = {
+    "requests_per_s": 500,
+    "burst_requests": 1000,
+    "running_requests": 400,
+    "output_tokens": 4096,
+}
+
+
+class Engine(NamedTuple):
+    """A model engine and the options that it was started with."""
+
+    process: Process
+    first_layer: int
+    end_layer: int
+    history_file: Path
+
+
+def config(share: float = 0.5, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration of two plans with a workspace each."""
+    plans = [
+        {
+            "plan": f"plan-{workspace}",
+            "share": share,
+            "worth": 1.0,
+            "deadline_s": 30.0,
+            "limits": dict(PLAN_LIMITS),
+            "workspaces": [
+                {"workspace": workspace, "key_digest": digest(key)}
+            ],
+            **changes,
+        }
+        for workspace, key in KEYS.items()
+    ]
+    allowances = [
+        {"plan": plan["plan"], "models": [MODEL], "services": [SERVICE]}
+        for plan in plans
+    ]
+    return {"plans": plans, "allowances": allowances}
+
+
+def digest(key: str) -> str:
+    """Returns the digest of a workspace key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Deployment:
+    """The processes of one test; `stop` ends whatever still runs.
+
+    Attributes:
+        platform: Stand-in of the object API and the VM list.
+        engines: Model engines by name.
+        bookings: Booking services by name.
+        agents: Agents by name; an agent has its target's name.
+        entries: Entries by name.
+        relays: Relays before the agents' link ports, by agent name.
+    """
+
+    def __init__(self, directory: Path):
+        self.directory = directory
+        self.engines: dict[str, Engine] = {}
+        self.bookings: dict[str, Process] = {}
+        self.agents: dict[str, Process] = {}
+        self.entries: dict[str, Process] = {}
+        self.relays: dict[str, Process] = {}
+        self._all: list[Process] = []
+        self.platform = self.run("platform", "tests.fakes.platform", [])
+        self.config_versions: list[int] = []
+
+    def run(self, name, module, arguments, port_option=True) -> Process:
+        """Starts a process that ends with the deployment."""
+        words = ["--port", 0, *arguments] if port_option else arguments
+        process = Process(name, module, words, self.directory)
+        self._all.append(process)
+        return process.start()
+
+    def stop(self) -> None:
+        """Ends every process that still runs."""
+        for process in reversed(self._all):
+            process.kill()
+
+    # Platform
+
+    def store_call(self, method, path, document=None, **options):
+        """Calls the stand-in of the object API."""
+        return client.json_call(
+            self.platform.address, method, path, document, **options
+        )
+
+    def put_config(self, document) -> int:
+        """Writes the configuration as an operator would; its version."""
+        answer = self.store_call("GET", "/objects/config/main")
+        headers = {"If-None-Match": "*"}
+        if answer.status == 200:
+            headers = {"If-Match": f'"{answer.json()["version"]}"'}
+        value = {"writer": "harness", "nonce": "", "data": document}
+        answer = self.store_call(
+            "PUT", "/objects/config/main", value, headers=headers
+        )
+        assert answer.status == 200, answer
+        self.config_versions.append(answer.json()["version"])
+        return self.config_versions[-1]
+
+    def set_faults(self, outage="none", **fields) -> None:
+        """Sets the faults of the object API."""
+        document = {"outage": outage, **fields}
+        answer = self.store_call("PUT", "/faults", document)
+        assert answer.status < 300, answer
+
+    def set_vm(self, name: str, state: str) -> None:
+        """Sets an entry of the VM list."""
+        document = {
+            "host": "127.0.0.1",
+            "data_centre": DATA_CENTRE,
+            "state": state,
+        }
+        answer = self.store_call("PUT", f"/vms/{name}", document)
+        assert answer.status < 300, answer
+
+    # Targets
+
+    def start_engine(
+        self, name, first_layer, end_layer, layer_count, **options
+    ) -> Process:
+        """Starts a model engine; options become command-line options."""
+        history_file = self.directory / f"{name}.history"
+        fields = {
+            "model": MODEL,
+            "first_layer": first_layer,
+            "end_layer": end_layer,
+            "layer_count": layer_count,
+            "accelerator_kind": "kind-a",
+            "history_file": history_file,
+            **options,
+        }
+        process = self.run(name, "tests.fakes.engine", _words(fields))
+        self.engines[name] = Engine(
+            process, first_layer, end_layer, history_file
+        )
+        return process
+
+    def start_booking(self, name, **options) -> Process:
+        """Starts a booking service."""
+        fields = {"history_file": self.directory / f"{name}.history"}
+        self.bookings[name] = self.run(
+            name, "tests.fakes.booking", _words(fields | options)
+        )
+        return self.bookings[name]
+
+    def start_agent(
+        self, name: str, relayed: bool = False, delay_s: float = 0.0, **fields
+    ) -> Process:
+        """Starts the agent of the engine or booking service `name`-target.
+
+        Args:
+            name: Name of the agent and its target.
+            relayed: Whether peers reach it through a relay.
+            delay_s: Delay of the relay, one way.
+            **fields: Settings that replace the usual ones.
+        """
+        settings = self._settings(name) | {
+            "link": {"host": "127.0.0.1", "port": 0},
+            "accelerator_kind": "kind-a",
+            **self._target(f"{name}-target"),
+        }
+        self.set_vm(f"vm-{name}", "live")
+        if relayed:
+            settings["advertise"] = self._start_relay(name, delay_s)
+        settings |= fields
+        agent = self._start_product(name, "agent", settings)
+        if relayed:
+            self._aim_relay(name, agent)
+        self.agents[name] = agent
+        return agent
+
+    def _target(self, target: str) -> dict[str, Any]:
+        if target in self.engines:
+            address = self.engines[target].process.address
+            return {"engine": {"url": address.url()}}
+        address = self.bookings[target].address
+        return {"service": {"name": SERVICE, "url": address.url()}}
+
+    def _target_file(self, name: str) -> Path:
+        return self.directory / f"{name}.target"
+
+    def _start_relay(self, name: str, delay_s: float) -> dict[str, Any]:
+        words = ["--target-file", self._target_file(name)]
+        words += ["--delay-s", delay_s]
+        relay = self.run(f"{name}-relay", "tests.functional.proxy", words)
+        self.relays[name] = relay
+        return relay.address._asdict()
+
+    def _aim_relay(self, name: str, agent: Process) -> None:
+        link = agent.addresses["link"]
+        self._target_file(name).write_text(f"{link.host}:{link.port}")
+
+    def cut_link(self, name: str) -> None:
+        """Cuts all links to an agent and refuses new ones."""
+        self.relays[name].signal(signal.SIGUSR1)
+
+    def restore_link(self, name: str) -> None:
+        """Lets peers reach an agent again."""
+        self.relays[name].signal(signal.SIGUSR2)
+
+    def restart_agent(self, name: str) -> Process:
+        """Starts an agent that has ended again, with its old settings."""
+        agent = self.agents[name].start()
+        if name in self.relays:
+            self._aim_relay(name, agent)
+        return agent
+
+    # Entries
+
+    def start_entry(self, name: str, **fields) -> Process:
+        """Starts an entry."""
+        settings = self._settings(name) | {
+            "callers": {"host": "127.0.0.1", "port": 0},
+            **fields,
+        }
+        self.entries[name] = self._start_product(name, "entry", settings)
+        return self.entries[name]
+
+    def callers(self, name: str) -> Address:
+        """Returns the caller address of an entry."""
+        return self.entries[name].addresses["callers"]
+
+    def _settings(self, name: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "data_centre": DATA_CENTRE,
+            "vm": f"vm-{name}",
+            "vm_poll_s": 0.25,
+            "admin": {"host": "127.0.0.1", "port": 0},
+            "store": {
+                "url": self.platform.address.url(),
+                "timeout_s": 1.0,
+                "watch_timeout_s": 5.0,
+                "retry_max_s": 0.5,
+            },
+            "links": {
+                "secret": LINK_SECRET,
+                "heartbeat_interval_s": 0.25,
+                "silence_timeout_s": 1.5,
+                "reconnect_max_s": 0.25,
+            },
+            "drain": {"timeout_s": 30.0},
+        }
+
+    def _start_product(self, name, program, settings) -> Process:
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        module = f"hemlocktiller._internal.cli.{program}"
+        return self.run(name, module, ["--settings", path], port_option=False)
+
+    # Waiting
+
+    def wait_ready(self) -> None:
+        """Waits until all is ready and the entries reach all targets."""
+        for process in [*self.agents.values(), *self.entries.values()]:
+            if process.running():
+                self.wait_process_ready(process)
+        for name in self.entries:
+            self.wait_served(name)
+
+    def wait_process_ready(self, process: Process) -> None:
+        """Waits until the admin page says that a process is ready."""
+        poll(
+            lambda: self.admin(process, "/readyz").status == 200,
+            READY_POLLS,
+            f"{process.name} is ready",
+        )
+
+    def wait_served(self, entry: str, polls: int = READY_POLLS) -> None:
+        """Waits until an entry gives a whole answer for each kind."""
+        if self.engines:
+            poll(lambda: self._served_model(entry), polls, f"{entry} model")
+        if self.bookings:
+            poll(lambda: self._served_call(entry), polls, f"{entry} service")
+
+    def _served_model(self, entry: str) -> bool:
+        key = KEYS["events"]
+        name = f"probe of {entry}"
+        return client.complete(
+            self.callers(entry), key, name, name, max_tokens=1
+        ).whole
+
+    def _served_call(self, entry: str) -> bool:
+        answer = client.http_call(
+            self.callers(entry),
+            "GET",
+            f"/services/{SERVICE}/bookings/probe",
+            headers=client.authorize(KEYS["events"]),
+        )
+        return answer.status in (200, 404) and b'"error"' not in answer.body
+
+    def admin(self, process: Process, path: str, method="GET"):
+        """Calls an admin page; status 0 if it can't be reached."""
+        try:
+            return client.http_call(
+                process.addresses["admin"],
+                method,
+                path,
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except OSError:
+            return client.Answer(0, {}, b"")
+
+    def status(self, process: Process) -> dict[str, Any]:
+        """Returns the status page of a process; empty if unreachable."""
+        return self.admin(process, "/status").json() or {}
+
+    # Histories
+
+    def engine_history(self, name: str) -> list[dict[str, Any]]:
+        """Returns all that an engine did, also if it has ended."""
+        return _read_lines(self.engines[name].history_file)
+
+    def booking_history(self, name: str) -> list[dict[str, Any]]:
+        """Returns all that a booking service did, also if it has ended."""
+        return _read_lines(self.directory / f"{name}.history")
+
+
+def _words(options) -> list[str]:
+    words = []
+    for name, value in options.items():
+        words += ["--" + name.replace("_", "-"), str(value)]
+    return words
+
+
+def _read_lines(path: Path) -> list[dict[str, Any]]:
+    if not path.exists():
+        return []
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def start_chains(
+    deployment: Deployment,
+    chains: int = 2,
+    stages: int = 2,
+    layer_count: int = 8,
+    relayed: bool = False,
+    **options,
+) -> None:
+    """Starts engines with their agents, as whole chains of equal stages."""
+    step = layer_count // stages
+    for chain in range(chains):
+        for stage in range(stages):
+            name = f"c{chain}s{stage}"
+            first = stage * step
+            deployment.start_engine(
+                f"{name}-target", first, first + step, layer_count, **options
+            )
+            deployment.start_agent(name, relayed=relayed)
+
+
+def start_bookings(
+    deployment: Deployment, count: int = 2, relayed=False, **options
+) -> None:
+    """Starts booking services with their agents."""
+    for number in range(count):
+        deployment.start_booking(f"b{number}-target", **options)
+        deployment.start_agent(f"b{number}", relayed=relayed)
