--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -14,3 +14,18 @@
         yield deployment
     finally:
         deployment.stop()
+
+
+@pytest.fixture(scope="module")
+def whole_path(tmp_path_factory):
+    """Two chains of two stages, two booking services and one entry."""
+    deployment = harness.Deployment(tmp_path_factory.mktemp("whole"))
+    try:
+        deployment.put_config(harness.config())
+        harness.start_chains(deployment)
+        harness.start_bookings(deployment)
+        deployment.start_entry("e0")
+        deployment.wait_ready()
+        yield deployment
+    finally:
+        deployment.stop()
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from tests.functional import client
+from tests.functional import history
 from tests.functional.process import Address
 from tests.functional.process import poll
 from tests.functional.process import Process
@@ -339,6 +340,22 @@
         """Returns all that a booking service did, also if it has ended."""
         return _read_lines(self.directory / f"{name}.history")
 
+    def all_runs(self) -> list[history.Run]:
+        """Returns the runs of all engines."""
+        return [
+            run
+            for name in self.engines
+            for run in history.runs(name, self.engine_history(name))
+        ]
+
+    def all_bookings(self) -> list[history.Booking]:
+        """Returns the bookings of all services."""
+        return [
+            booking
+            for name in self.bookings
+            for booking in history.bookings(name, self.booking_history(name))
+        ]
+
 
 def _words(options) -> list[str]:
     words = []
--- a/tests/functional/history.py
+++ b/tests/functional/history.py
@@ -59,6 +59,11 @@
     return sequence.rpartition("/")[0]
 
 
+def bookings(service: str, lines) -> list[Booking]:
+    """Returns the bookings of a service's history."""
+    return [Booking(service, canonical(line["body"])) for line in lines]
+
+
 def canonical(body) -> str:
     """Returns the same JSON text for equal bodies."""
     return json.dumps(body, sort_keys=True)
@@ -88,24 +93,27 @@
 
 
 def check_layers(
-    all_runs: Iterable[Run], faulted: Collection[str] = ()
+    all_runs: Iterable[Run],
+    lossy: Collection[str] = (),
+    late: Collection[str] = (),
 ) -> list[str]:
     """Checks that layers run once and in order for each token.
 
     A run counts as accepted if it starts where the accepted ones before
     it end. No engine may run a layer of a token twice. Only a fault
-    excuses a run that is not accepted: a range is run again at another
-    engine because the output of a faulted engine was lost, or a faulted
+    excuses a run that is not accepted: the newest range is run again at
+    another engine because the output of the first was lost, or a frozen
     engine runs late what others have run in its place.
 
     Args:
         all_runs: Runs of all engines.
-        faulted: Engines that a fault touched.
+        lossy: Engines whose output a fault may have lost.
+        late: Engines that a fault may have delayed.
     """
     all_runs = list(all_runs)
     findings = _repeats(all_runs)
     for token_runs in _by_token(all_runs).values():
-        findings += _order(token_runs, faulted)
+        findings += _order(token_runs, lossy, late)
     return findings + _token_order(all_runs)
 
 
@@ -122,7 +130,9 @@
     ]
 
 
-def _order(token_runs: list[Run], faulted: Collection[str]) -> list[str]:
+def _order(
+    token_runs: list[Run], lossy: Collection[str], late: Collection[str]
+) -> list[str]:
     findings = []
     accepted: list[Run] = []
     for run in token_runs:
@@ -131,19 +141,19 @@
             accepted.append(run)
         elif run.first_layer > frontier:
             findings.append(f"gap before layer {run.first_layer}: {run}")
-        elif _replaces(run, accepted[-1], faulted):
+        elif _replaces(run, accepted[-1], lossy):
             accepted[-1] = run
-        elif run.engine not in faulted:
+        elif run.engine not in late:
             findings.append(f"earlier layer run again: {run}")
     return findings
 
 
-def _replaces(run: Run, last: Run, faulted: Collection[str]) -> bool:
+def _replaces(run: Run, last: Run, lossy: Collection[str]) -> bool:
     same = (run.first_layer, run.end_layer) == (
         last.first_layer,
         last.end_layer,
     )
-    return same and last.engine in faulted
+    return same and last.engine in lossy
 
 
 def _token_order(all_runs: list[Run]) -> list[str]:
@@ -174,6 +184,19 @@
     ]
 
 
+def check_one_attempt(all_runs: Iterable[Run], layer_count: int) -> list[str]:
+    """Checks that no two attempts of a request finished the same token."""
+    attempts = collections.defaultdict(set)
+    for (sequence, index), token_runs in _by_token(all_runs).items():
+        if _covers(token_runs, layer_count):
+            attempts[request_of(sequence), index].add(sequence)
+    return [
+        f"token {index} finished by attempts {sorted(sequences)}"
+        for (_, index), sequences in attempts.items()
+        if len(sequences) > 1
+    ]
+
+
 def _covers(token_runs: list[Run], layer_count: int) -> bool:
     frontier = 0
     for run in token_runs:
--- a/tests/unit/test_history.py
+++ b/tests/unit/test_history.py
@@ -48,25 +48,35 @@
 
 
 @pytest.mark.parametrize(
-    ("runs", "faulted"),
+    ("runs", "lossy", "late"),
     [
-        ([*GOOD, DOUBLED], ()),
-        ([*GOOD, DOUBLED], ("a",)),
-        ([*GOOD, GAP], ()),
-        ([*GOOD, GAP], ("b",)),
-        ([*GOOD, EARLIER], ()),
-        ([*GOOD, EARLIER], ("a", "b")),
-        ([*GOOD, REPLACED], ()),
-        (LATE_TOKEN, ()),
+        ([*GOOD, DOUBLED], (), ()),
+        ([*GOOD, DOUBLED], ("a", "b"), ("a", "b")),
+        ([*GOOD, GAP], (), ()),
+        ([*GOOD, GAP], ("a", "b"), ("b",)),
+        ([*GOOD, EARLIER], (), ()),
+        ([*GOOD, EARLIER], ("a", "b"), ("a", "b")),
+        ([*GOOD, REPLACED], (), ()),
+        ([*GOOD, REPLACED], ("a",), ("a", "b")),
+        (LATE_TOKEN, ("a",), ("a",)),
     ],
 )
-def test_bad_layers_are_found(runs, faulted):
-    assert history.check_layers(runs, faulted)
+def test_bad_layers_are_found(runs, lossy, late):
+    assert history.check_layers(runs, lossy, late)
 
 
-@pytest.mark.parametrize("faulted", [("b",), ("c",)])
-def test_a_fault_excuses_a_range_run_again_elsewhere(faulted):
-    assert history.check_layers([*GOOD, REPLACED], faulted) == []
+def test_a_lost_output_excuses_the_newest_range():
+    assert history.check_layers([*GOOD, REPLACED], lossy=("b",)) == []
+
+
+def test_a_frozen_engine_may_run_late():
+    assert history.check_layers([*GOOD, EARLIER], late=("c",)) == []
+
+
+def test_a_token_finished_by_two_attempts_is_found():
+    second = [run._replace(sequence="r1/2") for run in GOOD]
+    assert history.check_one_attempt([*GOOD, second[0]], 8) == []
+    assert history.check_one_attempt([*GOOD, *second], 8)
 
 
 def test_runs_leaves_out_rebuilds():
