--- /dev/null
+++ b/tests/functional/test_promises_7_config.py
@@ -0,0 +1,185 @@
+"""Promise 7: an accepted configuration is in force, and never older."""
+
+import time
+
+import pytest
+
+from tests.functional import client
+from tests.functional import harness
+from tests.functional import history
+from tests.functional import process
+from tests.functional import scenarios
+
+POLLS = 400
+EDITS = 6
+KEY = harness.KEYS["events"]
+
+pytestmark = pytest.mark.promise(7)
+
+
+class Watcher:
+    """Samples the version in force at every process."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.samples = []
+
+    def processes(self):
+        """Returns the processes that run."""
+        deployment = self.deployment
+        both = [*deployment.agents.values(), *deployment.entries.values()]
+        return [child for child in both if child.running()]
+
+    def sample(self, child):
+        """Samples one process; returns its version."""
+        version = self.deployment.status(child).get("config_version")
+        if version is not None:
+            self.samples.append(history.Sample(child.name, version))
+        return version
+
+    def all_have(self, version, processes=None):
+        """Tells whether all processes have a version."""
+        names = processes or self.processes()
+        return [self.sample(one) for one in names] == [version] * len(names)
+
+    def wait(self, version, processes=None):
+        """Waits until all processes have a version."""
+        process.poll(
+            lambda: self.all_have(version, processes),
+            POLLS,
+            f"all have version {version}",
+        )
+
+    def check(self):
+        """Checks the samples taken so far."""
+        assert len(self.samples) > 0
+        assert history.check_versions(self.samples) == []
+
+
+@pytest.fixture
+def watcher(deployment):
+    harness.start_chains(deployment, chains=2, layer_count=12)
+    for name in scenarios.ENTRIES:
+        deployment.start_entry(name)
+    deployment.wait_ready()
+    return Watcher(deployment)
+
+
+def edit(deployment, number):
+    return deployment.put_config(harness.config(share=0.1 + number / 100))
+
+
+def without_events():
+    """Returns a configuration in which one workspace has a new key."""
+    document = harness.config()
+    digest = harness.digest("another key")
+    document["plans"][0]["workspaces"][0]["key_digest"] = digest
+    return document
+
+
+def test_edits_reach_every_process(deployment, watcher):
+    for number in range(EDITS):
+        watcher.wait(edit(deployment, number))
+    watcher.check()
+
+
+def test_an_edit_while_the_store_hangs_afterwards(deployment, watcher):
+    version = edit(deployment, 0)
+    watcher.wait(version)
+    deployment.set_faults("hang")
+    agent = deployment.agents["c0s0"]
+    entry = deployment.entries["e0"]
+    for one in (agent, entry):
+        one.kill()
+    deployment.restart_agent("c0s0")
+    entry.start()
+    watcher.wait(version)
+    exchange = client.complete(deployment.callers("e1"), KEY, "x", "x")
+    assert exchange.whole
+    deployment.set_faults()
+    watcher.wait(edit(deployment, 1))
+    watcher.check()
+
+
+def test_every_process_restarted_in_an_outage_but_one(deployment, watcher):
+    version = edit(deployment, 0)
+    watcher.wait(version)
+    deployment.set_faults("refuse")
+    for name in list(deployment.agents):
+        deployment.agents[name].kill()
+        deployment.restart_agent(name)
+    watcher.wait(version)
+    deployment.entries["e1"].kill()
+    deployment.entries["e1"].start()
+    watcher.wait(version)
+    watcher.check()
+    deployment.wait_served("e1")
+
+
+@pytest.mark.parametrize("name", ["c0s1", "e0"])
+def test_a_process_frozen_over_edits_catches_up(deployment, watcher, name):
+    both = {**deployment.agents, **deployment.entries}
+    both[name].freeze()
+    others = [one for one in watcher.processes() if one.name != name]
+    for number in range(EDITS):
+        version = edit(deployment, number)
+    watcher.wait(version, others)
+    both[name].wake()
+    watcher.wait(version)
+    watcher.check()
+
+
+@pytest.mark.parametrize("name", ["c0s1", "e0"])
+def test_versions_survive_a_restart_and_edits(deployment, watcher, name):
+    both = {**deployment.agents, **deployment.entries}
+    for number in range(EDITS):
+        version = edit(deployment, number)
+        both[name].kill()
+        if name in deployment.agents:
+            deployment.restart_agent(name)
+        else:
+            both[name].start()
+        watcher.wait(version)
+    watcher.check()
+
+
+def test_an_older_version_admits_nothing_at_a_newer_target(
+    deployment, watcher
+):
+    frozen = deployment.entries["e0"]
+    callers = deployment.callers("e0")
+    frozen.freeze()
+    load = client.Load()
+    for number in range(8):
+        name = f"revoked {number}"
+        load.send(client.complete, callers, KEY, name, name)
+    time.sleep(10 * process.POLL_S)
+    version = deployment.put_config(without_events())
+    others = [one for one in watcher.processes() if one is not frozen]
+    watcher.wait(version, others)
+    frozen.wake()
+    exchanges = load.results()
+    runs = deployment.all_runs()
+    ran = {history.request_of(run.sequence) for run in runs}
+    assert [one.whole for one in exchanges] == [False] * 8
+    assert not ran & {one.request for one in exchanges if one.request}
+    assert history.check_not_run(exchanges, runs, []) == []
+    assert history.check_errors(exchanges) == []
+    watcher.wait(version)
+    watcher.check()
+
+
+def test_a_broken_document_changes_nothing(deployment, watcher):
+    version = edit(deployment, 0)
+    watcher.wait(version)
+    answer = deployment.store_call("GET", "/objects/config/main")
+    value = {"writer": "x", "nonce": "", "data": {"plans": "all"}}
+    headers = {"If-Match": f'"{answer.json()["version"]}"'}
+    path = "/objects/config/main"
+    deployment.store_call("PUT", path, value, headers=headers)
+    for entry in scenarios.ENTRIES:
+        name = f"after {entry}"
+        callers = deployment.callers(entry)
+        assert client.complete(callers, KEY, name, name).whole
+    watcher.wait(edit(deployment, 1))
+    watcher.check()
