--- /dev/null
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -0,0 +1,402 @@
+"""Builds an agent from its settings and connects its parts."""
+
+from typing import Any
+
+import logbook
+import prometheus_client
+from twisted.internet import defer
+from twisted.internet import task
+
+from hemlocktiller._internal import process as process_module
+from hemlocktiller._internal.agent import claims as claims_module
+from hemlocktiller._internal.agent import door as door_module
+from hemlocktiller._internal.agent import engine as engine_module
+from hemlocktiller._internal.agent import heads as heads_module
+from hemlocktiller._internal.agent import peers as peers_module
+from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.agent import runs
+from hemlocktiller._internal.agent import services as services_module
+from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.links import listener
+from hemlocktiller._internal.observe import admin
+from hemlocktiller._internal.policy import prefixes as prefixes_module
+from hemlocktiller._internal.store import vms as vms_module
+
+LOAD_INTERVAL_S = 1.0
+ENGINE_POLL_S = 0.2
+MAX_PREFIXES = 64
+TARGET_KIND = "target"
+
+log = logbook.Logger(__name__)
+
+LEAVING = prometheus_client.Gauge(
+    "hemlocktiller_leaving", "Whether this process is leaving"
+)
+
+
+class Agent:
+    """The parts of an agent.
+
+    Attributes:
+        engine_info: What the engine holds; None if it does not answer or
+            the target is a plain service.
+    """
+
+    def __init__(self, process: process_module.Process) -> None:
+        self.process = process
+        self.reactor = process.reactor
+        self.settings = process.settings
+        self.engine_info: engine_module.Info | None = None
+        self.record: dict[str, Any] = {}
+        self.links: set[link_module.Link] = set()
+        self.admin_port = 0
+        self.link_port = 0
+        self._prefixes: dict[int, None] = {}
+        self._watches: list[Any] = []
+        self._drained = defer.Deferred()
+        self._polling = False
+        handlers = link_module.Handlers(
+            self._on_open, self._on_message, self._on_down
+        )
+        self._listener = listener.Listener(
+            self.reactor, self.settings["links"], process.local, handlers
+        )
+        self.peers = peers_module.Peers(
+            self.reactor,
+            self.settings["links"],
+            process.local,
+            handlers,
+            process.rng,
+        )
+        self.door = door_module.Door(
+            self.reactor,
+            self.settings,
+            lambda: process.feed.current,
+            self._begin,
+        )
+        self.heads = heads_module.Heads(
+            self.reactor, self.settings, self.door.done
+        )
+        self.services: services_module.Services | None = None
+        self.engine: engine_module.EngineClient | None = None
+        self.pipeline: pipeline_module.Pipeline | None = None
+        if "engine" in self.settings:
+            self._build_engine()
+        else:
+            self._build_service()
+        process.feed.on_change.append(self.door.on_config)
+
+    def start(self) -> defer.Deferred[None]:
+        """Listens, registers and serves until it has drained."""
+        address = self.settings["link"]
+        port = self.reactor.listenTCP(
+            address["port"], self._listener, interface=address["host"]
+        )
+        self._listening = port
+        self.link_port = port.getHost().port
+        pages = admin.Pages(
+            self.unready_reason,
+            self.status,
+            lambda: self.drain("operator"),
+            self.process.journal.events,
+            self.process.tracer.spans,
+        )
+        admin_port = admin.listen(self.reactor, self.settings["admin"], pages)
+        self.admin_port = admin_port.getHost().port
+        self._start_loops()
+        self._start_watches()
+        if self.engine is not None:
+            self._poll_engine()
+        else:
+            self._register()
+        process_module.on_sigterm(self.reactor, self.drain)
+        print(
+            f"listening link={address['host']}:{self.link_port}"
+            f" admin={self.settings['admin']['host']}:{self.admin_port}",
+            flush=True,
+        )
+        return self._drained
+
+    def unready_reason(self) -> str:
+        """Returns why no new work is taken, or an empty string."""
+        return "leaving" if self.door.leaving else self.door.unready
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state for the status page."""
+        return {
+            "name": self.settings["name"],
+            "process": self.process.local.process,
+            "role": "agent",
+            "data_centre": self.settings["data_centre"],
+            "config_version": self.process.feed.version(),
+            "leaving": self.door.leaving,
+            "ready": self.unready_reason() == "",
+            "unready": self.unready_reason(),
+            "queued": self.door.queued,
+            "running": self.door.running,
+            "stages": len(self.pipeline.runs) if self.pipeline else 0,
+            "links": len(self.links),
+            "target": self.record,
+        }
+
+    def drain(self, reason: str) -> dict[str, Any]:
+        """Starts to leave: refuses new work and finishes what runs."""
+        if not self.door.leaving:
+            log.info("leaving: {}", reason)
+            LEAVING.set(1)
+            self.door.leaving = True
+            message = {
+                "type": "leaving",
+                "name": self.settings["name"],
+                "reason": reason,
+            }
+            for link in list(self.links):
+                link.send(message)
+            self.door.refuse_waiting("leaving")
+            self._finish_drain()
+        return self.status()
+
+    @defer.inlineCallbacks
+    def _finish_drain(self) -> defer.Deferred[None]:
+        timeout_s = self.settings["drain"]["timeout_s"]
+        removal = defer.Deferred.fromCoroutine(
+            process_module.unregister(
+                self.process, TARGET_KIND, self.settings["name"], self.record
+            )
+        )
+        yield process_module.wait_until(self.reactor, self._idle, timeout_s)
+        yield removal
+        for watch in self._watches:
+            watch.stop()
+        self._listening.stopListening()
+        self.peers.stop()
+        for link in list(self.links):
+            link.close()
+        self.reactor.callLater(
+            process_module.POLL_S, self._drained.callback, None
+        )
+
+    def _idle(self) -> bool:
+        stages = len(self.pipeline.runs) if self.pipeline else 0
+        calls = self.services.running if self.services else 0
+        return self.door.running + stages + calls == 0
+
+    def _build_engine(self) -> None:
+        self._submitted_kinds = ("start",)
+        self.door.unready = "engine_down"
+        self.engine = engine_module.EngineClient(
+            self.reactor, self.settings["engine"], self._on_engine_failed
+        )
+        self.pipeline = pipeline_module.Pipeline(
+            self.reactor,
+            self.engine,
+            self.peers,
+            self._stage_refusal,
+            self.heads.events(),
+        )
+        self.heads.pipeline = self.pipeline
+
+    def _build_service(self) -> None:
+        self._submitted_kinds = ("call",)
+        claims = claims_module.Claims(
+            self.process.store, self.settings["service"], self.reactor
+        )
+        self.services = services_module.Services(
+            self.reactor, self.settings, claims, self.door.done
+        )
+
+    def _start_loops(self) -> None:
+        loop = task.LoopingCall(self._report_load)
+        loop.clock = self.reactor
+        loop.start(LOAD_INTERVAL_S, now=False)
+
+    def _start_watches(self) -> None:
+        self._watches.append(process_module.follow_config(self.process))
+        if self.settings["vm"]:
+            self._watches.append(
+                vms_module.follow(
+                    self.process.store,
+                    self.settings["vm_poll_s"],
+                    self._on_vms,
+                )
+            )
+
+    def _on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
+        vm = vms.get(self.settings["vm"])
+        if vm is not None and vm.state == vms_module.LEAVING:
+            self.drain("VM list")
+
+    def _register(self) -> None:
+        self.record = self._target_record()
+        process_module.register(
+            self.process, TARGET_KIND, self.settings["name"], self.record
+        )
+
+    def _target_record(self) -> dict[str, Any]:
+        advertise = self.settings.get("advertise") or {
+            "host": self.settings["link"]["host"],
+            "port": self.link_port,
+        }
+        info = self.engine_info
+        service = self.settings.get("service")
+        return {
+            "target": self.settings["name"],
+            "host": advertise["host"],
+            "port": advertise["port"],
+            "admin_host": self.settings["admin"]["host"],
+            "admin_port": self.admin_port,
+            "data_centre": self.settings["data_centre"],
+            "vm": self.settings["vm"],
+            "model": info.model if info else "",
+            "first_layer": info.first_layer if info else 0,
+            "end_layer": info.end_layer if info else 0,
+            "layer_count": info.layer_count if info else 0,
+            "accelerator_kind": self.settings["accelerator_kind"],
+            "service": service["name"] if service else "",
+            "max_running": self.settings["limits"]["running"],
+        }
+
+    def _on_engine_failed(self) -> None:
+        if not self.door.unready:
+            log.warning("the engine does not answer")
+            self.door.unready = "engine_down"
+            self.door.refuse_waiting("engine_down")
+            self._report_load()
+        self._poll_engine()
+
+    def _poll_engine(self) -> None:
+        if self._polling:
+            return
+        self._polling = True
+        asked = self.engine.info()
+        asked.addCallbacks(self._on_engine_info, self._on_no_engine_info)
+
+    def _on_engine_info(self, info: engine_module.Info) -> None:
+        self._polling = False
+        changed = self.engine_info != info
+        self.engine_info = info
+        self.door.unready = ""
+        if changed:
+            log.info("the engine holds {}", info)
+            self._register()
+        self._report_load()
+
+    def _on_no_engine_info(self, reason: Any) -> None:
+        self._polling = False
+        self.reactor.callLater(ENGINE_POLL_S, self._poll_engine)
+
+    def _stage_refusal(self, message: Any) -> str:
+        """Returns why a stage can't be reserved, or an empty string."""
+        reason = self.door.refusal_reason(message)
+        if reason:
+            return reason
+        stage = message["chain"][message["stage_index"]]
+        info = self.engine_info
+        if (stage["first_layer"], stage["end_layer"]) != (
+            info.first_layer,
+            info.end_layer,
+        ):
+            return "wrong_layers"
+        if len(self.pipeline.runs) >= self.settings["limits"]["running"]:
+            return "full"
+        return ""
+
+    def _begin(self, message: Any, link: link_module.Link) -> None:
+        if message["type"] == "call":
+            self.services.begin(message, link)
+            return
+        for digest in prefixes_module.digests(message["prompt"]):
+            self._prefixes.pop(digest, None)
+            self._prefixes[digest] = None
+        while len(self._prefixes) > MAX_PREFIXES:
+            del self._prefixes[next(iter(self._prefixes))]
+        self.heads.begin(message, link)
+
+    def _on_open(self, link: link_module.Link) -> None:
+        self.links.add(link)
+        self.process.feed.on_open(link)
+        if link.peer["role"] == "agent":
+            self.peers.add(link)
+            if self.pipeline is not None:
+                self.pipeline.on_peer_up(link.peer["name"])
+        else:
+            link.send(self._load())
+        if self.door.leaving:
+            link.send(
+                {
+                    "type": "leaving",
+                    "name": self.settings["name"],
+                    "reason": "leaving",
+                }
+            )
+
+    def _on_down(self, link: link_module.Link, reason: str) -> None:
+        self.links.discard(link)
+        self.process.feed.on_down(link)
+        if link.peer is None:
+            return
+        if link.peer["role"] == "entry":
+            self.heads.drop_link(link)
+            self.door.drop_link(link)
+        elif self.peers.remove(link) and self.pipeline is not None:
+            self.pipeline.on_peer_down(link.peer["name"], reason)
+
+    def _on_message(self, link: link_module.Link, message: Any) -> None:
+        kind = message["type"]
+        if kind in ("heartbeat", "config"):
+            self.process.feed.on_message(link, message)
+        elif kind in self._submitted_kinds:
+            self.door.submit(message, link)
+        elif kind == "cancel":
+            self._cancel(runs.place_of(message))
+        elif kind == "credit":
+            self.heads.credit(message)
+        elif self.pipeline is not None:
+            self._on_pipeline_message(link, message)
+
+    def _cancel(self, key: runs.Key) -> None:
+        if not self.door.cancel(key):
+            self.heads.cancel(key)
+
+    def _on_pipeline_message(
+        self, link: link_module.Link, message: Any
+    ) -> None:
+        kind = message["type"]
+        if kind == "hops":
+            for hop in message["hops"]:
+                self.pipeline.on_hop(link, hop)
+        elif kind == "hop_results":
+            for result in message["results"]:
+                self.pipeline.on_hop_result(result)
+        elif kind == "open":
+            self.pipeline.on_open(link, message)
+        elif kind == "opened":
+            self.pipeline.on_opened(link, message)
+        elif kind == "refused":
+            self.pipeline.on_refused(link, message)
+        elif kind == "stage_failed":
+            self.pipeline.on_stage_failed(link, message)
+        elif kind == "close":
+            self.pipeline.close(runs.place_of(message))
+
+    def _report_load(self) -> None:
+        self.door.sample_rate()
+        message = self._load()
+        for link in list(self.links):
+            if link.peer["role"] == "entry":
+                link.send(message)
+
+    def _load(self) -> dict[str, Any]:
+        stages = len(self.pipeline.runs) if self.pipeline else 0
+        return {
+            "type": "load",
+            "target": self.settings["name"],
+            "queued": self.door.queued,
+            "running": max(self.door.running, stages),
+            "max_running": self.settings["limits"]["running"],
+            "queued_cost_tokens": self.door.queued_cost_tokens,
+            "tokens_per_s": self.door.tokens_per_s,
+            "leaving": self.unready_reason() != "",
+            "plan_served_tokens": dict(self.door.served_tokens),
+            "prefixes": list(reversed(self._prefixes)),
+        }
--- /dev/null
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -0,0 +1,173 @@
+"""Makes the calls of the plain service beside an agent.
+
+A call that may not be repeated and carries an idempotency key is claimed
+in the object API right before it is made, so that it runs at most once
+whichever agents it reaches.
+"""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import logbook
+import prometheus_client
+from twisted.internet import defer
+from twisted.python import failure
+
+from hemlocktiller._internal import http_client
+from hemlocktiller._internal.agent import claims as claims_module
+from hemlocktiller._internal.agent import heads
+from hemlocktiller._internal.agent import runs
+from hemlocktiller._internal.links import link as link_module
+
+RETRY_AFTER_S = 1.0
+
+log = logbook.Logger(__name__)
+
+CALLS = prometheus_client.Counter(
+    "hemlocktiller_service_calls",
+    "Calls of the service by outcome",
+    ["outcome"],
+)
+
+
+class Outcome(NamedTuple):
+    """How a call ended."""
+
+    ran: str
+    reason: str = ""
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    replayed: bool = False
+    retry_after_s: float = 0.0
+
+
+class Services:
+    """The calls that run at the service."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Any,
+        claims: claims_module.Claims,
+        on_done: Callable[[heads.Done], None],
+    ) -> None:
+        self.running = 0
+        self._reactor = reactor
+        self._settings = settings
+        self._claims = claims
+        self._on_done = on_done
+        self._http = http_client.agent(reactor)
+
+    def begin(self, call: Any, link: link_module.Link) -> None:
+        """Makes a call that left the queue and answers on its link."""
+        self.running += 1
+        done = defer.maybeDeferred(self._outcome, call)
+        done.addErrback(_unexpected)
+        done.addCallback(self._answer, call, link)
+
+    def _outcome(self, call: Any) -> defer.Deferred[Outcome]:
+        methods = self._settings["service"]["repeatable_methods"]
+        if call["method"] in methods or not call["idempotency_key"]:
+            return self._dispatch(call)
+        return self._claimed(call)
+
+    @defer.inlineCallbacks
+    def _claimed(self, call: Any) -> defer.Deferred[Outcome]:
+        expires_at_s = self._reactor.seconds() + call["expires_in_s"]
+        begun = yield self._claims.begin(call)
+        if not isinstance(begun, claims_module.Begun):
+            return _claim_outcome(begun)
+        if self._reactor.seconds() >= expires_at_s:
+            yield self._claims.not_run(begun)
+            return Outcome("no", "expired", retry_after_s=RETRY_AFTER_S)
+        outcome = yield self._dispatch(call)
+        if outcome.ran == "no":
+            yield self._claims.not_run(begun)
+        elif outcome.ran == "yes":
+            yield self._claims.finish(begun, _recorded(outcome))
+        return outcome
+
+    @defer.inlineCallbacks
+    def _dispatch(self, call: Any) -> defer.Deferred[Outcome]:
+        settings = self._settings["service"]
+        headers = {"Content-Type": call["content_type"]}
+        if not call["content_type"]:
+            headers = {}
+        if call["traceparent"]:
+            headers["traceparent"] = call["traceparent"]
+        request = http_client.Request(
+            call["method"],
+            settings["url"] + call["path"],
+            call["body"],
+            headers,
+            min(settings["timeout_s"], max(call["expires_in_s"], 0.001)),
+        )
+        try:
+            reply = yield http_client.call(self._reactor, self._http, request)
+        except Exception:
+            return _failed(failure.Failure())
+        return Outcome("yes", "", reply.status, reply.content_type, reply.body)
+
+    def _answer(
+        self, outcome: Outcome, call: Any, link: link_module.Link
+    ) -> None:
+        self.running -= 1
+        CALLS.labels(outcome.reason or "ok").inc()
+        if link.up:
+            link.send(
+                {
+                    "type": "call_result",
+                    "request": call["request"],
+                    "attempt": call["attempt"],
+                    "status": outcome.status,
+                    "content_type": outcome.content_type,
+                    "body": outcome.body,
+                    "ran": outcome.ran,
+                    "reason": outcome.reason,
+                    "replayed": outcome.replayed,
+                    "retry_after_s": outcome.retry_after_s,
+                }
+            )
+        self._on_done(heads.Done(runs.place_of(call), 1))
+
+
+def _failed(reason: failure.Failure) -> Outcome:
+    if http_client.never_sent(reason):
+        return Outcome("no", "service_down", retry_after_s=RETRY_AFTER_S)
+    return Outcome("unknown", "no_answer", retry_after_s=RETRY_AFTER_S)
+
+
+def _unexpected(reason: failure.Failure) -> Outcome:
+    log.error("a call ended unexpectedly: {}", reason.getTraceback())
+    return Outcome("unknown", "internal", retry_after_s=RETRY_AFTER_S)
+
+
+def _recorded(outcome: Outcome) -> claims_module.Answer:
+    return claims_module.Answer(
+        outcome.status, outcome.content_type, outcome.body
+    )
+
+
+def _claim_outcome(begun: Any) -> Outcome:
+    """Returns the outcome of a call that may not be made now."""
+    if isinstance(begun, claims_module.Recorded):
+        answer = begun.answer
+        return Outcome(
+            "yes",
+            "",
+            answer.status,
+            answer.content_type,
+            answer.body,
+            replayed=True,
+        )
+    reasons = {
+        claims_module.InProgress: ("unknown", "in_progress"),
+        claims_module.OutcomeUnknown: ("unknown", "outcome_unknown"),
+        claims_module.Mismatch: ("no", "key_conflict"),
+        claims_module.Void: ("no", "void"),
+        claims_module.Unavailable: ("no", "store_unavailable"),
+    }
+    ran, reason = reasons[type(begun)]
+    return Outcome(ran, reason, retry_after_s=RETRY_AFTER_S)
--- /dev/null
+++ b/src/hemlocktiller/_internal/cli/program.py
@@ -0,0 +1,61 @@
+"""Starts a long-running program from its command line."""
+
+from collections.abc import Callable
+import dataclasses
+from pathlib import Path
+import sys
+from typing import Annotated
+from typing import Any
+
+import cappa
+from twisted.internet import reactor
+from twisted.internet import task
+
+import hemlocktiller
+from hemlocktiller._internal import process as process_module
+from hemlocktiller._internal import settings as settings_module
+from hemlocktiller._internal.observe import logs
+
+
+@dataclasses.dataclass
+class Arguments:
+    """The arguments of a long-running program."""
+
+    settings: Annotated[
+        Path,
+        cappa.Arg(long="--settings", help="Settings, JSON with comments"),
+    ]
+
+
+def run(
+    program: str,
+    role: str,
+    build: Callable[[process_module.Process], Any],
+) -> None:
+    """Runs a program until it has drained.
+
+    Args:
+        program: Name of the program, as on the command line.
+        role: Role of the process: entry or agent.
+        build: Builds the process from its common parts.
+
+    Raises:
+        SystemExit: With code 78 after printing the findings of bad
+            settings, with code 0 after a graceful shutdown.
+    """
+    command = cappa.command(
+        Arguments,
+        name=program,
+        description=f"hemlocktiller's {role} process.",
+    )
+    arguments = cappa.parse(command, version=hemlocktiller.__version__)
+    settings = settings_module.load_or_exit(
+        arguments.settings, f"{role}_settings"
+    )
+    logs.configure(settings["name"])
+
+    def start(clock: Any) -> Any:
+        return build(process_module.create(clock, settings, role)).start()
+
+    task.react(start, reactor=reactor)
+    sys.exit(0)
--- /dev/null
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -0,0 +1,197 @@
+"""Builds an entry from its settings and connects its parts."""
+
+from typing import Any
+
+import logbook
+from twisted.internet import defer
+
+from hemlocktiller._internal import process as process_module
+from hemlocktiller._internal.entry import attempts
+from hemlocktiller._internal.entry import pages as pages_module
+from hemlocktiller._internal.entry import registry as registry_module
+from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.observe import admin
+from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.store import vms as vms_module
+from hemlocktiller._internal.store import watch
+
+ENTRY_KIND = "entry"
+TARGET_KIND = "target"
+
+log = logbook.Logger(__name__)
+
+
+class Entry:
+    """The parts of an entry."""
+
+    def __init__(self, process: process_module.Process) -> None:
+        self.process = process
+        self.reactor = process.reactor
+        self.settings = process.settings
+        self.draining = False
+        self.record: dict[str, Any] = {}
+        self._watches: list[watch.Watch] = []
+        self._drained = defer.Deferred()
+        self.registry = registry_module.Registry()
+        self.targets = targets_module.Targets(
+            self.reactor,
+            self.settings,
+            process.local,
+            targets_module.Observer(
+                self._on_open,
+                self._on_message,
+                self._on_lost,
+                self._on_died,
+            ),
+            process.rng,
+        )
+        self.registry.shared = attempts.Shared(
+            self.reactor,
+            self.settings,
+            self.targets,
+            lambda: process.feed.current,
+            lambda target: process.feed.push(target.link),
+            budget.RetryBudget(self.settings["retries"]),
+            process.journal,
+            process.tracer,
+            process.rng,
+        )
+
+    def start(self) -> defer.Deferred[None]:
+        """Listens and serves until it has drained."""
+        context = pages_module.Context(
+            self.settings,
+            self.registry,
+            lambda: self.process.feed.current,
+            lambda: self.draining,
+            self.targets.models,
+            self.targets.services,
+        )
+        callers = self.settings["callers"]
+        self._listening = self.reactor.listenTCP(
+            callers["port"],
+            pages_module.site(self.reactor, context),
+            interface=callers["host"],
+        )
+        port = self._listening.getHost().port
+        admin_port = admin.listen(
+            self.reactor, self.settings["admin"], self._admin_pages()
+        )
+        self.record = {
+            "name": self.settings["name"],
+            "admin_host": self.settings["admin"]["host"],
+            "admin_port": admin_port.getHost().port,
+            "data_centre": self.settings["data_centre"],
+        }
+        self._start_watches()
+        process_module.register(
+            self.process, ENTRY_KIND, self.settings["name"], self.record
+        )
+        process_module.on_sigterm(self.reactor, self.drain)
+        print(
+            f"listening callers={callers['host']}:{port}"
+            f" admin={self.record['admin_host']}:{self.record['admin_port']}",
+            flush=True,
+        )
+        return self._drained
+
+    def unready_reason(self) -> str:
+        """Returns why no new work is taken, or an empty string."""
+        if self.draining:
+            return "draining"
+        if self.process.feed.version() == 0:
+            return "no configuration"
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """Returns the state for the status page."""
+        return {
+            "name": self.settings["name"],
+            "process": self.process.local.process,
+            "role": "entry",
+            "data_centre": self.settings["data_centre"],
+            "config_version": self.process.feed.version(),
+            "leaving": self.draining,
+            "ready": self.unready_reason() == "",
+            "unready": self.unready_reason(),
+            "requests": len(self.registry),
+            "targets": {
+                name: _target_state(target)
+                for name, target in sorted(self.targets.by_name.items())
+            },
+        }
+
+    def drain(self, reason: str) -> dict[str, Any]:
+        """Starts to leave: fails its readiness page, then finishes."""
+        if not self.draining:
+            log.info("leaving: {}", reason)
+            self.draining = True
+            self._finish_drain()
+        return self.status()
+
+    @defer.inlineCallbacks
+    def _finish_drain(self) -> defer.Deferred[None]:
+        drain = self.settings["drain"]
+        yield process_module.wait_until(
+            self.reactor, lambda: False, drain["notice_s"]
+        )
+        yield self._listening.stopListening()
+        yield process_module.wait_until(
+            self.reactor, lambda: len(self.registry) == 0, drain["timeout_s"]
+        )
+        yield defer.Deferred.fromCoroutine(
+            process_module.unregister(
+                self.process, ENTRY_KIND, self.settings["name"], self.record
+            )
+        )
+        for one in self._watches:
+            one.stop()
+        self.targets.stop()
+        self.reactor.callLater(
+            process_module.POLL_S, self._drained.callback, None
+        )
+
+    def _admin_pages(self) -> admin.Pages:
+        return admin.Pages(
+            self.unready_reason,
+            self.status,
+            lambda: self.drain("operator"),
+            self.process.journal.events,
+            self.process.tracer.spans,
+        )
+
+    def _start_watches(self) -> None:
+        store = self.process.store
+        self._watches = [
+            process_module.follow_config(self.process),
+            watch.follow_kind(store, TARGET_KIND, self.targets.on_changes),
+            vms_module.follow(
+                store, self.settings["vm_poll_s"], self.targets.on_vms
+            ),
+        ]
+
+    def _on_open(self, target: targets_module.Target) -> None:
+        self.process.feed.on_open(target.link)
+
+    def _on_message(self, target: targets_module.Target, message: Any) -> None:
+        if message["type"] in ("heartbeat", "config"):
+            self.process.feed.on_message(target.dialer.link, message)
+        else:
+            self.registry.on_message(message)
+
+    def _on_lost(self, target: targets_module.Target, reason: str) -> None:
+        self.registry.on_target_lost(target, reason)
+
+    def _on_died(self, target: targets_module.Target) -> None:
+        log.warning("target {} died", target.name)
+
+
+def _target_state(target: targets_module.Target) -> dict[str, Any]:
+    link = target.link
+    return {
+        "live": link is not None,
+        "leaving": target.leaving,
+        "rtt_s": link.rtt_s if link else 0.0,
+        "model": target.record["model"],
+        "service": target.record["service"],
+    }
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.entry import outcomes
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.observe import traces
 
 RETRY_AFTER_S = 1.0
 
@@ -160,7 +161,7 @@
             "chain": list(route.chain),
             "alternates": list(route.alternates),
             "digest": self.call.digest,
-            "traceparent": self._shared.tracer.traceparent(self._span),
+            "traceparent": traces.traceparent(self._span),
         }
 
     def _on_started(self, message: Any) -> None:
--- a/src/hemlocktiller/_internal/entry/pages.py
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -192,9 +192,9 @@
     def _check_model(
         self, view: snapshot_module.WorkspaceView, body: bodies.ModelBody
     ) -> None:
-        if body.model not in self._context.models():
-            raise exceptions.UnknownName(f"no model {body.model}")
         if not snapshot_module.may_use_model(view, body.model):
+            if body.model not in self._context.models():
+                raise exceptions.UnknownName(f"no model {body.model}")
             raise exceptions.NotAllowed(
                 f"plan {view.plan['plan']} may not use {body.model}"
             )
@@ -209,9 +209,9 @@
         path = request.uri.decode("ascii", "replace")
         name, _, rest = path.removeprefix("/services/").partition("/")
         name = name.partition("?")[0]
-        if name not in self._context.services():
-            raise exceptions.UnknownName(f"no service {name}")
         if not snapshot_module.may_use_service(caller.view, name):
+            if name not in self._context.services():
+                raise exceptions.UnknownName(f"no service {name}")
             raise exceptions.NotAllowed(
                 f"plan {caller.view.plan['plan']} may not use {name}"
             )
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -7,6 +7,7 @@
 from hemlocktiller._internal.entry import attempts
 from hemlocktiller._internal.entry import outcomes
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.policy import chains
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
 
@@ -26,19 +27,23 @@
     shared: attempts.Shared, call: outcomes.ModelCall, excluded: set[str]
 ) -> Route | None:
     """Returns the best chain for a model request, or None."""
-    usable = [
-        target
+    usable = {
+        target.name: target
         for target in shared.targets.of_model(call.model)
         if target.name not in excluded and _allowed(call.caller.view, target)
-    ]
-    stages = [stage_of(target) for target in usable]
+    }
     candidates = [
-        routing.Candidate(chain[0]["target"], chain)
-        for chain in _chains(shared, stages)
+        routing.Candidate(
+            chain.targets[0].target,
+            tuple(stage_of(usable[one.target]) for one in chain.targets),
+            chain.cost_s,
+        )
+        for chain in _chains(shared, call.model, usable)
     ]
+    words = len(call.prompt.split())
     request = routing.Request(
-        call.max_tokens + len(call.prompt.split()),
-        len(call.prompt.split()),
+        call.max_tokens + words,
+        words,
         call.max_tokens,
         prefixes.digests(call.prompt),
     )
@@ -49,15 +54,9 @@
     if not ranked:
         return None
     best = ranked[0]
+    head = usable[best.candidate.target]
     chain = best.candidate.chain
-    names = {stage["target"] for stage in chain}
-    others = [stage for stage in stages if stage["target"] not in names]
-    return Route(
-        shared.targets.by_name[best.candidate.target],
-        chain,
-        tuple(_alternates(chain, others)),
-        best.explanation,
-    )
+    return Route(head, chain, _alternates(chain, usable), best.explanation)
 
 
 def choose_service(
@@ -101,55 +100,35 @@
     )
 
 
-def _alternates(chain: Any, others: list[Any]) -> list[Any]:
-    """Returns stages that may replace one after the first."""
-    wanted = {
-        (stage["first_layer"], stage["end_layer"]) for stage in chain[1:]
-    }
+def _chains(
+    shared: attempts.Shared,
+    model: str,
+    usable: dict[str, targets_module.Target],
+) -> list[chains.Chain]:
+    """Returns the chains that use nothing but usable targets."""
+    chooser = shared.targets.chooser
+    known = chooser.chains(shared.settings["data_centre"], model)
     found = [
-        stage
-        for stage in others
-        if (stage["first_layer"], stage["end_layer"]) in wanted
+        chain
+        for chain in known
+        if all(one.target in usable for one in chain.targets)
     ]
-    return found[:MAX_ALTERNATES]
+    if found or not usable:
+        return found
+    some = [targets_module.chain_target(one) for one in usable.values()]
+    return chains.choose(some, shared.targets.costs)
 
 
-def _chains(
-    shared: attempts.Shared, stages: list[Any]
-) -> list[tuple[Any, ...]]:
-    """Returns a chain for each stage that holds the first layers."""
-    end_layers = {
-        target.record["target"]: target.record["layer_count"]
-        for target in shared.targets.by_name.values()
-    }
-    found = []
-    for first in stages:
-        if first["first_layer"] != 0:
-            continue
-        chain = _complete(shared, [first], stages, end_layers[first["target"]])
-        if chain is not None:
-            found.append(tuple(chain))
-    return found
-
-
-def _complete(
-    shared: attempts.Shared,
-    chain: list[Any],
-    stages: list[Any],
-    layer_count: int,
-) -> list[Any] | None:
-    while chain[-1]["end_layer"] < layer_count:
-        layer = chain[-1]["end_layer"]
-        following = [
-            stage for stage in stages if stage["first_layer"] == layer
-        ]
-        if not following:
-            return None
-        loads = shared.targets.view.loads
-        chain.append(
-            min(
-                following,
-                key=lambda stage: loads.estimate(stage["target"]).requests,
-            )
-        )
-    return chain
+def _alternates(
+    chain: tuple[Any, ...], usable: dict[str, targets_module.Target]
+) -> tuple[Any, ...]:
+    """Returns stages that may replace one after the first."""
+    path = [
+        targets_module.chain_target(usable[stage["target"]]) for stage in chain
+    ]
+    others = [targets_module.chain_target(one) for one in usable.values()]
+    found = chains.alternates(path, others)
+    later = [one for one in found if one.first_layer > 0]
+    return tuple(
+        stage_of(usable[one.target]) for one in later[:MAX_ALTERNATES]
+    )
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal.entry import outcomes
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.observe import traces
 
 REPEATABLE_METHODS = ("GET", "HEAD")
 RETRY_AFTER_S = 1.0
@@ -127,7 +128,7 @@
             "cost_tokens": 1.0,
             "worth": view.plan["worth"],
             "digest": self.call.digest,
-            "traceparent": self._shared.tracer.traceparent(self._span),
+            "traceparent": traces.traceparent(self._span),
         }
 
     def _on_refused(self, message: Any) -> None:
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -14,9 +14,11 @@
 from hemlocktiller._internal.links import dialer
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.policy import breaker
+from hemlocktiller._internal.policy import chains
 from hemlocktiller._internal.policy import loads
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
+from hemlocktiller._internal.store import vms as vms_module
 
 LIVE_TARGETS = prometheus_client.Gauge(
     "hemlocktiller_live_targets", "Targets with an open link"
@@ -82,6 +84,8 @@
         self.view = routing.View(
             loads.Loads(), prefixes.CachedPrefixes(), breaker.Breaker()
         )
+        self.costs = chains.Costs()
+        self.chooser = chains.Chooser(self.costs)
         self._reactor = reactor
         self._settings = settings
         self._local = local
@@ -100,12 +104,12 @@
         for stored in changed:
             self._set(stored.value)
 
-    def on_vms(self, vms: dict[str, Any]) -> None:
+    def on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
         """Marks the targets on VMs that the VM list calls leaving."""
         for target in self.by_name.values():
             vm = vms.get(target.record["vm"])
-            if vm is not None and vm.state == "leaving":
-                target.leaving = True
+            if vm is not None and vm.state == vms_module.LEAVING:
+                self._leave(target)
 
     def models(self) -> list[str]:
         """Returns the models of all known targets."""
@@ -163,7 +167,7 @@
         target = self.by_name.pop(name, None)
         if target is None:
             return
-        target.leaving = True
+        self._leave(target)
         target.dialer.stop()
         self.view.loads.forget(name)
         self.view.cached.forget(name)
@@ -182,7 +186,7 @@
             self._died(target)
         target.process = process
         target.leaving = False
-        self._count_live()
+        self._refresh(target)
         self._observer.on_open(target)
 
     def _on_message(self, target: Target, message: Any) -> None:
@@ -190,17 +194,18 @@
         if kind == "load":
             self._on_load(target, message)
         elif kind == "leaving":
-            target.leaving = True
+            self._leave(target)
         self._observer.on_message(target, message)
 
     def _on_load(self, target: Target, message: Any) -> None:
         now_s = self._reactor.seconds()
-        target.leaving = message["leaving"]
+        if message["leaving"]:
+            self._leave(target)
         self.view.loads.report(message, now_s)
         self.view.cached.note(target.name, message["prefixes"], now_s)
 
     def _on_down(self, target: Target, reason: str) -> None:
-        self._count_live()
+        self._refresh(target)
         self._observer.on_lost(target, reason)
 
     def _on_refused(self, target: Target) -> None:
@@ -213,6 +218,26 @@
         self.view.cached.forget(target.name)
         self._observer.on_died(target)
 
+    def _leave(self, target: Target) -> None:
+        target.leaving = True
+        self._refresh(target)
+
+    def _refresh(self, target: Target) -> None:
+        """Tells the chooser of chains whether a target may be used."""
+        if target.usable and target.record["model"]:
+            self.chooser.add(chain_target(target))
+        else:
+            self.chooser.remove(target.name)
+        self._count_live()
+
     def _count_live(self) -> None:
         live = sum(target.link is not None for target in self.by_name.values())
         LIVE_TARGETS.set(live)
+
+
+def chain_target(target: Target) -> chains.Target:
+    """Returns what the choice of chains has to know of a target."""
+    record = target.record
+    return chains.Target(
+        **{name: record[name] for name in chains.Target._fields}
+    )
--- a/src/hemlocktiller/_internal/links/config_feed.py
+++ b/src/hemlocktiller/_internal/links/config_feed.py
@@ -12,12 +12,12 @@
 import logbook
 import prometheus_client
 
-from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.config import patch
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
 
 MAX_PUSH_WAIT_S = 0.3
+PUSH_GRACE_S = 1.0  # Time after which a peer must report what was pushed.
 
 log = logbook.Logger(__name__)
 
@@ -33,6 +33,10 @@
 IGNORED = prometheus_client.Counter(
     "hemlocktiller_config_ignored", "Configurations not newer than ours"
 )
+REJECTED = prometheus_client.Counter(
+    "hemlocktiller_config_rejected",
+    "Configurations of peers that could not be applied",
+)
 
 
 class ConfigFeed:
@@ -50,6 +54,7 @@
         self._rng = rng
         self._previous: snapshot_module.Snapshot | None = None
         self._known: dict[link_module.Link, int] = {}
+        self._pushed_s: dict[link_module.Link, float] = {}
 
     def version(self) -> int:
         """Returns the version in force."""
@@ -78,6 +83,7 @@
     def on_down(self, link: link_module.Link) -> None:
         """Forgets a lost link."""
         self._known.pop(link, None)
+        self._pushed_s.pop(link, None)
 
     def on_message(self, link: link_module.Link, message: Any) -> None:
         """Takes a heartbeat's version, or a configuration."""
@@ -92,19 +98,27 @@
         known = self._known.get(link)
         if known is None or known >= self.current.version or not link.up:
             return
-        base = self._previous
-        if base is None or base.version != known or known == 0:
-            base = None
-        message = patch.make(base, self.current)
+        message = patch.make(self._base(known), self.current)
         link.send(message)
         PUSHES.inc()
         PUSH_BYTES.inc(len(message["body"]))
         self._known[link] = self.current.version
+        self._pushed_s[link] = self._reactor.seconds()
+
+    def _base(self, known: int) -> snapshot_module.Snapshot | None:
+        """Returns what a patch for a peer may start from, or None."""
+        if self._previous is None or known == 0:
+            return None
+        return self._previous if self._previous.version == known else None
 
     def _saw(self, link: link_module.Link, version: int) -> None:
         known = self._known.get(link, 0)
-        self._known[link] = max(known, version)
-        if version < self.current.version and known <= version:
+        now_s = self._reactor.seconds()
+        pushed_s = self._pushed_s.get(link, -PUSH_GRACE_S)
+        if version < known and now_s - pushed_s < PUSH_GRACE_S:
+            return  # What was pushed may still be on its way.
+        self._known[link] = version
+        if version < self.current.version:
             self._push_later(link)
 
     def _push_later(self, link: link_module.Link) -> None:
@@ -117,5 +131,7 @@
             return
         applied = patch.apply(self.current, message)
         if applied.is_error():
-            raise exceptions.ProtocolError(applied.error)
+            REJECTED.inc()
+            log.warning("a peer's configuration: {}", applied.error)
+            return
         self.offer(applied.ok)
--- /dev/null
+++ b/src/hemlocktiller/_internal/process.py
@@ -0,0 +1,147 @@
+"""What all long-running programs do alike: identity, links, admin, stop."""
+
+from collections.abc import Callable
+import random
+import secrets
+import signal
+from typing import Any
+from typing import NamedTuple
+
+import logbook
+from twisted.internet import defer
+
+from hemlocktiller._internal.config import snapshot as snapshot_module
+from hemlocktiller._internal.links import config_feed
+from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import explain
+from hemlocktiller._internal.observe import traces
+from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import watch
+
+PROCESS_ID_BYTES = 8
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+POLL_S = 0.05
+
+log = logbook.Logger(__name__)
+
+
+class Process(NamedTuple):
+    """The parts that every long-running program has."""
+
+    reactor: Any
+    settings: Any
+    local: link_module.Local
+    feed: config_feed.ConfigFeed
+    store: client.ObjectStore
+    journal: explain.Journal
+    tracer: traces.Tracer
+    rng: random.Random
+
+
+def create(reactor: Any, settings: Any, role: str) -> Process:
+    """Builds the common parts of a program from its settings."""
+    process_id = secrets.token_hex(PROCESS_ID_BYTES)
+    rng = random.Random(process_id)
+    feed = config_feed.ConfigFeed(reactor, rng)
+    local = link_module.Local(
+        process_id,
+        role,
+        settings["name"],
+        settings["data_centre"],
+        feed.version,
+    )
+    return Process(
+        reactor,
+        settings,
+        local,
+        feed,
+        client.ObjectStore(settings["store"], process_id, reactor),
+        explain.Journal(),
+        traces.create(settings["name"], settings["trace_sample_ratio"]),
+        rng,
+    )
+
+
+def follow_config(process: Process) -> watch.Watch:
+    """Puts each configuration of the object API in force."""
+
+    def on_object(stored: client.StoredObject | None) -> None:
+        if stored is not None:
+            process.feed.offer(
+                snapshot_module.build(stored.version, stored.value)
+            )
+
+    return watch.follow(process.store, CONFIG_KIND, CONFIG_NAME, on_object)
+
+
+def on_sigterm(reactor: Any, drain: Callable[[str], None]) -> None:
+    """Starts a graceful shutdown on SIGTERM and on Ctrl-C."""
+
+    def handle(number: int, frame: Any) -> None:
+        name = signal.Signals(number).name
+        reactor.callFromThread(drain, name)
+
+    def install() -> None:
+        signal.signal(signal.SIGTERM, handle)
+        signal.signal(signal.SIGINT, handle)
+
+    reactor.callWhenRunning(install)
+
+
+@defer.inlineCallbacks
+def wait_until(
+    reactor: Any, is_done: Callable[[], bool], timeout_s: float
+) -> defer.Deferred[bool]:
+    """Waits until something is done; tells whether it was in time."""
+    deadline_s = reactor.seconds() + timeout_s
+    while not is_done():
+        if reactor.seconds() >= deadline_s:
+            return False
+        waiting = defer.Deferred()
+        reactor.callLater(POLL_S, waiting.callback, None)
+        yield waiting
+    return True
+
+
+def register(
+    process: Process, kind: str, name: str, value: dict[str, Any]
+) -> defer.Deferred[None]:
+    """Writes the object by which others find this process.
+
+    It is tried again until it is written: the process serves meanwhile
+    those who know it already.
+    """
+    return defer.Deferred.fromCoroutine(_register(process, kind, name, value))
+
+
+async def _register(
+    process: Process, kind: str, name: str, value: dict[str, Any]
+) -> None:
+    failures = 0
+    while True:
+        try:
+            current = await process.store.read(kind, name)
+            version = current.version if current else 0
+            await process.store.update(kind, name, value, version)
+        except Exception as error:
+            log.info("not registered yet: {}", error)
+        else:
+            return
+        waiting = defer.Deferred()
+        wait_s = watch.backoff_s(process.settings["store"], failures)
+        process.reactor.callLater(wait_s, waiting.callback, None)
+        await waiting
+        failures += 1
+
+
+async def unregister(
+    process: Process, kind: str, name: str, value: dict[str, Any]
+) -> None:
+    """Deletes the object of this process, once, if it is still its own."""
+    try:
+        current = await process.store.read(kind, name)
+        if current is not None and current.value == value:
+            await process.store.delete(kind, name, current.version)
+    except Exception as error:
+        log.info("still registered: {}", error)
