--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -1,5 +1,6 @@
 """Deployments of product processes and stand-ins on the loopback."""
 
+from collections.abc import Collection
 import hashlib
 import json
 from pathlib import Path
@@ -375,10 +376,19 @@
     chains: int = 2,
     stages: int = 2,
     layer_count: int = 8,
-    relayed: bool = False,
+    relayed: Collection[str] = (),
     **options,
 ) -> None:
-    """Starts engines with their agents, as whole chains of equal stages."""
+    """Starts engines with their agents, as whole chains of equal stages.
+
+    Args:
+        deployment: Where to start them.
+        chains: Number of chains.
+        stages: Stages of a chain.
+        layer_count: Layers of the model.
+        relayed: Agents that peers reach through a relay.
+        **options: Options of the engines.
+    """
     step = layer_count // stages
     for chain in range(chains):
         for stage in range(stages):
@@ -387,13 +397,17 @@
             deployment.start_engine(
                 f"{name}-target", first, first + step, layer_count, **options
             )
-            deployment.start_agent(name, relayed=relayed)
+            deployment.start_agent(name, relayed=name in relayed)
 
 
 def start_bookings(
-    deployment: Deployment, count: int = 2, relayed=False, **options
+    deployment: Deployment,
+    count: int = 2,
+    relayed: Collection[str] = (),
+    **options,
 ) -> None:
     """Starts booking services with their agents."""
     for number in range(count):
         deployment.start_booking(f"b{number}-target", **options)
-        deployment.start_agent(f"b{number}", relayed=relayed)
+        name = f"b{number}"
+        deployment.start_agent(name, relayed=name in relayed)
--- a/tests/functional/scenarios.py
+++ b/tests/functional/scenarios.py
@@ -52,7 +52,7 @@
     return tuple(model.reference(prompt, LAYER_COUNT, count))
 
 
-def start_models(deployment: harness.Deployment, relayed: bool = True) -> None:
+def start_models(deployment: harness.Deployment, relayed=()) -> None:
     """Starts two chains of three stages and two entries."""
     harness.start_chains(
         deployment,
@@ -67,10 +67,10 @@
     deployment.wait_ready()
 
 
-def start_calls(deployment: harness.Deployment, **options) -> None:
+def start_calls(deployment: harness.Deployment, relayed=(), **options) -> None:
     """Starts two booking services and two entries."""
     harness.start_bookings(
-        deployment, count=len(CALL_AGENTS), relayed=True, **options
+        deployment, count=len(CALL_AGENTS), relayed=relayed, **options
     )
     for name in ENTRIES:
         deployment.start_entry(name)
@@ -90,7 +90,6 @@
     deployment: harness.Deployment, seed: int, faults: int, kinds=None
 ) -> Outcome:
     """Runs prompts under the faults of a seed."""
-    start_models(deployment)
     schedule = schedules.make(
         seed,
         kinds or schedules.MODEL_FAULTS,
@@ -99,6 +98,7 @@
         REQUESTS,
         faults,
     )
+    start_models(deployment, schedules.relayed(schedule))
     load = client.Load(CALLERS)
     for number in range(REQUESTS):
         load.send(ask_model, deployment, number)
@@ -158,7 +158,6 @@
     deployment: harness.Deployment, seed: int, faults: int, kinds=None
 ) -> Outcome:
     """Makes bookings under the faults of a seed."""
-    start_calls(deployment, delay_s=STEP_S)
     schedule = schedules.make(
         seed,
         kinds or schedules.CALL_FAULTS,
@@ -167,6 +166,8 @@
         REQUESTS,
         faults,
     )
+    relayed = schedules.relayed(schedule)
+    start_calls(deployment, relayed, delay_s=STEP_S)
     load = client.Load(CALLERS)
     for number in range(REQUESTS):
         send = book if number % 4 else book_without_key
--- a/tests/functional/schedules.py
+++ b/tests/functional/schedules.py
@@ -91,6 +91,15 @@
     return sorted(faults, key=lambda fault: fault.after_requests)
 
 
+def relayed(faults: list[Fault]) -> set[str]:
+    """Returns the agents that need a relay, since their links fail.
+
+    A relay accepts connections while its agent is dead, so agents that
+    are killed have none unless their links fail as well.
+    """
+    return {fault.name for fault in faults if fault.kind.endswith("_link")}
+
+
 def start(deployment: Deployment, fault: Fault) -> None:
     """Starts a fault."""
     agent = deployment.agents.get(fault.name)
--- a/tests/functional/test_promises_5_leaving.py
+++ b/tests/functional/test_promises_5_leaving.py
@@ -48,10 +48,8 @@
         time.sleep(LEAVE_BOUND_S / LOAD_ROUNDS)
 
 
-def start(deployment):
-    harness.start_chains(
-        deployment, chains=2, stages=2, layer_count=12, relayed=True
-    )
+def start(deployment, relayed=()):
+    harness.start_chains(deployment, layer_count=12, relayed=relayed)
     for name in scenarios.ENTRIES:
         deployment.start_entry(name)
     deployment.wait_ready()
@@ -88,7 +86,7 @@
 
 @pytest.mark.parametrize("fault", ["freeze_link", "cut_link"])
 def test_the_list_is_enough_when_links_fail(deployment, fault):
-    start(deployment)
+    start(deployment, relayed=["c0s0"])
     load = client.Load()
     left_s = time.time()
     leave_by_list(deployment, "c0s0")
--- a/tests/functional/test_promises_6_planned_stops.py
+++ b/tests/functional/test_promises_6_planned_stops.py
@@ -65,7 +65,7 @@
 
 
 def test_replacing_every_process_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     for process in [
         *deployment.agents.values(),
@@ -76,7 +76,7 @@
 
 
 def test_stopping_a_whole_chain_at_once_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     leaving = [deployment.agents[f"c0s{stage}"] for stage in range(3)]
     for process in leaving:
@@ -86,7 +86,7 @@
 
 
 def test_a_stop_in_a_store_outage_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     deployment.set_faults("refuse")
     for name in ("c0s0", "c0s1", "e0"):
