--- a/src/hemlocktiller/_internal/cli/program.py
+++ b/src/hemlocktiller/_internal/cli/program.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import cappa
-from twisted.internet import reactor
 from twisted.internet import task
 
 import hemlocktiller
@@ -57,5 +56,5 @@
     def start(clock: Any) -> Any:
         return build(process_module.create(clock, settings, role)).start()
 
-    task.react(start, reactor=reactor)
+    task.react(start)
     sys.exit(0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,19 @@
 """Hooks and fixtures of all tests."""
 
+import hypothesis
 import pytest
 
 from tests import known_red
 
+# Fixed examples and no check of elapsed time: the same verdict each run.
+hypothesis.settings.register_profile(
+    "fixed",
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile("fixed")
+
 
 def pytest_collection_modifyitems(items):
     """Lets the tests listed in KNOWN-RED.txt fail."""
--- /dev/null
+++ b/tests/unit/test_links.py
@@ -0,0 +1,189 @@
+import cbor2
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+from twisted.internet import task
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.links import coalesce
+from hemlocktiller._internal.links import codec
+from hemlocktiller._internal.links import link as link_module
+from tests.unit import wires
+
+CANCEL = {"type": "cancel", "request": "r1", "attempt": 1}
+
+
+@pytest.fixture
+def wire():
+    return wires.Wire().connect()
+
+
+def test_both_ends_say_hello(wire):
+    assert wire.dialled.link.peer["name"] == "b"
+    assert wire.accepted.link.peer["name"] == "a"
+    assert wire.dialled.link.up
+    assert wire.accepted.link.up
+
+
+def test_messages_pass_both_ways(wire):
+    wire.dialled.link.send(CANCEL)
+    wire.accepted.link.send(CANCEL)
+    wire.pump()
+    assert wire.accepted.messages == [CANCEL]
+    assert wire.dialled.messages == [CANCEL]
+
+
+def test_another_secret_is_refused():
+    other = {**wires.SETTINGS, "secret": "another secret of the tests"}
+    wire = wires.Wire(dialled=other).connect()
+    assert wire.dialled.downs == ["handshake refused"]
+    assert wire.accepted.opened == []
+
+
+def test_a_peer_without_a_common_protocol_version_is_refused(monkeypatch):
+    wire = wires.Wire()
+    monkeypatch.setattr(
+        wire.dialled.link._ws, "available_subprotocols", ["hemlocktiller.v0"]
+    )
+    wire.connect()
+    assert wire.dialled.downs == ["handshake refused"]
+    assert wire.accepted.opened == []
+
+
+def test_a_peer_that_offers_a_newer_version_too_is_accepted(monkeypatch):
+    wire = wires.Wire()
+    monkeypatch.setattr(
+        wire.dialled.link._ws,
+        "available_subprotocols",
+        ["hemlocktiller.v2", "hemlocktiller.v1"],
+    )
+    wire.connect()
+    assert wire.accepted.link.up
+    assert wire.dialled.link._ws.subprotocol == "hemlocktiller.v1"
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        {"type": "no such type"},
+        {"type": "cancel", "request": "r1"},
+        {"type": "cancel", "request": "r1", "attempt": 1, "more": 2},
+        {"type": "cancel", "request": "r1", "attempt": "1"},
+        ["cancel"],
+    ],
+)
+def test_a_message_outside_the_schema_closes_the_link(wire, message):
+    wire.dialled.link._ws.send_binary(cbor2.dumps(message))
+    wire.dialled.link._flush()
+    wire.pump()
+    assert wire.accepted.messages == []
+    assert wire.accepted.downs == ["protocol error"]
+
+
+def test_a_frame_over_the_limit_closes_the_link(wire):
+    wire.dialled.link._ws.send_binary(b"x" * 70000)
+    wire.dialled.link._flush()
+    wire.pump()
+    assert wire.accepted.downs
+
+
+def test_silence_takes_a_link_down(wire):
+    wire.cut = True
+    wire.advance(3.0)
+    assert wire.dialled.transport.aborted
+    assert wire.accepted.transport.aborted
+
+
+def test_heartbeats_keep_an_idle_link_up(wire):
+    wire.advance(10.0)
+    assert wire.dialled.link.up
+    assert wire.accepted.link.up
+    assert not wire.dialled.downs
+
+
+def test_sending_on_a_link_that_is_down_fails(wire):
+    wire.dialled.lose()
+    with pytest.raises(exceptions.LinkDown):
+        wire.dialled.link.send(CANCEL)
+
+
+def test_the_owner_hears_once_that_a_link_is_down(wire):
+    wire.dialled.lose()
+    wire.dialled.lose()
+    assert len(wire.dialled.downs) == 1
+
+
+json_like = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text()
+    | strategies.binary(),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=300)
+@given(strategies.binary(max_size=200))
+def test_any_bytes_decode_to_a_message_or_a_protocol_error(frame):
+    try:
+        message = codec.decode(frame)
+    except exceptions.ProtocolError:
+        return
+    assert message["type"]
+
+
+@settings(max_examples=300)
+@given(
+    strategies.sampled_from(["cancel", "hops", "config", "load", "start"]),
+    strategies.dictionaries(
+        strategies.sampled_from(["request", "attempt", "hops", "body"]),
+        json_like,
+    ),
+)
+def test_any_fields_decode_to_a_message_or_a_protocol_error(kind, fields):
+    try:
+        message = codec.decode(cbor2.dumps({**fields, "type": kind}))
+    except exceptions.ProtocolError:
+        return
+    assert message["type"] == kind
+
+
+def test_deep_nesting_is_a_protocol_error():
+    with pytest.raises(exceptions.ProtocolError):
+        codec.decode(b"\x81" * 5000 + b"\x00")
+
+
+def test_a_field_of_bytes_must_be_bytes():
+    update = {"type": "config", "version": 1, "base_version": 0, "body": "x"}
+    with pytest.raises(exceptions.ProtocolError):
+        codec.decode(cbor2.dumps(update))
+
+
+def test_items_of_one_moment_leave_together():
+    clock = task.Clock()
+    sent = []
+    batch = coalesce.Coalescer(clock, 0.004, sent.append)
+    batch.add(1)
+    batch.add(2)
+    assert sent == []
+    clock.advance(0.004)
+    assert sent == [[1, 2]]
+
+
+def test_a_full_batch_leaves_at_once():
+    sent = []
+    batch = coalesce.Coalescer(task.Clock(), 0.004, sent.append)
+    for number in range(coalesce.MAX_ITEMS):
+        batch.add(number)
+    assert len(sent) == 1
+
+
+def test_the_link_protocol_is_named_once():
+    assert len(set(link_module.SUBPROTOCOLS)) == len(link_module.SUBPROTOCOLS)
