Hold suspects apart, take lent capacity back, apply workspace limits

An agent names the requests that ran when its engine died; the evidence goes along the links before any later request. A request of a plan below its share that waits gets back a place lent to others; what was stopped is resumed after the tokens that its caller has.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -72,7 +72,7 @@
             self.reactor,
             self.settings,
             lambda: process.feed.current,
-            self._begin,
+            door_module.Work(self._begin, self._suspect_reason, self._preempt),
         )
         self.heads = heads_module.Heads(
             self.reactor, self.settings, self.door.done
@@ -202,7 +202,11 @@
             self.process.store, self.settings["service"], self.reactor
         )
         self.services = services_module.Services(
-            self.reactor, self.settings, claims, self.door.done
+            self.reactor,
+            self.settings,
+            claims,
+            self.door.done,
+            self._on_target_died,
         )
 
     def _start_loops(self) -> None:
@@ -259,11 +263,20 @@
     def _on_engine_failed(self) -> None:
         if not self.door.unready:
             log.warning("the engine does not answer")
+            self._on_target_died()
             self.door.unready = "engine_down"
             self.door.refuse_waiting("engine_down")
             self._report_load()
         self._poll_engine()
 
+    def _on_target_died(self) -> None:
+        name = self.settings["name"]
+        self.process.suspects.died(name, self._running_s())
+
+    def _running_s(self) -> dict[int, float]:
+        source = self.pipeline or self.services
+        return source.running_s()
+
     def _poll_engine(self) -> None:
         if self._polling:
             return
@@ -288,6 +301,9 @@
     def _stage_refusal(self, message: Any) -> str:
         """Returns why a stage can't be reserved, or an empty string."""
         reason = self.door.refusal_reason(message)
+        if reason:
+            return reason
+        reason = self._suspect_reason(message)
         if reason:
             return reason
         stage = message["chain"][message["stage_index"]]
@@ -301,6 +317,18 @@
             return "full"
         return ""
 
+    def _suspect_reason(self, message: Any) -> str:
+        """Returns why a suspect request may not start here now."""
+        digest = message["digest"]
+        if self.process.suspects.state(digest) == "condemned":
+            return pipeline_module.CRASHES_TARGETS
+        if self.process.suspects.may_join(digest, self._running_s()):
+            return ""
+        return "suspect_apart"
+
+    def _preempt(self, key: runs.Key) -> None:
+        self.heads.preempt(key)
+
     def _begin(self, message: Any, link: link_module.Link) -> None:
         if message["type"] == "call":
             self.services.begin(message, link)
@@ -315,6 +343,7 @@
     def _on_open(self, link: link_module.Link) -> None:
         self.links.add(link)
         self.process.feed.on_open(link)
+        self.process.suspects.on_open(link)
         if link.peer["role"] == "agent":
             self.peers.add(link)
             if self.pipeline is not None:
@@ -333,6 +362,7 @@
     def _on_down(self, link: link_module.Link, reason: str) -> None:
         self.links.discard(link)
         self.process.feed.on_down(link)
+        self.process.suspects.on_down(link)
         if link.peer is None:
             return
         if link.peer["role"] == "entry":
@@ -345,6 +375,8 @@
         kind = message["type"]
         if kind in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
+        elif kind == "suspects":
+            self.process.suspects.on_message(link, message)
         elif kind in self._submitted_kinds:
             self.door.submit(message, link)
         elif kind == "cancel":
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -4,6 +4,7 @@
 elsewhere.
 """
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -15,6 +16,7 @@
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import lending
 
 EXPIRY_INTERVAL_S = 0.1
 RATE_WEIGHT = 0.2  # Share of a new sample in the moving average.
@@ -39,6 +41,20 @@
     item: fair_queue.Item
 
 
+class Work(NamedTuple):
+    """What a door does with requests that leave the queue.
+
+    Attributes:
+        begin: Starts a request.
+        suspect_reason: Returns why a suspect may not start now.
+        preempt: Stops a running request, which is resumed later.
+    """
+
+    begin: Callable[[Any, link_module.Link], None]
+    suspect_reason: Callable[[Any], str]
+    preempt: Callable[[runs.Key], None]
+
+
 class Door:
     """The requests that wait for this target or run at it."""
 
@@ -47,7 +63,7 @@
         reactor: Any,
         settings: Any,
         current_config: Callable[[], snapshot_module.Snapshot],
-        begin: Callable[[Any, link_module.Link], None],
+        work: Work,
     ) -> None:
         self.leaving = False
         self.unready = ""
@@ -56,10 +72,12 @@
         self._reactor = reactor
         self._settings = settings
         self._current_config = current_config
-        self._begin = begin
+        self._work = work
+        self._lender = lending.Lender()
         self._queue = fair_queue.FairQueue(settings["limits"], {})
         self._waiting: dict[str, Waiting] = {}
         self._running: dict[str, Waiting] = {}
+        self._started_s: dict[str, float] = {}
         self._sampled_s = reactor.seconds()
         self._sample_tokens = 0.0
         self._timer: Any = None
@@ -81,9 +99,7 @@
 
     def on_config(self, snapshot: snapshot_module.Snapshot) -> None:
         """Takes the shares of a new configuration."""
-        self._queue.set_shares(
-            {name: plan["share"] for name, plan in snapshot.plans.items()}
-        )
+        self._queue.set_shares(self._shares())
 
     def submit(self, message: Any, link: link_module.Link) -> None:
         """Queues a request, or refuses it at once."""
@@ -122,18 +138,75 @@
             item = self._queue.pop(now_s, *self._running_by_lane())
             if item is None:
                 break
-            waiting = self._waiting.pop(item.request)
-            self._running[item.request] = waiting
-            self._begin(self._with_time_left(waiting), waiting.link)
+            self._start(self._waiting.pop(item.request))
+        self._take_back(now_s)
         QUEUED.set(len(self._waiting))
         RUNNING.set(len(self._running))
         self._check_later()
 
+    def _start(self, waiting: Waiting) -> None:
+        reason = self._work.suspect_reason(waiting.message)
+        if reason:
+            self._refuse(waiting.message, waiting.link, reason)
+            return
+        self._running[waiting.item.request] = waiting
+        self._started_s[waiting.item.request] = self._reactor.seconds()
+        self._work.begin(self._with_time_left(waiting), waiting.link)
+
+    def _take_back(self, now_s: float) -> None:
+        """Stops a request on lent capacity if its owner waits for it."""
+        waiting = self._entitled_waiting()
+        if waiting is None:
+            return
+        victim = self._lender.preempt(
+            waiting.item,
+            self._lent(),
+            self._shares(),
+            self._settings["limits"]["running"],
+            now_s,
+        )
+        if victim is not None:
+            running = self._running[victim.request]
+            self._work.preempt(runs.place_of(running.message))
+
+    def _entitled_waiting(self) -> Waiting | None:
+        """Returns a waiting request of the plan furthest below its share."""
+        places = self._settings["limits"]["running"]
+        used = collections.Counter(
+            running.item.plan for running in self._running.values()
+        )
+        shares = self._shares()
+
+        def missing(waiting: Waiting) -> float:
+            plan = waiting.item.plan
+            return shares.get(plan, 0.0) * places - used[plan]
+
+        return max(self._waiting.values(), key=missing, default=None)
+
+    def _lent(self) -> list[lending.Running]:
+        """Returns the running requests that can be resumed elsewhere."""
+        return [
+            lending.Running(
+                name,
+                running.item.plan,
+                running.item.worth,
+                self._started_s[name],
+                running.message["attempt"] - 1,
+            )
+            for name, running in self._running.items()
+            if running.message["type"] == "start"
+        ]
+
+    def _shares(self) -> dict[str, float]:
+        plans = self._current_config().plans
+        return {name: plan["share"] for name, plan in plans.items()}
+
     def done(self, done: heads.Done) -> None:
         """Frees the place of a request and corrects its cost."""
         waiting = self._running.pop(_name(done.key), None)
         if waiting is None:
             return
+        del self._started_s[waiting.item.request]
         item = waiting.item
         prompt_tokens = item.cost_tokens - waiting.message.get("max_tokens", 0)
         actual_tokens = max(prompt_tokens, 0) + done.token_count
--- a/src/hemlocktiller/_internal/agent/heads.py
+++ b/src/hemlocktiller/_internal/agent/heads.py
@@ -17,6 +17,8 @@
 from hemlocktiller._internal.links import coalesce
 from hemlocktiller._internal.links import link as link_module
 
+PREEMPTED = "preempted"
+
 TOKENS = prometheus_client.Counter(
     "hemlocktiller_tokens", "Tokens sent to entries"
 )
@@ -85,6 +87,7 @@
             start["config_version"],
             0,
             self._reactor.seconds() + start["expires_in_s"],
+            start["digest"],
             start["traceparent"],
         )
         run = runs.Run(
@@ -114,6 +117,18 @@
             self._end(key, "cancelled")
             self.pipeline.close(key)
 
+    def preempt(self, key: runs.Key) -> None:
+        """Stops a request so that its place goes back to its owner.
+
+        The entry resumes it after the tokens that it has.
+        """
+        head = self._end(key, "preempted")
+        if head is None:
+            return
+        self._flush(head.link)
+        _send(head.link, _failed(head, PREEMPTED))
+        self.pipeline.close(key)
+
     def drop_link(self, link: link_module.Link) -> None:
         """Stops the requests of an entry that is gone."""
         self._batches.pop(link, None)
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -21,6 +21,8 @@
 from hemlocktiller._internal.links import link as link_module
 
 NO_ALTERNATE = "no_alternate"
+CRASHES_TARGETS = "crashes_targets"
+FINAL_REASONS = (NO_ALTERNATE, CRASHES_TARGETS)
 SILENCE = "silence"
 UPSTREAM_GRACE_S = 6.0  # Time for the stage before to connect again.
 
@@ -93,6 +95,14 @@
         done.addCallback(self._on_output, run, token_index)
         done.addErrback(self._on_step_failed, run)
 
+    def running_s(self) -> dict[int, float]:
+        """Returns how long each digest has been running here."""
+        now_s = self._reactor.seconds()
+        return {
+            run.terms.digest: now_s - run.started_s
+            for run in self.runs.values()
+        }
+
     def close(self, key: runs.Key) -> None:
         """Releases this stage and all later ones."""
         run = self._remove(key)
@@ -137,7 +147,11 @@
     def on_refused(self, link: link_module.Link, message: Any) -> None:
         """Tries an alternate in place of a stage that refused."""
         run = self._run_before(link, message)
-        if run is not None:
+        if run is None:
+            return
+        if message["reason"] == CRASHES_TARGETS:
+            self._fail(run, CRASHES_TARGETS, sorted(run.dead))
+        else:
             self._replace_next(run, message["reason"])
 
     def on_hop(self, link: link_module.Link, hop: Any) -> None:
@@ -172,8 +186,8 @@
         if run is None:
             return
         run.dead.update(message["dead_targets"])
-        if message["reason"] == NO_ALTERNATE:
-            self._fail(run, NO_ALTERNATE, sorted(run.dead))
+        if message["reason"] in FINAL_REASONS:
+            self._fail(run, message["reason"], sorted(run.dead))
         else:
             self._replace_next(run, message["reason"])
 
@@ -250,6 +264,7 @@
                 "rebuild_inputs": inputs,
                 "rebuild_kv": b"",
                 "first_token": run.base_token + len(inputs),
+                "digest": run.terms.digest,
                 "traceparent": run.terms.traceparent,
             }
         )
@@ -424,6 +439,7 @@
             message["config_version"],
             message["priority"],
             self._reactor.seconds() + message["expires_in_s"],
+            message["digest"],
             message["traceparent"],
         )
         return runs.Run(
@@ -437,6 +453,7 @@
 
     def _add(self, run: runs.Run) -> None:
         self.runs[run.key] = run
+        run.started_s = self._reactor.seconds()
         run.timer = self._reactor.callLater(
             self._time_left_s(run) + UPSTREAM_GRACE_S, self.close, run.key
         )
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -14,6 +14,7 @@
     config_version: int
     priority: int
     expires_at_s: float
+    digest: int
     traceparent: str
 
 
@@ -38,6 +39,7 @@
         tried: Targets that failed as the next stage.
         reconnected: Targets dialled again after a lost link.
         dead: Targets that died while they ran this request.
+        started_s: When this stage was reserved.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.reconnected: set[str] = set()
         self.dead: set[str] = set()
         self.timer: Any = None
+        self.started_s = 0.0
 
     @property
     def is_last(self) -> bool:
--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -52,21 +52,34 @@
         settings: Any,
         claims: claims_module.Claims,
         on_done: Callable[[heads.Done], None],
+        on_died: Callable[[], None],
     ) -> None:
         self.running = 0
+        self._started_s: dict[runs.Key, tuple[int, float]] = {}
         self._reactor = reactor
         self._settings = settings
         self._claims = claims
         self._on_done = on_done
+        self._on_died = on_died
         self._http = http_client.agent(reactor)
 
     def begin(self, call: Any, link: link_module.Link) -> None:
         """Makes a call that left the queue and answers on its link."""
         self.running += 1
+        now_s = self._reactor.seconds()
+        self._started_s[runs.place_of(call)] = (call["digest"], now_s)
         done = defer.maybeDeferred(self._outcome, call)
         done.addErrback(_unexpected)
         done.addCallback(self._answer, call, link)
 
+    def running_s(self) -> dict[int, float]:
+        """Returns how long each digest has been running here."""
+        now_s = self._reactor.seconds()
+        return {
+            digest: now_s - started_s
+            for digest, started_s in self._started_s.values()
+        }
+
     def _outcome(self, call: Any) -> defer.Deferred[Outcome]:
         methods = self._settings["service"]["repeatable_methods"]
         if call["method"] in methods or not call["idempotency_key"]:
@@ -107,13 +120,17 @@
         try:
             reply = yield http_client.call(self._reactor, self._http, request)
         except Exception:
-            return _failed(failure.Failure())
+            reason = failure.Failure()
+            if reason.check(*http_client.PEER_DIED):
+                self._on_died()
+            return _failed(reason)
         return Outcome("yes", "", reply.status, reply.content_type, reply.body)
 
     def _answer(
         self, outcome: Outcome, call: Any, link: link_module.Link
     ) -> None:
         self.running -= 1
+        self._started_s.pop(runs.place_of(call), None)
         CALLS.labels(outcome.reason or "ok").inc()
         if link.up:
             link.send(
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.entry import targets as targets_module
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import vms as vms_module
 from hemlocktiller._internal.store import watch
 
@@ -32,6 +33,7 @@
         self.record: dict[str, Any] = {}
         self._watches: list[watch.Watch] = []
         self._drained = defer.Deferred()
+        self._at_loss: dict[str, dict[int, float]] = {}
         self.registry = registry_module.Registry()
         self.targets = targets_module.Targets(
             self.reactor,
@@ -45,6 +47,8 @@
             ),
             process.rng,
         )
+        self._entries: set[str] = {self.settings["name"]}
+        self.registry.entries = lambda: len(self._entries)
         self.registry.shared = attempts.Shared(
             self.reactor,
             self.settings,
@@ -52,6 +56,7 @@
             lambda: process.feed.current,
             lambda target: process.feed.push(target.link),
             budget.RetryBudget(self.settings["retries"]),
+            process.suspects,
             process.journal,
             process.tracer,
             process.rng,
@@ -165,25 +170,45 @@
         self._watches = [
             process_module.follow_config(self.process),
             watch.follow_kind(store, TARGET_KIND, self.targets.on_changes),
+            watch.follow_kind(store, ENTRY_KIND, self._on_entries),
             vms_module.follow(
                 store, self.settings["vm_poll_s"], self.targets.on_vms
             ),
         ]
 
+    def _on_entries(
+        self,
+        changed: list[client.StoredObject],
+        deleted: list[str],
+        whole: bool,
+    ) -> None:
+        if whole:
+            self._entries.clear()
+        self._entries.update(stored.name for stored in changed)
+        self._entries.difference_update(deleted)
+        self._entries.add(self.settings["name"])
+
     def _on_open(self, target: targets_module.Target) -> None:
         self.process.feed.on_open(target.link)
+        self.process.suspects.on_open(target.link)
 
     def _on_message(self, target: targets_module.Target, message: Any) -> None:
+        link = target.dialer.link
         if message["type"] in ("heartbeat", "config"):
-            self.process.feed.on_message(target.dialer.link, message)
+            self.process.feed.on_message(link, message)
+        elif message["type"] == "suspects":
+            self.process.suspects.on_message(link, message)
         else:
             self.registry.on_message(message)
 
     def _on_lost(self, target: targets_module.Target, reason: str) -> None:
+        self._at_loss[target.name] = self.registry.running_s(target)
         self.registry.on_target_lost(target, reason)
 
     def _on_died(self, target: targets_module.Target) -> None:
         log.warning("target {} died", target.name)
+        running_s = self._at_loss.pop(target.name, {})
+        self.process.suspects.died(target.name, running_s)
 
 
 def _target_state(target: targets_module.Target) -> dict[str, Any]:
--- a/src/hemlocktiller/_internal/entry/attempts.py
+++ b/src/hemlocktiller/_internal/entry/attempts.py
@@ -9,6 +9,7 @@
 
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 from hemlocktiller._internal.policy import budget
@@ -33,6 +34,7 @@
     current_config: Callable[[], snapshot_module.Snapshot]
     push_config: Callable[[Any], None]
     budget: budget.RetryBudget
+    suspects: suspects_feed.SuspectsFeed
     journal: explain.Journal
     tracer: traces.Tracer
     rng: random.Random
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -13,8 +13,10 @@
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.entry import targets as targets_module
 from hemlocktiller._internal.observe import traces
+from hemlocktiller._internal.policy import suspects
 
 RETRY_AFTER_S = 1.0
+PREEMPTED = "preempted"
 
 
 class ModelRequest:
@@ -37,6 +39,7 @@
         self.attempt = 0
         self.target: targets_module.Target | None = None
         self.tokens: list[int] = []
+        self.sent_s = 0.0
         self.ended = False
         self._shared = shared
         self._sink = sink
@@ -58,6 +61,8 @@
     def begin(self) -> None:
         """Sends the next attempt."""
         self._wait = None
+        if self._held_back():
+            return
         route = routes.choose(self._shared, self.call, self._excluded)
         if route is None:
             self._no_route()
@@ -69,6 +74,7 @@
         self._shared.push_config(route.target)
         route.target.link.send(self._start(route))
         now_s = self._shared.reactor.seconds()
+        self.sent_s = now_s
         view = self._shared.targets.view
         view.loads.sent(
             route.target.name, self.call.request, self._cost_tokens, now_s
@@ -124,6 +130,19 @@
         self._failed_target()
         self._lost(reason)
 
+    def _held_back(self) -> bool:
+        """Ends a request that crashes targets; waits while undecided."""
+        state = self._shared.suspects.state(self.call.digest)
+        if state == "condemned":
+            ran = "unknown" if self._may_have_run else "no"
+            message = "targets died while they ran this request"
+            self._fail(exceptions.CrashesTargets(message, ran))
+        elif state == "undecided":
+            self._wait = self._shared.reactor.callLater(
+                suspects.DECISION_S, self.begin
+            )
+        return state in ("condemned", "undecided")
+
     def _is_current(self, message: Any) -> bool:
         same = message["attempt"] == self.attempt
         return same and self.target is not None
@@ -179,6 +198,10 @@
     def _on_failed(self, message: Any) -> None:
         self._may_have_run = True
         self._note("failed", target=self.target.name, why=message["reason"])
+        if message["reason"] == PREEMPTED:
+            self._release_target()
+            self._wait = self._shared.reactor.callLater(0, self.begin)
+            return
         self._excluded.update(message["dead_targets"])
         self._failed_target()
         self._lost(message["reason"])
@@ -189,6 +212,7 @@
             return
         now_s = self._shared.reactor.seconds()
         self._shared.budget.record_success(now_s)
+        self._shared.suspects.succeeded(self.call.digest)
         self._shared.targets.view.breaker.succeeded(self.target.name)
         self._note("finished", tokens=len(self.tokens))
         self._end()
--- a/src/hemlocktiller/_internal/entry/pages.py
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -186,6 +186,7 @@
             sink = answers.EventStream(request, form, grant).sink()
         else:
             sink = answers.whole_sink(request, form, grant)
+        registry.admit(caller)
         self._cancel_on_hang_up(request, request_id)
         registry.begin_model(call, sink)
 
@@ -235,6 +236,7 @@
         def on_error(error: exceptions.RequestError) -> None:
             answers.write_error(request, error, request_id)
 
+        self._context.registry.admit(caller)
         self._cancel_on_hang_up(request, request_id)
         self._context.registry.begin_service(call, on_answer, on_error)
 
--- a/src/hemlocktiller/_internal/entry/registry.py
+++ b/src/hemlocktiller/_internal/entry/registry.py
@@ -11,6 +11,7 @@
 from hemlocktiller._internal.entry import outcomes
 from hemlocktiller._internal.entry import service_requests
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.policy import limits
 
 OPEN_REQUESTS = prometheus_client.Gauge(
     "hemlocktiller_open_requests", "Requests in progress at this entry"
@@ -24,16 +25,39 @@
 
 
 class Registry:
-    """Open requests, and the way from a message to its request."""
+    """Open requests, and the way from a message to its request.
+
+    Attributes:
+        shared: What all requests use.
+        entries: Returns how many entries share the limits.
+    """
 
     def __init__(self) -> None:
         self.shared: attempts.Shared | None = None
-        self.on_idle: Callable[[], None] = lambda: None
+        self.entries: Callable[[], int] = lambda: 1
+        self._limits = limits.WorkspaceLimits()
         self._open: dict[str, Request] = {}
 
     def __len__(self) -> int:
         return len(self._open)
 
+    def admit(self, caller: outcomes.Caller) -> None:
+        """Counts a request in; `begin_model` or `begin_service` follows.
+
+        Raises:
+            LimitExceeded: The workspace is over a limit of its plan.
+        """
+        view = caller.view
+        now_s = self.shared.reactor.seconds()
+        admission = self._limits.admit(
+            view.workspace, view.limits, max(self.entries(), 1), now_s
+        )
+        if not admission.allowed:
+            raise exceptions.LimitExceeded(
+                f"workspace {view.workspace} is over {admission.limit}",
+                retry_after_s=admission.retry_after_s,
+            )
+
     def begin_model(
         self, call: outcomes.ModelCall, sink: outcomes.Sink
     ) -> None:
@@ -107,6 +131,14 @@
             if request.target is target
         ]
 
+    def running_s(self, target: targets_module.Target) -> dict[int, float]:
+        """Returns how long each digest has been running at a target."""
+        now_s = self.shared.reactor.seconds()
+        return {
+            request.call.digest: now_s - request.sent_s
+            for request in self.at_target(target)
+        }
+
     def on_target_lost(
         self, target: targets_module.Target, reason: str
     ) -> None:
@@ -120,9 +152,9 @@
         request.begin()
 
     def _ended(self, request_id: str, outcome: str) -> None:
-        if self._open.pop(request_id, None) is None:
+        request = self._open.pop(request_id, None)
+        if request is None:
             return
+        self._limits.finished(request.call.caller.view.workspace)
         ENDS.labels(outcome).inc()
         OPEN_REQUESTS.set(len(self._open))
-        if not self._open:
-            self.on_idle()
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.entry import targets as targets_module
 from hemlocktiller._internal.observe import traces
+from hemlocktiller._internal.policy import suspects
 
 REPEATABLE_METHODS = ("GET", "HEAD")
 RETRY_AFTER_S = 1.0
@@ -38,6 +39,7 @@
         self.call = call
         self.attempt = 0
         self.target: targets_module.Target | None = None
+        self.sent_s = 0.0
         self.ended = False
         self._shared = shared
         self._on_answer = on_answer
@@ -59,6 +61,8 @@
     def begin(self) -> None:
         """Sends the next attempt."""
         self._wait = None
+        if self._held_back():
+            return
         route = routes.choose_service(self._shared, self.call, self._excluded)
         if route is None:
             self._lost("no_target")
@@ -70,6 +74,7 @@
         self._shared.push_config(route.target)
         route.target.link.send(self._message())
         now_s = self._shared.reactor.seconds()
+        self.sent_s = now_s
         view = self._shared.targets.view
         view.loads.sent(route.target.name, self.call.request, 1.0, now_s)
         view.breaker.sent(route.target.name, now_s)
@@ -81,6 +86,7 @@
         """
         if not self.ended:
             self._note("cancelled")
+            self._cancel_attempt()
             self._end()
 
     def on_message(self, message: Any) -> None:
@@ -103,6 +109,19 @@
         self._exclude_target()
         self._lost(reason)
 
+    def _held_back(self) -> bool:
+        """Ends a request that crashes targets; waits while undecided."""
+        state = self._shared.suspects.state(self.call.digest)
+        if state == "condemned":
+            ran = "unknown" if self._may_have_run else "no"
+            message = "targets died while they ran this request"
+            self._fail(exceptions.CrashesTargets(message, ran))
+        elif state == "undecided":
+            self._wait = self._shared.reactor.callLater(
+                suspects.DECISION_S, self.begin
+            )
+        return state in ("condemned", "undecided")
+
     @property
     def _repeatable(self) -> bool:
         return self.call.method in REPEATABLE_METHODS
@@ -147,6 +166,7 @@
             return
         now_s = self._shared.reactor.seconds()
         self._shared.budget.record_success(now_s)
+        self._shared.suspects.succeeded(self.call.digest)
         self._shared.targets.view.breaker.succeeded(self.target.name)
         self._note(
             "answered",
@@ -216,6 +236,7 @@
     def _on_deadline(self) -> None:
         if self.target is not None:
             self._may_have_run = True
+            self._cancel_attempt()
         self._give_up("deadline")
 
     def _fail(self, error: exceptions.RequestError) -> None:
@@ -233,6 +254,18 @@
             if timer is not None and timer.active():
                 timer.cancel()
 
+    def _cancel_attempt(self) -> None:
+        """Takes the call out of the target's queue, if it still waits."""
+        link = self.target.link if self.target else None
+        if link is not None:
+            link.send(
+                {
+                    "type": "cancel",
+                    "request": self.call.request,
+                    "attempt": self.attempt,
+                }
+            )
+
     def _exclude_target(self) -> None:
         if self.target is not None:
             self._excluded.add(self.target.name)
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -18,6 +18,11 @@
     error.ConnectError,
     error.TimeoutError,
 )
+PEER_DIED = (
+    client.ResponseNeverReceived,
+    client.ResponseFailed,
+    error.ConnectionLost,
+)
 
 
 class Reply(NamedTuple):
--- a/src/hemlocktiller/_internal/process.py
+++ b/src/hemlocktiller/_internal/process.py
@@ -8,11 +8,14 @@
 from typing import NamedTuple
 
 import logbook
+import prometheus_client
 from twisted.internet import defer
 
+from hemlocktiller._internal.config import check
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import config_feed
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 from hemlocktiller._internal.store import client
@@ -22,6 +25,12 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 POLL_S = 0.05
+SUSPECT_SETTINGS = {"suspect_ttl_s": 600.0}
+
+REJECTED = prometheus_client.Counter(
+    "hemlocktiller_config_with_findings",
+    "Stored configurations that were not put in force",
+)
 
 log = logbook.Logger(__name__)
 
@@ -33,6 +42,7 @@
     settings: Any
     local: link_module.Local
     feed: config_feed.ConfigFeed
+    suspects: suspects_feed.SuspectsFeed
     store: client.ObjectStore
     journal: explain.Journal
     tracer: traces.Tracer
@@ -56,6 +66,9 @@
         settings,
         local,
         feed,
+        suspects_feed.SuspectsFeed(
+            reactor, settings.get("retries", SUSPECT_SETTINGS)
+        ),
         client.ObjectStore(settings["store"], process_id, reactor),
         explain.Journal(),
         traces.create(settings["name"], settings["trace_sample_ratio"]),
@@ -67,10 +80,14 @@
     """Puts each configuration of the object API in force."""
 
     def on_object(stored: client.StoredObject | None) -> None:
-        if stored is not None:
-            process.feed.offer(
-                snapshot_module.build(stored.version, stored.value)
-            )
+        if stored is None:
+            return
+        found = check.check(stored.value)
+        if found:
+            REJECTED.inc()
+            log.error("configuration {}: {}", stored.version, found)
+            return
+        process.feed.offer(snapshot_module.build(stored.version, stored.value))
 
     return watch.follow(process.store, CONFIG_KIND, CONFIG_NAME, on_object)
 
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -229,6 +229,7 @@
     rebuild_inputs: list[Any]
     rebuild_kv: Any
     first_token: int
+    digest: int
     traceparent: str
 
 
