--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -50,6 +50,7 @@
     """
 
     timeout_s: NotRequired[float]
+    notice_s: NotRequired[float]
 
 
 class Engine(TypedDict, closed=True):
@@ -94,6 +95,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
@@ -115,6 +117,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
