--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -70,16 +70,19 @@
         if segments[0] in ("faults", "stats", "log"):
             return self._control(method, segments[0], request)
         if segments[0] == "vms" and method == "PUT":
-            return self._put_vm(segments[1], json.load(request.content))
+            return self.put_vm(segments[1], json.load(request.content))
         kind = "vms" if segments[0] == "vms" else segments[1]
         self.calls[method][kind] += 1
         return self._faulty(kind, method, request, segments)
 
+    def set_faults(self, faults):
+        """Sets faults; those not named end."""
+        self.faults = {**NO_FAULTS, **faults}
+        self._wake()
+
     def _control(self, method, page, request):
         if page == "faults" and method == "PUT":
-            self.faults = {**NO_FAULTS, **json.load(request.content)}
-            self._wake()
-            return web.json_answer(self.faults)
+            self.set_faults(json.load(request.content))
         pages = {
             "faults": self.faults,
             "stats": {"calls": self.calls, "waiting": len(self.waiting)},
@@ -87,7 +90,8 @@
         }
         return web.json_answer(pages[page])
 
-    def _put_vm(self, name, vm):
+    def put_vm(self, name, vm):
+        """Adds or replaces a VM of the list."""
         self.vms_version += 1
         self.vms[name] = {"name": name, **vm}
         self._wake()
