--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests import known_red
+from tests.fakes import memory
 
 # Fixed examples and no check of elapsed time: the same verdict each run.
 hypothesis.settings.register_profile(
@@ -15,6 +16,12 @@
 hypothesis.settings.load_profile("fixed")
 
 
+@pytest.fixture
+def platform():
+    """Returns a stand-in of the platform in virtual time."""
+    return memory.MemoryPlatform()
+
+
 def pytest_collection_modifyitems(items):
     """Lets the tests listed in KNOWN-RED.txt fail."""
     for entry in known_red.read():
