--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -84,6 +84,7 @@
         """Runs the layers of this stage for one token."""
         run.busy = True
         run.fed = True
+        run.complete_token = max(run.complete_token, token_index)
         step = engine_module.Step(
             run.sequence,
             token_index,
@@ -127,9 +128,8 @@
         run.upstream = link.peer["name"]
         self._add(run)
         self._rebuild(run, message["rebuild_inputs"])
-        if not run.is_last:
-            self._open_next(run)
-        self._reply_if_open(run)
+        if run.ready:
+            self._go_on(run)
 
     def on_opened(self, link: link_module.Link, message: Any) -> None:
         """Goes on once the next stage is reserved."""
@@ -142,7 +142,7 @@
             self._reply_if_open(run)
         elif not run.fed:
             self._events.on_opened(run)
-        self._send_newest(run)
+        self._send_kept(run)
 
     def on_refused(self, link: link_module.Link, message: Any) -> None:
         """Tries an alternate in place of a stage that refused."""
@@ -157,18 +157,18 @@
     def on_hop(self, link: link_module.Link, hop: Any) -> None:
         """Runs a token, or answers a repeated hop from what is kept."""
         run = self.runs.get(runs.place_of(hop))
-        if run is None or not run.ready:
+        if run is None:
             self._send_failed(link.peer["name"], hop, "unknown_run", [])
             return
-        token_index = hop["token_index"]
-        if token_index < run.next_token or run.busy:
+        if hop["token_index"] < run.received_token:
             REPEATED_HOPS.inc()
-            self._repeat(run, token_index)
-            return
-        if not _follows(run, hop):
+            self._repeat(run, hop["token_index"])
+        elif not run.ready or not _follows(run, hop):
             self._fail(run, "out_of_order", [])
-            return
-        self.feed(run, token_index, hop["data"], token_index == run.base_token)
+        elif run.busy:
+            run.waiting[hop["token_index"]] = hop["data"]
+        else:
+            self._feed_hop(run, hop["token_index"], hop["data"])
 
     def on_hop_result(self, result: Any) -> None:
         """Passes a token from the last stage to the owner of the chain."""
@@ -249,7 +249,8 @@
         process = link.peer["process"]
         same = process == run.next_process
         run.next_process = process
-        inputs = [] if same else run.kept[:-1]
+        complete = run.complete_token - run.base_token
+        inputs = [] if same else run.kept[:complete]
         REBUILD_BYTES.inc(sum(len(data) for data in inputs))
         link.send(
             {
@@ -296,6 +297,16 @@
         if run.is_last:
             self._send_result(run)
 
+    def _feed_hop(self, run: runs.Run, token_index: int, data: bytes) -> None:
+        self.feed(run, token_index, data, token_index == run.base_token)
+
+    def _go_on(self, run: runs.Run) -> None:
+        """Reserves the next stage once the cache of this one is complete."""
+        if run.is_last:
+            self._reply_if_open(run)
+        else:
+            self._open_next(run)
+
     def _rebuild(self, run: runs.Run, inputs: list[bytes]) -> None:
         """Fills the cache of this stage from kept inputs, in order."""
         if not inputs:
@@ -319,7 +330,7 @@
         run.ready = True
         if not run.is_last:
             run.kept = [output.data for output in outputs]
-        self._reply_if_open(run)
+        self._go_on(run)
 
     def _reply_if_open(self, run: runs.Run) -> None:
         if not run.ready or not run.next_open:
@@ -328,7 +339,7 @@
             "type": "opened",
             **run.place,
             "stage_index": run.index,
-            "next_token": run.next_token,
+            "next_token": run.received_token,
         }
         self._peers.send(run.upstream, message)
 
@@ -347,6 +358,12 @@
             self._events.on_token(run, token_index, output)
         else:
             self._send_result(run)
+        self._feed_waiting(run)
+
+    def _feed_waiting(self, run: runs.Run) -> None:
+        data = run.waiting.pop(run.next_token, None)
+        if data is not None:
+            self._feed_hop(run, run.next_token, data)
 
     def _on_step_failed(self, reason: failure.Failure, run: runs.Run) -> None:
         engine_died = reason.check(engine_module.EngineFailed) is not None
@@ -380,25 +397,33 @@
 
     def _repeat(self, run: runs.Run, token_index: int) -> None:
         """Sends the newest output again if it is the one asked for."""
-        if run.busy or token_index != run.next_token - 1:
+        if token_index != run.next_token - 1:
             return
         if run.is_last:
             self._send_result(run)
         else:
             self._send_newest(run)
 
+    def _send_kept(self, run: runs.Run) -> None:
+        """Sends all outputs that the next stage has not received."""
+        newest = run.newest_kept_token
+        for token_index in range(run.downstream_token, newest + 1):
+            self._send_hop(run, token_index)
+
     def _send_newest(self, run: runs.Run) -> None:
         token_index = run.newest_kept_token
-        if not run.next_open or not run.kept:
-            return
-        if token_index < run.downstream_token:
+        if token_index >= run.downstream_token:
+            self._send_hop(run, token_index)
+
+    def _send_hop(self, run: runs.Run, token_index: int) -> None:
+        if not run.next_open:
             return
         hop = {
             **run.place,
             "stage_index": run.index + 1,
             "token_index": token_index,
             "next_layer": run.next_stage["first_layer"],
-            "data": run.kept[-1],
+            "data": run.kept[token_index - run.base_token],
         }
         self._batch(run.next_stage["target"], "hops", "hops").add(hop)
 
@@ -482,7 +507,7 @@
 def _follows(run: runs.Run, hop: Any) -> bool:
     """Tells whether a hop is the next one for this stage."""
     return (
-        hop["token_index"] == run.next_token
+        hop["token_index"] == run.received_token
         and hop["stage_index"] == run.index
         and hop["next_layer"] == run.stage["first_layer"]
     )
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -32,6 +32,9 @@
         last: Output of the newest token.
         busy: Whether the engine runs a token now.
         ready: Whether the cache of this stage is complete.
+        complete_token: Index of the first token that may be incomplete;
+            the answer holds all tokens before it.
+        waiting: Inputs that came while the engine ran an earlier token.
         next_open: Whether the next stage is reserved.
         next_process: Process that holds the next stage.
         downstream_token: First token that the next stage has not run.
@@ -58,7 +61,9 @@
         self.terms = terms
         self.base_token = base_token
         self.next_token = base_token
+        self.complete_token = base_token
         self.kept: list[bytes] = []
+        self.waiting: dict[int, bytes] = {}
         self.last: engine.Output | None = None
         self.busy = False
         self.ready = True
@@ -103,6 +108,11 @@
         """The first stage of the chain."""
         return self.chain[0]
 
+    @property
+    def received_token(self) -> int:
+        """Index of the first token whose input has not come."""
+        return self.next_token + self.busy + len(self.waiting)
+
     @property
     def newest_kept_token(self) -> int:
         """Index of the newest token whose output is kept."""
