--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -227,6 +227,8 @@
 
     def _open_next(self, run: runs.Run) -> None:
         run.next_open = False
+        if not run.ready:
+            return  # `_go_on` reserves it once the cache is complete.
         stage = run.next_stage
         waiter = peers_module.Waiter(
             lambda link: self._send_open(run, stage, link),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pytest
 
 from tests import known_red
+from tests.fakes import memory
 
 # Fixed examples and no check of elapsed time: the same verdict each run.
 hypothesis.settings.register_profile(
@@ -31,3 +32,9 @@
     """Prints the entries of KNOWN-RED.txt."""
     for entry in known_red.read():
         terminalreporter.write_line(f"KNOWN RED: {' | '.join(entry)}")
+
+
+@pytest.fixture
+def platform():
+    """Returns a stand-in of the platform in virtual time."""
+    return memory.MemoryPlatform()
