--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -190,7 +190,7 @@
             running_short: Short requests that run.
             running_long: Long requests that run.
         """
-        lanes = self._open_lanes(running_short, running_long)
+        lanes = self._open_lanes(now_s, running_short, running_long)
         heads = {
             name: plan.heads(lanes, now_s)
             for name, plan in self._plans.items()
@@ -251,33 +251,62 @@
             item: The item.
             tokens_per_s: Cost that the target serves in a second.
         """
-        plans = {name for name, plan in self._plans.items() if len(plan)}
-        plans.add(item.plan)
-        weight = self._weight(item.plan)
-        fraction = weight / sum(self._weight(name) for name in plans)
-        ahead = self._tags.lag(item.plan, weight)
-        ahead += self._cost_ahead(item)
-        tokens = min(ahead / fraction, self.cost_tokens)
+        tokens = self._backlog(item.plan, self._cost_ahead(item))
         return tokens / max(tokens_per_s, 1e-9)
 
+    def backlogs(self) -> dict[str, float]:
+        """Returns the cost served before each waiting plan's last item.
+
+        It counts what other plans are served meanwhile, by their shares.
+        """
+        costs: dict[str, float] = {}
+        for entry in self._waiting.values():
+            item = entry.item
+            costs[item.plan] = costs.get(item.plan, 0.0) + item.cost_tokens
+        return {
+            plan: self._backlog(plan, cost) for plan, cost in costs.items()
+        }
+
     def lane(self, item: Item) -> str:
         """Returns the lane of an item."""
         if item.cost_tokens <= self._limits["short_cost_tokens"]:
             return SHORT
         return LONG
 
-    def _open_lanes(self, running_short: int, running_long: int) -> list[str]:
-        """Returns the lanes that may start one more item."""
+    def _backlog(self, plan: str, ahead_tokens: float) -> float:
+        """Returns the cost served until a plan has got a given cost."""
+        plans = {name for name, state in self._plans.items() if len(state)}
+        plans.add(plan)
+        weight = self._weight(plan)
+        fraction = weight / sum(self._weight(name) for name in plans)
+        ahead_tokens += self._tags.lag(plan, weight)
+        return min(ahead_tokens / fraction, self.cost_tokens)
+
+    def _open_lanes(
+        self, now_s: float, running_short: int, running_long: int
+    ) -> list[str]:
+        """Returns the lanes that may start one more item.
+
+        Places kept for a lane without waiting items are lent to the other.
+        """
         free = self._limits["running"] - running_short - running_long
         kept_short = self._limits["reserved_short"] - running_short
         kept_long = self._limits["reserved_long"] - running_long
         lanes = []
-        if free > max(0, kept_long):
+        if free > max(0, kept_long) or (free and not self._has(LONG, now_s)):
             lanes.append(SHORT)
-        if free > max(0, kept_short):
+        if free > max(0, kept_short) or (free and not self._has(SHORT, now_s)):
             lanes.append(LONG)
         return lanes
 
+    def _has(self, lane: str, now_s: float) -> bool:
+        """Returns whether an item of a lane waits that is not past hope."""
+        return any(
+            _first_hopeful(workspace.lanes[lane], now_s)
+            for plan in self._plans.values()
+            for workspace in plan.workspaces.values()
+        )
+
     def _cost_ahead(self, item: Item) -> float:
         """Returns the cost that the plan would serve before the item."""
         plan = self._plans.get(item.plan)
--- a/src/hemlocktiller/_internal/policy/loads.py
+++ b/src/hemlocktiller/_internal/policy/loads.py
@@ -15,18 +15,24 @@
     """The load of a target as far as it is known.
 
     Attributes:
-        cost_tokens: Cost of what waits there.
+        backlog_tokens: Cost served there before a new request of the plan.
         tokens_per_s: Cost that the target serves in a second.
         requests: Requests that run or wait there.
         free: Whether a place to run is free.
-        plan_served_tokens: Tokens served lately, by plan.
     """
 
-    cost_tokens: float
+    backlog_tokens: float
     tokens_per_s: float
     requests: int
     free: bool
-    plan_served_tokens: dict[str, float]
+
+
+class _Sent(NamedTuple):
+    """A request sent to a target."""
+
+    plan: str
+    cost_tokens: float
+    sent_s: float
 
 
 class _Target:
@@ -35,7 +41,7 @@
     def __init__(self) -> None:
         self.report: messages.Load | None = None
         self.reported_s = 0.0
-        self.sent: dict[str, tuple[float, float]] = {}
+        self.sent: dict[str, _Sent] = {}
 
 
 class Loads:
@@ -51,11 +57,16 @@
         target.reported_s = now_s
 
     def sent(
-        self, target: str, request: str, cost_tokens: float, now_s: float
+        self,
+        target: str,
+        request: str,
+        plan: str,
+        cost_tokens: float,
+        now_s: float,
     ) -> None:
         """Notes a request sent to a target."""
         state = self._targets.setdefault(target, _Target())
-        state.sent[request] = (cost_tokens, now_s)
+        state.sent[request] = _Sent(plan, cost_tokens, now_s)
 
     def done(self, target: str, request: str) -> None:
         """Notes that a request ended."""
@@ -77,25 +88,34 @@
         state = self._targets.get(target)
         return bool(state and state.report and state.report["leaving"])
 
-    def estimate(self, target: str) -> Estimate:
-        """Returns the load of a target as far as it is known."""
-        state = self._targets.get(target)
-        if state is None:
-            return Estimate(0.0, DEFAULT_TOKENS_PER_S, 0, True, {})
+    def estimate(self, target: str, plan: str) -> Estimate:
+        """Returns the load of a target as a plan would meet it."""
+        state = self._targets.get(target, _NOTHING)
+        report = state.report
         unseen = [
-            cost_tokens
-            for cost_tokens, sent_s in state.sent.values()
-            if state.report is None or sent_s >= state.reported_s
+            one
+            for one in state.sent.values()
+            if report is None or one.sent_s >= state.reported_s
         ]
-        report = state.report
+        own_tokens = sum(one.cost_tokens for one in unseen if one.plan == plan)
         if report is None:
             rate = DEFAULT_TOKENS_PER_S
-            return Estimate(sum(unseen), rate, len(unseen), True, {})
+            return Estimate(own_tokens, rate, len(unseen), True)
         requests = report["queued"] + report["running"] + len(unseen)
         return Estimate(
-            report["queued_cost_tokens"] + sum(unseen),
+            _reported_backlog(report, plan) + own_tokens,
             report["tokens_per_s"] or DEFAULT_TOKENS_PER_S,
             requests,
             requests < report["max_running"],
-            report["plan_served_tokens"],
         )
+
+
+_NOTHING = _Target()
+
+
+def _reported_backlog(report: messages.Load, plan: str) -> float:
+    """Returns a plan's backlog; the whole queue if none is reported."""
+    backlogs = report.get("plan_backlog_tokens")
+    if backlogs is None:
+        return report["queued_cost_tokens"]
+    return backlogs.get(plan, 0.0)
--- a/src/hemlocktiller/_internal/policy/routing.py
+++ b/src/hemlocktiller/_internal/policy/routing.py
@@ -1,15 +1,18 @@
 """Choice among the chains that can run a request."""
 
 from collections.abc import Sequence
+import math
 import random
 from typing import NamedTuple
 
 from hemlocktiller._internal.policy import breaker
+from hemlocktiller._internal.policy import costs
 from hemlocktiller._internal.policy import loads
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.schemas import messages
 
 SAMPLED = 4
+BUSY_PROMPT_FACTOR = 100.0
 
 
 class Candidate(NamedTuple):
@@ -30,16 +33,18 @@
     """What routing needs to know of a request.
 
     Attributes:
-        cost_tokens: Estimated cost.
+        plan: Plan that pays for it.
         prompt_words: Words of the prompt.
         output_tokens: Expected tokens of the answer.
         prefixes: Digests of the prompt's prefixes, shortest first.
+        remaining_s: Time to the deadline.
     """
 
-    cost_tokens: float
+    plan: str
     prompt_words: int = 0
     output_tokens: int = 0
     prefixes: Sequence[int] = ()
+    remaining_s: float = math.inf
 
 
 class Choice(NamedTuple):
@@ -48,11 +53,13 @@
     Attributes:
         candidate: The candidate.
         expected_s: Expected time to the complete answer.
+        score: Order of the choices, lowest first.
         explanation: The parts of that time, for `explain`.
     """
 
     candidate: Candidate
     expected_s: float
+    score: tuple[bool, float]
     explanation: str
 
 
@@ -103,7 +110,7 @@
         _choice(candidate, request, view, cached_words[candidate.target])
         for candidate in looked_at
     ]
-    return sorted(choices, key=lambda choice: choice.expected_s)
+    return sorted(choices, key=lambda choice: choice.score)
 
 
 def _sample(
@@ -130,18 +137,28 @@
 def _choice(
     candidate: Candidate, request: Request, view: View, cached_words: int
 ) -> Choice:
-    """Returns a candidate with its expected time to the whole answer."""
-    estimate = view.loads.estimate(candidate.target)
-    wait_tokens = 0.0 if estimate.free else estimate.cost_tokens
+    """Returns a candidate with its expected time and its score.
+
+    Where places are free, the expected time alone decides. On a busy
+    target, each word that is not cached also delays all that wait there,
+    and so counts many times; the wait matters less while it leaves the
+    deadline in reach.
+    """
+    estimate = view.loads.estimate(candidate.target, request.plan)
+    wait_tokens = 0.0 if estimate.free else estimate.backlog_tokens
     wait_s = wait_tokens / estimate.tokens_per_s
     uncached_words = max(0, request.prompt_words - cached_words)
-    prompt_s = uncached_words / estimate.tokens_per_s
+    prompt_tokens = costs.PROMPT_WORD_TOKENS * uncached_words
+    prompt_s = prompt_tokens / estimate.tokens_per_s
     output_s = request.output_tokens * candidate.cost_s
     expected_s = wait_s + prompt_s + output_s
+    late = expected_s > request.remaining_s
+    factor = 0.0 if estimate.free else BUSY_PROMPT_FACTOR
+    score = (late, expected_s + factor * prompt_s)
     explanation = (
         f"{candidate.target}: wait {wait_s:.3f} s"
         f" ({estimate.requests} requests, {wait_tokens:.0f} tokens)"
         f" + prompt {prompt_s:.3f} s ({cached_words} words cached)"
         f" + output {output_s:.3f} s"
     )
-    return Choice(candidate, expected_s, explanation)
+    return Choice(candidate, expected_s, score, explanation)
