--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -1,6 +1,8 @@
 """Deployments of product processes and stand-ins on the loopback."""
 
+from collections.abc import Callable
 from collections.abc import Collection
+from concurrent import futures
 import hashlib
 import json
 from pathlib import Path
@@ -19,6 +21,7 @@
 DATA_CENTRE = "dc1"
 LINK_SECRET = "secret-of-the-functional-tests"
 READY_POLLS = 400
+STARTS_AT_ONCE = 6
 CALL_TIMEOUT_S = 2.0
 KEYS = {"events": "key-events", "federation": "key-federation"}
 PLAN_LIMITS = {
@@ -330,6 +333,16 @@
         """Returns the status page of a process; empty if unreachable."""
         return self.admin(process, "/status").json() or {}
 
+    def explain(self, request: str) -> list[Any]:
+        """Returns what the entries noted of a request, for a message."""
+        path = f"/explain?request={request}"
+        pages = [
+            self.admin(entry, path)
+            for entry in self.entries.values()
+            if entry.running()
+        ]
+        return [page.json() for page in pages if page.status == 200]
+
     # Histories
 
     def engine_history(self, name: str) -> list[dict[str, Any]]:
@@ -389,14 +402,26 @@
         **options: Options of the engines.
     """
     step = layer_count // stages
-    for chain in range(chains):
-        for stage in range(stages):
-            name = f"c{chain}s{stage}"
-            first = stage * step
-            deployment.start_engine(
-                f"{name}-target", first, first + step, layer_count, **options
-            )
-            deployment.start_agent(name, relayed=name in relayed)
+    firsts = {
+        f"c{chain}s{stage}": stage * step
+        for chain in range(chains)
+        for stage in range(stages)
+    }
+
+    def start(name: str) -> None:
+        first = firsts[name]
+        deployment.start_engine(
+            f"{name}-target", first, first + step, layer_count, **options
+        )
+        deployment.start_agent(name, relayed=name in relayed)
+
+    start_together(start, firsts)
+
+
+def start_together(start: Callable[[str], Any], names) -> None:
+    """Starts processes by name, a few at the same time."""
+    with futures.ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+        list(pool.map(start, names))
 
 
 def start_bookings(
@@ -406,7 +431,9 @@
     **options,
 ) -> None:
     """Starts booking services with their agents."""
-    for number in range(count):
-        deployment.start_booking(f"b{number}-target", **options)
-        name = f"b{number}"
+
+    def start(name: str) -> None:
+        deployment.start_booking(f"{name}-target", **options)
         deployment.start_agent(name, relayed=name in relayed)
+
+    start_together(start, [f"b{number}" for number in range(count)])
--- a/tests/functional/scenarios.py
+++ b/tests/functional/scenarios.py
@@ -62,8 +62,7 @@
         relayed=relayed,
         step_s=STEP_S,
     )
-    for name in ENTRIES:
-        deployment.start_entry(name)
+    harness.start_together(deployment.start_entry, ENTRIES)
     deployment.wait_ready()
 
 
@@ -72,8 +71,7 @@
     harness.start_bookings(
         deployment, count=len(CALL_AGENTS), relayed=relayed, **options
     )
-    for name in ENTRIES:
-        deployment.start_entry(name)
+    harness.start_together(deployment.start_entry, ENTRIES)
     deployment.wait_ready()
 
 
--- a/tests/functional/test_crashing_request.py
+++ b/tests/functional/test_crashing_request.py
@@ -18,8 +18,7 @@
     harness.start_chains(
         deployment, chains=CHAINS, stages=2, layer_count=12, step_s=0.005
     )
-    for name in scenarios.ENTRIES:
-        deployment.start_entry(name)
+    harness.start_together(deployment.start_entry, scenarios.ENTRIES)
     deployment.wait_ready()
     return deployment
 
--- a/tests/functional/test_promises_5_leaving.py
+++ b/tests/functional/test_promises_5_leaving.py
@@ -50,8 +50,7 @@
 
 def start(deployment, relayed=()):
     harness.start_chains(deployment, layer_count=12, relayed=relayed)
-    for name in scenarios.ENTRIES:
-        deployment.start_entry(name)
+    harness.start_together(deployment.start_entry, scenarios.ENTRIES)
     deployment.wait_ready()
 
 
--- a/tests/functional/test_promises_7_config.py
+++ b/tests/functional/test_promises_7_config.py
@@ -59,8 +59,7 @@
 @pytest.fixture
 def watcher(deployment):
     harness.start_chains(deployment, chains=2, layer_count=12)
-    for name in scenarios.ENTRIES:
-        deployment.start_entry(name)
+    harness.start_together(deployment.start_entry, scenarios.ENTRIES)
     deployment.wait_ready()
     return Watcher(deployment)
 
