--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of what one more of something costs a process."""
