--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -148,7 +148,7 @@
         uncached = len(words) % BLOCK_WORDS
         ends = range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS)
         for end in ends:
-            digest = xxhash.xxh64_intdigest(" ".join(words[:end]))
+            digest = xxhash.xxh64_intdigest(" ".join(words[:end]).encode())
             if digest not in self.blocks:
                 uncached += BLOCK_WORDS
                 now_s = self.clock.seconds()
