--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,341 @@
+"""Measures slopes on this machine and works out the target size from them.
+
+    python -m benchmarks.capacity [SECTION ...]
+
+Sections: links, streams, tokens, requests, workspaces, agent, store,
+config, spread, messages; all of them without arguments. Each slope is
+taken at three sizes or more, each size in processes of its own.
+"""
+
+import sys
+import time
+from typing import NamedTuple
+
+import logbook
+
+from benchmarks import config_bytes
+from benchmarks.slopes import agent
+from benchmarks.slopes import entry
+from benchmarks.slopes import fit
+from benchmarks.slopes import samples
+from benchmarks.slopes import spread
+from benchmarks.slopes import store_calls
+from hemlocktiller._internal.config import patch
+from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.links import codec
+from hemlocktiller._internal.store import objects
+
+MIB = 1024 * 1024
+DAY_S = 86_400
+US_PER_S = 1_000_000
+REPEATS = 20
+
+
+class Target(NamedTuple):
+    """The size that the system has to carry.
+
+    Attributes:
+        cpu_share: Share of a core for control, a node.
+        bytes_per_s: Bytes for control, a node.
+        resident_bytes: Memory for control, a node, beyond bare Twisted.
+    """
+
+    entries: int = 420
+    replicas: int = 2_800
+    data_centres: int = 20
+    regions: int = 7
+    requests_per_s: int = 35_000
+    tokens_per_s: int = 9_100_000
+    workspaces: int = 710
+    models: int = 19
+    edits_per_day: int = 13_000
+    restarts_per_day: int = 250
+    cpu_share: float = 0.021
+    bytes_per_s: float = 4_096.0
+    resident_bytes: int = 32 * MIB
+
+
+TARGET = Target()
+ENTRY_REQUESTS_PER_S = TARGET.requests_per_s / TARGET.entries
+ENTRY_TOKENS_PER_S = TARGET.tokens_per_s / TARGET.entries
+REPLICA_TOKENS_PER_S = TARGET.tokens_per_s / TARGET.replicas
+EDITS_PER_S = TARGET.edits_per_day / DAY_S
+
+
+def measure_links():
+    """Slopes of idle links at an entry, with and without load reports."""
+    kinds = (
+        ("heartbeats and full load reports", {}),
+        ("heartbeats and short load reports", {"plans": 4, "prefixes": 0}),
+        ("heartbeats alone", {"reports": False}),
+    )
+    for name, options in kinds:
+        found = {count: entry.links(count, **options) for count in (8, 24, 72)}
+        cpu = _slope(f"entry, {name}", "cpu_s_per_s", found, "link", "us/s")
+        wire = _slope(f"entry, {name}", "wire_bytes_per_s", found, "link")
+        _slope(f"entry, {name}", "resident_bytes", found, "link", "KiB")
+        by_cpu = TARGET.cpu_share * US_PER_S / cpu.slope
+        by_bytes = TARGET.bytes_per_s / wire.slope
+        _conclude(
+            f"{TARGET.cpu_share:.1%} of a core carries {by_cpu:.0f} links,"
+            f" {TARGET.bytes_per_s:.0f} bytes/s {by_bytes:.1f}"
+        )
+
+
+def measure_streams():
+    """Slope of open streams at an entry."""
+    found = {count: entry.streams(count) for count in (100, 400, 1_200)}
+    memory = _slope("entry", "resident_bytes", found, "open stream", "KiB")
+    for tokens_per_s in (16, 30):
+        streams = ENTRY_TOKENS_PER_S / tokens_per_s
+        _conclude(
+            f"{streams:.0f} streams of {tokens_per_s} tokens/s:"
+            f" {memory.slope * streams / 1024:.0f} MiB"
+        )
+
+
+def measure_tokens():
+    """Slopes of tokens at an entry, with 1, 8 and 64 tokens a stream."""
+    for tokens_each in (1, 8, 64):
+        found = {
+            streams: entry.tokens(streams, tokens_each)
+            for streams in (20, 60, 140)
+        }
+        by_tokens = {one["tokens_per_s"]: one for one in found.values()}
+        name = f"entry, {tokens_each} tokens a stream and frame"
+        cpu = _slope(name, "cpu_s_per_s", by_tokens, "token/s", "us/s")
+        wire = _slope(name, "wire_bytes_per_s", by_tokens, "token/s")
+        _conclude(
+            f"{ENTRY_TOKENS_PER_S:,.0f} tokens/s:"
+            f" {cpu.slope * ENTRY_TOKENS_PER_S / US_PER_S:.2f} cores,"
+            f" {wire.slope * ENTRY_TOKENS_PER_S / MIB:.1f} MiB/s of links"
+        )
+
+
+def measure_requests():
+    """Slopes of requests and of the targets to choose from."""
+    found = {rate: entry.requests(rate) for rate in (10, 30, 60)}
+    cpu = _slope("entry", "cpu_s_per_s", found, "request/s", "us/s")
+    _conclude(
+        f"{ENTRY_REQUESTS_PER_S:.0f} requests/s:"
+        f" {cpu.slope * ENTRY_REQUESTS_PER_S / US_PER_S:.2f} cores"
+    )
+    found = {count: entry.requests(20, count, count) for count in (4, 16, 48)}
+    _slope("entry at 20 requests/s", "cpu_s_per_s", found, "target", "us/s")
+
+
+def measure_workspaces():
+    """Slope of the workspaces in the configuration of an entry."""
+    found = {count: entry.workspaces(count) for count in (71, 355, 710)}
+    memory = _slope("entry", "resident_bytes", found, "workspace", "KiB")
+    _conclude(
+        f"{TARGET.workspaces} workspaces:"
+        f" {memory.slope * TARGET.workspaces / 1024:.1f} MiB;"
+        f" idle entry with all of them: {memory.points[-1][1] / 1024:.1f} MiB"
+    )
+
+
+def measure_agent():
+    """Slopes of links, streams and tokens at an agent."""
+    found = {count: agent.links(count) for count in (4, 16, 48)}
+    cpu = _slope("agent", "head_cpu_s_per_s", found, "linked entry", "us/s")
+    wire = _slope("agent", "wire_bytes_per_s", found, "linked entry")
+    _slope("agent", "head_resident_bytes", found, "linked entry", "KiB")
+    by_cpu = TARGET.cpu_share * US_PER_S / cpu.slope
+    by_bytes = TARGET.bytes_per_s / wire.slope
+    _conclude(
+        f"{TARGET.cpu_share:.1%} of a core carries {by_cpu:.0f} links,"
+        f" {TARGET.bytes_per_s:.0f} bytes/s {by_bytes:.1f}"
+    )
+    for stages in (1, 2):
+        _measure_chain(stages)
+
+
+def _measure_chain(stages):
+    found = {count: agent.streams(count, stages) for count in (16, 48, 112)}
+    name = f"agent, chain of {stages}"
+    _slope(name, "head_resident_bytes", found, "running stream", "KiB")
+    by_tokens = {one["tokens_per_s"]: one for one in found.values()}
+    for place in ("head", "tail"):
+        cpu = _slope(
+            f"{name}, {place}",
+            f"{place}_cpu_s_per_s",
+            by_tokens,
+            "token/s",
+            "us/s",
+        )
+        _conclude(
+            f"{REPLICA_TOKENS_PER_S:,.0f} tokens/s:"
+            f" {cpu.at(REPLICA_TOKENS_PER_S) / US_PER_S:.2f} cores"
+        )
+
+
+def measure_store():
+    """Calls of the object API by action; they are counted, not timed."""
+    print(f"booking: {store_calls.booking()}")
+    print(f"booking again: {store_calls.repeated_booking()}")
+    print(f"restart of an agent: {store_calls.restart()}")
+    sizes = (5, 10, 20)
+    idle = {
+        count: {"calls": store_calls.idle_watches(count)} for count in sizes
+    }
+    slope = _slope("idle watches", "calls", idle, "watch", "calls/s")
+    watches = 3 * TARGET.entries + 2 * TARGET.replicas
+    _conclude(
+        f"{watches} watches of entries and agents:"
+        f" {slope.slope * watches:.0f} reads/s"
+    )
+    for name, action in (
+        ("registration", store_calls.change_seen_by),
+        ("edit", store_calls.edit_seen_by),
+    ):
+        reads = {count: {"calls": action(count).reads} for count in sizes}
+        _slope(f"reads of one {name}", "calls", reads, "watcher", "calls")
+
+
+def measure_config():
+    """Slopes of one edit in the number of workspaces."""
+    whole, patched = {}, {}
+    for count in (177, 355, 710):
+        whole[count], patched[count] = _edit_costs(count)
+    for name, found in (("whole", whole), ("patch", patched)):
+        for field, unit in (
+            ("body_bytes", "bytes"),
+            ("make_us", "us"),
+            ("apply_us", "us"),
+        ):
+            slope = _slope(
+                f"edit as {name}, {field}", field, found, "workspace", unit
+            )
+            each = slope.at(TARGET.workspaces)
+            _conclude(
+                f"{TARGET.edits_per_day} edits a day:"
+                f" {each * EDITS_PER_S:,.1f} {unit}/s"
+            )
+    document = _stored_bytes(TARGET.workspaces)
+    _conclude(
+        f"whole JSON document {document} bytes, as each watcher of the"
+        f" object API gets it: {document * EDITS_PER_S:,.0f} bytes/s"
+    )
+
+
+def _stored_bytes(count):
+    """Returns the bytes of the document in the object API."""
+    document = config_bytes.document_of(count)
+    return len(objects.wrap(document, "writer", "nonce", 1))
+
+
+def _edit_costs(count):
+    document = config_bytes.document_of(count)
+    before = snapshot.build(1, document)
+    edited = config_bytes.document_of(count)
+    edited["plans"][0]["share"] = 0.001
+    after = snapshot.build(2, edited)
+    costs = []
+    for base in (None, before):
+        update = patch.make(base, after)
+        costs.append(
+            {
+                "body_bytes": len(update["body"]),
+                "make_us": _cpu_us(lambda base=base: patch.make(base, after)),
+                "apply_us": _cpu_us(
+                    lambda update=update: patch.apply(before, update).ok
+                ),
+            }
+        )
+    return costs
+
+
+def measure_spread():
+    """How an edit spreads over the links of one data centre."""
+    for readers in (1, 3, spread.ENTRY_COUNT):
+        found = spread.spread(readers)
+        nodes = spread.ENTRY_COUNT + spread.AGENT_COUNT
+        each = found.push_bytes / nodes * EDITS_PER_S
+        print(
+            f"{readers} readers, {found.links} links:"
+            f" everywhere after {found.everywhere_s:.2f} s,"
+            f" {found.pushes} pushes of {found.push_bytes} bytes"
+        )
+        _conclude(
+            f"{TARGET.edits_per_day} edits a day: {each:.1f} bytes/s a process"
+        )
+
+
+def measure_messages():
+    """Bytes and processor time of single messages."""
+    for plans, prefixes in ((0, 0), (4, 0), (4, 64), (71, 0), (71, 64)):
+        message = samples.load(plans, prefixes)
+        print(
+            f"load of {plans} plans, {prefixes} prefixes:"
+            f" {len(codec.encode(message))} bytes,"
+            f" {_both_ways_us(message):.0f} us to encode and decode"
+        )
+    message = samples.heartbeat()
+    print(
+        f"heartbeat: {len(codec.encode(message))} bytes,"
+        f" {_both_ways_us(message):.0f} us to encode and decode"
+    )
+    for streams in (1, 8, 64):
+        message = samples.tokens(0, streams, 1)
+        print(
+            f"tokens of {streams} streams:"
+            f" {len(codec.encode(message)) / streams:.0f} bytes a token,"
+            f" {_both_ways_us(message) / streams:.1f} us a token"
+        )
+
+
+def _both_ways_us(message):
+    return _cpu_us(lambda: codec.decode(codec.encode(message)))
+
+
+def _cpu_us(work):
+    """Returns the processor time of one call in microseconds."""
+    work()
+    started_s = time.process_time()
+    for _ in range(REPEATS):
+        work()
+    return (time.process_time() - started_s) / REPEATS * US_PER_S
+
+
+def _slope(name, field, found, per, unit="bytes"):
+    """Fits, prints and returns the slope of one measured field."""
+    factors = {"us/s": US_PER_S, "KiB": 1 / 1024}
+    factor = factors.get(unit, 1.0)
+    if field.endswith("bytes_per_s"):
+        unit = "bytes/s"
+    points = [(size, one[field] * factor) for size, one in found.items()]
+    slope = fit.fit(f"{name}: {field}", unit, per, points)
+    fit.show(slope)
+    return slope
+
+
+def _conclude(text):
+    print(f"  => {text}", flush=True)
+
+
+SECTIONS = {
+    "messages": measure_messages,
+    "store": measure_store,
+    "config": measure_config,
+    "spread": measure_spread,
+    "links": measure_links,
+    "streams": measure_streams,
+    "workspaces": measure_workspaces,
+    "requests": measure_requests,
+    "tokens": measure_tokens,
+    "agent": measure_agent,
+}
+
+
+def main(names):
+    """Prints the slopes of the named sections, or of all."""
+    logbook.NullHandler().push_application()
+    for name in names or SECTIONS:
+        print(f"== {name}", flush=True)
+        SECTIONS[name]()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/slopes/store_calls.py
@@ -0,0 +1,137 @@
+"""Counts the calls of the object API that one action makes.
+
+The real clients run against the stand-in in memory and in virtual time, so
+the counts are the same in each run.
+"""
+
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from hemlocktiller._internal import process as process_module
+from hemlocktiller._internal.agent import claims as claims_module
+from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.store import watch
+from tests.fakes import memory
+
+READ = "GET"
+WRITES = ("PUT", "DELETE")
+IDLE_S = 100.0
+TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
+CALL = {
+    "workspace": "w",
+    "service": "bookings",
+    "idempotency_key": "k",
+    "digest": 1,
+}
+
+
+class Calls(NamedTuple):
+    """Calls that reached the object API."""
+
+    reads: int
+    writes: int
+
+
+class _Process(NamedTuple):
+    """The parts of a process that registration uses."""
+
+    reactor: object
+    store: object
+    settings: dict
+
+
+def booking() -> Calls:
+    """Returns the calls of one booking that is made."""
+    platform = memory.MemoryPlatform()
+    claims = claims_module.Claims(platform.store(), {}, platform.clock)
+    before = _total(platform)
+    begun = platform.result(claims.begin(CALL))
+    answer = claims_module.Answer(200, "application/json", b"{}")
+    platform.result(claims.finish(begun, answer))
+    return _since(platform, before)
+
+
+def repeated_booking() -> Calls:
+    """Returns the calls of a booking that was made before."""
+    platform = memory.MemoryPlatform()
+    claims = claims_module.Claims(platform.store(), {}, platform.clock)
+    begun = platform.result(claims.begin(CALL))
+    answer = claims_module.Answer(200, "application/json", b"{}")
+    platform.result(claims.finish(begun, answer))
+    before = _total(platform)
+    platform.result(claims.begin(CALL))
+    return _since(platform, before)
+
+
+def restart() -> Calls:
+    """Returns the calls of a planned stop and start of one agent."""
+    platform = memory.MemoryPlatform()
+    process = _Process(
+        platform.clock, platform.store(), {"store": memory.STORE_SETTINGS}
+    )
+    platform.result(process_module.register(process, "target", "t0", TARGET))
+    before = _total(platform)
+    gone = process_module.unregister(process, "target", "t0", TARGET)
+    platform.result(defer.Deferred.fromCoroutine(gone))
+    platform.result(process_module.register(process, "target", "t0", TARGET))
+    return _since(platform, before)
+
+
+def idle_watches(watchers: int) -> float:
+    """Returns the calls a second of watches that see no change."""
+    platform = memory.MemoryPlatform()
+    _follow_targets(platform, watchers)
+    before = _total(platform)
+    platform.run(IDLE_S)
+    return _since(platform, before).reads / IDLE_S
+
+
+def change_seen_by(watchers: int) -> Calls:
+    """Returns the calls of one registration that so many processes watch.
+
+    Only what the change adds is counted: its own calls and the watches
+    that it ends.
+    """
+    platform = memory.MemoryPlatform()
+    _follow_targets(platform, watchers)
+    before = _total(platform)
+    process = _Process(
+        platform.clock, platform.store(), {"store": memory.STORE_SETTINGS}
+    )
+    platform.result(process_module.register(process, "target", "t1", TARGET))
+    platform.run(1.0)
+    return _since(platform, before)
+
+
+def edit_seen_by(watchers: int) -> Calls:
+    """Returns the calls of one edit that so many processes watch."""
+    platform = memory.MemoryPlatform()
+    for _ in range(watchers):
+        watch.follow(platform.store(), "config", "main", lambda stored: None)
+    platform.run(1.0)
+    before = _total(platform)
+    store = platform.store()
+    document = dict(snapshot.EMPTY.document)
+    platform.result(store.update("config", "main", document, 0))
+    platform.run(1.0)
+    return _since(platform, before)
+
+
+def _follow_targets(platform, watchers):
+    for _ in range(watchers):
+        watch.follow_kind(platform.store(), "target", lambda *_: None)
+    platform.run(1.0)
+
+
+def _total(platform) -> Calls:
+    calls = platform.state.calls
+    return Calls(
+        sum(calls[READ].values()),
+        sum(sum(calls[method].values()) for method in WRITES),
+    )
+
+
+def _since(platform, before: Calls) -> Calls:
+    now = _total(platform)
+    return Calls(now.reads - before.reads, now.writes - before.writes)
