--- a/benchmarks/slopes/callers.py
+++ b/benchmarks/slopes/callers.py
@@ -1,7 +1,8 @@
 """Callers that stream completions from an entry and drop what they get.
 
 The arguments are a JSON object: `host`, `port`, `keys`, `streams` to hold
-open at once, or `rate_per_s` of new requests, `max_tokens`, `prompt_words`.
+open at once, or `rate_per_s` of new requests, `total` requests if they end,
+`max_tokens`, `prompt_words`, and `seed`, which the prompts depend on.
 """
 
 import json
@@ -43,6 +44,7 @@
             reactor, options["host"], options["port"]
         )
         self._owed = 0.0
+        self._seed = options.get("seed", 1)
 
     def tick(self):
         """Opens the requests that are due."""
@@ -52,6 +54,8 @@
             self._owed -= due
         else:
             due = min(MAX_OPENING, self.options["streams"] - self.open)
+        if "total" in self.options:
+            due = min(due, self.options["total"] - self.opened)
         for _ in range(due):
             self._open()
 
@@ -60,7 +64,7 @@
         self.opened += 1
         self.open += 1
         words = " ".join(
-            f"word{number}x{place}"
+            f"seed{self._seed}word{number}x{place}"
             for place in range(self.options.get("prompt_words", 100))
         )
         body = json.dumps(
