--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -77,7 +77,11 @@
         self.sent_s = now_s
         view = self._shared.targets.view
         view.loads.sent(
-            route.target.name, self.call.request, self._cost_tokens, now_s
+            route.target.name,
+            self.call.request,
+            self.call.caller.view.plan["plan"],
+            self._cost_tokens,
+            now_s,
         )
         view.breaker.sent(route.target.name, now_s)
 
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -42,7 +42,7 @@
     ]
     words = len(call.prompt.split())
     request = routing.Request(
-        call.max_tokens + words,
+        call.caller.view.plan["plan"],
         words,
         call.max_tokens,
         prefixes.digests(call.prompt),
@@ -72,7 +72,7 @@
     now_s = shared.reactor.seconds()
     ranked = routing.rank(
         candidates,
-        routing.Request(1.0),
+        routing.Request(call.caller.view.plan["plan"]),
         shared.targets.view,
         now_s,
         shared.rng,
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -76,7 +76,13 @@
         now_s = self._shared.reactor.seconds()
         self.sent_s = now_s
         view = self._shared.targets.view
-        view.loads.sent(route.target.name, self.call.request, 1.0, now_s)
+        view.loads.sent(
+            route.target.name,
+            self.call.request,
+            self.call.caller.view.plan["plan"],
+            1.0,
+            now_s,
+        )
         view.breaker.sent(route.target.name, now_s)
 
     def cancel(self) -> None:
