Add the operators' program

check, diff, get, apply, status, explain, drain and leases. An edit starts from 'get FILE', which keeps the base beside the file, since the store holds no old versions; so a lost race can show both edits. Without a base nothing is written over an existing configuration. A document that is in the store already counts as applied, so that an operator can repeat an apply of unknown outcome.

Processes are found by the kinds entry and target, or by the settings when the store is down. A status wait that can't reach the store after a write is told as incomplete, not as 'nothing written'.

--- /dev/null
+++ b/src/hemlocktiller/_internal/cli/operator.py
@@ -0,0 +1,112 @@
+"""The operators' program, `hemlocktiller`."""
+
+from collections.abc import Coroutine
+import dataclasses
+from pathlib import Path
+import sys
+from typing import Annotated
+from typing import Any
+
+import cappa
+from twisted.internet import defer
+from twisted.internet import task
+
+import hemlocktiller
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import settings
+from hemlocktiller._internal.cli.operators import apply
+from hemlocktiller._internal.cli.operators import check_file
+from hemlocktiller._internal.cli.operators import diff_file
+from hemlocktiller._internal.cli.operators import drain
+from hemlocktiller._internal.cli.operators import exits
+from hemlocktiller._internal.cli.operators import explain
+from hemlocktiller._internal.cli.operators import get
+from hemlocktiller._internal.cli.operators import leases
+from hemlocktiller._internal.cli.operators import output
+from hemlocktiller._internal.cli.operators import session
+from hemlocktiller._internal.cli.operators import status
+
+DEFAULT_SETTINGS = Path("hemlocktiller.json")
+SETTINGS_SCHEMA = "operator_settings"
+RUNNERS = {
+    apply.Apply: apply.run,
+    diff_file.Diff: diff_file.run,
+    drain.Drain: drain.run,
+    explain.Explain: explain.run,
+    get.Get: get.run,
+    leases.Leases: leases.run,
+    status.Status: status.run,
+}
+_EXIT_CODES = "\n".join(
+    f"- {code.value}: {meaning}" for code, meaning in exits.MEANINGS.items()
+)
+
+
+@cappa.command(
+    name="hemlocktiller",
+    help="Edits plans and allowances, and shows what the system does.",
+    description=f"Exit codes:\n\n{_EXIT_CODES}",
+)
+@dataclasses.dataclass
+class CommandLine:
+    """Command line of the program."""
+
+    command: cappa.Subcommands[
+        apply.Apply
+        | check_file.Check
+        | diff_file.Diff
+        | drain.Drain
+        | explain.Explain
+        | get.Get
+        | leases.Leases
+        | status.Status
+    ]
+    settings: Annotated[
+        Path,
+        cappa.Arg(
+            long="--settings",
+            propagate=True,
+            help="Settings, in JSON with comments.",
+        ),
+    ] = DEFAULT_SETTINGS
+
+
+def main() -> None:
+    """Runs one subcommand; ends the program with its exit code."""
+    command_line = cappa.parse(
+        CommandLine, version=hemlocktiller.__version__, completion=False
+    )
+    command = command_line.command
+    if isinstance(command, check_file.Check):
+        sys.exit(check_file.run(command))
+    loaded = settings.load_or_exit(command_line.settings, SETTINGS_SCHEMA)
+    task.react(_react, (command, loaded))
+
+
+def _react(
+    reactor: Any, command: Any, loaded: dict[str, Any]
+) -> defer.Deferred[None]:
+    """Runs a subcommand on the reactor."""
+    context = session.create(loaded, reactor)
+    running = RUNNERS[type(command)](command, context)
+    return defer.Deferred.fromCoroutine(_exit_with(running, context))
+
+
+async def _exit_with(
+    running: Coroutine[Any, Any, exits.ExitCode], context: session.Session
+) -> None:
+    """Ends the program with the exit code of a subcommand."""
+    try:
+        code = await running
+    except exceptions.StoreUnavailable as error:
+        output.note(f"the store is unavailable: {error}")
+        code = exits.ExitCode.STORE_UNAVAILABLE
+    except exceptions.WriteUnknown as error:
+        output.note(f"it can't be told whether the write ran: {error}")
+        code = exits.ExitCode.OUTCOME_UNKNOWN
+    await context.store.close()
+    raise SystemExit(int(code))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hemlocktiller/_internal/cli/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The subcommands of the operators' program, one module each."""
--- /dev/null
+++ b/src/hemlocktiller/_internal/cli/operators/leases.py
@@ -0,0 +1,51 @@
+"""The subcommand `leases`."""
+
+import dataclasses
+import json
+from typing import Annotated
+from typing import Any
+
+import cappa
+
+from hemlocktiller._internal.cli.operators import exits
+from hemlocktiller._internal.cli.operators import output
+from hemlocktiller._internal.cli.operators import session
+
+KIND = "lease"
+HEADINGS = ["LEASE", "FENCING NUMBER", "STATE"]
+
+
+@cappa.command(
+    name="leases",
+    help="Shows who holds the leases of control, with fencing numbers.",
+)
+@dataclasses.dataclass
+class Leases:
+    """Command line of `leases`."""
+
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")] = False
+
+
+async def run(command: Leases, context: session.Session) -> exits.ExitCode:
+    """Prints the leases in the store."""
+    listing = await context.store.read_all(KIND)
+    if command.json:
+        shown = [
+            {"lease": item.name, "version": item.version, "state": item.value}
+            for item in listing.objects
+        ]
+        output.result({"leases": shown})
+    else:
+        rows = [
+            [item.name, str(item.version), _state(item.value)]
+            for item in listing.objects
+        ]
+        output.table([HEADINGS, *rows])
+    return exits.ExitCode.DONE
+
+
+def _state(value: Any) -> str:
+    """Returns what a lease holds as text."""
+    if not isinstance(value, dict):
+        return json.dumps(value)
+    return " ".join(f"{key}={json.dumps(item)}" for key, item in value.items())
