--- a/src/hemlocktiller/_internal/cli/operators/status.py
+++ b/src/hemlocktiller/_internal/cli/operators/status.py
@@ -83,7 +83,6 @@
 
 def _state(body: dict[str, Any]) -> str:
     """Returns whether a process takes new work, or why not."""
-    reason = body.get("ready")
-    if reason is None:
+    if "ready" not in body:
         return UNKNOWN
-    return str(reason) or "ready"
+    return "ready" if body["ready"] else str(body.get("unready", UNKNOWN))
--- a/tests/fakes/admin.py
+++ b/tests/fakes/admin.py
@@ -18,7 +18,7 @@
     """The state of the stand-in."""
 
     def __init__(self):
-        self.state = {"ready": "", "events": {}}
+        self.state = {"ready": True, "events": {}}
 
     def handle(self, request, segments):
         """Answers one request; see `web.HandlerResource`."""
@@ -27,7 +27,7 @@
             self.state = json.load(request.content)
             return web.json_answer({})
         if call == ("POST", "drain"):
-            self.state["ready"] = "draining"
+            self.state |= {"ready": False, "unready": "draining"}
             reactor.callLater(STOP_DELAY_S, reactor.stop)
             return web.json_answer({}, 202)
         if call == ("GET", "explain"):
--- a/tests/functional/operators/conftest.py
+++ b/tests/functional/operators/conftest.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal.cli.operators import current
 from hemlocktiller._internal.store import objects
 from tests.functional import client
+from tests.functional.process import Address
 from tests.functional.process import Process
 from tests.functional.process import ROOT
 from tests.unit.config.conftest import DOCUMENT
@@ -40,12 +41,15 @@
         store: Address of the store's stand-in.
     """
 
-    def __init__(self, folder: Path):
+    def __init__(self, folder: Path, store: Address | None = None):
         self.folder = folder
         self._processes = []
-        self.store = self.start("platform", "tests.fakes.platform").address
+        self.store = store or self._start_store()
         self.write_settings()
 
+    def _start_store(self) -> Address:
+        return self.start("platform", "tests.fakes.platform").address
+
     def start(self, name: str, module: str) -> Process:
         """Starts a stand-in that ends with the test."""
         process = Process(name, module, ["--port", 0], self.folder)
--- a/tests/functional/operators/test_processes.py
+++ b/tests/functional/operators/test_processes.py
@@ -32,7 +32,8 @@
             "name": name,
             "data_centre": "dc-1",
             "config_version": version,
-            "ready": "",
+            "ready": version > 0,
+            "unready": "" if version else "no configuration",
             "events": {"r/1": EVENTS[name]},
         }
         address = self.processes[name].address
@@ -54,7 +55,9 @@
         "target-1  agent  dc-1         1       ready",
     ]
     fleet.report("target-1", 0)
-    assert fleet.operators.run("status").code == ExitCode.INCOMPLETE
+    run = fleet.operators.run("status")
+    assert run.code == ExitCode.INCOMPLETE
+    assert run.output.splitlines()[-1].endswith(" 0       no configuration")
     fleet.processes["target-1"].kill()
     run = fleet.operators.run("status", "--json")
     assert run.code == ExitCode.INCOMPLETE
