--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -11,6 +11,7 @@
 
 ROOT = Path(__file__).parents[2]
 LINK = re.compile(r"\]\(([^)#:]+)\)")
+WATCHED = re.compile(r"^\| `(\w+)` \|", re.MULTILINE)
 PAGES = ("SECURITY.md", "CONTRIBUTING.md", "docs/OPERATORS.md")
 
 
@@ -45,6 +46,15 @@
     assert settings_doc.main(["--check"]) == 0
 
 
+def test_the_metrics_to_watch_exist():
+    page = _page("docs/OPERATORS.md")
+    listed = _page("docs/METRICS.md")
+    watched = WATCHED.findall(page.partition("## What to watch")[2])
+    assert len(watched) > 10
+    for name in watched:
+        assert f"| `hemlocktiller_{name}` |" in listed, name
+
+
 def test_links_between_pages_lead_somewhere():
     for name in PAGES:
         page = ROOT / name
