--- a/src/hemlocktiller/_internal/cli/operator.py
+++ b/src/hemlocktiller/_internal/cli/operator.py
@@ -104,6 +104,9 @@
     except exceptions.WriteUnknown as error:
         output.note(f"it can't be told whether the write ran: {error}")
         code = exits.ExitCode.OUTCOME_UNKNOWN
+    except exceptions.StoreError as error:
+        output.note(f"the store did not do as asked: {error}")
+        code = exits.ExitCode.FAULT
     await context.store.close()
     raise SystemExit(int(code))
 
--- a/src/hemlocktiller/_internal/cli/operators/pages.py
+++ b/src/hemlocktiller/_internal/cli/operators/pages.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.web import client
+from twisted.web import error as web_error
 
 from hemlocktiller._internal.cli.operators import session
 
@@ -15,11 +16,12 @@
 ROLES = {"entry": "entry", "target": "agent"}
 NO_ANSWER = (
     error.ConnectError,
-    error.ConnectionLost,
+    error.ConnectionClosed,
     defer.TimeoutError,
     client.ResponseFailed,
-    client.ResponseNeverReceived,
+    web_error.SchemeNotSupported,
     OSError,
+    ValueError,
 )
 
 
@@ -29,7 +31,7 @@
     Attributes:
         name: Name of the process; its URL if only that is known.
         role: `entry` or `agent`; empty if only the URL is known.
-        url: Base URL of the admin pages.
+        url: Base URL of the admin pages; empty if they are not known.
     """
 
     name: str
@@ -71,9 +73,11 @@
 
 def _process(role: str, stored: Any) -> Process:
     """Returns the process that an object in the store tells of."""
-    host = stored.value["admin_host"]
-    port = stored.value["admin_port"]
-    return Process(stored.name, role, f"http://{host}:{port}")
+    value = stored.value if isinstance(stored.value, dict) else {}
+    if not {"admin_host", "admin_port"} <= set(value):
+        return Process(stored.name, role, "")
+    url = f"http://{value['admin_host']}:{value['admin_port']}"
+    return Process(stored.name, role, url)
 
 
 async def ask_all(
@@ -96,6 +100,8 @@
     context: session.Session, process: Process, path: str, method: str = "GET"
 ) -> Answer:
     """Asks a page; a process that can't be reached is an answer too."""
+    if not process.url:
+        return Answer(process, 0, {}, "its object names no admin pages")
     call = defer.Deferred.fromCoroutine(
         _call(context, process.url + path, method)
     )
--- a/tests/functional/operators/test_processes.py
+++ b/tests/functional/operators/test_processes.py
@@ -67,6 +67,17 @@
     ]
 
 
+def test_a_process_without_usable_pages_is_a_problem(configured):
+    configured.create("entry", "entry-2", "not an object")
+    run = configured.run("status")
+    assert run.code == ExitCode.INCOMPLETE
+    assert "its object names no admin pages" in run.output
+    for url in ("nonsense", "ftp://127.0.0.1", "http://127.0.0.1:port"):
+        configured.write_settings(admin_pages=[url])
+        run = configured.run("status")
+        assert (run.code, run.errors) == (ExitCode.INCOMPLETE, "")
+
+
 def test_status_goes_on_in_an_outage_by_the_listed_pages(fleet):
     urls = [process.address.url() for process in fleet.processes.values()]
     fleet.operators.write_settings(admin_pages=urls)
--- a/tests/unit/test_operator_outcomes.py
+++ b/tests/unit/test_operator_outcomes.py
@@ -20,6 +20,7 @@
     [
         (exceptions.StoreUnavailable, exits.ExitCode.STORE_UNAVAILABLE),
         (exceptions.WriteUnknown, exits.ExitCode.OUTCOME_UNKNOWN),
+        (exceptions.StoreError, exits.ExitCode.FAULT),
     ],
 )
 def test_errors_of_the_store_have_their_exit_codes(error, code):
