--- a/src/hemlocktiller/_internal/config/check.py
+++ b/src/hemlocktiller/_internal/config/check.py
@@ -28,6 +28,9 @@
     Args:
         document: What an operator wrote, of any type.
     """
+    if documents.is_too_deep(document):
+        message = f"is nested over {documents.MAX_NESTING} levels deep"
+        return [findings.Finding("", message)]
     found = []
     if not _satisfies_schema(document):
         schema = documents.read_schema("config")
--- a/src/hemlocktiller/_internal/config/patch.py
+++ b/src/hemlocktiller/_internal/config/patch.py
@@ -14,6 +14,7 @@
 from expression import Ok
 from expression import Result
 
+from hemlocktiller._internal import documents
 from hemlocktiller._internal.config import check
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.schemas import config
@@ -124,6 +125,8 @@
         content = json.loads(_inflated(update["body"]))
     except (ValueError, zlib.error, RecursionError):
         return None
+    if documents.is_too_deep(content):
+        return None
     if not update["base_version"]:
         return content
     merged = _merged(_by_name(current.document), content)
--- a/src/hemlocktiller/_internal/documents.py
+++ b/src/hemlocktiller/_internal/documents.py
@@ -1,5 +1,6 @@
 """Reads documents in JSON with comments, and completes them by schema."""
 
+from collections.abc import Iterable
 import copy
 import functools
 from importlib import resources
@@ -73,6 +74,23 @@
     return place, f"is not JSON with comments: {reason}"
 
 
+def is_too_deep(value: Any) -> bool:
+    """Tells whether a value is nested deeper than a document may be."""
+    level = [value]
+    for _ in range(MAX_NESTING + 1):
+        level = [inner for item in level for inner in _children(item)]
+        if not level:
+            return False
+    return True
+
+
+def _children(value: Any) -> Iterable[Any]:
+    """Returns the values directly within a value."""
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
 def with_defaults(
     document: dict[str, Any], schema: dict[str, Any]
 ) -> dict[str, Any]:
--- a/tests/unit/config/test_check.py
+++ b/tests/unit/config/test_check.py
@@ -89,3 +89,12 @@
     models = [f"model-{index:0200}" for index in range(6000)]
     config_document["allowances"][0]["models"] = models
     assert "over 990000" in _sentences(config_document)[-1]
+
+
+@pytest.mark.parametrize("depth", [40, 900, 100_000])
+def test_a_document_nested_too_deep_is_a_finding(config_document, depth):
+    nested = []
+    for _ in range(depth):
+        nested = [nested]
+    config_document["plans"][0]["share"] = nested
+    assert _sentences(config_document) == ["is nested over 32 levels deep"]
--- a/tests/unit/config/test_patch.py
+++ b/tests/unit/config/test_patch.py
@@ -135,7 +135,14 @@
 
 
 @pytest.mark.parametrize(
-    "content", [b"[]", b'{"plans":{"x":3}}', b"[" * 100_000]
+    "content",
+    [
+        b"[]",
+        b'{"plans":{"x":3}}',
+        b'{"plans":{"x":{"workspaces":{"y":%s}}}}' % (b"[" * 900 + b"]" * 900),
+        b'{"plans":' * 980 + b"0" + b"}" * 980,
+        b"[" * 100_000,
+    ],
 )
 @pytest.mark.parametrize("base_version", [0, 3])
 def test_a_document_with_findings_is_malformed(edited, content, base_version):
