--- a/src/hemlocktiller/_internal/config/patch.py
+++ b/src/hemlocktiller/_internal/config/patch.py
@@ -4,6 +4,8 @@
 workspaces and allowances become maps by name before they are compared.
 """
 
+from collections.abc import Callable
+import functools
 import json
 from typing import Any
 import zlib
@@ -12,6 +14,7 @@
 from expression import Ok
 from expression import Result
 
+from hemlocktiller._internal import documents
 from hemlocktiller._internal.config import check
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.schemas import config
@@ -47,6 +50,35 @@
     return _message(new.version, old.version, patch)
 
 
+def maker(
+    previous: snapshot.Snapshot, current: snapshot.Snapshot
+) -> Callable[[int], messages.ConfigUpdate]:
+    """Returns a function that makes each update once for many peers.
+
+    Args:
+        previous: The configuration that was in force before.
+        current: The configuration in force.
+
+    Returns:
+        A function of the version that a peer has, 0 if that is not known.
+    """
+
+    @functools.cache
+    def whole() -> messages.ConfigUpdate:
+        return make(None, current)
+
+    @functools.cache
+    def patched() -> messages.ConfigUpdate:
+        return make(previous, current)
+
+    def update_for(version: int) -> messages.ConfigUpdate:
+        if version and version == previous.version:
+            return patched()
+        return whole()
+
+    return update_for
+
+
 def apply(
     current: snapshot.Snapshot, update: messages.ConfigUpdate
 ) -> Result[snapshot.Snapshot, str]:
@@ -93,6 +125,8 @@
         content = json.loads(_inflated(update["body"]))
     except (ValueError, zlib.error, RecursionError):
         return None
+    if documents.is_too_deep(content):
+        return None
     if not update["base_version"]:
         return content
     merged = _merged(_by_name(current.document), content)
