--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import costs
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import lending
 from hemlocktiller._internal.policy import loads
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
@@ -47,6 +48,7 @@
         choose: Chooses the target of a request.
         early_refusal: Whether agents refuse what can't be in time.
         retry: Whether an entry may retry, given its budget.
+        lending: Whether agents cancel lent work for its owner.
     """
 
     name: str
@@ -54,6 +56,7 @@
     choose: Callable
     early_refusal: bool
     retry: Callable
+    lending: bool = False
 
 
 class Outcome(NamedTuple):
@@ -78,10 +81,14 @@
         self.cost_tokens = 0.0
         self.output_tokens = 0.0
         self.generated = 0
+        self.generated_before = 0
+        self.prompt_words = 0
         self.attempts = 0
         self.refused = 0
         self.engine_s = 0.0
         self.repeated_s = 0.0
+        self.started_s = 0.0
+        self.preemptions = 0
         self.done = False
 
 
@@ -115,6 +122,7 @@
         self.cached = collections.OrderedDict()
         self.stepping = False
         self.alive = True
+        self.lender = lending.Lender()
 
     def lane_counts(self):
         counts = collections.Counter(lane for _, lane in self.running)
@@ -196,13 +204,7 @@
     def send(self, attempt):
         request = attempt.request
         entry = attempt.entry
-        output = entry.estimator.output_tokens(
-            request.workspace, request.max_tokens
-        )
-        output = max(1.0, output - attempt.generated)
-        words = request.prompt_words + attempt.generated
-        attempt.output_tokens = output
-        attempt.cost_tokens = costs.actual_cost_tokens(words, output)
+        self.price(attempt)
         target = self.policy.choose(entry, request, attempt, self.now_s)
         if target is None:
             self.retry(attempt)
@@ -219,7 +221,19 @@
         )
         view.breaker.sent(target, self.now_s)
         view.cached.note(target, request.prefixes, self.now_s)
-        self.after(LINK_S, self.arrive, attempt, self.engines[target], output)
+        self.after(LINK_S, self.arrive, attempt, self.engines[target])
+
+    def price(self, attempt):
+        """Estimates what is left to do of a request."""
+        request = attempt.request
+        output = attempt.entry.estimator.output_tokens(
+            request.workspace, request.max_tokens
+        )
+        attempt.output_tokens = max(1.0, output - attempt.generated)
+        attempt.prompt_words = request.prompt_words + attempt.generated
+        attempt.cost_tokens = costs.actual_cost_tokens(
+            attempt.prompt_words, attempt.output_tokens
+        )
 
     def retry(self, attempt):
         late = self.now_s >= attempt.request.deadline_s
@@ -246,14 +260,27 @@
         attempt.refused += 1
         self.retry(attempt)
 
-    def arrive(self, attempt, engine, output):
+    def arrive(self, attempt, engine):
         if not engine.alive:
             self.after(LINK_S, self.failed, attempt, engine.name)
             return
+        item = self.item(attempt, engine)
+        rate = model.tokens_per_s(engine.speed)
+        wait_s = engine.queue.estimate_wait_s(item, rate)
+        end_s = self.now_s + wait_s + item.expected_run_s
+        if self.policy.early_refusal and end_s > item.deadline_s:
+            self.after(LINK_S, self.refuse, attempt)
+            return
+        self.push(engine, attempt, item)
+        if not engine.stepping:
+            self.step(engine)
+
+    def item(self, attempt, engine):
         request = attempt.request
-        run_s = output * model.step_s(engine.speed, model.PLACES, 0)
-        item = fair_queue.Item(
-            f"{request.request} {attempt.attempts}",
+        token_s = model.step_s(engine.speed, model.PLACES, 0)
+        run_s = attempt.output_tokens * token_s
+        return fair_queue.Item(
+            f"{request.request} {attempt.attempts} {attempt.preemptions}",
             request.plan,
             request.workspace,
             attempt.cost_tokens,
@@ -261,20 +288,14 @@
             request.deadline_s,
             run_s if self.policy.early_refusal else 0.0,
         )
-        rate = model.tokens_per_s(engine.speed)
-        wait_s = engine.queue.estimate_wait_s(item, rate)
-        late = self.now_s + wait_s + run_s > request.deadline_s
-        if self.policy.early_refusal and late:
-            self.after(LINK_S, self.refuse, attempt)
-            return
+
+    def push(self, engine, attempt, item):
         engine.waiting[item.request] = attempt
         pushed = engine.queue.push(item)
         lost = pushed.displaced if pushed.accepted else item
         if lost is not None:
             displaced = engine.waiting.pop(lost.request)
             self.after(LINK_S, self.refuse, displaced)
-        if not engine.stepping:
-            self.step(engine)
 
     def step(self, engine):
         """Starts what may start and runs one step of an engine."""
@@ -283,6 +304,7 @@
             attempt = engine.waiting.pop(item.request)
             self.after(LINK_S, self.finish, attempt, False)
         words = 0
+        self.take_back(engine)
         while len(engine.running) < model.PLACES:
             item = engine.queue.pop(now_s, *engine.lane_counts())
             if item is None:
@@ -296,6 +318,34 @@
             time_s = model.step_s(engine.speed, count, words)
             self.after(time_s, self.stepped, engine)
 
+    def take_back(self, engine):
+        """Cancels lent work for a plan that is below its share."""
+        item = engine.queue.peek(self.now_s)
+        full = len(engine.running) == model.PLACES
+        if not self.policy.lending or item is None or not full:
+            return
+        running = [
+            lending.Running(
+                attempt.request.request,
+                attempt.request.plan,
+                attempt.request.worth,
+                attempt.started_s,
+                attempt.preemptions,
+            )
+            for attempt, _ in engine.running
+        ]
+        victim = engine.lender.preempt(
+            item, running, model.SHARES, model.PLACES, self.now_s
+        )
+        if victim is None:
+            return
+        names = [one.request for one in running]
+        attempt, _ = engine.running.pop(names.index(victim.request))
+        attempt.preemptions += 1
+        self.settle(engine, attempt)
+        self.price(attempt)
+        self.push(engine, attempt, self.item(attempt, engine))
+
     def prefill(self, engine, attempt):
         """Returns the words of a starting request that must be run."""
         request = attempt.request
@@ -317,6 +367,8 @@
         attempt.engine_s += work_s
         if attempt.generated:
             attempt.repeated_s += work_s
+        attempt.generated_before = attempt.generated
+        attempt.started_s = self.now_s
         return words
 
     def stepped(self, engine):
@@ -332,15 +384,21 @@
             if not complete and not late:
                 still.append((attempt, lane))
                 continue
-            words = request.prompt_words
-            actual = costs.actual_cost_tokens(words, attempt.generated)
-            engine.queue.correct(
-                request.plan, request.workspace, attempt.cost_tokens, actual
-            )
+            self.settle(engine, attempt)
             self.finish(attempt, complete and not late)
         engine.running = still
         self.step(engine)
 
+    def settle(self, engine, attempt):
+        """Replaces the estimated cost of an attempt by the real one."""
+        request = attempt.request
+        actual = costs.actual_cost_tokens(
+            attempt.prompt_words, attempt.generated - attempt.generated_before
+        )
+        engine.queue.correct(
+            request.plan, request.workspace, attempt.cost_tokens, actual
+        )
+
     def report(self, engine):
         """Sends a load report to each entry, which gets it later."""
         if not engine.alive:
--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -191,20 +191,16 @@
             running_long: Long requests that run.
         """
         lanes = self._open_lanes(now_s, running_short, running_long)
-        heads = {
-            name: plan.heads(lanes, now_s)
-            for name, plan in self._plans.items()
-        }
-        plans = [name for name, workspaces in heads.items() if workspaces]
-        if not plans:
-            return None
-        plan = self._tags.first(plans)
-        workspace = self._plans[plan].tags.first(heads[plan])
-        item = heads[plan][workspace].item
-        self._charge(item)
-        self.remove(item.request)
+        item = self._first(lanes, now_s)
+        if item is not None:
+            self._charge(item)
+            self.remove(item.request)
         return item
 
+    def peek(self, now_s: float) -> Item | None:
+        """Returns the item that has the next turn, whatever is free."""
+        return self._first(list(LANES), now_s)
+
     def remove(self, request: str) -> Item | None:
         """Takes an item out, if it waits."""
         entry = self._waiting.pop(request, None)
@@ -307,6 +303,19 @@
             for workspace in plan.workspaces.values()
         )
 
+    def _first(self, lanes: list[str], now_s: float) -> Item | None:
+        """Returns the item of the given lanes that has the next turn."""
+        heads = {
+            name: plan.heads(lanes, now_s)
+            for name, plan in self._plans.items()
+        }
+        plans = [name for name, workspaces in heads.items() if workspaces]
+        if not plans:
+            return None
+        plan = self._tags.first(plans)
+        workspace = self._plans[plan].tags.first(heads[plan])
+        return heads[plan][workspace].item
+
     def _cost_ahead(self, item: Item) -> float:
         """Returns the cost that the plan would serve before the item."""
         plan = self._plans.get(item.plan)
--- a/src/hemlocktiller/_internal/policy/routing.py
+++ b/src/hemlocktiller/_internal/policy/routing.py
@@ -13,6 +13,7 @@
 
 SAMPLED = 4
 BUSY_PROMPT_FACTOR = 100.0
+SLACK_FACTOR = 1.5
 
 
 class Candidate(NamedTuple):
@@ -152,7 +153,7 @@
     prompt_s = prompt_tokens / estimate.tokens_per_s
     output_s = request.output_tokens * candidate.cost_s
     expected_s = wait_s + prompt_s + output_s
-    late = expected_s > request.remaining_s
+    late = SLACK_FACTOR * expected_s > request.remaining_s
     factor = 0.0 if estimate.free else BUSY_PROMPT_FACTOR
     score = (late, expected_s + factor * prompt_s)
     explanation = (
