--- a/src/hemlocktiller/_internal/schemas/entry_settings.py
+++ b/src/hemlocktiller/_internal/schemas/entry_settings.py
@@ -50,6 +50,7 @@
     """
 
     timeout_s: NotRequired[float]
+    notice_s: NotRequired[float]
 
 
 class EntryLimits(TypedDict, closed=True):
@@ -85,6 +86,7 @@
     name: str
     data_centre: str
     vm: NotRequired[str]
+    advertise: NotRequired[Address]
     admin: Address
     store: Store
     links: Links
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -141,6 +141,7 @@
     reason: str
     retry_after_s: float
     target: str
+    config_version: int
 
 
 class TokenRun(TypedDict, closed=True):
@@ -228,6 +229,7 @@
     rebuild_inputs: list[Any]
     rebuild_kv: Any
     first_token: int
+    digest: int
     traceparent: str
 
 
@@ -240,6 +242,7 @@
     request: str
     attempt: int
     stage_index: int
+    next_token: int
 
 
 class Hop(TypedDict, closed=True):
