--- /dev/null
+++ b/tests/fakes/scripted_store.py
@@ -0,0 +1,118 @@
+"""A client of the object API whose calls end as a test says.
+
+Each call waits until the test answers it: with its true outcome, with a
+refusal, or as unknown, where the write took effect, will later, or never
+does.
+"""
+
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.store import client
+
+SETTINGS = {"retry_min_s": 0.1, "retry_max_s": 1.0}
+
+
+class Call(NamedTuple):
+    """A call that waits for its answer."""
+
+    store: "ScriptedStore"
+    is_write: bool
+    kind: str
+    name: str
+    value: object
+    version: int
+    answer: defer.Deferred
+
+
+class Objects:
+    """The objects and calls that several clients share."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.version = 0
+        self.stored = {}
+        self.calls = []
+        self.late = []
+
+    def apply(self, call):
+        """Carries out a call; returns its result or raises its error."""
+        place = (call.kind, call.name)
+        current = self.stored.get(place)
+        if not call.is_write:
+            return current
+        if (current.version if current else 0) != call.version:
+            if call.version:
+                raise exceptions.VersionConflict("changed", current)
+            raise exceptions.ObjectExists("exists", current)
+        self.version += 1
+        stored = client.StoredObject(*place, self.version, call.value)
+        self.stored[place] = stored
+        return stored
+
+    def answer(self, call, how):
+        """Ends a waiting call as `ok`, `refused`, `lost` or `late`."""
+        self.calls.remove(call)
+        if how == "refused" or not call.is_write and how != "ok":
+            self._fire(call, exceptions.StoreUnavailable("refused"))
+            return
+        if how == "late":
+            self.late.append(call)
+            self._fire(call, exceptions.WriteUnknown("late"))
+            return
+        try:
+            result = self.apply(call)
+        except exceptions.StoreError as error:
+            result = error
+        if how == "lost":
+            result = exceptions.WriteUnknown("lost")
+        self._fire(call, result)
+
+    def land(self, call):
+        """Lets a late write take effect, if its condition still holds."""
+        self.late.remove(call)
+        try:
+            self.apply(call)
+        except exceptions.StoreError:
+            pass
+
+    def _fire(self, call, result):
+        if call.store.dead:
+            return
+        if isinstance(result, Exception):
+            call.answer.errback(result)
+        else:
+            call.answer.callback(result)
+
+
+class ScriptedStore:
+    """The client of one process; a dead process gets no answers."""
+
+    def __init__(self, objects):
+        self.objects = objects
+        self.reactor = objects.clock
+        self.settings = SETTINGS
+        self.dead = False
+
+    def read(self, kind, name):
+        """Reads an object."""
+        return self._call(False, kind, name, None, 0)
+
+    def create(self, kind, name, value):
+        """Creates an object."""
+        return self._call(True, kind, name, value, 0)
+
+    def update(self, kind, name, value, version):
+        """Replaces a version of an object."""
+        return self._call(True, kind, name, value, version)
+
+    def _call(self, is_write, kind, name, value, version):
+        # A cancelled call may still take effect, so its answer is kept.
+        answer = defer.Deferred(lambda cancelled: None)
+        self.objects.calls.append(
+            Call(self, is_write, kind, name, value, version, answer)
+        )
+        return answer
