--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -14,7 +14,9 @@
 from twisted.internet import defer
 from twisted.python import failure
 
+from hemlocktiller._internal import exceptions
 from hemlocktiller._internal import http_client
+from hemlocktiller._internal.agent import claim_rules
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.agent import heads
 from hemlocktiller._internal.agent import runs
@@ -72,6 +74,11 @@
         done.addErrback(_unexpected)
         done.addCallback(self._answer, call, link)
 
+    @property
+    def unsettled(self) -> int:
+        """Claims whose end is not written yet."""
+        return self._claims.unsettled
+
     def running_s(self) -> dict[int, float]:
         """Returns how long each digest has been running here."""
         now_s = self._reactor.seconds()
@@ -89,19 +96,40 @@
     @defer.inlineCallbacks
     def _claimed(self, call: Any) -> defer.Deferred[Outcome]:
         expires_at_s = self._reactor.seconds() + call["expires_in_s"]
-        begun = yield self._claims.begin(call)
+        try:
+            begun = yield self._begin_claim(call, expires_at_s)
+        except exceptions.StoreDown as error:
+            return Outcome("no", error.code, retry_after_s=error.retry_after_s)
         if not isinstance(begun, claims_module.Begun):
             return _claim_outcome(begun)
         if self._reactor.seconds() >= expires_at_s:
-            yield self._claims.not_run(begun)
+            yield self._claims.not_run(begun.claim)
             return Outcome("no", "expired", retry_after_s=RETRY_AFTER_S)
         outcome = yield self._dispatch(call)
         if outcome.ran == "no":
-            yield self._claims.not_run(begun)
+            yield self._claims.not_run(begun.claim)
         elif outcome.ran == "yes":
-            yield self._claims.finish(begun, _recorded(outcome))
+            self._claims.finish(begun.claim, _recorded(outcome))
+        else:
+            self._claims.lose(begun.claim)
         return outcome
 
+    def _begin_claim(
+        self, call: Any, expires_at_s: float
+    ) -> defer.Deferred[Any]:
+        name = claims_module.claim_name(
+            call["workspace"],
+            call["service"],
+            call["idempotency_key"],
+            call["request"],
+        )
+        fingerprint = claims_module.fingerprint(
+            call["method"], call["path"], call["body"]
+        )
+        return self._claims.begin(
+            name, fingerprint, call["request"], call["attempt"], expires_at_s
+        )
+
     @defer.inlineCallbacks
     def _dispatch(self, call: Any) -> defer.Deferred[Outcome]:
         settings = self._settings["service"]
@@ -161,30 +189,31 @@
     return Outcome("unknown", "internal", retry_after_s=RETRY_AFTER_S)
 
 
-def _recorded(outcome: Outcome) -> claims_module.Answer:
-    return claims_module.Answer(
+def _recorded(outcome: Outcome) -> claim_rules.Outcome:
+    return claims_module.outcome(
         outcome.status, outcome.content_type, outcome.body
     )
 
 
-def _claim_outcome(begun: Any) -> Outcome:
+def _claim_outcome(verdict: claim_rules.Verdict) -> Outcome:
     """Returns the outcome of a call that may not be made now."""
-    if isinstance(begun, claims_module.Recorded):
-        answer = begun.answer
+    if isinstance(verdict, claim_rules.Recorded):
+        recorded = verdict.outcome
         return Outcome(
             "yes",
             "",
-            answer.status,
-            answer.content_type,
-            answer.body,
+            recorded["status"],
+            recorded["content_type"],
+            claims_module.outcome_body(recorded),
             replayed=True,
         )
-    reasons = {
-        claims_module.InProgress: ("unknown", "in_progress"),
-        claims_module.OutcomeUnknown: ("unknown", "outcome_unknown"),
-        claims_module.Mismatch: ("no", "key_conflict"),
-        claims_module.Void: ("no", "void"),
-        claims_module.Unavailable: ("no", "store_unavailable"),
-    }
-    ran, reason = reasons[type(begun)]
-    return Outcome(ran, reason, retry_after_s=RETRY_AFTER_S)
+    if isinstance(verdict, claim_rules.InProgress):
+        wait_s = verdict.retry_after_s
+        return Outcome("unknown", "in_progress", retry_after_s=wait_s)
+    if isinstance(verdict, claim_rules.OutcomeUnknown):
+        wait_s = verdict.retry_after_s
+        return Outcome("unknown", "outcome_unknown", retry_after_s=wait_s)
+    reason = "void"
+    if isinstance(verdict, claim_rules.Mismatch):
+        reason = "key_conflict"
+    return Outcome("no", reason, retry_after_s=RETRY_AFTER_S)
