--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -73,6 +73,7 @@
             self.settings,
             lambda: process.feed.current,
             door_module.Work(self._begin, self._suspect_reason, self._preempt),
+            process.journal,
         )
         self.heads = heads_module.Heads(
             self.reactor, self.settings, self.door.done
@@ -195,6 +196,7 @@
             self.peers,
             self._stage_refusal,
             self.heads.events(),
+            pipeline_module.Record(self.process.journal, self.process.tracer),
         )
         self.heads.pipeline = self.pipeline
 
@@ -209,8 +211,8 @@
             self.reactor,
             self.settings,
             claims,
-            self.door.done,
-            self._on_target_died,
+            self.process.tracer,
+            services_module.Events(self.door.done, self._on_target_died),
         )
 
     def _start_loops(self) -> None:
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -15,6 +15,7 @@
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import lending
 
@@ -64,6 +65,7 @@
         settings: Any,
         current_config: Callable[[], snapshot_module.Snapshot],
         work: Work,
+        journal: explain.Journal,
     ) -> None:
         self.leaving = False
         self.unready = ""
@@ -73,6 +75,7 @@
         self._settings = settings
         self._current_config = current_config
         self._work = work
+        self._journal = journal
         self._lender = lending.Lender()
         self._queue = fair_queue.FairQueue(settings["limits"], {})
         self._waiting: dict[str, Waiting] = {}
@@ -107,6 +110,7 @@
         if reason:
             self._refuse(message, link, reason)
             return
+        self._note(message, "queued", waiting=len(self._waiting))
         waiting = Waiting(message, link, self._item(message))
         pushed = self._queue.push(waiting.item)
         if not pushed.accepted:
@@ -151,6 +155,7 @@
             return
         self._running[waiting.item.request] = waiting
         self._started_s[waiting.item.request] = self._reactor.seconds()
+        self._note(waiting.message, "started_here")
         self._work.begin(self._with_time_left(waiting), waiting.link)
 
     def _take_back(self, now_s: float) -> None:
@@ -285,6 +290,7 @@
         self, message: Any, link: link_module.Link, reason: str
     ) -> None:
         REFUSED.labels(reason).inc()
+        self._note(message, "refused_here", why=reason)
         if not link.up:
             return
         wait_s = self._queue.estimate_wait_s(
@@ -300,6 +306,15 @@
             )
         )
 
+    def _note(self, message: Any, event: str, **fields: Any) -> None:
+        self._journal.note(
+            message["request"],
+            event,
+            attempt=message["attempt"],
+            target=self._settings["name"],
+            **fields,
+        )
+
     def _check_later(self) -> None:
         if self._timer is None and self._waiting:
             self._timer = self._reactor.callLater(
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -19,6 +19,8 @@
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.links import coalesce
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import explain
+from hemlocktiller._internal.observe import traces
 
 NO_ALTERNATE = "no_alternate"
 CRASHES_TARGETS = "crashes_targets"
@@ -51,6 +53,13 @@
     on_failed: Callable[[runs.Run, str], None]
 
 
+class Record(NamedTuple):
+    """Where the stages note what happened."""
+
+    journal: explain.Journal
+    tracer: traces.Tracer
+
+
 class Pipeline:
     """The runs of this stage and the way to their neighbours."""
 
@@ -61,6 +70,7 @@
         peers: peers_module.Peers,
         admit: Callable[[Any], str],
         events: Events,
+        record: Record,
     ) -> None:
         self.runs: dict[runs.Key, runs.Run] = {}
         self._reactor = reactor
@@ -68,6 +78,7 @@
         self._peers = peers
         self._admit = admit
         self._events = events
+        self._record = record
         self._batches: dict[tuple[str, str], coalesce.Coalescer] = {}
 
     def open_head(self, run: runs.Run) -> None:
@@ -82,6 +93,8 @@
         self, run: runs.Run, token_index: int, data: bytes, first: bool
     ) -> None:
         """Runs the layers of this stage for one token."""
+        if not run.fed:
+            self._start_engine_span(run)
         run.busy = True
         run.fed = True
         run.complete_token = max(run.complete_token, token_index)
@@ -221,6 +234,13 @@
             self._fail(run, NO_ALTERNATE, sorted(run.dead))
             return
         REPLACED.inc()
+        self._note(
+            run,
+            "stage_replaced",
+            lost=run.next_stage["target"],
+            by=alternate["target"],
+            why=reason,
+        )
         run.chain[run.index + 1] = alternate
         run.next_process = ""
         self._open_next(run)
@@ -268,7 +288,7 @@
                 "rebuild_kv": b"",
                 "first_token": run.base_token + len(inputs),
                 "digest": run.terms.digest,
-                "traceparent": run.terms.traceparent,
+                "traceparent": traces.traceparent(run.span),
             }
         )
 
@@ -376,6 +396,7 @@
         if self.runs.get(run.key) is not run:
             return
         STAGE_FAILURES.labels(reason).inc()
+        self._note(run, "stage_failed", why=reason)
         run.dead.update(dead)
         self._remove(run.key)
         self._engine.close([run.sequence])
@@ -481,16 +502,40 @@
     def _add(self, run: runs.Run) -> None:
         self.runs[run.key] = run
         run.started_s = self._reactor.seconds()
+        run.span = self._record.tracer.start(
+            "stage",
+            run.terms.traceparent,
+            request=run.key[0],
+            attempt=run.key[1],
+            stage=run.index,
+        )
         run.timer = self._reactor.callLater(
             self._time_left_s(run) + UPSTREAM_GRACE_S, self.close, run.key
         )
 
     def _remove(self, key: runs.Key) -> runs.Run | None:
         run = self.runs.pop(key, None)
-        if run is not None and run.timer.active():
+        if run is None:
+            return None
+        if run.timer.active():
             run.timer.cancel()
+        for span in (run.engine_span, run.span):
+            if span is not None:
+                span.set_attribute("next_token", run.next_token)
+                span.end()
         return run
 
+    def _start_engine_span(self, run: runs.Run) -> None:
+        parent = traces.traceparent(run.span)
+        run.engine_span = self._record.tracer.start(
+            "engine", parent, request=run.key[0], attempt=run.key[1]
+        )
+
+    def _note(self, run: runs.Run, event: str, **fields: Any) -> None:
+        self._record.journal.note(
+            run.key[0], event, attempt=run.key[1], stage=run.index, **fields
+        )
+
     def _time_left_s(self, run: runs.Run) -> float:
         left_s = run.terms.expires_at_s - self._reactor.seconds()
         return max(left_s, 0.0)
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -43,6 +43,8 @@
         reconnected: Targets dialled again after a lost link.
         dead: Targets that died while they ran this request.
         started_s: When this stage was reserved.
+        span: Span of this stage.
+        engine_span: Span of the engine's work, once it has begun.
     """
 
     def __init__(
@@ -77,6 +79,8 @@
         self.dead: set[str] = set()
         self.timer: Any = None
         self.started_s = 0.0
+        self.span: Any = None
+        self.engine_span: Any = None
 
     @property
     def is_last(self) -> bool:
--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -21,6 +21,7 @@
 from hemlocktiller._internal.agent import heads
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import traces
 
 RETRY_AFTER_S = 1.0
 
@@ -45,6 +46,13 @@
     retry_after_s: float = 0.0
 
 
+class Events(NamedTuple):
+    """What the owner does on events of the service."""
+
+    on_done: Callable[[heads.Done], None]
+    on_died: Callable[[], None]
+
+
 class Services:
     """The calls that run at the service."""
 
@@ -53,16 +61,16 @@
         reactor: Any,
         settings: Any,
         claims: claims_module.Claims,
-        on_done: Callable[[heads.Done], None],
-        on_died: Callable[[], None],
+        tracer: traces.Tracer,
+        events: Events,
     ) -> None:
         self.running = 0
         self._started_s: dict[runs.Key, tuple[int, float]] = {}
         self._reactor = reactor
         self._settings = settings
         self._claims = claims
-        self._on_done = on_done
-        self._on_died = on_died
+        self._tracer = tracer
+        self._events = events
         self._http = http_client.agent(reactor)
 
     def begin(self, call: Any, link: link_module.Link) -> None:
@@ -136,8 +144,10 @@
         headers = {"Content-Type": call["content_type"]}
         if not call["content_type"]:
             headers = {}
-        if call["traceparent"]:
-            headers["traceparent"] = call["traceparent"]
+        span = self._tracer.start(
+            "service", call["traceparent"], request=call["request"]
+        )
+        headers["traceparent"] = traces.traceparent(span)
         request = http_client.Request(
             call["method"],
             settings["url"] + call["path"],
@@ -149,9 +159,11 @@
             reply = yield http_client.call(self._reactor, self._http, request)
         except Exception:
             reason = failure.Failure()
+            span.end()
             if reason.check(*http_client.PEER_DIED):
-                self._on_died()
+                self._events.on_died()
             return _failed(reason)
+        span.end()
         return Outcome("yes", "", reply.status, reply.content_type, reply.body)
 
     def _answer(
@@ -175,7 +187,7 @@
                     "retry_after_s": outcome.retry_after_s,
                 }
             )
-        self._on_done(heads.Done(runs.place_of(call), 1))
+        self._events.on_done(heads.Done(runs.place_of(call), 1))
 
 
 def _failed(reason: failure.Failure) -> Outcome:
--- a/tests/unit/pipeline_net.py
+++ b/tests/unit/pipeline_net.py
@@ -13,6 +13,8 @@
 from hemlocktiller._internal.agent import heads as heads_module
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.observe import explain
+from hemlocktiller._internal.observe import traces
 from tests.fakes import model
 
 LAYERS = 6
@@ -170,6 +172,9 @@
             self.peers,
             lambda message: "",
             self.heads.events(),
+            pipeline_module.Record(
+                explain.Journal(), traces.create(name, 0.0)
+            ),
         )
         self.heads.pipeline = self.pipeline
 
