--- a/src/hemlocktiller/_internal/cli/operator.py
+++ b/src/hemlocktiller/_internal/cli/operator.py
@@ -20,6 +20,7 @@
 from hemlocktiller._internal.cli.operators import drain
 from hemlocktiller._internal.cli.operators import exits
 from hemlocktiller._internal.cli.operators import explain
+from hemlocktiller._internal.cli.operators import forget
 from hemlocktiller._internal.cli.operators import get
 from hemlocktiller._internal.cli.operators import leases
 from hemlocktiller._internal.cli.operators import output
@@ -33,6 +34,7 @@
     diff_file.Diff: diff_file.run,
     drain.Drain: drain.run,
     explain.Explain: explain.run,
+    forget.Forget: forget.run,
     get.Get: get.run,
     leases.Leases: leases.run,
     status.Status: status.run,
@@ -57,6 +59,7 @@
         | diff_file.Diff
         | drain.Drain
         | explain.Explain
+        | forget.Forget
         | get.Get
         | leases.Leases
         | status.Status
--- a/src/hemlocktiller/_internal/cli/operators/pages.py
+++ b/src/hemlocktiller/_internal/cli/operators/pages.py
@@ -11,6 +11,7 @@
 from twisted.web import error as web_error
 
 from hemlocktiller._internal.cli.operators import session
+from hemlocktiller._internal.store import objects
 
 MAX_CALLS = 64
 ROLES = {"entry": "entry", "target": "agent"}
@@ -65,14 +66,15 @@
     if listed:
         return [Process(url, "", url.rstrip("/")) for url in listed]
     found = []
-    for kind, role in ROLES.items():
+    for kind in ROLES:
         listing = await context.store.read_all(kind)
-        found += [_process(role, item) for item in listing.objects]
+        found += map(process_of, listing.objects)
     return sorted(found)
 
 
-def _process(role: str, stored: Any) -> Process:
+def process_of(stored: objects.StoredObject) -> Process:
     """Returns the process that an object in the store tells of."""
+    role = ROLES[stored.kind]
     value = stored.value if isinstance(stored.value, dict) else {}
     if not {"admin_host", "admin_port"} <= set(value):
         return Process(stored.name, role, "")
--- a/tests/functional/operators/test_processes.py
+++ b/tests/functional/operators/test_processes.py
@@ -138,6 +138,19 @@
     assert fleet.operators.run("drain", "t-9").code == ExitCode.NOT_FOUND
 
 
+def test_only_a_process_that_does_not_answer_is_forgotten(fleet):
+    operators = fleet.operators
+    run = operators.run("forget", "target-1")
+    assert run.code == ExitCode.INCOMPLETE
+    fleet.processes["target-1"].kill()
+    assert operators.run("status").code == ExitCode.INCOMPLETE
+    assert operators.run("forget", "target-1").code == ExitCode.DONE
+    run = operators.run("status")
+    assert run.code == ExitCode.DONE
+    assert "target-1" not in run.output
+    assert operators.run("forget", "target-1").code == ExitCode.NOT_FOUND
+
+
 def test_leases_are_shown_with_their_fencing_numbers(configured):
     value = {"holder": "entry-1"}
     configured.create("lease", "dc-1.draft", value)
