--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -178,7 +178,9 @@
 
     def _idle(self) -> bool:
         stages = len(self.pipeline.runs) if self.pipeline else 0
-        calls = self.services.running if self.services else 0
+        calls = 0
+        if self.services is not None:
+            calls = self.services.running + self.services.unsettled
         return self.door.running + stages + calls == 0
 
     def _build_engine(self) -> None:
@@ -199,7 +201,9 @@
     def _build_service(self) -> None:
         self._submitted_kinds = ("call",)
         claims = claims_module.Claims(
-            self.process.store, self.settings["service"], self.reactor
+            self.process.store,
+            self.process.local.process,
+            self.settings["service"]["claim_ttl_s"],
         )
         self.services = services_module.Services(
             self.reactor,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,6 +16,12 @@
 hypothesis.settings.load_profile("fixed")
 
 
+@pytest.fixture
+def platform():
+    """Returns a stand-in of the platform in virtual time."""
+    return memory.MemoryPlatform()
+
+
 def pytest_collection_modifyitems(items):
     """Lets the tests listed in KNOWN-RED.txt fail."""
     for entry in known_red.read():
@@ -32,9 +38,3 @@
     """Prints the entries of KNOWN-RED.txt."""
     for entry in known_red.read():
         terminalreporter.write_line(f"KNOWN RED: {' | '.join(entry)}")
-
-
-@pytest.fixture
-def platform():
-    """Returns a stand-in of the platform in virtual time."""
-    return memory.MemoryPlatform()
