--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -324,7 +324,7 @@
             return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
-        return "suspect_apart"
+        return pipeline_module.SUSPECT_APART
 
     def _preempt(self, key: runs.Key) -> None:
         self.heads.preempt(key)
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -42,6 +42,7 @@
         tried: Targets that failed as the next stage.
         reconnected: Targets dialled again after a lost link.
         dead: Targets that died while they ran this request.
+        apart: Whether a stage refused it beside another suspect.
         started_s: When this stage was reserved.
     """
 
@@ -75,6 +76,7 @@
         self.tried: set[str] = set()
         self.reconnected: set[str] = set()
         self.dead: set[str] = set()
+        self.apart = False
         self.timer: Any = None
         self.started_s = 0.0
 
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -43,13 +43,17 @@
     Attributes:
         record: The target's registration.
         process: Process that was last seen there.
-        leaving: Whether the target refuses new work.
+        leaving: Whether the target said that it leaves.
+        unready: Whether it said that it can't take work now.
+        vm_leaving: Whether the VM list says that its VM leaves.
     """
 
     def __init__(self, record: Any) -> None:
         self.record = record
         self.process = ""
         self.leaving = False
+        self.unready = False
+        self.vm_leaving = False
         self.dialer: dialer.Dialer | None = None
 
     @property
@@ -66,7 +70,8 @@
     @property
     def usable(self) -> bool:
         """Whether the target takes new work, as far as is known."""
-        return self.link is not None and not self.leaving
+        refuses = self.leaving or self.unready or self.vm_leaving
+        return self.link is not None and not refuses
 
 
 class Targets:
@@ -91,6 +96,8 @@
         self._local = local
         self._observer = observer
         self._rng = rng
+        self._leaving_vms: set[str] = set()
+        self._retired: set[Target] = set()
 
     def on_changes(
         self, changed: list[Any], deleted: list[str], whole: bool
@@ -106,10 +113,11 @@
 
     def on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
         """Marks the targets on VMs that the VM list calls leaving."""
+        self._leaving_vms = {
+            name for name, vm in vms.items() if vm.state == vms_module.LEAVING
+        }
         for target in self.by_name.values():
-            vm = vms.get(target.record["vm"])
-            if vm is not None and vm.state == vms_module.LEAVING:
-                self._leave(target)
+            self._check_vm(target)
 
     def models(self) -> list[str]:
         """Returns the models of all known targets."""
@@ -141,12 +149,15 @@
         """Closes all links."""
         for name in list(self.by_name):
             self._remove(name)
+        for target in self._retired:
+            target.dialer.stop()
 
     def _set(self, record: Any) -> None:
         current = self.by_name.get(record["target"])
         address = dialer.Address(record["host"], record["port"])
         if current is not None and current.dialer.address == address:
             current.record = record
+            self._check_vm(current)
             return
         if current is not None:
             self._remove(current.name)
@@ -161,14 +172,21 @@
             lambda: self._on_refused(target),
             self._rng,
         )
+        self._check_vm(target)
         target.dialer.start()
 
+    def _check_vm(self, target: Target) -> None:
+        target.vm_leaving = target.record["vm"] in self._leaving_vms
+        self._refresh(target)
+
     def _remove(self, name: str) -> None:
         target = self.by_name.pop(name, None)
         if target is None:
             return
         self._leave(target)
-        target.dialer.stop()
+        if target.link is not None:
+            self._retired.add(target)
+        target.dialer.retire()
         self.view.loads.forget(name)
         self.view.cached.forget(name)
         self.view.breaker.forget(name)
@@ -186,6 +204,7 @@
             self._died(target)
         target.process = process
         target.leaving = False
+        target.unready = False
         self._refresh(target)
         self._observer.on_open(target)
 
@@ -199,12 +218,14 @@
 
     def _on_load(self, target: Target, message: Any) -> None:
         now_s = self._reactor.seconds()
-        if message["leaving"]:
-            self._leave(target)
+        if target.unready != message["leaving"]:
+            target.unready = message["leaving"]
+            self._refresh(target)
         self.view.loads.report(message, now_s)
         self.view.cached.note(target.name, message["prefixes"], now_s)
 
     def _on_down(self, target: Target, reason: str) -> None:
+        self._retired.discard(target)
         self._refresh(target)
         self._observer.on_lost(target, reason)
 
@@ -224,6 +245,8 @@
 
     def _refresh(self, target: Target) -> None:
         """Tells the chooser of chains whether a target may be used."""
+        if self.by_name.get(target.name, target) is not target:
+            return  # Another registration has taken its place.
         if target.usable and target.record["model"]:
             self.chooser.add(chain_target(target))
         else:
--- a/src/hemlocktiller/_internal/links/dialer.py
+++ b/src/hemlocktiller/_internal/links/dialer.py
@@ -79,6 +79,13 @@
         if self.link is not None:
             self.link.close()
 
+    def retire(self) -> None:
+        """Dials no more, but leaves an open link to its other end."""
+        if self.link is None or not self.link.up:
+            self.stop()
+            return
+        self._stopped = True
+
     def _new_link(self) -> link_module.Link:
         handlers = link_module.Handlers(
             self._on_open, self._handlers.on_message, self._on_down
--- a/tests/functional/test_promises_6_planned_stops.py
+++ b/tests/functional/test_promises_6_planned_stops.py
@@ -52,9 +52,12 @@
     assert process.wait() == 0
     if process.name in deployment.agents:
         deployment.restart_agent(process.name)
+        deployment.wait_process_ready(process)
+        deployment.wait_used(process.name)
     else:
         process.start()
-    deployment.wait_process_ready(process)
+        deployment.wait_process_ready(process)
+        deployment.wait_served(process.name)
 
 
 def check(deployment, exchanges):
