--- a/tests/unit/config/test_patch.py
+++ b/tests/unit/config/test_patch.py
@@ -8,7 +8,7 @@
 from hemlocktiller._internal.config import patch
 from hemlocktiller._internal.config import snapshot
 
-REPEATABLE = settings(derandomize=True, max_examples=200, deadline=None)
+MANY_EXAMPLES = settings(max_examples=200)
 
 names = strategies.text(min_size=1, max_size=8)
 amounts = strategies.floats(0, 1000)
@@ -61,7 +61,7 @@
     return {"plans": plans, "allowances": allowances}
 
 
-@REPEATABLE
+@MANY_EXAMPLES
 @given(documents(), documents())
 def test_an_update_leads_to_the_newer_document(old, new):
     before = snapshot.build(3, old)
@@ -73,7 +73,7 @@
         assert applied.version == 5
 
 
-@REPEATABLE
+@MANY_EXAMPLES
 @given(documents(), documents(), strategies.integers(0, 5))
 def test_an_update_never_leads_to_a_lower_version(old, new, version):
     current = snapshot.build(5, old)
@@ -81,7 +81,7 @@
     assert patch.apply(current, update).error == patch.NOT_NEWER
 
 
-@REPEATABLE
+@MANY_EXAMPLES
 @given(strategies.binary(max_size=64), strategies.integers(0, 1))
 def test_any_body_is_refused_or_read(body, base_version):
     current = snapshot.build(1, {"plans": [], "allowances": []})
@@ -108,6 +108,16 @@
     )
 
 
+def test_an_update_is_made_once_for_all_peers(edited):
+    update_for = patch.maker(*edited)
+    assert update_for(3)["base_version"] == 3
+    assert update_for(3) is update_for(3)
+    for version in (0, 2):
+        assert update_for(version)["base_version"] == 0
+        assert update_for(version) is update_for(0)
+    assert patch.maker(snapshot.EMPTY, edited[1])(0)["base_version"] == 0
+
+
 def test_a_patch_for_another_base_asks_for_the_whole(edited):
     before, after = edited
     update = patch.make(before, after)
@@ -125,7 +135,14 @@
 
 
 @pytest.mark.parametrize(
-    "content", [b"[]", b'{"plans":{"x":3}}', b"[" * 100_000]
+    "content",
+    [
+        b"[]",
+        b'{"plans":{"x":3}}',
+        b'{"plans":{"x":{"workspaces":{"y":%s}}}}' % (b"[" * 900 + b"]" * 900),
+        b'{"plans":' * 980 + b"0" + b"}" * 980,
+        b"[" * 100_000,
+    ],
 )
 @pytest.mark.parametrize("base_version", [0, 3])
 def test_a_document_with_findings_is_malformed(edited, content, base_version):
