Let an entry that starts in an outage find targets through agents

Cause: entries found targets through the object API alone, so one that started while it was down served nobody until it came back; seen in test_an_entry_restarted_in_an_outage_has_the_config (version 0 for the whole outage), which passes now with the other ten tests of its file. Weighed: registrations kept by every agent, which costs memory and messages at all times; a question passed from agent to another entry, asked only while the object API does not answer. The second is built.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.agent import door as door_module
 from hemlocktiller._internal.agent import engine as engine_module
 from hemlocktiller._internal.agent import heads as heads_module
+from hemlocktiller._internal.agent import introductions
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
 from hemlocktiller._internal.agent import runs
@@ -55,6 +56,7 @@
         self._watches: list[Any] = []
         self._drained = defer.Deferred()
         self._polling = False
+        self._introductions = introductions.Introductions()
         handlers = link_module.Handlers(
             self._on_open, self._on_message, self._on_down
         )
@@ -369,6 +371,7 @@
         self.links.discard(link)
         self.process.feed.on_down(link)
         self.process.suspects.on_down(link)
+        self._introductions.on_down(link)
         if link.peer is None:
             return
         if link.peer["role"] == "entry":
@@ -381,6 +384,10 @@
         kind = message["type"]
         if kind in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
+        elif kind == "targets_wanted":
+            self._introductions.on_wanted(link, self.links, self.record)
+        elif kind == "targets":
+            self._introductions.on_targets(message)
         elif kind == "suspects":
             self.process.suspects.on_message(link, message)
         elif kind in self._submitted_kinds:
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -9,7 +9,9 @@
 from hemlocktiller._internal.entry import attempts
 from hemlocktiller._internal.entry import pages as pages_module
 from hemlocktiller._internal.entry import registry as registry_module
+from hemlocktiller._internal.entry import seeds
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.store import client
@@ -18,6 +20,7 @@
 
 ENTRY_KIND = "entry"
 TARGET_KIND = "target"
+MAX_RECORDS = 4096  # The schema's limit for one message.
 
 log = logbook.Logger(__name__)
 
@@ -47,6 +50,8 @@
             ),
             process.rng,
         )
+        self._has_listing = False
+        self._seeds = self._build_seeds()
         self._entries: set[str] = {self.settings["name"]}
         self.registry.entries = lambda: len(self._entries)
         self.registry.shared = attempts.Shared(
@@ -89,6 +94,7 @@
             "data_centre": self.settings["data_centre"],
         }
         self._start_watches()
+        self._seeds.start()
         process_module.register(
             self.process, ENTRY_KIND, self.settings["name"], self.record
         )
@@ -149,6 +155,7 @@
                 self.process, ENTRY_KIND, self.settings["name"], self.record
             )
         )
+        self._seeds.stop()
         for one in self._watches:
             one.stop()
         self.targets.stop()
@@ -169,13 +176,46 @@
         store = self.process.store
         self._watches = [
             process_module.follow_config(self.process),
-            watch.follow_kind(store, TARGET_KIND, self.targets.on_changes),
+            watch.follow_kind(store, TARGET_KIND, self._on_targets),
             watch.follow_kind(store, ENTRY_KIND, self._on_entries),
             vms_module.follow(
                 store, self.settings["vm_poll_s"], self.targets.on_vms
             ),
         ]
 
+    def _on_targets(
+        self,
+        changed: list[client.StoredObject],
+        deleted: list[str],
+        whole: bool,
+    ) -> None:
+        self._has_listing = True
+        self.targets.on_changes(changed, deleted, whole)
+
+    def _records(self) -> list[dict[str, Any]]:
+        targets = list(self.targets.by_name.values())
+        return [target.record for target in targets[:MAX_RECORDS]]
+
+    def _on_seed_message(self, link: link_module.Link, message: Any) -> None:
+        if message["type"] == "targets":
+            self.targets.add_records(message["records"])
+        elif message["type"] in ("heartbeat", "config"):
+            self.process.feed.on_message(link, message)
+
+    def _build_seeds(self) -> seeds.Seeds:
+        handlers = link_module.Handlers(
+            self.process.feed.on_open,
+            self._on_seed_message,
+            lambda link, reason: self.process.feed.on_down(link),
+        )
+        return seeds.Seeds(
+            self.reactor,
+            self.settings["links"],
+            self.process.local,
+            handlers,
+            lambda: self._has_listing,
+        )
+
     def _on_entries(
         self,
         changed: list[client.StoredObject],
@@ -198,6 +238,10 @@
             self.process.feed.on_message(link, message)
         elif message["type"] == "suspects":
             self.process.suspects.on_message(link, message)
+        elif message["type"] == "targets_wanted":
+            link.send({"type": "targets", "records": self._records()})
+        elif message["type"] == "targets":
+            self.targets.add_records(message["records"])
         else:
             self.registry.on_message(message)
 
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -111,6 +111,12 @@
         for stored in changed:
             self._set(stored.value)
 
+    def add_records(self, records: list[Any]) -> None:
+        """Takes registrations from a peer; those known here go first."""
+        for record in records:
+            if record["target"] not in self.by_name:
+                self._set(record)
+
     def on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
         """Marks the targets on VMs that the VM list calls leaving."""
         self._leaving_vms = {
--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -34,6 +34,7 @@
     Links between processes.
     """
 
+    seeds: NotRequired[list[Address]]
     secret: str
     heartbeat_interval_s: NotRequired[float]
     silence_timeout_s: NotRequired[float]
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -1899,6 +1899,165 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'order', 'accepted', 'reason'], 'properties': {'type': {'const': 'order_result', 'type': 'string'}, 'order': {'type': 'string'}, 'accepted': {'type': 'boolean'}, 'reason': {'type': 'string'}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_targets_wanted(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'targets_wanted', 'type': 'string'}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'targets_wanted', 'type': 'string'}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'targets_wanted', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'targets_wanted'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: targets_wanted", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'targets_wanted', 'type': 'string'}, rule='const')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'targets_wanted', 'type': 'string'}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_targets(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'records'], 'properties': {'type': {'const': 'targets', 'type': 'string'}, 'records': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'records']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'records'], 'properties': {'type': {'const': 'targets', 'type': 'string'}, 'records': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'targets', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'targets'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: targets", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'targets', 'type': 'string'}, rule='const')
+        if "records" in data_keys:
+            data_keys.remove("records")
+            data__records = data["records"]
+            if not isinstance(data__records, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records must be array", value=data__records, name="" + (name_prefix or "data") + ".records", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}, rule='type')
+            data__records_is_list = isinstance(data__records, (list, tuple))
+            if data__records_is_list:
+                data__records_len = len(data__records)
+                if data__records_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records must contain less than or equal to 4096 items", value=data__records, name="" + (name_prefix or "data") + ".records", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}, rule='maxItems')
+                for data__records_x, data__records_item in enumerate(data__records):
+                    if not isinstance(data__records_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + " must be object", value=data__records_item, name="" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, rule='type')
+                    data__records_item_is_dict = isinstance(data__records_item, dict)
+                    if data__records_item_is_dict:
+                        data__records_item__missing_keys = set(['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running']) - data__records_item.keys()
+                        if data__records_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + " must contain " + (str(sorted(data__records_item__missing_keys)) + " properties"), value=data__records_item, name="" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, rule='required')
+                        data__records_item_keys = set(data__records_item.keys())
+                        if "target" in data__records_item_keys:
+                            data__records_item_keys.remove("target")
+                            data__records_item__target = data__records_item["target"]
+                            if not isinstance(data__records_item__target, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].target".format(**locals()) + " must be string", value=data__records_item__target, name="" + (name_prefix or "data") + ".records[{data__records_x}].target".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "host" in data__records_item_keys:
+                            data__records_item_keys.remove("host")
+                            data__records_item__host = data__records_item["host"]
+                            if not isinstance(data__records_item__host, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].host".format(**locals()) + " must be string", value=data__records_item__host, name="" + (name_prefix or "data") + ".records[{data__records_x}].host".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "port" in data__records_item_keys:
+                            data__records_item_keys.remove("port")
+                            data__records_item__port = data__records_item["port"]
+                            if not isinstance(data__records_item__port, (int)) and not (isinstance(data__records_item__port, float) and data__records_item__port.is_integer()) or isinstance(data__records_item__port, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].port".format(**locals()) + " must be integer", value=data__records_item__port, name="" + (name_prefix or "data") + ".records[{data__records_x}].port".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__port, (int, float, Decimal)) and not isinstance(data__records_item__port, bool):
+                                if data__records_item__port < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].port".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__port, name="" + (name_prefix or "data") + ".records[{data__records_x}].port".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "admin_host" in data__records_item_keys:
+                            data__records_item_keys.remove("admin_host")
+                            data__records_item__adminhost = data__records_item["admin_host"]
+                            if not isinstance(data__records_item__adminhost, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].admin_host".format(**locals()) + " must be string", value=data__records_item__adminhost, name="" + (name_prefix or "data") + ".records[{data__records_x}].admin_host".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "admin_port" in data__records_item_keys:
+                            data__records_item_keys.remove("admin_port")
+                            data__records_item__adminport = data__records_item["admin_port"]
+                            if not isinstance(data__records_item__adminport, (int)) and not (isinstance(data__records_item__adminport, float) and data__records_item__adminport.is_integer()) or isinstance(data__records_item__adminport, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].admin_port".format(**locals()) + " must be integer", value=data__records_item__adminport, name="" + (name_prefix or "data") + ".records[{data__records_x}].admin_port".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__adminport, (int, float, Decimal)) and not isinstance(data__records_item__adminport, bool):
+                                if data__records_item__adminport < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].admin_port".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__adminport, name="" + (name_prefix or "data") + ".records[{data__records_x}].admin_port".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "data_centre" in data__records_item_keys:
+                            data__records_item_keys.remove("data_centre")
+                            data__records_item__datacentre = data__records_item["data_centre"]
+                            if not isinstance(data__records_item__datacentre, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].data_centre".format(**locals()) + " must be string", value=data__records_item__datacentre, name="" + (name_prefix or "data") + ".records[{data__records_x}].data_centre".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "vm" in data__records_item_keys:
+                            data__records_item_keys.remove("vm")
+                            data__records_item__vm = data__records_item["vm"]
+                            if not isinstance(data__records_item__vm, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].vm".format(**locals()) + " must be string", value=data__records_item__vm, name="" + (name_prefix or "data") + ".records[{data__records_x}].vm".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "model" in data__records_item_keys:
+                            data__records_item_keys.remove("model")
+                            data__records_item__model = data__records_item["model"]
+                            if not isinstance(data__records_item__model, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].model".format(**locals()) + " must be string", value=data__records_item__model, name="" + (name_prefix or "data") + ".records[{data__records_x}].model".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "first_layer" in data__records_item_keys:
+                            data__records_item_keys.remove("first_layer")
+                            data__records_item__firstlayer = data__records_item["first_layer"]
+                            if not isinstance(data__records_item__firstlayer, (int)) and not (isinstance(data__records_item__firstlayer, float) and data__records_item__firstlayer.is_integer()) or isinstance(data__records_item__firstlayer, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].first_layer".format(**locals()) + " must be integer", value=data__records_item__firstlayer, name="" + (name_prefix or "data") + ".records[{data__records_x}].first_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__firstlayer, (int, float, Decimal)) and not isinstance(data__records_item__firstlayer, bool):
+                                if data__records_item__firstlayer < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].first_layer".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__firstlayer, name="" + (name_prefix or "data") + ".records[{data__records_x}].first_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "end_layer" in data__records_item_keys:
+                            data__records_item_keys.remove("end_layer")
+                            data__records_item__endlayer = data__records_item["end_layer"]
+                            if not isinstance(data__records_item__endlayer, (int)) and not (isinstance(data__records_item__endlayer, float) and data__records_item__endlayer.is_integer()) or isinstance(data__records_item__endlayer, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].end_layer".format(**locals()) + " must be integer", value=data__records_item__endlayer, name="" + (name_prefix or "data") + ".records[{data__records_x}].end_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__endlayer, (int, float, Decimal)) and not isinstance(data__records_item__endlayer, bool):
+                                if data__records_item__endlayer < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].end_layer".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__endlayer, name="" + (name_prefix or "data") + ".records[{data__records_x}].end_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "layer_count" in data__records_item_keys:
+                            data__records_item_keys.remove("layer_count")
+                            data__records_item__layercount = data__records_item["layer_count"]
+                            if not isinstance(data__records_item__layercount, (int)) and not (isinstance(data__records_item__layercount, float) and data__records_item__layercount.is_integer()) or isinstance(data__records_item__layercount, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].layer_count".format(**locals()) + " must be integer", value=data__records_item__layercount, name="" + (name_prefix or "data") + ".records[{data__records_x}].layer_count".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__layercount, (int, float, Decimal)) and not isinstance(data__records_item__layercount, bool):
+                                if data__records_item__layercount < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].layer_count".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__layercount, name="" + (name_prefix or "data") + ".records[{data__records_x}].layer_count".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "accelerator_kind" in data__records_item_keys:
+                            data__records_item_keys.remove("accelerator_kind")
+                            data__records_item__acceleratorkind = data__records_item["accelerator_kind"]
+                            if not isinstance(data__records_item__acceleratorkind, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].accelerator_kind".format(**locals()) + " must be string", value=data__records_item__acceleratorkind, name="" + (name_prefix or "data") + ".records[{data__records_x}].accelerator_kind".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "service" in data__records_item_keys:
+                            data__records_item_keys.remove("service")
+                            data__records_item__service = data__records_item["service"]
+                            if not isinstance(data__records_item__service, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].service".format(**locals()) + " must be string", value=data__records_item__service, name="" + (name_prefix or "data") + ".records[{data__records_x}].service".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "max_running" in data__records_item_keys:
+                            data__records_item_keys.remove("max_running")
+                            data__records_item__maxrunning = data__records_item["max_running"]
+                            if not isinstance(data__records_item__maxrunning, (int)) and not (isinstance(data__records_item__maxrunning, float) and data__records_item__maxrunning.is_integer()) or isinstance(data__records_item__maxrunning, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].max_running".format(**locals()) + " must be integer", value=data__records_item__maxrunning, name="" + (name_prefix or "data") + ".records[{data__records_x}].max_running".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__records_item__maxrunning, (int, float, Decimal)) and not isinstance(data__records_item__maxrunning, bool):
+                                if data__records_item__maxrunning < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}].max_running".format(**locals()) + " must be bigger than or equal to 0", value=data__records_item__maxrunning, name="" + (name_prefix or "data") + ".records[{data__records_x}].max_running".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if data__records_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + " must not contain "+str(data__records_item_keys)+" properties", value=data__records_item, name="" + (name_prefix or "data") + ".records[{data__records_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'records'], 'properties': {'type': {'const': 'targets', 'type': 'string'}, 'records': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -1924,6 +2083,8 @@
     'call_result': check_call_result,
     'order': check_order,
     'order_result': check_order_result,
+    'targets_wanted': check_targets_wanted,
+    'targets': check_targets,
 }
 
 BYTES_PATHS = {
@@ -1951,4 +2112,6 @@
     'call_result': [('body',)],
     'order': [],
     'order_result': [],
+    'targets_wanted': [],
+    'targets': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -377,6 +377,44 @@
     reason: str
 
 
+class TargetRecord(TypedDict, closed=True):
+    """
+    The registration of a target.
+    """
+
+    target: str
+    host: str
+    port: int
+    admin_host: str
+    admin_port: int
+    data_centre: str
+    vm: str
+    model: str
+    first_layer: int
+    end_layer: int
+    layer_count: int
+    accelerator_kind: str
+    service: str
+    max_running: int
+
+
+class TargetsWanted(TypedDict, closed=True):
+    """
+    Asks for the registrations that the receiver, or an entry linked to it, knows.
+    """
+
+    type: Literal['targets_wanted']
+
+
+class Targets(TypedDict, closed=True):
+    """
+    Registrations that an entry knows.
+    """
+
+    type: Literal['targets']
+    records: list[TargetRecord]
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -411,4 +449,6 @@
     | CallResult
     | Order
     | OrderResult
+    | TargetsWanted
+    | Targets
 )
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -23,6 +23,7 @@
 READY_POLLS = 400
 STARTS_AT_ONCE = 6
 CALL_TIMEOUT_S = 2.0
+SEEDS = 3
 KEYS = {"events": "key-events", "federation": "key-federation"}
 PLAN_LIMITS = {
     "requests_per_s": 500,
@@ -241,9 +242,20 @@
             "callers": {"host": "127.0.0.1", "port": 0},
             **fields,
         }
+        settings["links"]["seeds"] = self._seeds()
         self.entries[name] = self._start_product(name, "entry", settings)
         return self.entries[name]
 
+    def _seeds(self) -> list[dict[str, Any]]:
+        """Returns the addresses of a few agents, past their relays."""
+        agents = [
+            agent
+            for name, agent in self.agents.items()
+            if name not in self.relays
+        ]
+        links = [agent.addresses["link"] for agent in agents[:SEEDS]]
+        return [link._asdict() for link in links]
+
     def callers(self, name: str) -> Address:
         """Returns the caller address of an entry."""
         return self.entries[name].addresses["callers"]
