--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import heapq
 import itertools
+import math
 import random
 from typing import NamedTuple
 
@@ -34,7 +35,7 @@
     "running": model.PLACES,
     "queued": 256,
     "reserved_short": 2,
-    "reserved_long": 1,
+    "reserved_long": 2,
     "short_cost_tokens": 90.0,
 }
 
@@ -69,6 +70,7 @@
     refused: int
     engine_s: float
     repeated_s: float
+    wait_s: float
 
 
 class Attempt:
@@ -88,6 +90,7 @@
         self.engine_s = 0.0
         self.repeated_s = 0.0
         self.started_s = 0.0
+        self.wait_s = math.inf
         self.preemptions = 0
         self.done = False
 
@@ -124,7 +127,14 @@
         self.alive = True
         self.lender = lending.Lender()
 
+    def next_free_s(self):
+        """Returns the mean time between two ends of what runs."""
+        tokens = sum(attempt.output_tokens for attempt, _ in self.running)
+        token_s = model.step_s(self.speed, model.PLACES, 0)
+        return tokens * token_s / len(self.running) ** 2
+
     def lane_counts(self):
+        """Returns the short and the long requests that run."""
         counts = collections.Counter(lane for _, lane in self.running)
         return counts[fair_queue.SHORT], counts[fair_queue.LONG]
 
@@ -165,10 +175,12 @@
             self.at(self.rng.uniform(0, REPORT_S), self.report, engine)
 
     def at(self, time_s, function, *arguments):
+        """Has a function called at a time."""
         entry = (time_s, next(self.numbers), function, arguments)
         heapq.heappush(self.events, entry)
 
     def after(self, wait_s, function, *arguments):
+        """Has a function called after a while."""
         self.at(self.now_s + wait_s, function, *arguments)
 
     def run(self, end_s):
@@ -179,6 +191,7 @@
         return self.outcomes
 
     def finish(self, attempt, in_time):
+        """Ends a request at its entry."""
         if attempt.done:
             return
         attempt.done = True
@@ -198,10 +211,12 @@
             attempt.refused,
             attempt.engine_s,
             attempt.repeated_s,
+            attempt.wait_s,
         )
         self.outcomes.append(outcome)
 
     def send(self, attempt):
+        """Sends a request from its entry to the target chosen."""
         request = attempt.request
         entry = attempt.entry
         self.price(attempt)
@@ -236,6 +251,7 @@
         )
 
     def retry(self, attempt):
+        """Sends a request again later, or ends it."""
         late = self.now_s >= attempt.request.deadline_s
         tried = max(1, attempt.attempts)
         spent = attempt.attempts >= RETRIES["attempts"]
@@ -256,11 +272,13 @@
         self.retry(attempt)
 
     def refuse(self, attempt):
+        """An entry learns that a target refused its request."""
         attempt.entry.view.loads.done(attempt.target, attempt.request.request)
         attempt.refused += 1
         self.retry(attempt)
 
     def arrive(self, attempt, engine):
+        """Queues a request at a target or refuses it."""
         if not engine.alive:
             self.after(LINK_S, self.failed, attempt, engine.name)
             return
@@ -276,6 +294,7 @@
             self.step(engine)
 
     def item(self, attempt, engine):
+        """Returns what the queue of a target knows of a request."""
         request = attempt.request
         token_s = model.step_s(engine.speed, model.PLACES, 0)
         run_s = attempt.output_tokens * token_s
@@ -290,6 +309,7 @@
         )
 
     def push(self, engine, attempt, item):
+        """Queues a request; what loses its place goes back as refused."""
         engine.waiting[item.request] = attempt
         pushed = engine.queue.push(item)
         lost = pushed.displaced if pushed.accepted else item
@@ -335,7 +355,12 @@
             for attempt, _ in engine.running
         ]
         victim = engine.lender.preempt(
-            item, running, model.SHARES, model.PLACES, self.now_s
+            item,
+            running,
+            model.SHARES,
+            model.PLACES,
+            self.now_s,
+            engine.next_free_s(),
         )
         if victim is None:
             return
@@ -369,9 +394,12 @@
             attempt.repeated_s += work_s
         attempt.generated_before = attempt.generated
         attempt.started_s = self.now_s
+        wait_s = self.now_s - request.arrival_s
+        attempt.wait_s = min(attempt.wait_s, wait_s)
         return words
 
     def stepped(self, engine):
+        """Takes the tokens of a step and starts the next one."""
         if not engine.alive:
             return
         still = []
--- a/benchmarks/policy_goodput.py
+++ b/benchmarks/policy_goodput.py
@@ -9,6 +9,8 @@
 import argparse
 import collections
 import functools
+import statistics
+from typing import NamedTuple
 
 from benchmarks import policy_fleet as fleet
 from benchmarks import policy_model as model
@@ -18,6 +20,20 @@
 WARMUP_RATIO = 0.25
 
 
+class Goodput(NamedTuple):
+    """Worth of the answers in time as a part of a bound.
+
+    Attributes:
+        ratio: Of the bound that honours the shares of plans and workspaces.
+        by_plan: Of the bound that honours the shares of plans alone.
+        long_ratio: Part of the long requests that are answered in time.
+    """
+
+    ratio: float
+    by_plan: float
+    long_ratio: float
+
+
 def route(entry, request, attempt, now_s, affinity=True):
     """Chooses by load and prefix affinity."""
     candidates = [
@@ -63,7 +79,7 @@
     return True
 
 
-POLICY = fleet.Policy("policy", fair(), route, True, budgeted)
+POLICY = fleet.Policy("policy", fair(), route, True, budgeted, True)
 BASELINES = (
     fleet.Policy("round robin", fleet.fifo_queue, round_robin, False, always),
     fleet.Policy(
@@ -79,7 +95,7 @@
         name="no lanes", make_queue=fair(reserved_short=0, reserved_long=0)
     ),
     POLICY._replace(
-        name="lanes 2+2", make_queue=fair(reserved_short=2, reserved_long=2)
+        name="lanes 2+4", make_queue=fair(reserved_short=2, reserved_long=4)
     ),
     POLICY._replace(
         name="by worth and deadline",
@@ -89,6 +105,8 @@
         name="no affinity", choose=functools.partial(route, affinity=False)
     ),
     POLICY._replace(name="no early refusal", early_refusal=False),
+    POLICY._replace(name="no lending", lending=False),
+    POLICY._replace(name="retries without budget", retry=always),
 )
 
 
@@ -104,6 +122,7 @@
         self.engine_s = self.capacity * (duration_s - self.warmup_s)
 
     def workload(self, plan_loads):
+        """Returns the requests for the given loads."""
         return model.workload(
             self.seed, self.capacity, self.duration_s, plan_loads
         )
@@ -115,46 +134,84 @@
         return [one for one in outcomes if one.end_s >= self.warmup_s]
 
     def offered(self, requests):
+        """Returns the requests that arrive after the warm-up."""
         return [one for one in requests if one.arrival_s >= self.warmup_s]
 
 
 def goodput(setting, policy, overload):
-    """Returns the worth of the answers in time, as a part of the bound."""
+    """Returns the goodput at an overload of all plans alike."""
     loads = {name: share * overload for name, share in model.SHARES.items()}
     requests = setting.workload(loads)
     outcomes = setting.run(policy, requests)
     worth = sum(one.request.worth for one in outcomes if one.in_time)
-    bound = model.bound(setting.offered(requests), setting.engine_s)
+    offered = setting.offered(requests)
+    bound = model.bound(offered, setting.engine_s)
+    by_plan = model.bound(offered, setting.engine_s, by_workspace=False)
     longs = [one for one in outcomes if one.request.max_tokens > 100]
     long_ratio = sum(one.in_time for one in longs) / max(1, len(longs))
-    wasted_s = sum(one.engine_s for one in outcomes if not one.in_time)
-    return worth / bound, long_ratio, wasted_s / setting.engine_s
+    return Goodput(worth / bound, worth / by_plan, long_ratio)
 
 
-def flood(setting, policy, load, flooding="bronze"):
-    """Returns each plan's service as a part of its entitlement.
+def backlogged(setting, policy, overload=1.5, flooding="bronze"):
+    """Returns each plan's service as a part of its entitled share.
 
-    The other plans offer their share times `load`, the flooding one ten
-    times its share. Service is the engine time of answers in time; the
-    entitlement is the share, or what is offered if that is less.
+    All plans ask for more than their shares, the flooding one for ten times
+    its share. Service is the engine time of answers in time.
     """
-    loads = {name: share * load for name, share in model.SHARES.items()}
-    loads[flooding] = model.SHARES[flooding] * 10
-    requests = setting.workload(loads)
-    outcomes = setting.run(policy, requests)
+    requests = setting.workload(_flood(overload, flooding))
     served = collections.Counter()
-    for one in outcomes:
+    for one in setting.run(policy, requests):
         if one.in_time:
             served[one.request.plan] += one.request.work_s
-    offered = collections.Counter()
-    for request in setting.offered(requests):
-        offered[request.plan] += request.work_s
     return {
-        name: served[name] / min(offered[name], share * setting.engine_s)
+        name: served[name] / (share * setting.engine_s)
         for name, share in model.SHARES.items()
     }
 
 
+def within_share(setting, policy, load=0.9, flooding="bronze"):
+    """Returns which part of its work each plan gets answered in time.
+
+    The plans ask for less than their shares, but for the flooding one.
+    """
+    requests = setting.workload(_flood(load, flooding))
+    last_s = setting.duration_s - max(
+        plan.deadline_s for plan in model.PLANS.values()
+    )
+    served = collections.Counter()
+    asked = collections.Counter()
+    for one in setting.run(policy, requests):
+        request = one.request
+        if setting.warmup_s <= request.arrival_s < last_s:
+            asked[request.plan] += request.work_s
+            served[request.plan] += request.work_s * one.in_time
+    return {name: served[name] / asked[name] for name in asked}
+
+
+def _flood(load, flooding):
+    """Returns the loads of a flood by one plan."""
+    loads = {name: share * load for name, share in model.SHARES.items()}
+    return {**loads, flooding: model.SHARES[flooding] * 10}
+
+
+def take_back(setting, policy, load=0.5, lent="bronze"):
+    """Returns the 95th percentile of the wait of the other plans, in s.
+
+    The lent plan floods with answers ten times as long.
+    """
+    requests = [
+        request._replace(
+            tokens=10 * request.tokens, max_tokens=10 * request.max_tokens
+        )
+        if request.plan == lent
+        else request
+        for request in setting.workload(_flood(load, lent))
+    ]
+    outcomes = setting.run(policy, requests)
+    waits = [one.wait_s for one in outcomes if one.request.plan != lent]
+    return statistics.quantiles(waits, n=20)[-1]
+
+
 def half_fleet_loss(setting, policy, load=0.8):
     """Returns what the loss of half the fleet costs.
 
@@ -181,29 +238,40 @@
     return wasted_s / offered_s, attempts, in_time
 
 
-def rows(setting, policies):
-    """Yields the table's rows as lists of texts."""
-    for policy in policies:
-        row = [policy.name]
-        for overload in (1.5, 3.0):
-            figures = goodput(setting, policy, overload)
-            row += [f"{figure:.3f}" for figure in figures]
-        for load in (0.9, 1.5):
-            served = flood(setting, policy, load)
-            row += [f"{served[name]:.3f}" for name in ("gold", "silver")]
-        figures = half_fleet_loss(setting, policy)
-        row += [f"{figure:.3f}" for figure in figures]
-        yield row
-
-
-HEADER = (
-    "| policy | goodput 1.5 | long in time | lost work"
-    " | goodput 3 | long in time | lost work"
-    " | flood, gold 0.9 | silver 0.9 | gold 1.5 | silver 1.5"
-    " | retries waste | attempts | in time |"
+COLUMNS = (
+    "policy",
+    "goodput 1.5",
+    "by plan",
+    "long in time",
+    "goodput 3",
+    "by plan",
+    "long in time",
+    "flood: gold",
+    "silver",
+    "bronze",
+    "below share: gold",
+    "silver",
+    "retry waste",
+    "attempts",
+    "in time",
+    "wait s",
 )
 
 
+def row(setting, policy):
+    """Returns the table's row of a policy."""
+    figures = [
+        *goodput(setting, policy, 1.5),
+        *goodput(setting, policy, 3.0),
+    ]
+    figures += backlogged(setting, policy).values()
+    served = within_share(setting, policy)
+    figures += [served["gold"], served["silver"]]
+    figures += half_fleet_loss(setting, policy)
+    figures.append(take_back(setting, policy))
+    return [policy.name, *(f"{figure:.3f}" for figure in figures)]
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
@@ -213,12 +281,11 @@
     arguments = parser.parse_args()
     setting = Setting(arguments.seed, arguments.duration_s, arguments.targets)
     policies = (POLICY, *BASELINES, *VARIANTS)
-    print(HEADER)
-    print("|" + "---|" * HEADER.count(" | ") + "---|")
-    for row in rows(
-        setting, [one for one in policies if arguments.only in one.name]
-    ):
-        print("| " + " | ".join(row) + " |", flush=True)
+    print("| " + " | ".join(COLUMNS) + " |")
+    print("|" + "---|" * len(COLUMNS))
+    for policy in policies:
+        if arguments.only in policy.name:
+            print("| " + " | ".join(row(setting, policy)) + " |", flush=True)
 
 
 if __name__ == "__main__":
--- a/benchmarks/policy_model.py
+++ b/benchmarks/policy_model.py
@@ -49,18 +49,22 @@
 
     @property
     def worth(self):
+        """Worth of the answer in time."""
         return PLANS[self.plan].worth
 
     @property
     def deadline_s(self):
+        """Time by which the answer must be complete."""
         return self.arrival_s + PLANS[self.plan].deadline_s
 
     @property
     def prompt_words(self):
+        """Words of the prompt."""
         return PREFIX_WORDS + self.own_words
 
     @property
     def prefixes(self):
+        """Digests of the shared prefix of the prompt."""
         return tuple(self.template * 8 + place for place in range(5))
 
     @property
--- a/src/hemlocktiller/_internal/policy/lending.py
+++ b/src/hemlocktiller/_internal/policy/lending.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from prometheus_client import Counter
@@ -16,6 +17,7 @@
 PREEMPTIONS_PER_S = 2.0
 PREEMPTIONS_BURST = 4.0
 PREEMPTIONS_OF_ONE = 2
+PATIENCE_S = 0.5
 
 
 class Running(NamedTuple):
@@ -50,11 +52,14 @@
         shares: Mapping[str, float],
         places: int,
         now_s: float,
+        next_free_s: float = math.inf,
     ) -> Running | None:
         """Returns the request to cancel for a waiting one, if any.
 
         The waiting plan must hold less than its share of the places, and
         the other plan must keep its own share without the cancelled one.
+        A place that comes free soon by itself is waited for, as what is
+        cancelled has to run its prompt again.
 
         Args:
             waiting: The request that waits.
@@ -62,7 +67,10 @@
             shares: Entitled share of each plan.
             places: Requests that may run at once.
             now_s: The time.
+            next_free_s: Expected time until a place comes free.
         """
+        if next_free_s <= PATIENCE_S:
+            return None
         self._fill(now_s)
         if self._tokens < 1.0:
             return None
--- a/tests/unit/test_policy_lending.py
+++ b/tests/unit/test_policy_lending.py
@@ -43,6 +43,13 @@
     assert not lender.preempt(make_item("gold"), running, SHARES, 10, 0.0)
 
 
+def test_a_place_that_comes_free_soon_is_waited_for(lender):
+    running = make_running(["free"] * 10)
+    item = make_item("gold")
+    assert not lender.preempt(item, running, SHARES, 10, 0.0, 0.4)
+    assert lender.preempt(item, running, SHARES, 10, 0.0, 0.6)
+
+
 def test_the_rate_is_bounded(lender):
     running = make_running(["free"] * 10)
 
