--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -34,8 +34,8 @@
 LIMITS = {
     "running": model.PLACES,
     "queued": 256,
-    "reserved_short": 2,
-    "reserved_long": 2,
+    "reserved_short": 0,
+    "reserved_long": 0,
     "short_cost_tokens": 90.0,
 }
 
--- a/benchmarks/policy_goodput.py
+++ b/benchmarks/policy_goodput.py
@@ -92,7 +92,7 @@
 )
 VARIANTS = (
     POLICY._replace(
-        name="no lanes", make_queue=fair(reserved_short=0, reserved_long=0)
+        name="lanes 2+2", make_queue=fair(reserved_short=2, reserved_long=2)
     ),
     POLICY._replace(
         name="lanes 2+4", make_queue=fair(reserved_short=2, reserved_long=4)
--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -28,6 +28,8 @@
 SHORT = "short"
 LONG = "long"
 LANES = (SHORT, LONG)
+LIGHT_BACKLOG = 4
+URGENT_S = 3.0
 
 
 class Item(NamedTuple):
@@ -95,9 +97,31 @@
         return sum(len(lane) for lane in self.lanes.values())
 
     def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        """Returns the item to start next.
+
+        While few items wait, one that must start soon goes first; among
+        many, that would give up more worth than it saves.
+        """
+        urgent = self._urgent(lanes, now_s)
+        if urgent is not None and len(self) <= LIGHT_BACKLOG:
+            return urgent
         heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
         return min((head for head in heads if head), default=None)
 
+    def _urgent(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        """Returns the item that must start first, if it must soon."""
+        urgent = [
+            entry
+            for lane in lanes
+            for entry in self.lanes[lane][:LIGHT_BACKLOG]
+            if 0.0 <= _slack_s(entry.item, now_s) < URGENT_S
+        ]
+        return min(
+            urgent,
+            key=lambda entry: _slack_s(entry.item, now_s),
+            default=None,
+        )
+
     def last(self) -> _Waiting:
         return max(lane[-1] for lane in self.lanes.values() if lane)
 
@@ -372,7 +396,12 @@
 
 def _hopeless(item: Item, now_s: float) -> bool:
     """Returns whether an item would miss its deadline if started now."""
-    return now_s + item.expected_run_s > item.deadline_s
+    return _slack_s(item, now_s) < 0.0
+
+
+def _slack_s(item: Item, now_s: float) -> float:
+    """Returns how long an item may still wait."""
+    return item.deadline_s - item.expected_run_s - now_s
 
 
 def _first_hopeful(lane: list[_Waiting], now_s: float) -> _Waiting | None:
--- a/tests/unit/test_policy_fair_queue.py
+++ b/tests/unit/test_policy_fair_queue.py
@@ -99,6 +99,14 @@
     assert len(queue) == 0
 
 
+@pytest.mark.parametrize(("count", "first"), [(3, "long"), (4, "0")])
+def test_an_urgent_item_goes_first_while_few_wait(queue, count, first):
+    queue.push(make_item("long", cost=90.0, deadline_s=2.0))
+    for number in range(count):
+        queue.push(make_item(str(number)))
+    assert queue.pop(0.0, 0, 0).request == first
+
+
 def test_places_are_kept_for_each_lane(queue):
     queue.push(make_item("long", cost=500.0))
     queue.push(make_item("short", cost=50.0))
