Refuse at once what can't be answered in time behind others

An agent learns how long a token takes and how long answers are; a request whose expected wait and run exceed its time left is refused before it waits. Idle time no longer counts in the service rate.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -440,7 +440,7 @@
             "running": max(self.door.running, stages),
             "max_running": self.settings["limits"]["running"],
             "queued_cost_tokens": self.door.queued_cost_tokens,
-            "tokens_per_s": self.door.tokens_per_s,
+            "tokens_per_s": self.door.rates.tokens_per_s,
             "leaving": self.unready_reason() != "",
             "plan_served_tokens": dict(self.door.served_tokens),
             "prefixes": list(reversed(self._prefixes)),
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from hemlocktiller._internal.agent import heads
+from hemlocktiller._internal.agent import rates
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
@@ -20,7 +21,6 @@
 from hemlocktiller._internal.policy import lending
 
 EXPIRY_INTERVAL_S = 0.1
-RATE_WEIGHT = 0.2  # Share of a new sample in the moving average.
 MIN_TOKENS_PER_S = 1.0
 
 REFUSED = prometheus_client.Counter(
@@ -70,7 +70,7 @@
         self.leaving = False
         self.unready = ""
         self.served_tokens: dict[str, float] = {}
-        self.tokens_per_s = 0.0
+        self.rates = rates.Rates(reactor)
         self._reactor = reactor
         self._settings = settings
         self._current_config = current_config
@@ -81,8 +81,6 @@
         self._waiting: dict[str, Waiting] = {}
         self._running: dict[str, Waiting] = {}
         self._started_s: dict[str, float] = {}
-        self._sampled_s = reactor.seconds()
-        self._sample_tokens = 0.0
         self._timer: Any = None
 
     @property
@@ -110,6 +108,9 @@
         if reason:
             self._refuse(message, link, reason)
             return
+        if self._is_hopeless(message):
+            self._refuse(message, link, "hopeless")
+            return
         self._note(message, "queued", waiting=len(self._waiting))
         waiting = Waiting(message, link, self._item(message))
         pushed = self._queue.push(waiting.item)
@@ -144,6 +145,7 @@
                 break
             self._start(self._waiting.pop(item.request))
         self._take_back(now_s)
+        self.rates.set_busy(bool(self._running))
         QUEUED.set(len(self._waiting))
         RUNNING.set(len(self._running))
         self._check_later()
@@ -211,7 +213,7 @@
         waiting = self._running.pop(_name(done.key), None)
         if waiting is None:
             return
-        del self._started_s[waiting.item.request]
+        started_s = self._started_s.pop(waiting.item.request)
         item = waiting.item
         prompt_tokens = item.cost_tokens - waiting.message.get("max_tokens", 0)
         actual_tokens = max(prompt_tokens, 0) + done.token_count
@@ -220,7 +222,12 @@
         )
         served = self.served_tokens.get(item.plan, 0.0)
         self.served_tokens[item.plan] = served + actual_tokens
-        self._sample_tokens += actual_tokens
+        self.rates.done(
+            actual_tokens,
+            self._reactor.seconds() - started_s,
+            done.token_count,
+            waiting.message.get("max_tokens", 0),
+        )
         self._reactor.callLater(0, self.pump)
 
     def cancel(self, key: runs.Key) -> bool:
@@ -246,19 +253,9 @@
             self._queue.remove(name)
             self._drop(name, reason)
 
-    def sample_rate(self) -> float:
-        """Returns the moving average of the service rate in tokens/s.
-
-        Idle time does not count, so the rate tells what a backlog gets.
-        """
-        now_s = self._reactor.seconds()
-        elapsed_s = now_s - self._sampled_s
-        if elapsed_s > 0 and self._sample_tokens > 0:
-            rate = self._sample_tokens / elapsed_s
-            self.tokens_per_s += RATE_WEIGHT * (rate - self.tokens_per_s)
-        self._sampled_s = now_s
-        self._sample_tokens = 0.0
-        return self.tokens_per_s
+    def sample_rate(self) -> None:
+        """Takes what was served lately into the averages."""
+        self.rates.sample()
 
     def _with_time_left(self, waiting: Waiting) -> Any:
         left_s = waiting.item.deadline_s - self._reactor.seconds()
@@ -279,8 +276,21 @@
             message["cost_tokens"],
             message["worth"],
             self._reactor.seconds() + message["expires_in_s"],
+            self.rates.expected_run_s(message.get("max_tokens", 0)),
         )
 
+    def _is_hopeless(self, message: Any) -> bool:
+        """Tells whether a request can't be answered in time behind others."""
+        if not self.rates.known or not self._waiting:
+            return False
+        item = self._item(message)
+        wait_s = self._wait_s(item)
+        return wait_s + item.expected_run_s > message["expires_in_s"]
+
+    def _wait_s(self, item: fair_queue.Item) -> float:
+        rate = max(self.rates.tokens_per_s, MIN_TOKENS_PER_S)
+        return self._queue.estimate_wait_s(item, rate)
+
     def _drop(self, name: str, reason: str) -> None:
         waiting = self._waiting.pop(name, None)
         if waiting is not None:
@@ -293,9 +303,7 @@
         self._note(message, "refused_here", why=reason)
         if not link.up:
             return
-        wait_s = self._queue.estimate_wait_s(
-            self._item(message), max(self.tokens_per_s, MIN_TOKENS_PER_S)
-        )
+        wait_s = self._wait_s(self._item(message))
         link.send(
             heads.refusal(
                 message,
