--- a/src/hemlocktiller/_internal/agent/claims.py
+++ b/src/hemlocktiller/_internal/agent/claims.py
@@ -12,6 +12,7 @@
 import hashlib
 import json
 import secrets
+from typing import Any
 from typing import NamedTuple
 
 import logbook
@@ -22,15 +23,22 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.agent import claim_rules
+from hemlocktiller._internal.schemas import agent_settings
+from hemlocktiller._internal.schemas import messages
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
 KIND = "claim"
-CLAIM_TTL_S = 86_400.0
 RECORDED_BODY_BYTES_MAX = 65_536
-RETRY_AFTER_S = 5.0
 CONTENTION_TRIES = 8
 DISPATCH_ID_BYTES = 12
+SETTLE_WAIT_S = 1.0
+ROUTER_SETTINGS: agent_settings.Service = {
+    "name": "",
+    "url": "",
+    "timeout_s": 0.0,
+    "claim_ttl_s": 86_400.0,
+}
 
 _LOG = logbook.Logger(__name__)
 _BEGINS = prometheus_client.Counter(
@@ -40,15 +48,22 @@
     "hemlocktiller_claims_unsettled", "Claims whose end is not written yet"
 )
 
-Recorded = claim_rules.Recorded
 InProgress = claim_rules.InProgress
 OutcomeUnknown = claim_rules.OutcomeUnknown
 Mismatch = claim_rules.Mismatch
 Void = claim_rules.Void
 
 
-class Claim(NamedTuple):
-    """A claim that this process holds.
+class Answer(NamedTuple):
+    """An answer of the service; a recorded one may lack a large body."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Begun(NamedTuple):
+    """The call may be dispatched once, under this claim.
 
     Attributes:
         name: Name of the claim.
@@ -61,46 +76,35 @@
     stored: client.StoredObject
 
 
-class Begun(NamedTuple):
-    """The call may be dispatched once, under this claim."""
+class Recorded(NamedTuple):
+    """The call ran before, with this answer."""
 
-    claim: Claim
+    answer: Answer
+    body_omitted: bool
 
 
-def claim_name(workspace: str, service: str, key: str, request: str) -> str:
-    """Returns the name of the claim of a call.
+class Unavailable(NamedTuple):
+    """The claim could not be made, so nothing ran."""
 
-    Args:
-        workspace: Workspace name.
-        service: Service name.
-        key: Idempotency key; empty if the caller gave none.
-        request: Request id, which stands in for a missing key.
-    """
-    identity = ["key", key] if key else ["request", request]
-    return _digest(json.dumps([workspace, service, *identity]).encode())
+    reason: str
 
 
-def fingerprint(method: str, path: str, body: bytes) -> str:
-    """Returns the digest that tells one call of a key from another."""
-    return _digest(json.dumps([method, path]).encode() + body)
-
+def claim_name(call: messages.Call) -> str:
+    """Returns the name of the claim of a call.
 
-def outcome(
-    status: int, content_type: str, body: bytes
-) -> claim_rules.Outcome:
-    """Returns the record of an answer; a large body is left out."""
-    is_large = len(body) > RECORDED_BODY_BYTES_MAX
-    return {
-        "status": status,
-        "content_type": content_type,
-        "body": "" if is_large else base64.b64encode(body).decode(),
-        "body_omitted": is_large,
-    }
+    The request id stands in for a missing idempotency key.
+    """
+    identity = ["key", call["idempotency_key"]]
+    if not call["idempotency_key"]:
+        identity = ["request", call["request"]]
+    place = [call["workspace"], call["service"], *identity]
+    return _digest(json.dumps(place).encode())
 
 
-def outcome_body(recorded: claim_rules.Outcome) -> bytes:
-    """Returns the body of a recorded answer."""
-    return base64.b64decode(recorded["body"])
+def fingerprint(call: messages.Call) -> str:
+    """Returns the digest that tells one call of a key from another."""
+    place = json.dumps([call["method"], call["path"]])
+    return _digest(place.encode() + call["body"])
 
 
 class Claims:
@@ -108,19 +112,19 @@
 
     Args:
         store: Client of the object API.
-        process: Process id, new at each start.
-        ttl_s: Time in seconds that a claim is kept.
+        settings: Settings of the service; `ROUTER_SETTINGS` for a router.
+        reactor: Reactor that times the retries.
     """
 
     def __init__(
         self,
         store: client.ObjectStore,
-        process: str,
-        ttl_s: float = CLAIM_TTL_S,
+        settings: agent_settings.Service,
+        reactor: Any,
     ):
         self._store = store
-        self._process = process
-        self._ttl_s = ttl_s
+        self._settings = settings
+        self._reactor = reactor
         self._settling: set[defer.Deferred] = set()
         self._stopped = False
 
@@ -130,71 +134,55 @@
         return len(self._settling)
 
     def begin(
-        self,
-        name: str,
-        fingerprint: str,
-        request: str,
-        attempt: int,
-        ends_at_s: float,
-    ) -> "defer.Deferred[Begun | claim_rules.Verdict]":
+        self, call: messages.Call
+    ) -> (
+        "defer.Deferred[Begun | Recorded | Unavailable | claim_rules.Verdict]"
+    ):
         """Claims a call directly before its dispatch.
 
         Only `Begun` allows the dispatch; with every other result, this
         attempt did not run and never will.
-
-        Args:
-            name: Name of the claim; see `claim_name`.
-            fingerprint: Digest of the call; see `fingerprint`.
-            request: Request id.
-            attempt: Attempt number within the request.
-            ends_at_s: When the dispatch is over at the latest, in seconds
-                since the epoch.
-
-        Raises:
-            StoreDown: The claim could not be made, so nothing ran.
         """
         dispatch = secrets.token_hex(DISPATCH_ID_BYTES)
-        made = self._attempt(
-            request, attempt, fingerprint, dispatch, ends_at_s
+        return defer.Deferred.fromCoroutine(
+            self._begin(claim_name(call), self._attempt(call, dispatch))
         )
-        return defer.Deferred.fromCoroutine(self._begin(name, made))
 
-    def finish(
-        self, claim: Claim, recorded: claim_rules.Outcome
-    ) -> "defer.Deferred[None]":
-        """Records the answer; fires once it is written.
+    def finish(self, begun: Begun, answer: Answer) -> "defer.Deferred[None]":
+        """Records the answer.
 
-        The caller may be answered before that: the claim keeps the call
-        from running again in any case.
+        Fires once it is written, or after `SETTLE_WAIT_S` while it is
+        still being tried: the answer may go to the caller then, since the
+        claim keeps the call from running again in any case.
         """
-        return self._end(claim, claim_rules.FINISHED, recorded)
+        outcome = _outcome(answer)
+        return self._end(begun, claim_rules.FINISHED, outcome)
 
-    def lose(self, claim: Claim) -> "defer.Deferred[None]":
+    def lose(self, begun: Begun) -> "defer.Deferred[None]":
         """Records that the call may have run without a known answer."""
-        return self._end(claim, claim_rules.UNKNOWN, None)
+        return self._end(begun, claim_rules.UNKNOWN, None)
 
-    def not_run(self, claim: Claim) -> "defer.Deferred[None]":
+    def not_run(self, begun: Begun) -> "defer.Deferred[None]":
         """Records that the service provably never got the call.
 
-        Fires once another attempt may claim the call, so wait for it
-        before the answer that asks for another attempt.
+        Fires like `finish`; another attempt may claim the call once it is
+        written, so wait for it before the answer that allows one.
         """
-        return self._end(claim, claim_rules.VOID, None)
+        return self._end(begun, claim_rules.VOID, None)
 
-    def void(
-        self, name: str, request: str, attempt: int
-    ) -> "defer.Deferred[claim_rules.Verdict]":
+    def void(self, call: messages.Call) -> "defer.Deferred[Any]":
         """Keeps an attempt from ever starting, for a router.
 
-        `Void` proves that the attempt did not run and never will; with
-        every other result it may have run.
+        Fires with `Void`, which proves that the attempt did not run and
+        never will, or with what else is known, as `begin` does.
 
         Raises:
             StoreUnavailable: Nothing is proved.
             WriteUnknown: Nothing is proved.
         """
-        made = self._attempt(request, attempt, "", "", self._now_s())
-        return defer.Deferred.fromCoroutine(self._void(name, made))
+        return defer.Deferred.fromCoroutine(
+            self._void(claim_name(call), self._attempt(call, ""))
+        )
 
     def stop(self) -> None:
         """Gives up what is not settled yet."""
@@ -202,73 +190,73 @@
         for settling in list(self._settling):
             settling.cancel()
 
-    def _now_s(self):
-        return self._store.reactor.seconds()
-
-    def _attempt(self, request, attempt, fingerprint, dispatch, ends_at_s):
+    def _attempt(self, call, dispatch):
+        now_s = self._reactor.seconds()
+        lifetime_s = call["expires_in_s"] + self._settings["timeout_s"]
         return claim_rules.Attempt(
-            request,
-            attempt,
-            fingerprint,
+            call["request"],
+            call["attempt"],
+            fingerprint(call),
             dispatch,
-            self._process,
-            ends_at_s,
-            self._now_s() + self._ttl_s,
+            self._store.writer,
+            now_s + lifetime_s,
+            now_s + max(lifetime_s, self._settings["claim_ttl_s"]),
         )
 
     async def _begin(self, name, attempt):
         def decide(value):
-            return claim_rules.begin(value, attempt, self._now_s())
+            return claim_rules.begin(value, attempt, self._reactor.seconds())
 
         try:
             verdict, stored = await self._change(name, decide, None)
         except exceptions.WriteUnknown as error:
             self._settle(name, self._voiding(attempt), None)
-            raise self._store_down(error) from error
+            verdict = Unavailable(str(error))
         except exceptions.StoreError as error:
-            raise self._store_down(error) from error
+            verdict = Unavailable(str(error))
         _BEGINS.labels(type(verdict).__name__).inc()
         if isinstance(verdict, claim_rules.Started):
-            return Begun(Claim(name, attempt.dispatch, stored))
-        return verdict
-
-    def _store_down(self, error):
-        _BEGINS.labels("StoreDown").inc()
-        return exceptions.StoreDown(str(error), "no", RETRY_AFTER_S)
+            return Begun(name, attempt.dispatch, stored)
+        return _public(verdict)
 
     async def _void(self, name, attempt):
         verdict, _ = await self._change(name, self._voiding(attempt), None)
-        return verdict
+        return _public(verdict)
 
     def _voiding(self, attempt):
         def decide(value):
-            return claim_rules.void(value, attempt, self._now_s())
+            return claim_rules.void(value, attempt, self._reactor.seconds())
 
         return decide
 
-    def _end(self, claim, state, recorded):
+    def _end(self, begun, state, outcome):
         def decide(value):
-            return claim_rules.end(value, claim.dispatch, state, recorded)
+            return claim_rules.end(value, begun.dispatch, state, outcome)
 
-        return self._settle(claim.name, decide, claim.stored)
+        return self._settle(begun.name, decide, begun.stored)
 
     def _settle(self, name, decide, known):
-        """Changes a claim, retrying until it is written or stopped."""
+        """Changes a claim, retrying until it is written or stopped.
+
+        Returns:
+            A Deferred that fires then, or after `SETTLE_WAIT_S`.
+        """
         settling = defer.Deferred.fromCoroutine(
             self._keep_changing(name, decide, known)
         )
         self._settling.add(settling)
         _UNSETTLED.inc()
-        settled = defer.Deferred()
-        settling.addBoth(self._settled, settling, settled)
-        return settled
+        waiting = defer.Deferred()
+        timer = self._reactor.callLater(SETTLE_WAIT_S, waiting.callback, None)
+        settling.addBoth(self._settled, settling)
+        settling.addCallback(_fire_early, timer, waiting)
+        return waiting
 
-    def _settled(self, result, settling, settled):
+    def _settled(self, result, settling):
         self._settling.discard(settling)
         _UNSETTLED.dec()
         if isinstance(result, failure.Failure) and not self._stopped:
             _LOG.error("a claim is not settled: {}", result)
-        settled.callback(None)
 
     async def _keep_changing(self, name, decide, known):
         failures = 0
@@ -283,7 +271,7 @@
             if not self._stopped:
                 wait_s = watch.backoff_s(self._store.settings, failures)
                 failures += 1
-                await task.deferLater(self._store.reactor, wait_s)
+                await task.deferLater(self._reactor, wait_s)
         return None
 
     async def _change(
@@ -323,5 +311,32 @@
         raise exceptions.StoreUnavailable(f"claim {name} is contended")
 
 
+def _outcome(answer):
+    """Returns the record of an answer; a large body is left out."""
+    is_large = len(answer.body) > RECORDED_BODY_BYTES_MAX
+    return {
+        "status": answer.status,
+        "content_type": answer.content_type,
+        "body": "" if is_large else base64.b64encode(answer.body).decode(),
+        "body_omitted": is_large,
+    }
+
+
+def _public(verdict):
+    """Returns a verdict with its recorded answer decoded."""
+    if not isinstance(verdict, claim_rules.Recorded):
+        return verdict
+    outcome = verdict.outcome
+    body = base64.b64decode(outcome["body"])
+    answer = Answer(outcome["status"], outcome["content_type"], body)
+    return Recorded(answer, outcome["body_omitted"])
+
+
+def _fire_early(_, timer, waiting):
+    if timer.active():
+        timer.cancel()
+        waiting.callback(None)
+
+
 def _digest(content):
     return hashlib.sha256(content).hexdigest()
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -44,6 +44,7 @@
 
     Attributes:
         settings: Settings of the object API, with defaults filled in.
+        writer: Id of this process, new at each start.
         reactor: Reactor that times the calls.
     """
 
@@ -56,7 +57,7 @@
     ):
         self.settings = settings
         self.reactor = reactor
-        self._writer = writer
+        self.writer = writer
         self._transport = transport.Transport(settings, reactor, agent)
 
     def close(self) -> defer.Deferred:
@@ -142,7 +143,7 @@
             WriteUnknown: It can't be told whether it was written.
         """
         nonce = secrets.token_hex(NONCE_BYTES)
-        body = objects.wrap(value, self._writer, nonce, version)
+        body = objects.wrap(value, self.writer, nonce, version)
         write = writes.Write(kind, name, version, nonce, value, body)
         return defer.Deferred.fromCoroutine(self._write("PUT", write))
 
--- a/tests/fakes/scripted_store.py
+++ b/tests/fakes/scripted_store.py
@@ -91,8 +91,9 @@
 class ScriptedStore:
     """The client of one process; a dead process gets no answers."""
 
-    def __init__(self, objects):
+    def __init__(self, objects, writer):
         self.objects = objects
+        self.writer = writer
         self.reactor = objects.clock
         self.settings = SETTINGS
         self.dead = False
