--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -73,6 +73,7 @@
             self.settings,
             lambda: process.feed.current,
             door_module.Work(self._begin, self._suspect_reason, self._preempt),
+            process.journal,
         )
         self.heads = heads_module.Heads(
             self.reactor, self.settings, self.door.done
@@ -178,7 +179,9 @@
 
     def _idle(self) -> bool:
         stages = len(self.pipeline.runs) if self.pipeline else 0
-        calls = self.services.running if self.services else 0
+        calls = 0
+        if self.services is not None:
+            calls = self.services.running + self.services.unsettled
         return self.door.running + stages + calls == 0
 
     def _build_engine(self) -> None:
@@ -193,20 +196,23 @@
             self.peers,
             self._stage_refusal,
             self.heads.events(),
+            pipeline_module.Record(self.process.journal, self.process.tracer),
         )
         self.heads.pipeline = self.pipeline
 
     def _build_service(self) -> None:
         self._submitted_kinds = ("call",)
         claims = claims_module.Claims(
-            self.process.store, self.settings["service"], self.reactor
+            self.process.store,
+            self.process.local.process,
+            self.settings["service"]["claim_ttl_s"],
         )
         self.services = services_module.Services(
             self.reactor,
             self.settings,
             claims,
-            self.door.done,
-            self._on_target_died,
+            self.process.tracer,
+            services_module.Events(self.door.done, self._on_target_died),
         )
 
     def _start_loops(self) -> None:
@@ -324,7 +330,7 @@
             return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
-        return "suspect_apart"
+        return pipeline_module.SUSPECT_APART
 
     def _preempt(self, key: runs.Key) -> None:
         self.heads.preempt(key)
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -1,5 +1,8 @@
 """Deployments of product processes and stand-ins on the loopback."""
 
+from collections.abc import Callable
+from collections.abc import Collection
+from concurrent import futures
 import hashlib
 import json
 from pathlib import Path
@@ -18,6 +21,7 @@
 DATA_CENTRE = "dc1"
 LINK_SECRET = "secret-of-the-functional-tests"
 READY_POLLS = 400
+STARTS_AT_ONCE = 6
 CALL_TIMEOUT_S = 2.0
 KEYS = {"events": "key-events", "federation": "key-federation"}
 PLAN_LIMITS = {
@@ -267,10 +271,17 @@
         }
 
     def _start_product(self, name, program, settings) -> Process:
+        """Starts a product process; a restart uses the same ports."""
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=1))
         module = f"hemlocktiller._internal.cli.{program}"
-        return self.run(name, module, ["--settings", path], port_option=False)
+        process = self.run(
+            name, module, ["--settings", path], port_option=False
+        )
+        for label, address in process.addresses.items():
+            settings[label] = address._asdict()
+        path.write_text(json.dumps(settings, indent=1))
+        return process
 
     # Waiting
 
@@ -290,6 +301,20 @@
             f"{process.name} is ready",
         )
 
+    def wait_used(self, name: str) -> None:
+        """Waits until all entries can send work to an agent."""
+        for entry in self.entries.values():
+            if entry.running():
+                poll(
+                    lambda entry=entry: self._uses(entry, name),
+                    READY_POLLS,
+                    f"{entry.name} uses {name}",
+                )
+
+    def _uses(self, entry: Process, name: str) -> bool:
+        target = self.status(entry).get("targets", {}).get(name, {})
+        return bool(target.get("live")) and not target.get("leaving")
+
     def wait_served(self, entry: str, polls: int = READY_POLLS) -> None:
         """Waits until an entry gives a whole answer for each kind."""
         if self.engines:
@@ -329,6 +354,16 @@
         """Returns the status page of a process; empty if unreachable."""
         return self.admin(process, "/status").json() or {}
 
+    def explain(self, request: str) -> list[Any]:
+        """Returns what the entries noted of a request, for a message."""
+        path = f"/explain?request={request}"
+        pages = [
+            self.admin(entry, path)
+            for entry in self.entries.values()
+            if entry.running()
+        ]
+        return [page.json() for page in pages if page.status == 200]
+
     # Histories
 
     def engine_history(self, name: str) -> list[dict[str, Any]]:
@@ -374,25 +409,52 @@
     chains: int = 2,
     stages: int = 2,
     layer_count: int = 8,
-    relayed: bool = False,
+    relayed: Collection[str] = (),
     **options,
 ) -> None:
-    """Starts engines with their agents, as whole chains of equal stages."""
+    """Starts engines with their agents, as whole chains of equal stages.
+
+    Args:
+        deployment: Where to start them.
+        chains: Number of chains.
+        stages: Stages of a chain.
+        layer_count: Layers of the model.
+        relayed: Agents that peers reach through a relay.
+        **options: Options of the engines.
+    """
     step = layer_count // stages
-    for chain in range(chains):
-        for stage in range(stages):
-            name = f"c{chain}s{stage}"
-            first = stage * step
-            deployment.start_engine(
-                f"{name}-target", first, first + step, layer_count, **options
-            )
-            deployment.start_agent(name, relayed=relayed)
+    firsts = {
+        f"c{chain}s{stage}": stage * step
+        for chain in range(chains)
+        for stage in range(stages)
+    }
+
+    def start(name: str) -> None:
+        first = firsts[name]
+        deployment.start_engine(
+            f"{name}-target", first, first + step, layer_count, **options
+        )
+        deployment.start_agent(name, relayed=name in relayed)
+
+    start_together(start, firsts)
+
+
+def start_together(start: Callable[[str], Any], names) -> None:
+    """Starts processes by name, a few at the same time."""
+    with futures.ThreadPoolExecutor(STARTS_AT_ONCE) as pool:
+        list(pool.map(start, names))
 
 
 def start_bookings(
-    deployment: Deployment, count: int = 2, relayed=False, **options
+    deployment: Deployment,
+    count: int = 2,
+    relayed: Collection[str] = (),
+    **options,
 ) -> None:
     """Starts booking services with their agents."""
-    for number in range(count):
-        deployment.start_booking(f"b{number}-target", **options)
-        deployment.start_agent(f"b{number}", relayed=relayed)
+
+    def start(name: str) -> None:
+        deployment.start_booking(f"{name}-target", **options)
+        deployment.start_agent(name, relayed=name in relayed)
+
+    start_together(start, [f"b{number}" for number in range(count)])
--- a/tests/functional/test_promises_6_planned_stops.py
+++ b/tests/functional/test_promises_6_planned_stops.py
@@ -52,9 +52,12 @@
     assert process.wait() == 0
     if process.name in deployment.agents:
         deployment.restart_agent(process.name)
+        deployment.wait_process_ready(process)
+        deployment.wait_used(process.name)
     else:
         process.start()
-    deployment.wait_process_ready(process)
+        deployment.wait_process_ready(process)
+        deployment.wait_served(process.name)
 
 
 def check(deployment, exchanges):
@@ -65,7 +68,7 @@
 
 
 def test_replacing_every_process_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     for process in [
         *deployment.agents.values(),
@@ -76,7 +79,7 @@
 
 
 def test_stopping_a_whole_chain_at_once_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     leaving = [deployment.agents[f"c0s{stage}"] for stage in range(3)]
     for process in leaving:
@@ -86,7 +89,7 @@
 
 
 def test_a_stop_in_a_store_outage_cuts_nothing_off(deployment):
-    scenarios.start_models(deployment, relayed=False)
+    scenarios.start_models(deployment)
     callers = Callers(deployment)
     deployment.set_faults("refuse")
     for name in ("c0s0", "c0s1", "e0"):
