--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.agent import door as door_module
 from hemlocktiller._internal.agent import engine as engine_module
 from hemlocktiller._internal.agent import heads as heads_module
+from hemlocktiller._internal.agent import introductions
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
 from hemlocktiller._internal.agent import runs
@@ -55,6 +56,7 @@
         self._watches: list[Any] = []
         self._drained = defer.Deferred()
         self._polling = False
+        self._introductions = introductions.Introductions()
         handlers = link_module.Handlers(
             self._on_open, self._on_message, self._on_down
         )
@@ -73,6 +75,7 @@
             self.settings,
             lambda: process.feed.current,
             door_module.Work(self._begin, self._suspect_reason, self._preempt),
+            process.journal,
         )
         self.heads = heads_module.Heads(
             self.reactor, self.settings, self.door.done
@@ -178,7 +181,9 @@
 
     def _idle(self) -> bool:
         stages = len(self.pipeline.runs) if self.pipeline else 0
-        calls = self.services.running if self.services else 0
+        calls = 0
+        if self.services is not None:
+            calls = self.services.running + self.services.unsettled
         return self.door.running + stages + calls == 0
 
     def _build_engine(self) -> None:
@@ -193,20 +198,23 @@
             self.peers,
             self._stage_refusal,
             self.heads.events(),
+            pipeline_module.Record(self.process.journal, self.process.tracer),
         )
         self.heads.pipeline = self.pipeline
 
     def _build_service(self) -> None:
         self._submitted_kinds = ("call",)
         claims = claims_module.Claims(
-            self.process.store, self.settings["service"], self.reactor
+            self.process.store,
+            self.process.local.process,
+            self.settings["service"]["claim_ttl_s"],
         )
         self.services = services_module.Services(
             self.reactor,
             self.settings,
             claims,
-            self.door.done,
-            self._on_target_died,
+            self.process.tracer,
+            services_module.Events(self.door.done, self._on_target_died),
         )
 
     def _start_loops(self) -> None:
@@ -324,7 +332,7 @@
             return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
-        return "suspect_apart"
+        return pipeline_module.SUSPECT_APART
 
     def _preempt(self, key: runs.Key) -> None:
         self.heads.preempt(key)
@@ -363,6 +371,7 @@
         self.links.discard(link)
         self.process.feed.on_down(link)
         self.process.suspects.on_down(link)
+        self._introductions.on_down(link)
         if link.peer is None:
             return
         if link.peer["role"] == "entry":
@@ -375,6 +384,10 @@
         kind = message["type"]
         if kind in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
+        elif kind == "targets_wanted":
+            self._introductions.on_wanted(link, self.links, self.record)
+        elif kind == "targets":
+            self._introductions.on_targets(message)
         elif kind == "suspects":
             self.process.suspects.on_message(link, message)
         elif kind in self._submitted_kinds:
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -42,7 +42,10 @@
         tried: Targets that failed as the next stage.
         reconnected: Targets dialled again after a lost link.
         dead: Targets that died while they ran this request.
+        apart: Whether a stage refused it beside another suspect.
         started_s: When this stage was reserved.
+        span: Span of this stage.
+        engine_span: Span of the engine's work, once it has begun.
     """
 
     def __init__(
@@ -75,8 +78,11 @@
         self.tried: set[str] = set()
         self.reconnected: set[str] = set()
         self.dead: set[str] = set()
+        self.apart = False
         self.timer: Any = None
         self.started_s = 0.0
+        self.span: Any = None
+        self.engine_span: Any = None
 
     @property
     def is_last(self) -> bool:
--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -14,11 +14,14 @@
 from twisted.internet import defer
 from twisted.python import failure
 
+from hemlocktiller._internal import exceptions
 from hemlocktiller._internal import http_client
+from hemlocktiller._internal.agent import claim_rules
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.agent import heads
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import traces
 
 RETRY_AFTER_S = 1.0
 
@@ -43,6 +46,13 @@
     retry_after_s: float = 0.0
 
 
+class Events(NamedTuple):
+    """What the owner does on events of the service."""
+
+    on_done: Callable[[heads.Done], None]
+    on_died: Callable[[], None]
+
+
 class Services:
     """The calls that run at the service."""
 
@@ -51,16 +61,16 @@
         reactor: Any,
         settings: Any,
         claims: claims_module.Claims,
-        on_done: Callable[[heads.Done], None],
-        on_died: Callable[[], None],
+        tracer: traces.Tracer,
+        events: Events,
     ) -> None:
         self.running = 0
         self._started_s: dict[runs.Key, tuple[int, float]] = {}
         self._reactor = reactor
         self._settings = settings
         self._claims = claims
-        self._on_done = on_done
-        self._on_died = on_died
+        self._tracer = tracer
+        self._events = events
         self._http = http_client.agent(reactor)
 
     def begin(self, call: Any, link: link_module.Link) -> None:
@@ -72,6 +82,11 @@
         done.addErrback(_unexpected)
         done.addCallback(self._answer, call, link)
 
+    @property
+    def unsettled(self) -> int:
+        """Claims whose end is not written yet."""
+        return self._claims.unsettled
+
     def running_s(self) -> dict[int, float]:
         """Returns how long each digest has been running here."""
         now_s = self._reactor.seconds()
@@ -89,27 +104,50 @@
     @defer.inlineCallbacks
     def _claimed(self, call: Any) -> defer.Deferred[Outcome]:
         expires_at_s = self._reactor.seconds() + call["expires_in_s"]
-        begun = yield self._claims.begin(call)
+        try:
+            begun = yield self._begin_claim(call, expires_at_s)
+        except exceptions.StoreDown as error:
+            return Outcome("no", error.code, retry_after_s=error.retry_after_s)
         if not isinstance(begun, claims_module.Begun):
             return _claim_outcome(begun)
         if self._reactor.seconds() >= expires_at_s:
-            yield self._claims.not_run(begun)
+            yield self._claims.not_run(begun.claim)
             return Outcome("no", "expired", retry_after_s=RETRY_AFTER_S)
         outcome = yield self._dispatch(call)
         if outcome.ran == "no":
-            yield self._claims.not_run(begun)
+            yield self._claims.not_run(begun.claim)
         elif outcome.ran == "yes":
-            yield self._claims.finish(begun, _recorded(outcome))
+            self._claims.finish(begun.claim, _recorded(outcome))
+        else:
+            self._claims.lose(begun.claim)
         return outcome
 
+    def _begin_claim(
+        self, call: Any, expires_at_s: float
+    ) -> defer.Deferred[Any]:
+        name = claims_module.claim_name(
+            call["workspace"],
+            call["service"],
+            call["idempotency_key"],
+            call["request"],
+        )
+        fingerprint = claims_module.fingerprint(
+            call["method"], call["path"], call["body"]
+        )
+        return self._claims.begin(
+            name, fingerprint, call["request"], call["attempt"], expires_at_s
+        )
+
     @defer.inlineCallbacks
     def _dispatch(self, call: Any) -> defer.Deferred[Outcome]:
         settings = self._settings["service"]
         headers = {"Content-Type": call["content_type"]}
         if not call["content_type"]:
             headers = {}
-        if call["traceparent"]:
-            headers["traceparent"] = call["traceparent"]
+        span = self._tracer.start(
+            "service", call["traceparent"], request=call["request"]
+        )
+        headers["traceparent"] = traces.traceparent(span)
         request = http_client.Request(
             call["method"],
             settings["url"] + call["path"],
@@ -121,9 +159,11 @@
             reply = yield http_client.call(self._reactor, self._http, request)
         except Exception:
             reason = failure.Failure()
+            span.end()
             if reason.check(*http_client.PEER_DIED):
-                self._on_died()
+                self._events.on_died()
             return _failed(reason)
+        span.end()
         return Outcome("yes", "", reply.status, reply.content_type, reply.body)
 
     def _answer(
@@ -147,7 +187,7 @@
                     "retry_after_s": outcome.retry_after_s,
                 }
             )
-        self._on_done(heads.Done(runs.place_of(call), 1))
+        self._events.on_done(heads.Done(runs.place_of(call), 1))
 
 
 def _failed(reason: failure.Failure) -> Outcome:
@@ -161,30 +201,31 @@
     return Outcome("unknown", "internal", retry_after_s=RETRY_AFTER_S)
 
 
-def _recorded(outcome: Outcome) -> claims_module.Answer:
-    return claims_module.Answer(
+def _recorded(outcome: Outcome) -> claim_rules.Outcome:
+    return claims_module.outcome(
         outcome.status, outcome.content_type, outcome.body
     )
 
 
-def _claim_outcome(begun: Any) -> Outcome:
+def _claim_outcome(verdict: claim_rules.Verdict) -> Outcome:
     """Returns the outcome of a call that may not be made now."""
-    if isinstance(begun, claims_module.Recorded):
-        answer = begun.answer
+    if isinstance(verdict, claim_rules.Recorded):
+        recorded = verdict.outcome
         return Outcome(
             "yes",
             "",
-            answer.status,
-            answer.content_type,
-            answer.body,
+            recorded["status"],
+            recorded["content_type"],
+            claims_module.outcome_body(recorded),
             replayed=True,
         )
-    reasons = {
-        claims_module.InProgress: ("unknown", "in_progress"),
-        claims_module.OutcomeUnknown: ("unknown", "outcome_unknown"),
-        claims_module.Mismatch: ("no", "key_conflict"),
-        claims_module.Void: ("no", "void"),
-        claims_module.Unavailable: ("no", "store_unavailable"),
-    }
-    ran, reason = reasons[type(begun)]
-    return Outcome(ran, reason, retry_after_s=RETRY_AFTER_S)
+    if isinstance(verdict, claim_rules.InProgress):
+        wait_s = verdict.retry_after_s
+        return Outcome("unknown", "in_progress", retry_after_s=wait_s)
+    if isinstance(verdict, claim_rules.OutcomeUnknown):
+        wait_s = verdict.retry_after_s
+        return Outcome("unknown", "outcome_unknown", retry_after_s=wait_s)
+    reason = "void"
+    if isinstance(verdict, claim_rules.Mismatch):
+        reason = "key_conflict"
+    return Outcome("no", reason, retry_after_s=RETRY_AFTER_S)
--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -28,6 +28,8 @@
 SHORT = "short"
 LONG = "long"
 LANES = (SHORT, LONG)
+LIGHT_BACKLOG = 4
+URGENT_S = 3.0
 
 
 class Item(NamedTuple):
@@ -95,9 +97,31 @@
         return sum(len(lane) for lane in self.lanes.values())
 
     def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        """Returns the item to start next.
+
+        While few items wait, one that must start soon goes first; among
+        many, that would give up more worth than it saves.
+        """
+        urgent = self._urgent(lanes, now_s)
+        if urgent is not None and len(self) <= LIGHT_BACKLOG:
+            return urgent
         heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
         return min((head for head in heads if head), default=None)
 
+    def _urgent(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        """Returns the item that must start first, if it must soon."""
+        urgent = [
+            entry
+            for lane in lanes
+            for entry in self.lanes[lane][:LIGHT_BACKLOG]
+            if 0.0 <= _slack_s(entry.item, now_s) < URGENT_S
+        ]
+        return min(
+            urgent,
+            key=lambda entry: _slack_s(entry.item, now_s),
+            default=None,
+        )
+
     def last(self) -> _Waiting:
         return max(lane[-1] for lane in self.lanes.values() if lane)
 
@@ -191,20 +215,16 @@
             running_long: Long requests that run.
         """
         lanes = self._open_lanes(now_s, running_short, running_long)
-        heads = {
-            name: plan.heads(lanes, now_s)
-            for name, plan in self._plans.items()
-        }
-        plans = [name for name, workspaces in heads.items() if workspaces]
-        if not plans:
-            return None
-        plan = self._tags.first(plans)
-        workspace = self._plans[plan].tags.first(heads[plan])
-        item = heads[plan][workspace].item
-        self._charge(item)
-        self.remove(item.request)
+        item = self._first(lanes, now_s)
+        if item is not None:
+            self._charge(item)
+            self.remove(item.request)
         return item
 
+    def peek(self, now_s: float) -> Item | None:
+        """Returns the item that has the next turn, whatever is free."""
+        return self._first(list(LANES), now_s)
+
     def remove(self, request: str) -> Item | None:
         """Takes an item out, if it waits."""
         entry = self._waiting.pop(request, None)
@@ -307,6 +327,19 @@
             for workspace in plan.workspaces.values()
         )
 
+    def _first(self, lanes: list[str], now_s: float) -> Item | None:
+        """Returns the item of the given lanes that has the next turn."""
+        heads = {
+            name: plan.heads(lanes, now_s)
+            for name, plan in self._plans.items()
+        }
+        plans = [name for name, workspaces in heads.items() if workspaces]
+        if not plans:
+            return None
+        plan = self._tags.first(plans)
+        workspace = self._plans[plan].tags.first(heads[plan])
+        return heads[plan][workspace].item
+
     def _cost_ahead(self, item: Item) -> float:
         """Returns the cost that the plan would serve before the item."""
         plan = self._plans.get(item.plan)
@@ -363,7 +396,12 @@
 
 def _hopeless(item: Item, now_s: float) -> bool:
     """Returns whether an item would miss its deadline if started now."""
-    return now_s + item.expected_run_s > item.deadline_s
+    return _slack_s(item, now_s) < 0.0
+
+
+def _slack_s(item: Item, now_s: float) -> float:
+    """Returns how long an item may still wait."""
+    return item.deadline_s - item.expected_run_s - now_s
 
 
 def _first_hopeful(lane: list[_Waiting], now_s: float) -> _Waiting | None:
