--- a/benchmarks/policy_model.py
+++ b/benchmarks/policy_model.py
@@ -1,6 +1,5 @@
 """Workload, cost model and bound of the policy benchmark."""
 
-import bisect
 import collections
 import itertools
 import random
@@ -132,17 +131,29 @@
     return sorted(requests, key=lambda request: request.arrival_s)
 
 
-def _greedy(requests, budget_s):
-    """Returns the worth of the densest requests and those left over."""
-    ordered = sorted(requests, key=lambda one: -one.worth / one.work_s)
-    sums = list(itertools.accumulate(one.work_s for one in ordered))
-    whole = bisect.bisect_right(sums, budget_s)
-    worth = sum(one.worth for one in ordered[:whole])
-    left_s = budget_s - (sums[whole - 1] if whole else 0.0)
-    if whole < len(ordered):
-        worth += ordered[whole].worth * left_s / ordered[whole].work_s
-        left_s = 0.0
-    return worth, ordered[whole:], left_s
+class Piece(NamedTuple):
+    """A request, or what is left of one, as the bound sees it."""
+
+    worth: float
+    work_s: float
+
+
+def _greedy(pieces, budget_s):
+    """Spends a budget on the densest pieces, the last one in part.
+
+    Returns:
+        The worth got, the pieces left over, the budget left over in s.
+    """
+    worth = 0.0
+    rest = []
+    for piece in sorted(pieces, key=lambda one: -one.worth / one.work_s):
+        taken_s = min(piece.work_s, budget_s)
+        part = piece.worth * taken_s / piece.work_s
+        worth += part
+        budget_s -= taken_s
+        if taken_s < piece.work_s:
+            rest.append(Piece(piece.worth - part, piece.work_s - taken_s))
+    return worth, rest, budget_s
 
 
 def _fair(demands_s, weights, budget_s):
@@ -203,7 +214,8 @@
             demands_s = _demands(own, "workspace")
             parts = _fair(demands_s, dict.fromkeys(groups, 1.0), entitled_s)
         for group, members in groups.items():
-            part, remaining, unused_s = _greedy(members, parts[group])
+            pieces = [Piece(one.worth, one.work_s) for one in members]
+            part, remaining, unused_s = _greedy(pieces, parts[group])
             worth += part
             rest += remaining
             left_s -= parts[group] - unused_s
--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -8,6 +8,7 @@
 import bisect
 from collections.abc import Callable
 from collections.abc import Mapping
+import heapq
 from typing import NamedTuple
 
 from prometheus_client import Counter
@@ -30,6 +31,7 @@
 LANES = (SHORT, LONG)
 LIGHT_BACKLOG = 4
 URGENT_S = 3.0
+HEAP_SLACK = 64
 
 
 class Item(NamedTuple):
@@ -102,9 +104,10 @@
         While few items wait, one that must start soon goes first; among
         many, that would give up more worth than it saves.
         """
-        urgent = self._urgent(lanes, now_s)
-        if urgent is not None and len(self) <= LIGHT_BACKLOG:
-            return urgent
+        if len(self) <= LIGHT_BACKLOG:
+            urgent = self._urgent(lanes, now_s)
+            if urgent is not None:
+                return urgent
         heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
         return min((head for head in heads if head), default=None)
 
@@ -113,7 +116,7 @@
         urgent = [
             entry
             for lane in lanes
-            for entry in self.lanes[lane][:LIGHT_BACKLOG]
+            for entry in self.lanes[lane]
             if 0.0 <= _slack_s(entry.item, now_s) < URGENT_S
         ]
         return min(
@@ -136,14 +139,13 @@
     def __len__(self) -> int:
         return sum(len(workspace) for workspace in self.workspaces.values())
 
-    def heads(self, lanes: list[str], now_s: float) -> dict[str, _Waiting]:
-        """Returns the item that each workspace would start next."""
-        heads = {}
-        for name, workspace in self.workspaces.items():
-            head = workspace.first(lanes, now_s)
+    def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
+        """Returns the item to start next."""
+        for name in self.tags.ordered(self.workspaces):
+            head = self.workspaces[name].first(lanes, now_s)
             if head is not None:
-                heads[name] = head
-        return heads
+                return head
+        return None
 
 
 class FairQueue:
@@ -167,7 +169,9 @@
         self._tags = start_tags.StartTags()
         self._plans: dict[str, _Plan] = {}
         self._waiting: dict[str, _Waiting] = {}
+        self._latest_starts: list[tuple[float, int, str]] = []
         self._number = 0
+        self._cost_tokens = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -178,7 +182,7 @@
     @property
     def cost_tokens(self) -> float:
         """Cost of all that waits."""
-        return sum(entry.item.cost_tokens for entry in self._waiting.values())
+        return self._cost_tokens
 
     def set_shares(self, shares: Mapping[str, float]) -> None:
         """Takes the shares of a new configuration."""
@@ -231,6 +235,10 @@
         if entry is None:
             return None
         item = entry.item
+        self._cost_tokens -= item.cost_tokens
+        if not self._waiting:
+            self._cost_tokens = 0.0
+            self._latest_starts.clear()
         plan = self._plans[item.plan]
         workspace = plan.workspaces[item.workspace]
         lane = workspace.lanes[self.lane(item)]
@@ -254,14 +262,15 @@
 
     def expired(self, now_s: float) -> list[Item]:
         """Takes out the items that can't meet their deadline any more."""
-        expired = [
-            entry.item
-            for entry in self._waiting.values()
-            if _hopeless(entry.item, now_s)
-        ]
-        for item in expired:
-            EXPIRED.labels(item.plan).inc()
-            self.remove(item.request)
+        expired = []
+        while self._latest_starts and self._latest_starts[0][0] < now_s:
+            _, number, request = heapq.heappop(self._latest_starts)
+            entry = self._waiting.get(request)
+            if entry is None or entry.number != number:
+                continue
+            EXPIRED.labels(entry.item.plan).inc()
+            self.remove(request)
+            expired.append(entry.item)
         return expired
 
     def estimate_wait_s(self, item: Item, tokens_per_s: float) -> float:
@@ -329,16 +338,12 @@
 
     def _first(self, lanes: list[str], now_s: float) -> Item | None:
         """Returns the item of the given lanes that has the next turn."""
-        heads = {
-            name: plan.heads(lanes, now_s)
-            for name, plan in self._plans.items()
-        }
-        plans = [name for name, workspaces in heads.items() if workspaces]
-        if not plans:
-            return None
-        plan = self._tags.first(plans)
-        workspace = self._plans[plan].tags.first(heads[plan])
-        return heads[plan][workspace].item
+        backlogged = [name for name, plan in self._plans.items() if len(plan)]
+        for name in self._tags.ordered(backlogged if lanes else ()):
+            head = self._plans[name].first(lanes, now_s)
+            if head is not None:
+                return head.item
+        return None
 
     def _cost_ahead(self, item: Item) -> float:
         """Returns the cost that the plan would serve before the item."""
@@ -369,9 +374,24 @@
         self._number += 1
         entry = _Waiting(self._order(item), self._number, item)
         self._waiting[item.request] = entry
+        self._cost_tokens += item.cost_tokens
+        self._note_latest_start(entry)
         lane = plan.workspaces[item.workspace].lanes[self.lane(item)]
         bisect.insort(lane, entry)
 
+    def _note_latest_start(self, entry: _Waiting) -> None:
+        """Keeps the time after which an item is past hope.
+
+        Entries of removed items stay until they outnumber the others.
+        """
+        if len(self._latest_starts) > 2 * len(self._waiting) + HEAP_SLACK:
+            self._latest_starts = [
+                _latest_start(one) for one in self._waiting.values()
+            ]
+            heapq.heapify(self._latest_starts)
+            return
+        heapq.heappush(self._latest_starts, _latest_start(entry))
+
     def _charge(self, item: Item) -> None:
         """Charges the cost of a started item to its plan and workspace."""
         weight = self._weight(item.plan)
@@ -399,6 +419,13 @@
     return _slack_s(item, now_s) < 0.0
 
 
+def _latest_start(entry: _Waiting) -> tuple[float, int, str]:
+    """Returns an item's latest start with what identifies it."""
+    item = entry.item
+    latest_s = item.deadline_s - item.expected_run_s
+    return latest_s, entry.number, item.request
+
+
 def _slack_s(item: Item, now_s: float) -> float:
     """Returns how long an item may still wait."""
     return item.deadline_s - item.expected_run_s - now_s
--- a/src/hemlocktiller/_internal/policy/start_tags.py
+++ b/src/hemlocktiller/_internal/policy/start_tags.py
@@ -26,9 +26,9 @@
         self._tags[flow] = tag
         self._floors[flow] = self._virtual
 
-    def first(self, flows: Iterable[str]) -> str:
-        """Returns the flow with the lowest start tag; ties go by name."""
-        return min(flows, key=lambda flow: (self._tags[flow], flow))
+    def ordered(self, flows: Iterable[str]) -> list[str]:
+        """Returns flows by their start tags, lowest first, then by name."""
+        return sorted(flows, key=lambda flow: (self._tags[flow], flow))
 
     def charge(self, flow: str, cost: float, weight: float) -> None:
         """Serves a flow: advances the virtual time and the flow's tag."""
