--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -6,7 +6,6 @@
 """
 
 import bisect
-from collections.abc import Callable
 from collections.abc import Mapping
 import heapq
 from typing import NamedTuple
@@ -14,6 +13,7 @@
 from prometheus_client import Counter
 
 from hemlocktiller._internal.policy import start_tags
+from hemlocktiller._internal.policy import waiting
 from hemlocktiller._internal.schemas import agent_settings
 
 DISPLACED = Counter(
@@ -26,34 +26,12 @@
     "Requests that could no longer meet their deadline, by plan",
     ["plan"],
 )
-SHORT = "short"
-LONG = "long"
-LANES = (SHORT, LONG)
-LIGHT_BACKLOG = 4
-URGENT_S = 3.0
 HEAP_SLACK = 64
-
-
-class Item(NamedTuple):
-    """A request that waits.
-
-    Attributes:
-        request: Request id.
-        plan: Plan that pays for it.
-        workspace: Workspace that sent it.
-        cost_tokens: Estimated cost.
-        worth: Worth of an answer in time.
-        deadline_s: Time by which the answer must be complete.
-        expected_run_s: Expected time from start to the complete answer.
-    """
-
-    request: str
-    plan: str
-    workspace: str
-    cost_tokens: float
-    worth: float
-    deadline_s: float
-    expected_run_s: float = 0.0
+SHORT = waiting.SHORT
+LONG = waiting.LONG
+Item = waiting.Item
+by_worth_per_token = waiting.by_worth_per_token
+by_worth_and_deadline = waiting.by_worth_and_deadline
 
 
 class Pushed(NamedTuple):
@@ -68,86 +46,6 @@
     displaced: Item | None = None
 
 
-Order = Callable[[Item], tuple[float, float]]
-
-
-def by_worth_per_token(item: Item) -> tuple[float, float]:
-    """Orders by worth per token, then by deadline."""
-    return (-item.worth / max(item.cost_tokens, 1.0), item.deadline_s)
-
-
-def by_worth_and_deadline(item: Item) -> tuple[float, float]:
-    """Orders by worth, then by deadline."""
-    return (-item.worth, item.deadline_s)
-
-
-class _Waiting(NamedTuple):
-    """An item with its place in the order of its workspace."""
-
-    order: tuple[float, float]
-    number: int
-    item: Item
-
-
-class _Workspace:
-    """The waiting items of a workspace, by lane, in order."""
-
-    def __init__(self) -> None:
-        self.lanes: dict[str, list[_Waiting]] = {lane: [] for lane in LANES}
-
-    def __len__(self) -> int:
-        return sum(len(lane) for lane in self.lanes.values())
-
-    def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
-        """Returns the item to start next.
-
-        While few items wait, one that must start soon goes first; among
-        many, that would give up more worth than it saves.
-        """
-        if len(self) <= LIGHT_BACKLOG:
-            urgent = self._urgent(lanes, now_s)
-            if urgent is not None:
-                return urgent
-        heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
-        return min((head for head in heads if head), default=None)
-
-    def _urgent(self, lanes: list[str], now_s: float) -> _Waiting | None:
-        """Returns the item that must start first, if it must soon."""
-        urgent = [
-            entry
-            for lane in lanes
-            for entry in self.lanes[lane]
-            if 0.0 <= _slack_s(entry.item, now_s) < URGENT_S
-        ]
-        return min(
-            urgent,
-            key=lambda entry: _slack_s(entry.item, now_s),
-            default=None,
-        )
-
-    def last(self) -> _Waiting:
-        return max(lane[-1] for lane in self.lanes.values() if lane)
-
-
-class _Plan:
-    """The backlogged workspaces of a plan and their start tags."""
-
-    def __init__(self) -> None:
-        self.tags = start_tags.StartTags()
-        self.workspaces: dict[str, _Workspace] = {}
-
-    def __len__(self) -> int:
-        return sum(len(workspace) for workspace in self.workspaces.values())
-
-    def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
-        """Returns the item to start next."""
-        for name in self.tags.ordered(self.workspaces):
-            head = self.workspaces[name].first(lanes, now_s)
-            if head is not None:
-                return head
-        return None
-
-
 class FairQueue:
     """A bounded queue that shares service by plan and workspace.
 
@@ -161,14 +59,14 @@
         self,
         limits: agent_settings.AgentLimits,
         shares: Mapping[str, float],
-        order: Order = by_worth_per_token,
+        order: waiting.Order = by_worth_per_token,
     ) -> None:
         self._limits = limits
         self._shares = shares
         self._order = order
         self._tags = start_tags.StartTags()
-        self._plans: dict[str, _Plan] = {}
-        self._waiting: dict[str, _Waiting] = {}
+        self._plans: dict[str, waiting.Plan] = {}
+        self._waiting: dict[str, waiting.Waiting] = {}
         self._latest_starts: list[tuple[float, int, str]] = []
         self._number = 0
         self._cost_tokens = 0.0
@@ -227,7 +125,7 @@
 
     def peek(self, now_s: float) -> Item | None:
         """Returns the item that has the next turn, whatever is free."""
-        return self._first(list(LANES), now_s)
+        return self._first(list(waiting.LANES), now_s)
 
     def remove(self, request: str) -> Item | None:
         """Takes an item out, if it waits."""
@@ -331,7 +229,7 @@
     def _has(self, lane: str, now_s: float) -> bool:
         """Returns whether an item of a lane waits that is not past hope."""
         return any(
-            _first_hopeful(workspace.lanes[lane], now_s)
+            waiting.first_hopeful(workspace.lanes[lane], now_s)
             for plan in self._plans.values()
             for workspace in plan.workspaces.values()
         )
@@ -365,32 +263,32 @@
 
     def _insert(self, item: Item) -> None:
         """Adds an item to its lane."""
-        plan = self._plans.setdefault(item.plan, _Plan())
+        plan = self._plans.setdefault(item.plan, waiting.Plan())
         if not len(plan):
             self._tags.activate(item.plan)
         if item.workspace not in plan.workspaces:
             plan.tags.activate(item.workspace)
-            plan.workspaces[item.workspace] = _Workspace()
+            plan.workspaces[item.workspace] = waiting.Workspace()
         self._number += 1
-        entry = _Waiting(self._order(item), self._number, item)
+        entry = waiting.Waiting(self._order(item), self._number, item)
         self._waiting[item.request] = entry
         self._cost_tokens += item.cost_tokens
         self._note_latest_start(entry)
         lane = plan.workspaces[item.workspace].lanes[self.lane(item)]
         bisect.insort(lane, entry)
 
-    def _note_latest_start(self, entry: _Waiting) -> None:
+    def _note_latest_start(self, entry: waiting.Waiting) -> None:
         """Keeps the time after which an item is past hope.
 
         Entries of removed items stay until they outnumber the others.
         """
         if len(self._latest_starts) > 2 * len(self._waiting) + HEAP_SLACK:
             self._latest_starts = [
-                _latest_start(one) for one in self._waiting.values()
+                waiting.latest_start(one) for one in self._waiting.values()
             ]
             heapq.heapify(self._latest_starts)
             return
-        heapq.heappush(self._latest_starts, _latest_start(entry))
+        heapq.heappush(self._latest_starts, waiting.latest_start(entry))
 
     def _charge(self, item: Item) -> None:
         """Charges the cost of a started item to its plan and workspace."""
@@ -412,27 +310,3 @@
     def _weight(self, plan: str) -> float:
         """Returns the weight of a plan."""
         return max(self._shares.get(plan, 0.0), start_tags.MIN_WEIGHT)
-
-
-def _hopeless(item: Item, now_s: float) -> bool:
-    """Returns whether an item would miss its deadline if started now."""
-    return _slack_s(item, now_s) < 0.0
-
-
-def _latest_start(entry: _Waiting) -> tuple[float, int, str]:
-    """Returns an item's latest start with what identifies it."""
-    item = entry.item
-    latest_s = item.deadline_s - item.expected_run_s
-    return latest_s, entry.number, item.request
-
-
-def _slack_s(item: Item, now_s: float) -> float:
-    """Returns how long an item may still wait."""
-    return item.deadline_s - item.expected_run_s - now_s
-
-
-def _first_hopeful(lane: list[_Waiting], now_s: float) -> _Waiting | None:
-    """Returns the first item of a lane that can meet its deadline."""
-    return next(
-        (entry for entry in lane if not _hopeless(entry.item, now_s)), None
-    )
