--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -6,13 +6,14 @@
 """
 
 import bisect
-from collections.abc import Callable
 from collections.abc import Mapping
+import heapq
 from typing import NamedTuple
 
 from prometheus_client import Counter
 
 from hemlocktiller._internal.policy import start_tags
+from hemlocktiller._internal.policy import waiting
 from hemlocktiller._internal.schemas import agent_settings
 
 DISPLACED = Counter(
@@ -25,33 +26,12 @@
     "Requests that could no longer meet their deadline, by plan",
     ["plan"],
 )
-SHORT = "short"
-LONG = "long"
-LANES = (SHORT, LONG)
-LIGHT_BACKLOG = 4
-URGENT_S = 3.0
-
-
-class Item(NamedTuple):
-    """A request that waits.
-
-    Attributes:
-        request: Request id.
-        plan: Plan that pays for it.
-        workspace: Workspace that sent it.
-        cost_tokens: Estimated cost.
-        worth: Worth of an answer in time.
-        deadline_s: Time by which the answer must be complete.
-        expected_run_s: Expected time from start to the complete answer.
-    """
-
-    request: str
-    plan: str
-    workspace: str
-    cost_tokens: float
-    worth: float
-    deadline_s: float
-    expected_run_s: float = 0.0
+HEAP_SLACK = 64
+SHORT = waiting.SHORT
+LONG = waiting.LONG
+Item = waiting.Item
+by_worth_per_token = waiting.by_worth_per_token
+by_worth_and_deadline = waiting.by_worth_and_deadline
 
 
 class Pushed(NamedTuple):
@@ -66,86 +46,6 @@
     displaced: Item | None = None
 
 
-Order = Callable[[Item], tuple[float, float]]
-
-
-def by_worth_per_token(item: Item) -> tuple[float, float]:
-    """Orders by worth per token, then by deadline."""
-    return (-item.worth / max(item.cost_tokens, 1.0), item.deadline_s)
-
-
-def by_worth_and_deadline(item: Item) -> tuple[float, float]:
-    """Orders by worth, then by deadline."""
-    return (-item.worth, item.deadline_s)
-
-
-class _Waiting(NamedTuple):
-    """An item with its place in the order of its workspace."""
-
-    order: tuple[float, float]
-    number: int
-    item: Item
-
-
-class _Workspace:
-    """The waiting items of a workspace, by lane, in order."""
-
-    def __init__(self) -> None:
-        self.lanes: dict[str, list[_Waiting]] = {lane: [] for lane in LANES}
-
-    def __len__(self) -> int:
-        return sum(len(lane) for lane in self.lanes.values())
-
-    def first(self, lanes: list[str], now_s: float) -> _Waiting | None:
-        """Returns the item to start next.
-
-        While few items wait, one that must start soon goes first; among
-        many, that would give up more worth than it saves.
-        """
-        urgent = self._urgent(lanes, now_s)
-        if urgent is not None and len(self) <= LIGHT_BACKLOG:
-            return urgent
-        heads = [_first_hopeful(self.lanes[lane], now_s) for lane in lanes]
-        return min((head for head in heads if head), default=None)
-
-    def _urgent(self, lanes: list[str], now_s: float) -> _Waiting | None:
-        """Returns the item that must start first, if it must soon."""
-        urgent = [
-            entry
-            for lane in lanes
-            for entry in self.lanes[lane][:LIGHT_BACKLOG]
-            if 0.0 <= _slack_s(entry.item, now_s) < URGENT_S
-        ]
-        return min(
-            urgent,
-            key=lambda entry: _slack_s(entry.item, now_s),
-            default=None,
-        )
-
-    def last(self) -> _Waiting:
-        return max(lane[-1] for lane in self.lanes.values() if lane)
-
-
-class _Plan:
-    """The backlogged workspaces of a plan and their start tags."""
-
-    def __init__(self) -> None:
-        self.tags = start_tags.StartTags()
-        self.workspaces: dict[str, _Workspace] = {}
-
-    def __len__(self) -> int:
-        return sum(len(workspace) for workspace in self.workspaces.values())
-
-    def heads(self, lanes: list[str], now_s: float) -> dict[str, _Waiting]:
-        """Returns the item that each workspace would start next."""
-        heads = {}
-        for name, workspace in self.workspaces.items():
-            head = workspace.first(lanes, now_s)
-            if head is not None:
-                heads[name] = head
-        return heads
-
-
 class FairQueue:
     """A bounded queue that shares service by plan and workspace.
 
@@ -159,15 +59,17 @@
         self,
         limits: agent_settings.AgentLimits,
         shares: Mapping[str, float],
-        order: Order = by_worth_per_token,
+        order: waiting.Order = by_worth_per_token,
     ) -> None:
         self._limits = limits
         self._shares = shares
         self._order = order
         self._tags = start_tags.StartTags()
-        self._plans: dict[str, _Plan] = {}
-        self._waiting: dict[str, _Waiting] = {}
+        self._plans: dict[str, waiting.Plan] = {}
+        self._waiting: dict[str, waiting.Waiting] = {}
+        self._latest_starts: list[tuple[float, int, str]] = []
         self._number = 0
+        self._cost_tokens = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -178,7 +80,7 @@
     @property
     def cost_tokens(self) -> float:
         """Cost of all that waits."""
-        return sum(entry.item.cost_tokens for entry in self._waiting.values())
+        return self._cost_tokens
 
     def set_shares(self, shares: Mapping[str, float]) -> None:
         """Takes the shares of a new configuration."""
@@ -223,7 +125,7 @@
 
     def peek(self, now_s: float) -> Item | None:
         """Returns the item that has the next turn, whatever is free."""
-        return self._first(list(LANES), now_s)
+        return self._first(list(waiting.LANES), now_s)
 
     def remove(self, request: str) -> Item | None:
         """Takes an item out, if it waits."""
@@ -231,6 +133,10 @@
         if entry is None:
             return None
         item = entry.item
+        self._cost_tokens -= item.cost_tokens
+        if not self._waiting:
+            self._cost_tokens = 0.0
+            self._latest_starts.clear()
         plan = self._plans[item.plan]
         workspace = plan.workspaces[item.workspace]
         lane = workspace.lanes[self.lane(item)]
@@ -254,14 +160,15 @@
 
     def expired(self, now_s: float) -> list[Item]:
         """Takes out the items that can't meet their deadline any more."""
-        expired = [
-            entry.item
-            for entry in self._waiting.values()
-            if _hopeless(entry.item, now_s)
-        ]
-        for item in expired:
-            EXPIRED.labels(item.plan).inc()
-            self.remove(item.request)
+        expired = []
+        while self._latest_starts and self._latest_starts[0][0] < now_s:
+            _, number, request = heapq.heappop(self._latest_starts)
+            entry = self._waiting.get(request)
+            if entry is None or entry.number != number:
+                continue
+            EXPIRED.labels(entry.item.plan).inc()
+            self.remove(request)
+            expired.append(entry.item)
         return expired
 
     def estimate_wait_s(self, item: Item, tokens_per_s: float) -> float:
@@ -322,23 +229,19 @@
     def _has(self, lane: str, now_s: float) -> bool:
         """Returns whether an item of a lane waits that is not past hope."""
         return any(
-            _first_hopeful(workspace.lanes[lane], now_s)
+            waiting.first_hopeful(workspace.lanes[lane], now_s)
             for plan in self._plans.values()
             for workspace in plan.workspaces.values()
         )
 
     def _first(self, lanes: list[str], now_s: float) -> Item | None:
         """Returns the item of the given lanes that has the next turn."""
-        heads = {
-            name: plan.heads(lanes, now_s)
-            for name, plan in self._plans.items()
-        }
-        plans = [name for name, workspaces in heads.items() if workspaces]
-        if not plans:
-            return None
-        plan = self._tags.first(plans)
-        workspace = self._plans[plan].tags.first(heads[plan])
-        return heads[plan][workspace].item
+        backlogged = [name for name, plan in self._plans.items() if len(plan)]
+        for name in self._tags.ordered(backlogged if lanes else ()):
+            head = self._plans[name].first(lanes, now_s)
+            if head is not None:
+                return head.item
+        return None
 
     def _cost_ahead(self, item: Item) -> float:
         """Returns the cost that the plan would serve before the item."""
@@ -360,18 +263,33 @@
 
     def _insert(self, item: Item) -> None:
         """Adds an item to its lane."""
-        plan = self._plans.setdefault(item.plan, _Plan())
+        plan = self._plans.setdefault(item.plan, waiting.Plan())
         if not len(plan):
             self._tags.activate(item.plan)
         if item.workspace not in plan.workspaces:
             plan.tags.activate(item.workspace)
-            plan.workspaces[item.workspace] = _Workspace()
+            plan.workspaces[item.workspace] = waiting.Workspace()
         self._number += 1
-        entry = _Waiting(self._order(item), self._number, item)
+        entry = waiting.Waiting(self._order(item), self._number, item)
         self._waiting[item.request] = entry
+        self._cost_tokens += item.cost_tokens
+        self._note_latest_start(entry)
         lane = plan.workspaces[item.workspace].lanes[self.lane(item)]
         bisect.insort(lane, entry)
 
+    def _note_latest_start(self, entry: waiting.Waiting) -> None:
+        """Keeps the time after which an item is past hope.
+
+        Entries of removed items stay until they outnumber the others.
+        """
+        if len(self._latest_starts) > 2 * len(self._waiting) + HEAP_SLACK:
+            self._latest_starts = [
+                waiting.latest_start(one) for one in self._waiting.values()
+            ]
+            heapq.heapify(self._latest_starts)
+            return
+        heapq.heappush(self._latest_starts, waiting.latest_start(entry))
+
     def _charge(self, item: Item) -> None:
         """Charges the cost of a started item to its plan and workspace."""
         weight = self._weight(item.plan)
@@ -392,20 +310,3 @@
     def _weight(self, plan: str) -> float:
         """Returns the weight of a plan."""
         return max(self._shares.get(plan, 0.0), start_tags.MIN_WEIGHT)
-
-
-def _hopeless(item: Item, now_s: float) -> bool:
-    """Returns whether an item would miss its deadline if started now."""
-    return _slack_s(item, now_s) < 0.0
-
-
-def _slack_s(item: Item, now_s: float) -> float:
-    """Returns how long an item may still wait."""
-    return item.deadline_s - item.expected_run_s - now_s
-
-
-def _first_hopeful(lane: list[_Waiting], now_s: float) -> _Waiting | None:
-    """Returns the first item of a lane that can meet its deadline."""
-    return next(
-        (entry for entry in lane if not _hopeless(entry.item, now_s)), None
-    )
