Give control orders under leases, and load lost layer ranges again

A few entries of a data centre bid for the lease of each model; its holder orders the idlest target of the richest layer range to load a range that has no live target. Agents read the lease before each order: a fence that read it once accepted the order of a paused holder whose successor had given this target no order yet.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -13,10 +13,12 @@
 from hemlocktiller._internal.agent import engine as engine_module
 from hemlocktiller._internal.agent import heads as heads_module
 from hemlocktiller._internal.agent import introductions
+from hemlocktiller._internal.agent import orders
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.agent import services as services_module
+from hemlocktiller._internal.control import fence
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.observe import admin
@@ -25,6 +27,8 @@
 
 LOAD_INTERVAL_S = 1.0
 ENGINE_POLL_S = 0.2
+LOADING = "loading"
+MAX_PAUSE_S = 60.0
 MAX_PREFIXES = 64
 TARGET_KIND = "target"
 
@@ -56,6 +60,7 @@
         self._watches: list[Any] = []
         self._drained = defer.Deferred()
         self._polling = False
+        self._paused = False
         self._introductions = introductions.Introductions()
         handlers = link_module.Handlers(
             self._on_open, self._on_message, self._on_down
@@ -87,6 +92,10 @@
             self._build_engine()
         else:
             self._build_service()
+        self._orders = orders.Orders(
+            fence.Fence(process.store),
+            orders.Target(self.engine, self._pause, self._resume, self.drain),
+        )
         process.feed.on_change.append(self.door.on_config)
 
     def start(self) -> defer.Deferred[None]:
@@ -277,6 +286,18 @@
             self._report_load()
         self._poll_engine()
 
+    def _pause(self) -> defer.Deferred[bool]:
+        """Takes no new work; tells whether what ran has finished."""
+        self._paused = True
+        self.door.unready = LOADING
+        self.door.refuse_waiting(LOADING)
+        self._report_load()
+        return process_module.wait_until(self.reactor, self._idle, MAX_PAUSE_S)
+
+    def _resume(self) -> None:
+        self._paused = False
+        self._poll_engine()
+
     def _on_target_died(self) -> None:
         name = self.settings["name"]
         self.process.suspects.died(name, self._running_s())
@@ -296,7 +317,7 @@
         self._polling = False
         changed = self.engine_info != info
         self.engine_info = info
-        self.door.unready = ""
+        self.door.unready = LOADING if self._paused else ""
         if changed:
             log.info("the engine holds {}", info)
             self._register()
@@ -384,6 +405,8 @@
         kind = message["type"]
         if kind in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
+        elif kind == "order":
+            self._orders.on_order(link, message)
         elif kind == "targets_wanted":
             self._introductions.on_wanted(link, self.links, self.record)
         elif kind == "targets":
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -213,7 +213,7 @@
         waiting = self._running.pop(_name(done.key), None)
         if waiting is None:
             return
-        started_s = self._started_s.pop(waiting.item.request)
+        del self._started_s[waiting.item.request]
         item = waiting.item
         prompt_tokens = item.cost_tokens - waiting.message.get("max_tokens", 0)
         actual_tokens = max(prompt_tokens, 0) + done.token_count
@@ -222,12 +222,7 @@
         )
         served = self.served_tokens.get(item.plan, 0.0)
         self.served_tokens[item.plan] = served + actual_tokens
-        self.rates.done(
-            actual_tokens,
-            self._reactor.seconds() - started_s,
-            done.token_count,
-            waiting.message.get("max_tokens", 0),
-        )
+        self.rates.done(actual_tokens)
         self._reactor.callLater(0, self.pump)
 
     def cancel(self, key: runs.Key) -> bool:
@@ -276,16 +271,13 @@
             message["cost_tokens"],
             message["worth"],
             self._reactor.seconds() + message["expires_in_s"],
-            self.rates.expected_run_s(message.get("max_tokens", 0)),
         )
 
     def _is_hopeless(self, message: Any) -> bool:
-        """Tells whether a request can't be answered in time behind others."""
+        """Tells whether a request can't even start in time behind others."""
         if not self.rates.known or not self._waiting:
             return False
-        item = self._item(message)
-        wait_s = self._wait_s(item)
-        return wait_s + item.expected_run_s > message["expires_in_s"]
+        return self._wait_s(self._item(message)) > message["expires_in_s"]
 
     def _wait_s(self, item: fair_queue.Item) -> float:
         rate = max(self.rates.tokens_per_s, MIN_TOKENS_PER_S)
--- a/src/hemlocktiller/_internal/control/fence.py
+++ b/src/hemlocktiller/_internal/control/fence.py
@@ -1,10 +1,10 @@
 """Refuses control orders of earlier lease holders, beside the target.
 
-A fence keeps the highest fencing number seen for each lease. A process
-that has just started has seen none, so it first reads the lease, and
-refuses orders while it can't. Orders under one lease are carried out one
-after the other, so that an order which was let through can't overtake a
-later holder's order on its way to the target.
+A fence keeps the highest fencing number seen for each lease. It reads the
+lease before each order, since a new holder may have given this target no
+order yet, and refuses orders while it can't. Orders under one lease are
+carried out one after the other, so that an order which was let through
+can't overtake a later holder's order on its way to the target.
 """
 
 from collections.abc import Callable
@@ -50,7 +50,7 @@
 
         Raises:
             StaleFence: A higher number was seen.
-            StoreUnavailable: The lease was not read yet and can't be.
+            StoreUnavailable: The lease can't be read.
         """
         turn = self._turns.setdefault(name, defer.DeferredLock())
         return turn.run(
@@ -75,8 +75,8 @@
         return await defer.maybeDeferred(order)
 
     async def _read_highest(self, name):
-        if name not in self._highest:
-            stored = await self._store.read(lease.KIND, name)
-            number = stored.value["fencing_number"] if stored else 0
-            self._highest[name] = number
-        return self._highest[name]
+        stored = await self._store.read(lease.KIND, name)
+        number = stored.value["fencing_number"] if stored else 0
+        highest = max(number, self._highest.get(name, 0))
+        self._highest[name] = highest
+        return highest
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -7,6 +7,7 @@
 
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.entry import attempts
+from hemlocktiller._internal.entry import controller
 from hemlocktiller._internal.entry import pages as pages_module
 from hemlocktiller._internal.entry import registry as registry_module
 from hemlocktiller._internal.entry import seeds
@@ -50,9 +51,16 @@
             ),
             process.rng,
         )
+        self._controller = controller.Controller(
+            process.store,
+            self.settings,
+            self.targets,
+            lambda: self._entries,
+            self.reactor,
+        )
         self._has_listing = False
         self._seeds = self._build_seeds()
-        self._entries: set[str] = {self.settings["name"]}
+        self._entries = {self.settings["name"]: self.settings["data_centre"]}
         self.registry.entries = lambda: len(self._entries)
         self.registry.shared = attempts.Shared(
             self.reactor,
@@ -95,6 +103,7 @@
         }
         self._start_watches()
         self._seeds.start()
+        self._controller.start()
         process_module.register(
             self.process, ENTRY_KIND, self.settings["name"], self.record
         )
@@ -126,6 +135,7 @@
             "ready": self.unready_reason() == "",
             "unready": self.unready_reason(),
             "requests": len(self.registry),
+            "leases": self._controller.held(),
             "targets": {
                 name: _target_state(target)
                 for name, target in sorted(self.targets.by_name.items())
@@ -156,6 +166,7 @@
             )
         )
         self._seeds.stop()
+        self._controller.stop()
         for one in self._watches:
             one.stop()
         self.targets.stop()
@@ -224,9 +235,12 @@
     ) -> None:
         if whole:
             self._entries.clear()
-        self._entries.update(stored.name for stored in changed)
-        self._entries.difference_update(deleted)
-        self._entries.add(self.settings["name"])
+        for stored in changed:
+            self._entries[stored.name] = stored.value["data_centre"]
+        for name in deleted:
+            self._entries.pop(name, None)
+        name = self.settings["name"]
+        self._entries[name] = self.settings["data_centre"]
 
     def _on_open(self, target: targets_module.Target) -> None:
         self.process.feed.on_open(target.link)
@@ -238,6 +252,8 @@
             self.process.feed.on_message(link, message)
         elif message["type"] == "suspects":
             self.process.suspects.on_message(link, message)
+        elif message["type"] == "order_result":
+            self._controller.on_result(message)
         elif message["type"] == "targets_wanted":
             link.send({"type": "targets", "records": self._records()})
         elif message["type"] == "targets":
