--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -18,12 +18,8 @@
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
 TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
-CALL = {
-    "workspace": "w",
-    "service": "bookings",
-    "idempotency_key": "k",
-    "digest": 1,
-}
+CALL_S = 30.0
+BODY = b'{"item": "hall"}'
 
 
 class Calls(NamedTuple):
@@ -44,26 +40,39 @@
 def booking() -> Calls:
     """Returns the calls of one booking that is made."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), {}, platform.clock)
+    claims = claims_module.Claims(platform.store(), "p0")
     before = _total(platform)
-    begun = platform.result(claims.begin(CALL))
-    answer = claims_module.Answer(200, "application/json", b"{}")
-    platform.result(claims.finish(begun, answer))
+    _book(platform, claims, "r0")
     return _since(platform, before)
 
 
 def repeated_booking() -> Calls:
     """Returns the calls of a booking that was made before."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), {}, platform.clock)
-    begun = platform.result(claims.begin(CALL))
-    answer = claims_module.Answer(200, "application/json", b"{}")
-    platform.result(claims.finish(begun, answer))
+    claims = claims_module.Claims(platform.store(), "p0")
+    _book(platform, claims, "r0")
     before = _total(platform)
-    platform.result(claims.begin(CALL))
+    _begin(platform, claims, "r1")
     return _since(platform, before)
 
 
+def _begin(platform, claims, request):
+    """Claims a booking under the same key as all others."""
+    name = claims_module.claim_name("w", "bookings", "key", request)
+    fingerprint = claims_module.fingerprint("POST", "/bookings", BODY)
+    ends_at_s = platform.clock.seconds() + CALL_S
+    return platform.result(
+        claims.begin(name, fingerprint, request, 1, ends_at_s)
+    )
+
+
+def _book(platform, claims, request):
+    """Claims a booking and records its answer."""
+    begun = _begin(platform, claims, request)
+    answer = claims_module.outcome(200, "application/json", b"{}")
+    platform.result(claims.finish(begun.claim, answer))
+
+
 def restart() -> Calls:
     """Returns the calls of a planned stop and start of one agent."""
     platform = memory.MemoryPlatform()
--- a/src/hemlocktiller/_internal/cli/program.py
+++ b/src/hemlocktiller/_internal/cli/program.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal import settings as settings_module
 from hemlocktiller._internal.observe import logs
+from hemlocktiller._internal.observe import metrics
 
 
 @dataclasses.dataclass
@@ -54,6 +55,7 @@
     logs.configure(settings["name"])
 
     def start(clock: Any) -> Any:
+        metrics.probe_loop(clock)
         return build(process_module.create(clock, settings, role)).start()
 
     task.react(start)
