--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -175,6 +175,12 @@
     print(f"booking: {store_calls.booking()}")
     print(f"booking again: {store_calls.repeated_booking()}")
     print(f"restart of an agent: {store_calls.restart()}")
+    for bidders in (1, 3, 21):
+        reads, writes = store_calls.held_lease(bidders)
+        print(
+            f"lease with {bidders} bidders: {reads:.2f} reads/s,"
+            f" {writes:.2f} writes/s"
+        )
     sizes = (5, 10, 20)
     idle = {
         count: {"calls": store_calls.idle_watches(count)} for count in sizes
--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -11,6 +11,7 @@
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.store import watch
 from tests.fakes import memory
 
@@ -18,8 +19,18 @@
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
 TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
-CALL_S = 30.0
-BODY = b'{"item": "hall"}'
+SETTLE_S = 30.0
+CALL = {
+    "workspace": "w",
+    "service": "bookings",
+    "idempotency_key": "key",
+    "request": "r0",
+    "attempt": 1,
+    "method": "POST",
+    "path": "/bookings",
+    "body": b'{"item": "hall"}',
+    "expires_in_s": 30.0,
+}
 
 
 class Calls(NamedTuple):
@@ -40,37 +51,51 @@
 def booking() -> Calls:
     """Returns the calls of one booking that is made."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), "p0")
+    claims = _claims(platform)
     before = _total(platform)
-    _book(platform, claims, "r0")
+    _book(platform, claims)
     return _since(platform, before)
 
 
 def repeated_booking() -> Calls:
     """Returns the calls of a booking that was made before."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), "p0")
-    _book(platform, claims, "r0")
+    claims = _claims(platform)
+    _book(platform, claims)
     before = _total(platform)
-    _begin(platform, claims, "r1")
+    platform.result(claims.begin({**CALL, "request": "r1"}))
     return _since(platform, before)
 
 
-def _begin(platform, claims, request):
-    """Claims a booking under the same key as all others."""
-    name = claims_module.claim_name("w", "bookings", "key", request)
-    fingerprint = claims_module.fingerprint("POST", "/bookings", BODY)
-    ends_at_s = platform.clock.seconds() + CALL_S
-    return platform.result(
-        claims.begin(name, fingerprint, request, 1, ends_at_s)
+def _claims(platform):
+    return claims_module.Claims(
+        platform.store(), claims_module.ROUTER_SETTINGS, platform.clock
     )
 
 
-def _book(platform, claims, request):
+def _book(platform, claims):
     """Claims a booking and records its answer."""
-    begun = _begin(platform, claims, request)
-    answer = claims_module.outcome(200, "application/json", b"{}")
-    platform.result(claims.finish(begun.claim, answer))
+    begun = platform.result(claims.begin(CALL))
+    answer = claims_module.Answer(200, "application/json", b"{}")
+    platform.result(claims.finish(begun, answer))
+
+
+def held_lease(bidders: int) -> tuple[float, float]:
+    """Returns reads and writes a second of one lease with its bidders."""
+    platform = memory.MemoryPlatform()
+    for number in range(bidders):
+        lease_module.Lease(
+            platform.store(f"entry-{number}"),
+            "lease",
+            lease_module.DEFAULT_SETTINGS,
+            platform.clock,
+            monotonic_s=platform.clock.seconds,
+        ).start()
+    platform.run(SETTLE_S)
+    before = _total(platform)
+    platform.run(IDLE_S)
+    calls = _since(platform, before)
+    return calls.reads / IDLE_S, calls.writes / IDLE_S
 
 
 def restart() -> Calls:
