Send heartbeats and load reports only when they tell something

Cause: both ends of a link beat twice a second and each agent reported its load every second whether it changed or not; 20 idle links took 18,211 bytes/s of the 4,096 that a node may spend on control. Ruled out: the size of the messages, which is 56 and 224 bytes before headers. Now the dialling end alone beats, an idle link beats every 4 s, a link that carries messages both ways does not beat, and reports go out on change or every 30 s, with prefixes that are new.

Agents no longer watch the configuration and the VM list: 5,600 waiting calls at the target. Entries pass both on; an agent reads the configuration at its start and while no entry is linked.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -1,5 +1,6 @@
 """Builds an agent from its settings and connects its parts."""
 
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -13,6 +14,7 @@
 from hemlocktiller._internal.agent import engine as engine_module
 from hemlocktiller._internal.agent import heads as heads_module
 from hemlocktiller._internal.agent import introductions
+from hemlocktiller._internal.agent import load_reports
 from hemlocktiller._internal.agent import orders
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
@@ -23,13 +25,12 @@
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import prefixes as prefixes_module
-from hemlocktiller._internal.store import vms as vms_module
 
 LOAD_INTERVAL_S = 1.0
+CONFIG_CHECK_S = 2.0
 ENGINE_POLL_S = 0.2
 LOADING = "loading"
 MAX_PAUSE_S = 60.0
-MAX_PREFIXES = 64
 TARGET_KIND = "target"
 
 log = logbook.Logger(__name__)
@@ -56,8 +57,7 @@
         self.links: set[link_module.Link] = set()
         self.admin_port = 0
         self.link_port = 0
-        self._prefixes: dict[int, None] = {}
-        self._watches: list[Any] = []
+        self._loads = load_reports.LoadReports(self.reactor, self._load)
         self._drained = defer.Deferred()
         self._polling = False
         self._paused = False
@@ -116,7 +116,7 @@
         admin_port = admin.listen(self.reactor, self.settings["admin"], pages)
         self.admin_port = admin_port.getHost().port
         self._start_loops()
-        self._start_watches()
+        process_module.read_config(self.process)
         if self.engine is not None:
             self._poll_engine()
         else:
@@ -178,8 +178,6 @@
         )
         yield process_module.wait_until(self.reactor, self._idle, timeout_s)
         yield removal
-        for watch in self._watches:
-            watch.stop()
         self._listening.stopListening()
         self.peers.stop()
         for link in list(self.links):
@@ -227,24 +225,22 @@
         )
 
     def _start_loops(self) -> None:
-        loop = task.LoopingCall(self._report_load)
+        self._loop(self._report_load, LOAD_INTERVAL_S)
+        self._loop(self._read_config, CONFIG_CHECK_S)
+
+    def _loop(self, function: Callable[[], Any], interval_s: float) -> None:
+        loop = task.LoopingCall(function)
         loop.clock = self.reactor
-        loop.start(LOAD_INTERVAL_S, now=False)
-
-    def _start_watches(self) -> None:
-        self._watches.append(process_module.follow_config(self.process))
-        if self.settings["vm"]:
-            self._watches.append(
-                vms_module.follow(
-                    self.process.store,
-                    self.settings["vm_poll_s"],
-                    self._on_vms,
-                )
-            )
+        loop.start(interval_s, now=False).addErrback(process_module.log_end)
+
+    def _read_config(self) -> None:
+        """Reads the configuration if no entry can pass it on."""
+        if self._entry_links() and self.process.feed.version():
+            return
+        process_module.read_config(self.process)
 
-    def _on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
-        vm = vms.get(self.settings["vm"])
-        if vm is not None and vm.state == vms_module.LEAVING:
+    def _on_vm_leaving(self, message: Any) -> None:
+        if message["vm"] == self.settings["vm"]:
             self.drain("VM list")
 
     def _register(self) -> None:
@@ -362,11 +358,7 @@
         if message["type"] == "call":
             self.services.begin(message, link)
             return
-        for digest in prefixes_module.digests(message["prompt"]):
-            self._prefixes.pop(digest, None)
-            self._prefixes[digest] = None
-        while len(self._prefixes) > MAX_PREFIXES:
-            del self._prefixes[next(iter(self._prefixes))]
+        self._loads.note_prefixes(prefixes_module.digests(message["prompt"]))
         self.heads.begin(message, link)
 
     def _on_open(self, link: link_module.Link) -> None:
@@ -378,7 +370,7 @@
             if self.pipeline is not None:
                 self.pipeline.on_peer_up(link.peer["name"])
         else:
-            link.send(self._load())
+            link.send(self._loads.whole())
         if self.door.leaving:
             link.send(
                 {
@@ -405,6 +397,8 @@
         kind = message["type"]
         if kind in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
+        elif kind == "vm_leaving":
+            self._on_vm_leaving(message)
         elif kind == "order":
             self._orders.on_order(link, message)
         elif kind == "targets_wanted":
@@ -449,10 +443,10 @@
 
     def _report_load(self) -> None:
         self.door.sample_rate()
-        message = self._load()
-        for link in list(self.links):
-            if link.peer["role"] == "entry":
-                link.send(message)
+        self._loads.send(self._entry_links())
+
+    def _entry_links(self) -> list[link_module.Link]:
+        return [link for link in self.links if link.peer["role"] == "entry"]
 
     def _load(self) -> dict[str, Any]:
         stages = len(self.pipeline.runs) if self.pipeline else 0
@@ -466,5 +460,4 @@
             "tokens_per_s": self.door.rates.tokens_per_s,
             "leaving": self.unready_reason() != "",
             "plan_served_tokens": dict(self.door.served_tokens),
-            "prefixes": list(reversed(self._prefixes)),
         }
--- a/src/hemlocktiller/_internal/entry/controller.py
+++ b/src/hemlocktiller/_internal/entry/controller.py
@@ -12,9 +12,9 @@
 import logbook
 import prometheus_client
 from twisted.internet import task
-from twisted.python import failure
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.control import placement
 from hemlocktiller._internal.entry import targets as targets_module
@@ -81,7 +81,7 @@
     def start(self) -> None:
         """Starts to bid and to watch."""
         running = self._loop.start(INTERVAL_S, now=False)
-        running.addErrback(_log_end)
+        running.addErrback(process_module.log_end)
 
     def stop(self) -> None:
         """Gives the leases back."""
@@ -193,10 +193,6 @@
         )
 
 
-def _log_end(reason: failure.Failure) -> None:
-    log.error("control has stopped: {}", reason.getTraceback())
-
-
 def _number(model: Model) -> int | None:
     """Returns the fencing number, or None while the lease is not held."""
     try:
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -183,8 +183,15 @@
 
     def _check_vm(self, target: Target) -> None:
         target.vm_leaving = target.record["vm"] in self._leaving_vms
+        self._tell_vm(target)
         self._refresh(target)
 
+    def _tell_vm(self, target: Target) -> None:
+        """Tells an agent what the VM list says of its VM."""
+        if target.vm_leaving and target.link is not None:
+            message = {"type": "vm_leaving", "vm": target.record["vm"]}
+            target.link.send(message)
+
     def _remove(self, name: str) -> None:
         target = self.by_name.pop(name, None)
         if target is None:
@@ -209,6 +216,7 @@
         if target.process not in ("", process):
             self._died(target)
         target.process = process
+        self._tell_vm(target)
         target.leaving = False
         target.unready = False
         self._refresh(target)
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -12,7 +12,6 @@
 
 import prometheus_client
 from twisted.internet import protocol
-from twisted.internet import task
 from twisted.python import failure
 from websockets import client as ws_client
 from websockets import exceptions as ws_exceptions
@@ -27,6 +26,21 @@
 
 SUBPROTOCOLS = ("hemlocktiller.v1",)
 AUTHORIZATION = "Authorization"
+ACTIVE_S = 20.0  # Time after the last work for which a link is active.
+IDLE_FACTOR = 8.0
+CONTROL_KINDS = frozenset(
+    (
+        "hello",
+        "heartbeat",
+        "load",
+        "leaving",
+        "config",
+        "suspects",
+        "targets",
+        "targets_wanted",
+        "vm_leaving",
+    )
+)
 RTT_WEIGHT = 0.2  # Share of a new sample in the moving average.
 
 FRAMES = prometheus_client.Counter(
@@ -63,11 +77,18 @@
 class Link(protocol.Protocol):
     """State of one link; either end may have dialled it.
 
+    The end that dialled sends heartbeats and the other echoes them. A link
+    that carried no work for a while beats and times out more slowly. One
+    that carries other messages both ways needs no heartbeats.
+
     Attributes:
+        beats: Whether this end sends heartbeats.
         peer: The peer's hello, or None before it arrived.
         rtt_s: Moving average of the heartbeat's round trip.
     """
 
+    beats = False
+
     def __init__(
         self, reactor: Any, settings: Any, local: Local, handlers: Handlers
     ) -> None:
@@ -84,16 +105,16 @@
         self._sent_s: dict[int, float] = {}
         self._down_reason = "closed"
         self._down = False
-        self._heartbeat = task.LoopingCall(self._beat)
-        self._heartbeat.clock = reactor
+        self._worked_s = -ACTIVE_S
+        self._said_s = -ACTIVE_S
+        self._timer: Any = None
 
     def connectionMade(self) -> None:
         """Starts the handshake and the silence timer."""
         self.transport.setTcpNoDelay(True)
         self._heard_s = self._reactor.seconds()
         self._begin()
-        interval_s = self._settings["heartbeat_interval_s"]
-        self._heartbeat.start(interval_s, now=False)
+        self._beat_later()
 
     def dataReceived(self, data: bytes) -> None:
         """Feeds received bytes to the websocket protocol."""
@@ -111,8 +132,7 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Tells the owner that the link is down, once."""
-        if self._heartbeat.running:
-            self._heartbeat.stop()
+        self._stop_timer()
         was_up = self.up
         self.up = False
         if self._down:
@@ -130,6 +150,8 @@
         """
         if not self.up:
             raise exceptions.LinkDown("the link is not open")
+        self._note_work(message)
+        self._said_s = self._reactor.seconds()
         self._send_now(message)
 
     def close(self) -> None:
@@ -174,6 +196,7 @@
         else:
             if kind == "heartbeat":
                 self._on_heartbeat(message)
+            self._note_work(message)
             self._handlers.on_message(self, message)
 
     def _on_hello(self, message: codec.Message) -> None:
@@ -195,15 +218,48 @@
             }
         )
 
+    @property
+    def _pace(self) -> float:
+        """How much longer than on an active link the intervals are."""
+        idle_s = self._reactor.seconds() - self._worked_s
+        return IDLE_FACTOR if self.up and idle_s > ACTIVE_S else 1.0
+
+    def _note_work(self, message: codec.Message) -> None:
+        """Returns to the short intervals when there is work again."""
+        if message["type"] in CONTROL_KINDS:
+            return
+        was_idle = self._pace > 1.0
+        now_s = self._reactor.seconds()
+        self._worked_s = now_s
+        if was_idle:
+            self._heard_s = now_s
+            self._stop_timer()
+            self._beat()
+
+    def _is_lively(self, now_s: float) -> bool:
+        """Tells whether other messages show both ends that the link lives."""
+        oldest_s = min(self._heard_s, self._said_s)
+        return now_s - oldest_s < self._settings["heartbeat_interval_s"]
+
+    def _beat_later(self) -> None:
+        wait_s = self._settings["heartbeat_interval_s"] * self._pace
+        self._timer = self._reactor.callLater(wait_s, self._beat)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
     def _beat(self) -> None:
         now_s = self._reactor.seconds()
-        if now_s - self._heard_s > self._settings["silence_timeout_s"]:
+        silence_s = self._settings["silence_timeout_s"] * self._pace
+        if now_s - self._heard_s > silence_s:
             self.abort("silence")
             return
-        if self.up:
+        if self.up and self.beats and not self._is_lively(now_s):
             self._sequence += 1
             self._sent_s = {self._sequence: now_s}
             self._send_heartbeat(self._sequence, echo=False)
+        self._beat_later()
 
     def _send_heartbeat(self, sequence: int, echo: bool) -> None:
         self._send_now(
@@ -249,6 +305,8 @@
 class DialledLink(Link):
     """The end that opened the connection."""
 
+    beats = True
+
     def _new_ws(self) -> ws_protocol.Protocol:
         return ws_client.ClientProtocol(
             ws_uri.parse_uri("ws://link/link"),
--- a/src/hemlocktiller/_internal/process.py
+++ b/src/hemlocktiller/_internal/process.py
@@ -10,9 +10,9 @@
 import logbook
 import prometheus_client
 from twisted.internet import defer
+from twisted.python import failure
 
 from hemlocktiller._internal.config import check
-from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import config_feed
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import suspects_feed
@@ -31,6 +31,10 @@
     "hemlocktiller_config_with_findings",
     "Stored configurations that were not put in force",
 )
+READS_FAILED = prometheus_client.Counter(
+    "hemlocktiller_config_reads_failed",
+    "Reads of the configuration that the object API did not answer",
+)
 
 log = logbook.Logger(__name__)
 
@@ -78,18 +82,35 @@
 
 def follow_config(process: Process) -> watch.Watch:
     """Puts each configuration of the object API in force."""
+    return watch.follow(
+        process.store,
+        CONFIG_KIND,
+        CONFIG_NAME,
+        lambda stored: _take_config(process, stored),
+    )
+
+
+def read_config(process: Process) -> None:
+    """Reads the configuration once and puts it in force."""
+    read = process.store.read(CONFIG_KIND, CONFIG_NAME)
+    read.addCallback(lambda stored: _take_config(process, stored))
+    read.addErrback(lambda reason: READS_FAILED.inc())
+
+
+def log_end(reason: failure.Failure) -> None:
+    """Logs that a repeated call has ended with an error."""
+    log.error("a loop has ended: {}", reason.getTraceback())
 
-    def on_object(stored: client.StoredObject | None) -> None:
-        if stored is None:
-            return
-        found = check.check(stored.value)
-        if found:
-            REJECTED.inc()
-            log.error("configuration {}: {}", stored.version, found)
-            return
-        process.feed.offer(snapshot_module.build(stored.version, stored.value))
 
-    return watch.follow(process.store, CONFIG_KIND, CONFIG_NAME, on_object)
+def _take_config(process: Process, stored: client.StoredObject | None) -> None:
+    if stored is None:
+        return
+    accepted = check.accept(stored.version, stored.value)
+    if accepted.is_error():
+        REJECTED.inc()
+        log.error("configuration {}: {}", stored.version, accepted.error)
+        return
+    process.feed.offer(accepted.ok)
 
 
 def on_sigterm(reactor: Any, drain: Callable[[str], None]) -> None:
--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -101,7 +101,6 @@
     store: Store
     links: Links
     drain: NotRequired[Drain]
-    vm_poll_s: NotRequired[float]
     trace_sample_ratio: NotRequired[float]
     link: Address
     accelerator_kind: NotRequired[str]
@@ -123,7 +122,6 @@
     store: Store
     links: Links
     drain: NotRequired[Drain]
-    vm_poll_s: NotRequired[float]
     trace_sample_ratio: NotRequired[float]
     link: Address
     accelerator_kind: NotRequired[str]
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -1903,6 +1903,36 @@
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
 
 
+NoneType = type(None)
+
+def check_vm_leaving(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'vm'], 'properties': {'type': {'const': 'vm_leaving', 'type': 'string'}, 'vm': {'type': 'string'}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'vm']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'vm'], 'properties': {'type': {'const': 'vm_leaving', 'type': 'string'}, 'vm': {'type': 'string'}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'vm_leaving', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'vm_leaving'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: vm_leaving", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'vm_leaving', 'type': 'string'}, rule='const')
+        if "vm" in data_keys:
+            data_keys.remove("vm")
+            data__vm = data["vm"]
+            if not isinstance(data__vm, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".vm must be string", value=data__vm, name="" + (name_prefix or "data") + ".vm", definition={'type': 'string'}, rule='type')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'vm'], 'properties': {'type': {'const': 'vm_leaving', 'type': 'string'}, 'vm': {'type': 'string'}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
 NoneType = type(None)
 
 def check_targets_wanted(data, custom_formats={}, name_prefix=None):
@@ -2083,6 +2113,7 @@
     'call_result': check_call_result,
     'order': check_order,
     'order_result': check_order_result,
+    'vm_leaving': check_vm_leaving,
     'targets_wanted': check_targets_wanted,
     'targets': check_targets,
 }
@@ -2112,6 +2143,7 @@
     'call_result': [('body',)],
     'order': [],
     'order_result': [],
+    'vm_leaving': [],
     'targets_wanted': [],
     'targets': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -398,6 +398,15 @@
     max_running: int
 
 
+class VmLeaving(TypedDict, closed=True):
+    """
+    The VM list says that the receiver's VM leaves.
+    """
+
+    type: Literal['vm_leaving']
+    vm: str
+
+
 class TargetsWanted(TypedDict, closed=True):
     """
     Asks for the registrations that the receiver, or an entry linked to it, knows.
@@ -449,6 +458,7 @@
     | CallResult
     | Order
     | OrderResult
+    | VmLeaving
     | TargetsWanted
     | Targets
 )
--- a/tests/functional/harness.py
+++ b/tests/functional/harness.py
@@ -240,6 +240,7 @@
         """Starts an entry."""
         settings = self._settings(name) | {
             "callers": {"host": "127.0.0.1", "port": 0},
+            "vm_poll_s": 0.25,
             **fields,
         }
         settings["links"]["seeds"] = self._seeds()
@@ -265,7 +266,6 @@
             "name": name,
             "data_centre": DATA_CENTRE,
             "vm": f"vm-{name}",
-            "vm_poll_s": 0.25,
             "admin": {"host": "127.0.0.1", "port": 0},
             "store": {
                 "url": self.platform.address.url(),
