Bound the wait for a claim's end, and count the store calls of processes

The claims keep the interface that the agent already uses. The end of a claim is waited for at most 1 s; in an outage the caller is not kept waiting until the store is back, and the record is tried in the background.

The state machine now runs 400 examples of 60 steps: at 300 of 40 a trial without the note of a void attempt in a started claim was no longer found; with the longer runs it fails again.

--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -18,12 +18,6 @@
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
 TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
-CALL = {
-    "workspace": "w",
-    "service": "bookings",
-    "idempotency_key": "k",
-    "digest": 1,
-}
 
 
 class Calls(NamedTuple):
@@ -44,26 +38,27 @@
 def booking() -> Calls:
     """Returns the calls of one booking that is made."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), {}, platform.clock)
-    before = _total(platform)
-    begun = platform.result(claims.begin(CALL))
-    answer = claims_module.Answer(200, "application/json", b"{}")
-    platform.result(claims.finish(begun, answer))
-    return _since(platform, before)
+    _book(platform)
+    return _total(platform)
 
 
 def repeated_booking() -> Calls:
     """Returns the calls of a booking that was made before."""
     platform = memory.MemoryPlatform()
-    claims = claims_module.Claims(platform.store(), {}, platform.clock)
-    begun = platform.result(claims.begin(CALL))
-    answer = claims_module.Answer(200, "application/json", b"{}")
-    platform.result(claims.finish(begun, answer))
+    _book(platform)
     before = _total(platform)
-    platform.result(claims.begin(CALL))
+    _book(platform)
     return _since(platform, before)
 
 
+def _book(platform):
+    claims = claims_module.Claims(platform.store(), "agent")
+    begun = platform.result(claims.begin("name", "digest", "r", 1, IDLE_S))
+    if isinstance(begun, claims_module.Begun):
+        answer = claims_module.outcome(200, "application/json", b"{}")
+        platform.result(claims.finish(begun.claim, answer))
+
+
 def restart() -> Calls:
     """Returns the calls of a planned stop and start of one agent."""
     platform = memory.MemoryPlatform()
--- a/src/hemlocktiller/_internal/agent/claims.py
+++ b/src/hemlocktiller/_internal/agent/claims.py
@@ -12,7 +12,6 @@
 import hashlib
 import json
 import secrets
-from typing import Any
 from typing import NamedTuple
 
 import logbook
@@ -23,22 +22,16 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.agent import claim_rules
-from hemlocktiller._internal.schemas import agent_settings
-from hemlocktiller._internal.schemas import messages
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
 KIND = "claim"
+CLAIM_TTL_S = 86_400.0
 RECORDED_BODY_BYTES_MAX = 65_536
+RETRY_AFTER_S = 5.0
 CONTENTION_TRIES = 8
 DISPATCH_ID_BYTES = 12
 SETTLE_WAIT_S = 1.0
-ROUTER_SETTINGS: agent_settings.Service = {
-    "name": "",
-    "url": "",
-    "timeout_s": 0.0,
-    "claim_ttl_s": 86_400.0,
-}
 
 _LOG = logbook.Logger(__name__)
 _BEGINS = prometheus_client.Counter(
@@ -48,22 +41,15 @@
     "hemlocktiller_claims_unsettled", "Claims whose end is not written yet"
 )
 
+Recorded = claim_rules.Recorded
 InProgress = claim_rules.InProgress
 OutcomeUnknown = claim_rules.OutcomeUnknown
 Mismatch = claim_rules.Mismatch
 Void = claim_rules.Void
 
 
-class Answer(NamedTuple):
-    """An answer of the service; a recorded one may lack a large body."""
-
-    status: int
-    content_type: str
-    body: bytes
-
-
-class Begun(NamedTuple):
-    """The call may be dispatched once, under this claim.
+class Claim(NamedTuple):
+    """A claim that this process holds.
 
     Attributes:
         name: Name of the claim.
@@ -76,35 +62,46 @@
     stored: client.StoredObject
 
 
-class Recorded(NamedTuple):
-    """The call ran before, with this answer."""
-
-    answer: Answer
-    body_omitted: bool
-
-
-class Unavailable(NamedTuple):
-    """The claim could not be made, so nothing ran."""
+class Begun(NamedTuple):
+    """The call may be dispatched once, under this claim."""
 
-    reason: str
+    claim: Claim
 
 
-def claim_name(call: messages.Call) -> str:
+def claim_name(workspace: str, service: str, key: str, request: str) -> str:
     """Returns the name of the claim of a call.
 
-    The request id stands in for a missing idempotency key.
+    Args:
+        workspace: Workspace name.
+        service: Service name.
+        key: Idempotency key; empty if the caller gave none.
+        request: Request id, which stands in for a missing key.
     """
-    identity = ["key", call["idempotency_key"]]
-    if not call["idempotency_key"]:
-        identity = ["request", call["request"]]
-    place = [call["workspace"], call["service"], *identity]
-    return _digest(json.dumps(place).encode())
+    identity = ["key", key] if key else ["request", request]
+    return _digest(json.dumps([workspace, service, *identity]).encode())
 
 
-def fingerprint(call: messages.Call) -> str:
+def fingerprint(method: str, path: str, body: bytes) -> str:
     """Returns the digest that tells one call of a key from another."""
-    place = json.dumps([call["method"], call["path"]])
-    return _digest(place.encode() + call["body"])
+    return _digest(json.dumps([method, path]).encode() + body)
+
+
+def outcome(
+    status: int, content_type: str, body: bytes
+) -> claim_rules.Outcome:
+    """Returns the record of an answer; a large body is left out."""
+    is_large = len(body) > RECORDED_BODY_BYTES_MAX
+    return {
+        "status": status,
+        "content_type": content_type,
+        "body": "" if is_large else base64.b64encode(body).decode(),
+        "body_omitted": is_large,
+    }
+
+
+def outcome_body(recorded: claim_rules.Outcome) -> bytes:
+    """Returns the body of a recorded answer."""
+    return base64.b64decode(recorded["body"])
 
 
 class Claims:
@@ -112,19 +109,19 @@
 
     Args:
         store: Client of the object API.
-        settings: Settings of the service; `ROUTER_SETTINGS` for a router.
-        reactor: Reactor that times the retries.
+        process: Process id, new at each start.
+        ttl_s: Time in seconds that a claim is kept.
     """
 
     def __init__(
         self,
         store: client.ObjectStore,
-        settings: agent_settings.Service,
-        reactor: Any,
+        process: str,
+        ttl_s: float = CLAIM_TTL_S,
     ):
         self._store = store
-        self._settings = settings
-        self._reactor = reactor
+        self._process = process
+        self._ttl_s = ttl_s
         self._settling: set[defer.Deferred] = set()
         self._stopped = False
 
@@ -134,55 +131,72 @@
         return len(self._settling)
 
     def begin(
-        self, call: messages.Call
-    ) -> (
-        "defer.Deferred[Begun | Recorded | Unavailable | claim_rules.Verdict]"
-    ):
+        self,
+        name: str,
+        fingerprint: str,
+        request: str,
+        attempt: int,
+        ends_at_s: float,
+    ) -> "defer.Deferred[Begun | claim_rules.Verdict]":
         """Claims a call directly before its dispatch.
 
         Only `Begun` allows the dispatch; with every other result, this
         attempt did not run and never will.
+
+        Args:
+            name: Name of the claim; see `claim_name`.
+            fingerprint: Digest of the call; see `fingerprint`.
+            request: Request id.
+            attempt: Attempt number within the request.
+            ends_at_s: When the dispatch is over at the latest, in seconds
+                since the epoch.
+
+        Raises:
+            StoreDown: The claim could not be made, so nothing ran.
         """
         dispatch = secrets.token_hex(DISPATCH_ID_BYTES)
-        return defer.Deferred.fromCoroutine(
-            self._begin(claim_name(call), self._attempt(call, dispatch))
+        made = self._attempt(
+            request, attempt, fingerprint, dispatch, ends_at_s
         )
+        return defer.Deferred.fromCoroutine(self._begin(name, made))
 
-    def finish(self, begun: Begun, answer: Answer) -> "defer.Deferred[None]":
+    def finish(
+        self, claim: Claim, recorded: claim_rules.Outcome
+    ) -> "defer.Deferred[None]":
         """Records the answer.
 
         Fires once it is written, or after `SETTLE_WAIT_S` while it is
         still being tried: the answer may go to the caller then, since the
         claim keeps the call from running again in any case.
         """
-        outcome = _outcome(answer)
-        return self._end(begun, claim_rules.FINISHED, outcome)
+        return self._end(claim, claim_rules.FINISHED, recorded)
 
-    def lose(self, begun: Begun) -> "defer.Deferred[None]":
+    def lose(self, claim: Claim) -> "defer.Deferred[None]":
         """Records that the call may have run without a known answer."""
-        return self._end(begun, claim_rules.UNKNOWN, None)
+        return self._end(claim, claim_rules.UNKNOWN, None)
 
-    def not_run(self, begun: Begun) -> "defer.Deferred[None]":
+    def not_run(self, claim: Claim) -> "defer.Deferred[None]":
         """Records that the service provably never got the call.
 
         Fires like `finish`; another attempt may claim the call once it is
         written, so wait for it before the answer that allows one.
         """
-        return self._end(begun, claim_rules.VOID, None)
+        return self._end(claim, claim_rules.VOID, None)
 
-    def void(self, call: messages.Call) -> "defer.Deferred[Any]":
+    def void(
+        self, name: str, request: str, attempt: int
+    ) -> "defer.Deferred[claim_rules.Verdict]":
         """Keeps an attempt from ever starting, for a router.
 
-        Fires with `Void`, which proves that the attempt did not run and
-        never will, or with what else is known, as `begin` does.
+        `Void` proves that the attempt did not run and never will; with
+        every other result it may have run.
 
         Raises:
             StoreUnavailable: Nothing is proved.
             WriteUnknown: Nothing is proved.
         """
-        return defer.Deferred.fromCoroutine(
-            self._void(claim_name(call), self._attempt(call, ""))
-        )
+        made = self._attempt(request, attempt, "", "", self._now_s())
+        return defer.Deferred.fromCoroutine(self._void(name, made))
 
     def stop(self) -> None:
         """Gives up what is not settled yet."""
@@ -190,50 +204,55 @@
         for settling in list(self._settling):
             settling.cancel()
 
-    def _attempt(self, call, dispatch):
-        now_s = self._reactor.seconds()
-        lifetime_s = call["expires_in_s"] + self._settings["timeout_s"]
+    def _now_s(self):
+        return self._store.reactor.seconds()
+
+    def _attempt(self, request, attempt, fingerprint, dispatch, ends_at_s):
         return claim_rules.Attempt(
-            call["request"],
-            call["attempt"],
-            fingerprint(call),
+            request,
+            attempt,
+            fingerprint,
             dispatch,
-            self._store.writer,
-            now_s + lifetime_s,
-            now_s + max(lifetime_s, self._settings["claim_ttl_s"]),
+            self._process,
+            ends_at_s,
+            self._now_s() + self._ttl_s,
         )
 
     async def _begin(self, name, attempt):
         def decide(value):
-            return claim_rules.begin(value, attempt, self._reactor.seconds())
+            return claim_rules.begin(value, attempt, self._now_s())
 
         try:
             verdict, stored = await self._change(name, decide, None)
         except exceptions.WriteUnknown as error:
             self._settle(name, self._voiding(attempt), None)
-            verdict = Unavailable(str(error))
+            raise self._store_down(error) from error
         except exceptions.StoreError as error:
-            verdict = Unavailable(str(error))
+            raise self._store_down(error) from error
         _BEGINS.labels(type(verdict).__name__).inc()
         if isinstance(verdict, claim_rules.Started):
-            return Begun(name, attempt.dispatch, stored)
-        return _public(verdict)
+            return Begun(Claim(name, attempt.dispatch, stored))
+        return verdict
+
+    def _store_down(self, error):
+        _BEGINS.labels("StoreDown").inc()
+        return exceptions.StoreDown(str(error), "no", RETRY_AFTER_S)
 
     async def _void(self, name, attempt):
         verdict, _ = await self._change(name, self._voiding(attempt), None)
-        return _public(verdict)
+        return verdict
 
     def _voiding(self, attempt):
         def decide(value):
-            return claim_rules.void(value, attempt, self._reactor.seconds())
+            return claim_rules.void(value, attempt, self._now_s())
 
         return decide
 
-    def _end(self, begun, state, outcome):
+    def _end(self, claim, state, recorded):
         def decide(value):
-            return claim_rules.end(value, begun.dispatch, state, outcome)
+            return claim_rules.end(value, claim.dispatch, state, recorded)
 
-        return self._settle(begun.name, decide, begun.stored)
+        return self._settle(claim.name, decide, claim.stored)
 
     def _settle(self, name, decide, known):
         """Changes a claim, retrying until it is written or stopped.
@@ -247,7 +266,9 @@
         self._settling.add(settling)
         _UNSETTLED.inc()
         waiting = defer.Deferred()
-        timer = self._reactor.callLater(SETTLE_WAIT_S, waiting.callback, None)
+        timer = self._store.reactor.callLater(
+            SETTLE_WAIT_S, waiting.callback, None
+        )
         settling.addBoth(self._settled, settling)
         settling.addCallback(_fire_early, timer, waiting)
         return waiting
@@ -271,7 +292,7 @@
             if not self._stopped:
                 wait_s = watch.backoff_s(self._store.settings, failures)
                 failures += 1
-                await task.deferLater(self._reactor, wait_s)
+                await task.deferLater(self._store.reactor, wait_s)
         return None
 
     async def _change(
@@ -311,27 +332,6 @@
         raise exceptions.StoreUnavailable(f"claim {name} is contended")
 
 
-def _outcome(answer):
-    """Returns the record of an answer; a large body is left out."""
-    is_large = len(answer.body) > RECORDED_BODY_BYTES_MAX
-    return {
-        "status": answer.status,
-        "content_type": answer.content_type,
-        "body": "" if is_large else base64.b64encode(answer.body).decode(),
-        "body_omitted": is_large,
-    }
-
-
-def _public(verdict):
-    """Returns a verdict with its recorded answer decoded."""
-    if not isinstance(verdict, claim_rules.Recorded):
-        return verdict
-    outcome = verdict.outcome
-    body = base64.b64decode(outcome["body"])
-    answer = Answer(outcome["status"], outcome["content_type"], body)
-    return Recorded(answer, outcome["body_omitted"])
-
-
 def _fire_early(_, timer, waiting):
     if timer.active():
         timer.cancel()
--- a/tests/unit/test_claims_history.py
+++ b/tests/unit/test_claims_history.py
@@ -10,6 +10,7 @@
 from tests.unit import test_claims
 
 PROCESSES = 3
+REQUEST = "r1"
 CRASHES_MAX = 2
 ANSWERS = strategies.sampled_from(["ok", "ok", "refused", "lost", "late"])
 NUMBERS = strategies.integers(0, 1_000)
@@ -51,11 +52,7 @@
         store = scripted_store.ScriptedStore(
             self.objects, f"process-{self.starts}"
         )
-        ledger = claims.Claims(store, test_claims.SETTINGS, self.objects.clock)
-        return store, ledger
-
-    def _call(self, attempt):
-        return {**test_claims.CALL, "attempt": attempt}
+        return store, claims.Claims(store, store.writer)
 
     @stateful.rule(number=PROCESS_NUMBERS)
     def _send(self, number):
@@ -107,13 +104,13 @@
         ledger = made.process[1]
         if how == "u":
             self.said_not_run.add(made.attempt)
-            ledger.not_run(made.begun)
+            ledger.not_run(made.begun.claim)
             return
         self.runs.append(made.attempt)
         if how == "f":
-            ledger.finish(made.begun, test_claims.ANSWER)
+            ledger.finish(made.begun.claim, test_claims.ANSWER)
         if how == "l":
-            ledger.lose(made.begun)
+            ledger.lose(made.begun.claim)
         if how == "c":
             self._crash_process(made.process)
 
@@ -136,7 +133,11 @@
 
     def _deliver(self, number, attempt):
         process = self.processes[number]
-        begun = process[1].begin(self._call(attempt))
+        ends_at_s = self.objects.clock.seconds() + 30.0
+        begun = process[1].begin(
+            test_claims.NAME, test_claims.PRINT, REQUEST, attempt, ends_at_s
+        )
+        begun.addErrback(lambda error: error.trap(exceptions.StoreDown))
         begun.addCallback(self._begin_result, process, attempt)
 
     def _begin_result(self, result, process, attempt):
@@ -146,7 +147,7 @@
             self.said_not_run.add(attempt)
 
     def _void(self, attempt):
-        voided = self.router[1].void(self._call(attempt))
+        voided = self.router[1].void(test_claims.NAME, REQUEST, attempt)
         voided.addCallback(self._void_result, attempt)
         voided.addErrback(lambda error: error.trap(exceptions.StoreError))
 
@@ -181,7 +182,7 @@
 ClaimsHistory.TestCase.settings = hypothesis.settings(
     derandomize=True,
     deadline=None,
-    max_examples=300,
-    stateful_step_count=40,
+    max_examples=400,
+    stateful_step_count=60,
 )
 test_claims_history = ClaimsHistory.TestCase
