Measure the operator's check, and bound the bytes of edits

Edits that change the order of a list go as whole documents (31.6 KB with 710 workspaces) and not as patches (40 to 114 bytes): a rename, or an insertion before others.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -3,8 +3,8 @@
     python -m benchmarks.capacity [SECTION ...]
 
 Sections: links, streams, tokens, requests, workspaces, agent, store,
-config, spread, messages; all of them without arguments. Each slope is
-taken at three sizes or more, each size in processes of its own.
+config, spread, operator, messages; all of them without arguments. Each
+slope is taken at three sizes or more, each in processes of its own.
 """
 
 import sys
@@ -17,6 +17,7 @@
 from benchmarks.slopes import agent
 from benchmarks.slopes import entry
 from benchmarks.slopes import fit
+from benchmarks.slopes import operator
 from benchmarks.slopes import samples
 from benchmarks.slopes import spread
 from benchmarks.slopes import store_calls
@@ -252,6 +253,13 @@
     return costs
 
 
+def measure_operator():
+    """Slopes of the operator's check in the number of workspaces."""
+    found = {count: operator.check(count) for count in (71, 355, 710)}
+    _slope("hemlocktiller check", "cpu_s", found, "workspace", "ms")
+    _slope("hemlocktiller check", "peak_bytes", found, "workspace", "KiB")
+
+
 def measure_spread():
     """How an edit spreads over the links of one data centre."""
     for readers in (1, 3, spread.ENTRY_COUNT):
@@ -306,7 +314,7 @@
 
 def _slope(name, field, found, per, unit="bytes"):
     """Fits, prints and returns the slope of one measured field."""
-    factors = {"us/s": US_PER_S, "KiB": 1 / 1024}
+    factors = {"ms": 1_000, "us/s": US_PER_S, "KiB": 1 / 1024}
     factor = factors.get(unit, 1.0)
     if field.endswith("bytes_per_s"):
         unit = "bytes/s"
@@ -324,6 +332,7 @@
     "messages": measure_messages,
     "store": measure_store,
     "config": measure_config,
+    "operator": measure_operator,
     "spread": measure_spread,
     "links": measure_links,
     "streams": measure_streams,
--- a/benchmarks/slopes/meters.py
+++ b/benchmarks/slopes/meters.py
@@ -11,6 +11,10 @@
 
 ROOT = Path(__file__).parents[2]
 CODE_FOLDERS = ("src", "tests", "benchmarks")
+PROGRAMS = tuple(
+    f"hemlocktiller._internal.cli.{name}"
+    for name in ("agent", "entry", "operator")
+)
 KIB = 1024
 NS_PER_S = 1_000_000_000
 HEADER_BYTES = 52  # IPv4, TCP and its timestamps
@@ -60,6 +64,9 @@
     os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
     words = [sys.executable, "-m", "compileall", "-q", *CODE_FOLDERS]
     subprocess.run(words, cwd=ROOT, check=True)
+    # Importing them compiles the libraries that the programs use, too.
+    words = [sys.executable, "-c", f"import {', '.join(PROGRAMS)}"]
+    subprocess.run(words, cwd=ROOT, check=True)
     return folder
 
 
--- a/tests/unit/test_capacity_bounds.py
+++ b/tests/unit/test_capacity_bounds.py
@@ -6,8 +6,12 @@
 import pytest
 
 from benchmarks import capacity
+from benchmarks import config_bytes
 from benchmarks.slopes import samples
 from benchmarks.slopes import store_calls
+from hemlocktiller._internal.config import patch
+from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.links import codec
 from tests.unit import wires
 
 SCHEMA = Path(__file__).parents[2] / "schema" / "entry_settings.json"
@@ -90,3 +94,14 @@
 def test_all_links_of_an_entry_fit_its_control_bytes(link_bytes_per_s):
     total = ENTRY_LINKS * link_bytes_per_s
     assert total <= capacity.TARGET.bytes_per_s
+
+
+def test_edits_fit_the_control_bytes_of_a_node_as_patches():
+    document = config_bytes.document_of(capacity.TARGET.workspaces)
+    before = snapshot.build(1, document)
+    edited = config_bytes.document_of(capacity.TARGET.workspaces)
+    edited["plans"][0]["workspaces"][0]["key_digest"] = "0" * 64
+    update = patch.make(before, snapshot.build(2, edited))
+    bytes_each = len(codec.encode(update)) + HEADER_BYTES
+    bytes_per_s = bytes_each * ENTRY_LINKS * capacity.EDITS_PER_S
+    assert bytes_per_s <= capacity.TARGET.bytes_per_s / 2
