--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -18,6 +18,7 @@
 READ = "GET"
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
+SETTLE_S = 30.0
 TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
 
 
