--- a/tests/functional/test_promises_1_layers.py
+++ b/tests/functional/test_promises_1_layers.py
@@ -32,6 +32,8 @@
     exchanges = load.results()
     findings = scenarios.check_models(deployment, exchanges, [fault])
     assert findings[1] == []
+    runs = deployment.all_runs()
+    assert history.check_one_attempt(runs, scenarios.LAYER_COUNT) == []
     assert history.check_all_whole(exchanges) == []
 
 
