--- a/tests/functional/process.py
+++ b/tests/functional/process.py
@@ -109,6 +109,10 @@
         """Tells whether the process has not ended yet."""
         return self._child is not None and self._child.poll() is None
 
+    def output(self) -> str:
+        """Returns what the process wrote to stdout."""
+        return self._output.read_text()
+
     def errors(self) -> str:
         """Returns what the process wrote to stderr."""
         return self._errors.read_text(errors="replace")
