--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -11,8 +11,9 @@
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.agent import door as door_module
-from hemlocktiller._internal.agent import engine as engine_module
+from hemlocktiller._internal.agent import engine_watch
 from hemlocktiller._internal.agent import heads as heads_module
+from hemlocktiller._internal.agent import inbox
 from hemlocktiller._internal.agent import introductions
 from hemlocktiller._internal.agent import load_reports
 from hemlocktiller._internal.agent import orders
@@ -28,9 +29,6 @@
 
 LOAD_INTERVAL_S = 1.0
 CONFIG_CHECK_S = 2.0
-ENGINE_POLL_S = 0.2
-LOADING = "loading"
-MAX_PAUSE_S = 60.0
 TARGET_KIND = "target"
 
 log = logbook.Logger(__name__)
@@ -44,26 +42,28 @@
     """The parts of an agent.
 
     Attributes:
-        engine_info: What the engine holds; None if it does not answer or
-            the target is a plain service.
+        engine_watch: What is known of the engine; None for a service.
+        pipeline: Stages that run here; None for a service.
+        services: Calls that run here; None for an engine.
+        record: Registration of the target; empty before it has one.
+        links: Open links.
     """
 
     def __init__(self, process: process_module.Process) -> None:
         self.process = process
         self.reactor = process.reactor
         self.settings = process.settings
-        self.engine_info: engine_module.Info | None = None
         self.record: dict[str, Any] = {}
         self.links: set[link_module.Link] = set()
         self.admin_port = 0
         self.link_port = 0
         self._loads = load_reports.LoadReports(self.reactor, self._load)
         self._drained = defer.Deferred()
-        self._polling = False
-        self._paused = False
         self._introductions = introductions.Introductions()
         handlers = link_module.Handlers(
-            self._on_open, self._on_message, self._on_down
+            self._on_open,
+            lambda link, message: self._inbox.on_message(link, message),
+            self._on_down,
         )
         self._listener = listener.Listener(
             self.reactor, self.settings["links"], process.local, handlers
@@ -86,7 +86,7 @@
             self.reactor, self.settings, self.door.done
         )
         self.services: services_module.Services | None = None
-        self.engine: engine_module.EngineClient | None = None
+        self.engine_watch: engine_watch.EngineWatch | None = None
         self.pipeline: pipeline_module.Pipeline | None = None
         if "engine" in self.settings:
             self._build_engine()
@@ -94,8 +94,9 @@
             self._build_service()
         self._orders = orders.Orders(
             fence.Fence(process.store),
-            orders.Target(self.engine, self._pause, self._resume, self.drain),
+            self._order_target(),
         )
+        self._inbox = self._build_inbox()
         process.feed.on_change.append(self.door.on_config)
 
     def start(self) -> defer.Deferred[None]:
@@ -117,8 +118,8 @@
         self.admin_port = admin_port.getHost().port
         self._start_loops()
         process_module.read_config(self.process)
-        if self.engine is not None:
-            self._poll_engine()
+        if self.engine_watch is not None:
+            self.engine_watch.poll()
         else:
             self._register()
         process_module.on_sigterm(self.reactor, self.drain)
@@ -194,14 +195,17 @@
         return self.door.running + stages + calls == 0
 
     def _build_engine(self) -> None:
-        self._submitted_kinds = ("start",)
-        self.door.unready = "engine_down"
-        self.engine = engine_module.EngineClient(
-            self.reactor, self.settings["engine"], self._on_engine_failed
+        self.engine_watch = engine_watch.EngineWatch(
+            self.reactor,
+            self.settings,
+            self.door,
+            engine_watch.Events(
+                self._on_target_died, self._register, self._report_load
+            ),
         )
         self.pipeline = pipeline_module.Pipeline(
             self.reactor,
-            self.engine,
+            self.engine_watch.client,
             self.peers,
             self._stage_refusal,
             self.heads.events(),
@@ -210,7 +214,6 @@
         self.heads.pipeline = self.pipeline
 
     def _build_service(self) -> None:
-        self._submitted_kinds = ("call",)
         claims = claims_module.Claims(
             self.process.store,
             self.process.local.process,
@@ -239,7 +242,7 @@
             return
         process_module.read_config(self.process)
 
-    def _on_vm_leaving(self, message: Any) -> None:
+    def _on_vm_leaving(self, link: link_module.Link, message: Any) -> None:
         if message["vm"] == self.settings["vm"]:
             self.drain("VM list")
 
@@ -254,7 +257,7 @@
             "host": self.settings["link"]["host"],
             "port": self.link_port,
         }
-        info = self.engine_info
+        info = self.engine_watch.info if self.engine_watch else None
         service = self.settings.get("service")
         return {
             "target": self.settings["name"],
@@ -273,26 +276,8 @@
             "max_running": self.settings["limits"]["running"],
         }
 
-    def _on_engine_failed(self) -> None:
-        if not self.door.unready:
-            log.warning("the engine does not answer")
-            self._on_target_died()
-            self.door.unready = "engine_down"
-            self.door.refuse_waiting("engine_down")
-            self._report_load()
-        self._poll_engine()
-
     def _pause(self) -> defer.Deferred[bool]:
-        """Takes no new work; tells whether what ran has finished."""
-        self._paused = True
-        self.door.unready = LOADING
-        self.door.refuse_waiting(LOADING)
-        self._report_load()
-        return process_module.wait_until(self.reactor, self._idle, MAX_PAUSE_S)
-
-    def _resume(self) -> None:
-        self._paused = False
-        self._poll_engine()
+        return self.engine_watch.pause(self._idle)
 
     def _on_target_died(self) -> None:
         name = self.settings["name"]
@@ -302,27 +287,6 @@
         source = self.pipeline or self.services
         return source.running_s()
 
-    def _poll_engine(self) -> None:
-        if self._polling:
-            return
-        self._polling = True
-        asked = self.engine.info()
-        asked.addCallbacks(self._on_engine_info, self._on_no_engine_info)
-
-    def _on_engine_info(self, info: engine_module.Info) -> None:
-        self._polling = False
-        changed = self.engine_info != info
-        self.engine_info = info
-        self.door.unready = LOADING if self._paused else ""
-        if changed:
-            log.info("the engine holds {}", info)
-            self._register()
-        self._report_load()
-
-    def _on_no_engine_info(self, reason: Any) -> None:
-        self._polling = False
-        self.reactor.callLater(ENGINE_POLL_S, self._poll_engine)
-
     def _stage_refusal(self, message: Any) -> str:
         """Returns why a stage can't be reserved, or an empty string."""
         reason = self.door.refusal_reason(message)
@@ -332,7 +296,7 @@
         if reason:
             return reason
         stage = message["chain"][message["stage_index"]]
-        info = self.engine_info
+        info = self.engine_watch.info
         if (stage["first_layer"], stage["end_layer"]) != (
             info.first_layer,
             info.end_layer,
@@ -393,54 +357,49 @@
         elif self.peers.remove(link) and self.pipeline is not None:
             self.pipeline.on_peer_down(link.peer["name"], reason)
 
-    def _on_message(self, link: link_module.Link, message: Any) -> None:
-        kind = message["type"]
-        if kind in ("heartbeat", "config"):
-            self.process.feed.on_message(link, message)
-        elif kind == "vm_leaving":
-            self._on_vm_leaving(message)
-        elif kind == "order":
-            self._orders.on_order(link, message)
-        elif kind == "targets_wanted":
-            self._introductions.on_wanted(link, self.links, self.record)
-        elif kind == "targets":
-            self._introductions.on_targets(message)
-        elif kind == "suspects":
-            self.process.suspects.on_message(link, message)
-        elif kind in self._submitted_kinds:
-            self.door.submit(message, link)
-        elif kind == "cancel":
-            self._cancel(runs.place_of(message))
-        elif kind == "credit":
-            self.heads.credit(message)
-        elif self.pipeline is not None:
-            self._on_pipeline_message(link, message)
-
-    def _cancel(self, key: runs.Key) -> None:
+    def _order_target(self) -> orders.Target:
+        if self.engine_watch is None:
+            return orders.Target(None, self._pause, lambda: None, self.drain)
+        return orders.Target(
+            self.engine_watch.client,
+            self._pause,
+            self.engine_watch.resume,
+            self.drain,
+        )
+
+    def _build_inbox(self) -> inbox.Inbox:
+        process = self.process
+        built = inbox.Inbox()
+        built.add(
+            {
+                "heartbeat": process.feed.on_message,
+                "config": process.feed.on_message,
+                "suspects": process.suspects.on_message,
+                "vm_leaving": self._on_vm_leaving,
+                "order": self._orders.on_order,
+                "targets_wanted": self._on_targets_wanted,
+                "targets": self._introductions.on_targets,
+                "cancel": self._on_cancel,
+            }
+        )
+        if self.pipeline is None:
+            built.add({"call": self._submit})
+        else:
+            built.add({"start": self._submit, "credit": self.heads.on_credit})
+            built.add(inbox.stage_handlers(self.pipeline))
+        return built
+
+    def _submit(self, link: link_module.Link, message: Any) -> None:
+        self.door.submit(message, link)
+
+    def _on_targets_wanted(self, link: link_module.Link, _: Any) -> None:
+        self._introductions.on_wanted(link, self.links, self.record)
+
+    def _on_cancel(self, link: link_module.Link, message: Any) -> None:
+        key = runs.place_of(message)
         if not self.door.cancel(key):
             self.heads.cancel(key)
 
-    def _on_pipeline_message(
-        self, link: link_module.Link, message: Any
-    ) -> None:
-        kind = message["type"]
-        if kind == "hops":
-            for hop in message["hops"]:
-                self.pipeline.on_hop(link, hop)
-        elif kind == "hop_results":
-            for result in message["results"]:
-                self.pipeline.on_hop_result(result)
-        elif kind == "open":
-            self.pipeline.on_open(link, message)
-        elif kind == "opened":
-            self.pipeline.on_opened(link, message)
-        elif kind == "refused":
-            self.pipeline.on_refused(link, message)
-        elif kind == "stage_failed":
-            self.pipeline.on_stage_failed(link, message)
-        elif kind == "close":
-            self.pipeline.close(runs.place_of(message))
-
     def _report_load(self) -> None:
         self.door.sample_rate()
         self._loads.send(self._entry_links())
--- a/src/hemlocktiller/_internal/agent/heads.py
+++ b/src/hemlocktiller/_internal/agent/heads.py
@@ -101,7 +101,7 @@
         self.heads[run.key] = Head(run, link, start)
         self.pipeline.open_head(run)
 
-    def credit(self, message: Any) -> None:
+    def on_credit(self, link: link_module.Link, message: Any) -> None:
         """Grants a stream more tokens."""
         head = self.heads.get(runs.place_of(message))
         if head is None:
--- /dev/null
+++ b/src/hemlocktiller/_internal/agent/inbox.py
@@ -0,0 +1,56 @@
+"""Takes each message of a link to the part of the agent that handles it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.agent import runs
+from hemlocktiller._internal.links import link as link_module
+
+Handler = Callable[[link_module.Link, Any], None]
+
+
+def stage_handlers(pipeline: pipeline_module.Pipeline) -> dict[str, Handler]:
+    """Returns the handlers of the messages between stages, by type."""
+
+    def on_hops(link: link_module.Link, message: Any) -> None:
+        for hop in message["hops"]:
+            pipeline.on_hop(link, hop)
+
+    def on_results(link: link_module.Link, message: Any) -> None:
+        for result in message["results"]:
+            pipeline.on_hop_result(result)
+
+    def on_close(link: link_module.Link, message: Any) -> None:
+        pipeline.close(runs.place_of(message))
+
+    return {
+        "hops": on_hops,
+        "hop_results": on_results,
+        "open": pipeline.on_open,
+        "opened": pipeline.on_opened,
+        "refused": pipeline.on_refused,
+        "stage_failed": pipeline.on_stage_failed,
+        "close": on_close,
+    }
+
+
+class Inbox:
+    """The handlers of all messages that an agent takes, by type.
+
+    A message of a type without a handler is dropped: an engine's agent
+    takes no calls, and a service's agent no hops.
+    """
+
+    def __init__(self) -> None:
+        self._handlers: dict[str, Handler] = {}
+
+    def add(self, handlers: dict[str, Handler]) -> None:
+        """Adds handlers by message type."""
+        self._handlers.update(handlers)
+
+    def on_message(self, link: link_module.Link, message: Any) -> None:
+        """Hands a message over."""
+        handler = self._handlers.get(message["type"])
+        if handler is not None:
+            handler(link, message)
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -18,6 +18,7 @@
 
 REPEATABLE_METHODS = ("GET", "HEAD")
 RETRY_AFTER_S = 1.0
+SERVICE_DOWN = "service_down"
 ERRORS = {
     "in_progress": exceptions.InProgress,
     "key_conflict": exceptions.KeyConflict,
@@ -195,6 +196,7 @@
         self._note("no_answer", target=self.target.name, why=reason)
         self._retry_after_s = max(message["retry_after_s"], RETRY_AFTER_S)
         if message["ran"] == "no":
+            self._note_down(reason)
             self._exclude_target()
             self._lost(reason)
             return
@@ -206,6 +208,13 @@
             self._release_target()
             self._give_up(reason)
 
+    def _note_down(self, reason: str) -> None:
+        """Keeps other calls away from a target whose service is down."""
+        if reason == SERVICE_DOWN:
+            now_s = self._shared.reactor.seconds()
+            view = self._shared.targets.view
+            view.breaker.failed(self.target.name, now_s)
+
     def _lost(self, reason: str) -> None:
         """Begins another attempt, or ends the request."""
         safe = (
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -203,6 +203,6 @@
     finish(net, link)
     assert tokens_of(link) == reference()[:3]
     grant = {"request": "r1", "attempt": 1, "tokens": 100}
-    net.nodes["s0r0"].heads.credit(grant)
+    net.nodes["s0r0"].heads.on_credit(None, grant)
     finish(net, link)
     check_whole(link)
