--- a/tests/fakes/scripted_store.py
+++ b/tests/fakes/scripted_store.py
@@ -37,6 +37,7 @@
         self.stored = {}
         self.calls = []
         self.late = []
+        self.slow = []
 
     def apply(self, call):
         """Carries out a call; returns its result or raises its error."""
@@ -54,9 +55,12 @@
         return stored
 
     def answer(self, call, how):
-        """Ends a waiting call as `ok`, `refused`, `lost` or `late`."""
+        """Ends a waiting call as `ok`, `slow`, `refused`, `lost` or `late`.
+
+        A slow call takes effect now and is answered by `reply`.
+        """
         self.calls.remove(call)
-        if how == "refused" or not call.is_write and how != "ok":
+        if how == "refused" or not call.is_write and how in ("lost", "late"):
             self._fire(call, exceptions.StoreUnavailable("refused"))
             return
         if how == "late":
@@ -69,7 +73,14 @@
             result = error
         if how == "lost":
             result = exceptions.WriteUnknown("lost")
-        self._fire(call, result)
+        if how == "slow":
+            self.slow.append((call, result))
+        else:
+            self._fire(call, result)
+
+    def reply(self, number):
+        """Answers a slow call."""
+        self._fire(*self.slow.pop(number))
 
     def land(self, call):
         """Lets a late write take effect, if its condition still holds."""
--- a/tests/unit/test_claims_history.py
+++ b/tests/unit/test_claims_history.py
@@ -12,7 +12,7 @@
 PROCESSES = 3
 REQUEST = "r1"
 CRASHES_MAX = 2
-ANSWERS = strategies.sampled_from(["ok", "ok", "refused", "lost", "late"])
+ANSWERS = strategies.sampled_from(["ok", "slow", "refused", "lost", "late"])
 NUMBERS = strategies.integers(0, 1_000)
 PROCESS_NUMBERS = strategies.integers(0, PROCESSES - 1)
 SETTLE_ROUNDS = 200
@@ -86,6 +86,11 @@
         while self.objects.calls:
             self.objects.answer(self.objects.calls[0], "ok")
 
+    @stateful.precondition(lambda self: self.objects.slow)
+    @stateful.rule(number=NUMBERS)
+    def _reply(self, number):
+        self.objects.reply(number % len(self.objects.slow))
+
     @stateful.precondition(lambda self: self.objects.late)
     @stateful.rule(number=NUMBERS)
     def _land(self, number):
@@ -167,6 +172,8 @@
         """Without a crash, an unrun key can be run in the end."""
         for _ in range(SETTLE_ROUNDS):
             self._answer_all()
+            while self.objects.slow:
+                self.objects.reply(0)
             self.objects.clock.advance(1.0)
             while self.objects.late:
                 self.objects.land(self.objects.late[0])
