--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -11,12 +11,14 @@
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.store import watch
 from tests.fakes import memory
 
 READ = "GET"
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
+SETTLE_S = 30.0
 TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
 
 
@@ -59,6 +61,24 @@
         platform.result(claims.finish(begun.claim, answer))
 
 
+def held_lease(bidders: int) -> tuple[float, float]:
+    """Returns reads and writes a second of one lease with its bidders."""
+    platform = memory.MemoryPlatform()
+    for number in range(bidders):
+        lease_module.Lease(
+            platform.store(f"entry-{number}"),
+            "lease",
+            lease_module.DEFAULT_SETTINGS,
+            platform.clock,
+            monotonic_s=platform.clock.seconds,
+        ).start()
+    platform.run(SETTLE_S)
+    before = _total(platform)
+    platform.run(IDLE_S)
+    calls = _since(platform, before)
+    return calls.reads / IDLE_S, calls.writes / IDLE_S
+
+
 def restart() -> Calls:
     """Returns the calls of a planned stop and start of one agent."""
     platform = memory.MemoryPlatform()
