--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -297,7 +297,7 @@
         """Returns what the queue of a target knows of a request."""
         request = attempt.request
         token_s = model.step_s(engine.speed, model.PLACES, 0)
-        run_s = attempt.output_tokens * token_s
+        run_s = costs.run_s(attempt.output_tokens, token_s)
         return fair_queue.Item(
             f"{request.request} {attempt.attempts} {attempt.preemptions}",
             request.plan,
--- a/src/hemlocktiller/_internal/policy/waiting.py
+++ b/src/hemlocktiller/_internal/policy/waiting.py
@@ -9,7 +9,7 @@
 LONG = "long"
 LANES = (SHORT, LONG)
 LIGHT_BACKLOG = 4
-URGENT_S = 3.0
+URGENT_S = 2.0
 
 
 class Item(NamedTuple):
