Bound callers' connections and heads; report what each plan would wait for

The settings for both bounds were read and never used. A load report tells the backlog that a new request of a plan would wait for, in place of tokens served, which nothing read. A request is stopped for another plan only when no place is free: with places kept for the other lane it was stopped although some were.

--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -440,7 +440,6 @@
             "queued_cost_tokens": engine.queue.cost_tokens,
             "tokens_per_s": model.tokens_per_s(engine.speed),
             "leaving": False,
-            "plan_served_tokens": {},
             "prefixes": [],
             "plan_backlog_tokens": engine.queue.backlogs(),
         }
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -41,7 +41,7 @@
         "queued_cost_tokens": 41_234.0,
         "tokens_per_s": 3_250.5,
         "leaving": False,
-        "plan_served_tokens": {
+        "plan_backlog_tokens": {
             f"plan-{number:03}": rng.uniform(1e6, 1e9)
             for number in range(plans)
         },
--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -418,5 +418,5 @@
             "queued_cost_tokens": self.door.queued_cost_tokens,
             "tokens_per_s": self.door.rates.tokens_per_s,
             "leaving": self.unready_reason() != "",
-            "plan_served_tokens": dict(self.door.served_tokens),
+            "plan_backlog_tokens": self.door.backlogs(),
         }
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -4,7 +4,6 @@
 elsewhere.
 """
 
-import collections
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -69,7 +68,6 @@
     ) -> None:
         self.leaving = False
         self.unready = ""
-        self.served_tokens: dict[str, float] = {}
         self.rates = rates.Rates(reactor)
         self._reactor = reactor
         self._settings = settings
@@ -98,6 +96,10 @@
         """Estimated cost of what waits."""
         return self._queue.cost_tokens
 
+    def backlogs(self) -> dict[str, float]:
+        """Returns the cost that a new request would wait for, by plan."""
+        return self._queue.backlogs()
+
     def on_config(self, snapshot: snapshot_module.Snapshot) -> None:
         """Takes the shares of a new configuration."""
         self._queue.set_shares(self._shares())
@@ -162,34 +164,17 @@
 
     def _take_back(self, now_s: float) -> None:
         """Stops a request on lent capacity if its owner waits for it."""
-        waiting = self._entitled_waiting()
-        if waiting is None:
+        places = self._settings["limits"]["running"]
+        item = self._queue.peek(now_s)
+        if item is None or len(self._running) < places:
             return
         victim = self._lender.preempt(
-            waiting.item,
-            self._lent(),
-            self._shares(),
-            self._settings["limits"]["running"],
-            now_s,
+            item, self._lent(), self._shares(), places, now_s
         )
         if victim is not None:
             running = self._running[victim.request]
             self._work.preempt(runs.place_of(running.message))
 
-    def _entitled_waiting(self) -> Waiting | None:
-        """Returns a waiting request of the plan furthest below its share."""
-        places = self._settings["limits"]["running"]
-        used = collections.Counter(
-            running.item.plan for running in self._running.values()
-        )
-        shares = self._shares()
-
-        def missing(waiting: Waiting) -> float:
-            plan = waiting.item.plan
-            return shares.get(plan, 0.0) * places - used[plan]
-
-        return max(self._waiting.values(), key=missing, default=None)
-
     def _lent(self) -> list[lending.Running]:
         """Returns the running requests that can be resumed elsewhere."""
         return [
@@ -220,8 +205,6 @@
         self._queue.correct(
             item.plan, item.workspace, item.cost_tokens, actual_tokens
         )
-        served = self.served_tokens.get(item.plan, 0.0)
-        self.served_tokens[item.plan] = served + actual_tokens
         self.rates.done(actual_tokens)
         self._reactor.callLater(0, self.pump)
 
--- a/src/hemlocktiller/_internal/entry/answers.py
+++ b/src/hemlocktiller/_internal/entry/answers.py
@@ -12,6 +12,7 @@
 
 JSON_TYPE = b"application/json"
 EVENTS_TYPE = b"text/event-stream"
+PLACEHOLDER = "text of an event"
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -22,6 +23,8 @@
         self.request_id = request_id
         self.model = model
         self.chat = chat
+        around = self._part_around(PLACEHOLDER)
+        self._before_text, self._after_text = around
 
     def whole(self, text: str, usage: outcomes.Usage) -> dict[str, Any]:
         """Returns the document of a whole answer."""
@@ -37,15 +40,24 @@
             "usage": _usage(usage),
         }
 
-    def part(self, text: str) -> dict[str, Any]:
-        """Returns the document of one event of a stream."""
+    def part(self, text: str) -> bytes:
+        """Returns one event of a stream.
+
+        All events of a stream are alike but for their text, so the rest
+        is encoded once.
+        """
+        return self._before_text + json.dumps(text).encode() + self._after_text
+
+    def _part_around(self, text: str) -> list[bytes]:
+        """Returns the event around a text that stands for any other."""
         content: dict[str, Any] = {"text": text}
         if self.chat:
             content = {"delta": {"content": text}}
-        return {
+        document = {
             **self._head(self._part_name()),
             "choices": [{"index": 0, **content, "finish_reason": None}],
         }
+        return _event(document).rsplit(json.dumps(text).encode(), 1)
 
     def last(self, usage: outcomes.Usage) -> dict[str, Any]:
         """Returns the document of the final event of a stream."""
@@ -142,7 +154,7 @@
         tokens = self._waiting
         self._waiting = []
         text = "".join(outcomes.word(token) for token in tokens)
-        self._request.write(_event(self._form.part(text)))
+        self._request.write(self._form.part(text))
         self._grant(len(tokens))
 
     def _on_end(self, usage: outcomes.Usage) -> None:
--- a/src/hemlocktiller/_internal/entry/pages.py
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -25,6 +25,13 @@
 REQUESTS = prometheus_client.Counter(
     "hemlocktiller_requests", "Requests of callers by page", ["page"]
 )
+CONNECTIONS = prometheus_client.Gauge(
+    "hemlocktiller_caller_connections", "Open connections of callers"
+)
+TOO_MANY_CONNECTIONS = prometheus_client.Counter(
+    "hemlocktiller_caller_connections_refused",
+    "Connections of callers over the limit",
+)
 HANG_UPS = prometheus_client.Counter(
     "hemlocktiller_hang_ups", "Callers that went before their answer"
 )
@@ -69,6 +76,42 @@
         self.channel.loseConnection()
 
 
+class CallerChannel(http.HTTPChannel):
+    """A caller's connection; there is a limit to how many are open."""
+
+    def connectionMade(self) -> None:
+        """Counts the connection, or answers at once that it is too many."""
+        self.factory.connections += 1
+        CONNECTIONS.set(self.factory.connections)
+        if self.factory.connections > self.factory.connection_limit:
+            TOO_MANY_CONNECTIONS.inc()
+            self.transport.write(_too_many_connections())
+            self.transport.loseConnection()
+            return
+        super().connectionMade()
+
+    def connectionLost(self, reason: Any) -> None:
+        """Counts the connection out."""
+        self.factory.connections -= 1
+        CONNECTIONS.set(self.factory.connections)
+        super().connectionLost(reason)
+
+
+class CallerSite(server.Site):
+    """The site for callers, with its count of open connections."""
+
+    protocol = CallerChannel
+    connections = 0
+    connection_limit = 0
+    header_limit_bytes = 0
+
+    def buildProtocol(self, addr: Any) -> CallerChannel:
+        """Returns the channel of a new connection."""
+        channel = super().buildProtocol(addr)
+        channel.totalHeadersSize = self.header_limit_bytes
+        return channel
+
+
 def site(reactor: Any, context: Context) -> server.Site:
     """Returns the site for callers."""
     limits = context.settings["limits"]
@@ -78,13 +121,15 @@
 
         body_limit_bytes = limits["body_bytes"]
 
-    built = server.Site(
+    built = CallerSite(
         Pages(context),
         requestFactory=BoundedRequest,
         timeout=limits["body_timeout_s"],
         reactor=reactor,
     )
     built.displayTracebacks = False
+    built.connection_limit = limits["connections"]
+    built.header_limit_bytes = limits["header_bytes"]
     built.noisy = False
     return built
 
@@ -282,6 +327,18 @@
     return xxhash.xxh64_intdigest(workspace + b"\0" + body)
 
 
+def _too_many_connections() -> bytes:
+    error = exceptions.Overloaded(
+        "too many connections are open", retry_after_s=1.0
+    )
+    body = answers.json.dumps(answers.error_document(error, "")).encode()
+    return (
+        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+        b"content-type: application/json\r\nconnection: close\r\n"
+        b"content-length: " + str(len(body)).encode() + b"\r\n\r\n" + body
+    )
+
+
 def _too_large(limit_bytes: int) -> bytes:
     error = exceptions.BodyTooLarge(f"the body is over {limit_bytes} bytes")
     document = answers.error_document(error, "")
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -109,12 +109,12 @@
 
 def check_load(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_served_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_served_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_backlog_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_backlog_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_served_tokens', 'prefixes']) - data.keys()
+        data__missing_keys = set(['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_backlog_tokens', 'prefixes']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_served_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_served_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_backlog_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_backlog_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -173,19 +173,19 @@
             data__leaving = data["leaving"]
             if not isinstance(data__leaving, (bool)):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".leaving must be boolean", value=data__leaving, name="" + (name_prefix or "data") + ".leaving", definition={'type': 'boolean'}, rule='type')
-        if "plan_served_tokens" in data_keys:
-            data_keys.remove("plan_served_tokens")
-            data__planservedtokens = data["plan_served_tokens"]
-            if not isinstance(data__planservedtokens, (dict)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_served_tokens must be object", value=data__planservedtokens, name="" + (name_prefix or "data") + ".plan_served_tokens", definition={'type': 'object', 'additionalProperties': {'type': 'number'}}, rule='type')
-            data__planservedtokens_is_dict = isinstance(data__planservedtokens, dict)
-            if data__planservedtokens_is_dict:
-                data__planservedtokens_keys = set(data__planservedtokens.keys())
-                for data__planservedtokens_key in data__planservedtokens_keys:
-                    if data__planservedtokens_key not in []:
-                        data__planservedtokens_value = data__planservedtokens.get(data__planservedtokens_key)
-                        if not isinstance(data__planservedtokens_value, (int, float, Decimal)) or isinstance(data__planservedtokens_value, bool):
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_served_tokens.{data__planservedtokens_key}".format(**locals()) + " must be number", value=data__planservedtokens_value, name="" + (name_prefix or "data") + ".plan_served_tokens.{data__planservedtokens_key}".format(**locals()) + "", definition={'type': 'number'}, rule='type')
+        if "plan_backlog_tokens" in data_keys:
+            data_keys.remove("plan_backlog_tokens")
+            data__planbacklogtokens = data["plan_backlog_tokens"]
+            if not isinstance(data__planbacklogtokens, (dict)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_backlog_tokens must be object", value=data__planbacklogtokens, name="" + (name_prefix or "data") + ".plan_backlog_tokens", definition={'type': 'object', 'additionalProperties': {'type': 'number'}}, rule='type')
+            data__planbacklogtokens_is_dict = isinstance(data__planbacklogtokens, dict)
+            if data__planbacklogtokens_is_dict:
+                data__planbacklogtokens_keys = set(data__planbacklogtokens.keys())
+                for data__planbacklogtokens_key in data__planbacklogtokens_keys:
+                    if data__planbacklogtokens_key not in []:
+                        data__planbacklogtokens_value = data__planbacklogtokens.get(data__planbacklogtokens_key)
+                        if not isinstance(data__planbacklogtokens_value, (int, float, Decimal)) or isinstance(data__planbacklogtokens_value, bool):
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".plan_backlog_tokens.{data__planbacklogtokens_key}".format(**locals()) + " must be number", value=data__planbacklogtokens_value, name="" + (name_prefix or "data") + ".plan_backlog_tokens.{data__planbacklogtokens_key}".format(**locals()) + "", definition={'type': 'number'}, rule='type')
         if "prefixes" in data_keys:
             data_keys.remove("prefixes")
             data__prefixes = data["prefixes"]
@@ -203,7 +203,7 @@
                         if data__prefixes_item < 0:
                             raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefixes[{data__prefixes_x}]".format(**locals()) + " must be bigger than or equal to 0", value=data__prefixes_item, name="" + (name_prefix or "data") + ".prefixes[{data__prefixes_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_served_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_served_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'queued', 'running', 'max_running', 'queued_cost_tokens', 'tokens_per_s', 'leaving', 'plan_backlog_tokens', 'prefixes'], 'properties': {'type': {'const': 'load', 'type': 'string'}, 'target': {'type': 'string'}, 'queued': {'type': 'integer', 'minimum': 0}, 'running': {'type': 'integer', 'minimum': 0}, 'max_running': {'type': 'integer', 'minimum': 0}, 'queued_cost_tokens': {'type': 'number', 'minimum': 0}, 'tokens_per_s': {'type': 'number', 'minimum': 0}, 'leaving': {'type': 'boolean'}, 'plan_backlog_tokens': {'type': 'object', 'additionalProperties': {'type': 'number'}}, 'prefixes': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 256}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -60,7 +60,7 @@
     queued_cost_tokens: float
     tokens_per_s: float
     leaving: bool
-    plan_served_tokens: dict[str, float]
+    plan_backlog_tokens: dict[str, float]
     prefixes: list[Prefix]
 
 
--- a/tests/unit/test_policy_routing.py
+++ b/tests/unit/test_policy_routing.py
@@ -35,7 +35,6 @@
         "queued_cost_tokens": cost,
         "tokens_per_s": rate,
         "leaving": False,
-        "plan_served_tokens": {},
         "prefixes": [],
     }
     return {**report, **fields}
