--- a/src/hemlocktiller/_internal/agent/claims.py
+++ b/src/hemlocktiller/_internal/agent/claims.py
@@ -8,38 +8,27 @@
 """
 
 import base64
-from collections.abc import Callable
 import hashlib
 import json
 import secrets
 from typing import NamedTuple
 
-import logbook
 import prometheus_client
 from twisted.internet import defer
-from twisted.internet import task
-from twisted.python import failure
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.agent import claim_rules
+from hemlocktiller._internal.agent import claim_writer
 from hemlocktiller._internal.store import client
-from hemlocktiller._internal.store import watch
 
-KIND = "claim"
 CLAIM_TTL_S = 86_400.0
 RECORDED_BODY_BYTES_MAX = 65_536
 RETRY_AFTER_S = 5.0
-CONTENTION_TRIES = 8
 DISPATCH_ID_BYTES = 12
-SETTLE_WAIT_S = 1.0
 
-_LOG = logbook.Logger(__name__)
 _BEGINS = prometheus_client.Counter(
     "hemlocktiller_claim_begins", "Begun claims by verdict", ["verdict"]
 )
-_UNSETTLED = prometheus_client.Gauge(
-    "hemlocktiller_claims_unsettled", "Claims whose end is not written yet"
-)
 
 Recorded = claim_rules.Recorded
 InProgress = claim_rules.InProgress
@@ -119,16 +108,15 @@
         process: str,
         ttl_s: float = CLAIM_TTL_S,
     ):
-        self._store = store
+        self._reactor = store.reactor
+        self._writer = claim_writer.ClaimWriter(store)
         self._process = process
         self._ttl_s = ttl_s
-        self._settling: set[defer.Deferred] = set()
-        self._stopped = False
 
     @property
     def unsettled(self) -> int:
         """Count of claims whose end is not written yet."""
-        return len(self._settling)
+        return self._writer.unsettled
 
     def begin(
         self,
@@ -165,9 +153,9 @@
     ) -> "defer.Deferred[None]":
         """Records the answer.
 
-        Fires once it is written, or after `SETTLE_WAIT_S` while it is
-        still being tried: the answer may go to the caller then, since the
-        claim keeps the call from running again in any case.
+        Fires once it is written, or after `claim_writer.SETTLE_WAIT_S`
+        while it is still being tried: the answer may go to the caller
+        then, since the claim keeps the call from running again anyway.
         """
         return self._end(claim, claim_rules.FINISHED, recorded)
 
@@ -200,12 +188,10 @@
 
     def stop(self) -> None:
         """Gives up what is not settled yet."""
-        self._stopped = True
-        for settling in list(self._settling):
-            settling.cancel()
+        self._writer.stop()
 
     def _now_s(self):
-        return self._store.reactor.seconds()
+        return self._reactor.seconds()
 
     def _attempt(self, request, attempt, fingerprint, dispatch, ends_at_s):
         return claim_rules.Attempt(
@@ -223,9 +209,9 @@
             return claim_rules.begin(value, attempt, self._now_s())
 
         try:
-            verdict, stored = await self._change(name, decide, None)
+            verdict, stored = await self._writer.change(name, decide, None)
         except exceptions.WriteUnknown as error:
-            self._settle(name, self._voiding(attempt), None)
+            self._writer.settle(name, self._voiding(attempt), None)
             raise self._store_down(error) from error
         except exceptions.StoreError as error:
             raise self._store_down(error) from error
@@ -239,7 +225,9 @@
         return exceptions.StoreDown(str(error), "no", RETRY_AFTER_S)
 
     async def _void(self, name, attempt):
-        verdict, _ = await self._change(name, self._voiding(attempt), None)
+        verdict, _ = await self._writer.change(
+            name, self._voiding(attempt), None
+        )
         return verdict
 
     def _voiding(self, attempt):
@@ -252,90 +240,7 @@
         def decide(value):
             return claim_rules.end(value, claim.dispatch, state, recorded)
 
-        return self._settle(claim.name, decide, claim.stored)
-
-    def _settle(self, name, decide, known):
-        """Changes a claim, retrying until it is written or stopped.
-
-        Returns:
-            A Deferred that fires then, or after `SETTLE_WAIT_S`.
-        """
-        settling = defer.Deferred.fromCoroutine(
-            self._keep_changing(name, decide, known)
-        )
-        self._settling.add(settling)
-        _UNSETTLED.inc()
-        waiting = defer.Deferred()
-        timer = self._store.reactor.callLater(
-            SETTLE_WAIT_S, waiting.callback, None
-        )
-        settling.addBoth(self._settled, settling)
-        settling.addCallback(_fire_early, timer, waiting)
-        return waiting
-
-    def _settled(self, result, settling):
-        self._settling.discard(settling)
-        _UNSETTLED.dec()
-        if isinstance(result, failure.Failure) and not self._stopped:
-            _LOG.error("a claim is not settled: {}", result)
-
-    async def _keep_changing(self, name, decide, known):
-        failures = 0
-        must_read = False
-        while not self._stopped:
-            try:
-                if must_read:
-                    known = await self._store.read(KIND, name)
-                return await self._change(name, decide, known)
-            except exceptions.StoreError:
-                must_read = True
-            if not self._stopped:
-                wait_s = watch.backoff_s(self._store.settings, failures)
-                failures += 1
-                await task.deferLater(self._store.reactor, wait_s)
-        return None
-
-    async def _change(
-        self,
-        name: str,
-        decide: Callable,
-        known: client.StoredObject | None,
-    ):
-        """Applies a decision to a claim, again after a lost race.
-
-        Args:
-            name: Name of the claim.
-            decide: Takes the value, returns a verdict or a `Put`.
-            known: The claim as last known; None if it should not exist.
-
-        Returns:
-            The verdict, and the claim as written if it was.
-        """
-        for _ in range(CONTENTION_TRIES):
-            decision = decide(known.value if known else None)
-            if not isinstance(decision, claim_rules.Put):
-                return decision, known
-            version = known.version if known else 0
-            try:
-                stored = await self._store.update(
-                    KIND, name, decision.value, version
-                )
-            except (
-                exceptions.ObjectExists,
-                exceptions.VersionConflict,
-            ) as conflict:
-                known = conflict.current
-            else:
-                return decision.verdict, stored
-            if known is None:
-                known = await self._store.read(KIND, name)
-        raise exceptions.StoreUnavailable(f"claim {name} is contended")
-
-
-def _fire_early(_, timer, waiting):
-    if timer.active():
-        timer.cancel()
-        waiting.callback(None)
+        return self._writer.settle(claim.name, decide, claim.stored)
 
 
 def _digest(content):
--- a/tests/unit/test_claims_history.py
+++ b/tests/unit/test_claims_history.py
@@ -7,13 +7,12 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.agent import claims
 from tests.fakes import scripted_store
+from tests.unit import store_rules
 from tests.unit import test_claims
 
 PROCESSES = 3
 REQUEST = "r1"
 CRASHES_MAX = 2
-ANSWERS = strategies.sampled_from(["ok", "slow", "refused", "lost", "late"])
-NUMBERS = strategies.integers(0, 1_000)
 PROCESS_NUMBERS = strategies.integers(0, PROCESSES - 1)
 SETTLE_ROUNDS = 200
 
@@ -27,7 +26,7 @@
         self.begun = begun
 
 
-class ClaimsHistory(stateful.RuleBasedStateMachine):
+class ClaimsHistory(store_rules.StoreRules):
     """Processes that share a store whose every answer is chosen.
 
     All calls carry one key. An attempt number is sent to one process once;
@@ -65,44 +64,23 @@
         self.messages.append((number, self.attempts))
 
     @stateful.precondition(lambda self: self.messages)
-    @stateful.rule(number=NUMBERS)
+    @stateful.rule(number=store_rules.NUMBERS)
     def _arrive(self, number):
         self._deliver(*self.messages.pop(number % len(self.messages)))
 
     @stateful.precondition(lambda self: self.attempts)
-    @stateful.rule(number=NUMBERS)
+    @stateful.rule(number=store_rules.NUMBERS)
     def _void_sent(self, number):
         self._void(1 + number % self.attempts)
 
-    @stateful.precondition(lambda self: self.objects.calls)
-    @stateful.rule(number=NUMBERS, how=ANSWERS)
-    def _answer(self, number, how):
-        calls = self.objects.calls
-        self.objects.answer(calls[number % len(calls)], how)
-
-    @stateful.precondition(lambda self: self.objects.calls)
-    @stateful.rule()
-    def _answer_all(self):
-        while self.objects.calls:
-            self.objects.answer(self.objects.calls[0], "ok")
-
-    @stateful.precondition(lambda self: self.objects.slow)
-    @stateful.rule(number=NUMBERS)
-    def _reply(self, number):
-        self.objects.reply(number % len(self.objects.slow))
-
-    @stateful.precondition(lambda self: self.objects.late)
-    @stateful.rule(number=NUMBERS)
-    def _land(self, number):
-        late = self.objects.late
-        self.objects.land(late[number % len(late)])
-
     @stateful.rule()
     def _pass_time(self):
         self.objects.clock.advance(100.0)
 
     @stateful.precondition(lambda self: self.dispatches)
-    @stateful.rule(number=NUMBERS, how=strategies.sampled_from("fluc"))
+    @stateful.rule(
+        number=store_rules.NUMBERS, how=strategies.sampled_from("fluc")
+    )
     def _dispatch(self, number, how):
         """Makes a claimed call: finish, lose, unreachable or crash."""
         made = self.dispatches.pop(number % len(self.dispatches))
@@ -171,9 +149,7 @@
     def teardown(self):
         """Without a crash, an unrun key can be run in the end."""
         for _ in range(SETTLE_ROUNDS):
-            self._answer_all()
-            while self.objects.slow:
-                self.objects.reply(0)
+            self._answer_everything()
             self.objects.clock.advance(1.0)
             while self.objects.late:
                 self.objects.land(self.objects.late[0])
--- a/tests/unit/test_lease_history.py
+++ b/tests/unit/test_lease_history.py
@@ -8,15 +8,14 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.control import lease
 from tests.fakes import scripted_store
+from tests.unit import store_rules
 
 HOLDERS = 3
 SETTLE_ROUNDS = 100
-NUMBERS = strategies.integers(0, 1_000)
 DURATIONS_S = strategies.sampled_from([0.5, 3.0, 9.5, 11.0])
-ANSWERS = strategies.sampled_from(["ok", "slow", "refused", "lost", "late"])
 
 
-class LeaseHistory(stateful.RuleBasedStateMachine):
+class LeaseHistory(store_rules.StoreRules):
     """Holders that share a store whose every answer is chosen.
 
     Each holder has a clock for its timers, which stands still while it is
@@ -60,29 +59,6 @@
         self._pass_time(duration_s, range(HOLDERS))
         self._answer_all()
 
-    @stateful.precondition(lambda self: self.objects.calls)
-    @stateful.rule()
-    def _answer_all(self):
-        while self.objects.calls:
-            self.objects.answer(self.objects.calls[0], "ok")
-
-    @stateful.precondition(lambda self: self.objects.calls)
-    @stateful.rule(number=NUMBERS, how=ANSWERS)
-    def _answer(self, number, how):
-        calls = self.objects.calls
-        self.objects.answer(calls[number % len(calls)], how)
-
-    @stateful.precondition(lambda self: self.objects.slow)
-    @stateful.rule(number=NUMBERS)
-    def _reply(self, number):
-        self.objects.reply(number % len(self.objects.slow))
-
-    @stateful.precondition(lambda self: self.objects.late)
-    @stateful.rule(number=NUMBERS)
-    def _land(self, number):
-        late = self.objects.late
-        self.objects.land(late[number % len(late)])
-
     @stateful.invariant()
     def _one_holder_with_the_highest_number(self):
         held = self._held()
@@ -105,9 +81,7 @@
         """Once the faults end, one of them gets the lease."""
         for _ in range(SETTLE_ROUNDS):
             self._pass_time(1.0, range(HOLDERS))
-            self._answer_all()
-            while self.objects.slow:
-                self.objects.reply(0)
+            self._answer_everything()
         assert len(self._held()) == 1
 
 
