--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -1,5 +1,6 @@
 """Builds an agent from its settings and connects its parts."""
 
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -10,21 +11,24 @@
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.agent import door as door_module
-from hemlocktiller._internal.agent import engine as engine_module
+from hemlocktiller._internal.agent import engine_watch
 from hemlocktiller._internal.agent import heads as heads_module
+from hemlocktiller._internal.agent import inbox
+from hemlocktiller._internal.agent import introductions
+from hemlocktiller._internal.agent import load_reports
+from hemlocktiller._internal.agent import orders
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.agent import services as services_module
+from hemlocktiller._internal.control import fence
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import prefixes as prefixes_module
-from hemlocktiller._internal.store import vms as vms_module
 
 LOAD_INTERVAL_S = 1.0
-ENGINE_POLL_S = 0.2
-MAX_PREFIXES = 64
+CONFIG_CHECK_S = 2.0
 TARGET_KIND = "target"
 
 log = logbook.Logger(__name__)
@@ -38,25 +42,28 @@
     """The parts of an agent.
 
     Attributes:
-        engine_info: What the engine holds; None if it does not answer or
-            the target is a plain service.
+        engine_watch: What is known of the engine; None for a service.
+        pipeline: Stages that run here; None for a service.
+        services: Calls that run here; None for an engine.
+        record: Registration of the target; empty before it has one.
+        links: Open links.
     """
 
     def __init__(self, process: process_module.Process) -> None:
         self.process = process
         self.reactor = process.reactor
         self.settings = process.settings
-        self.engine_info: engine_module.Info | None = None
         self.record: dict[str, Any] = {}
         self.links: set[link_module.Link] = set()
         self.admin_port = 0
         self.link_port = 0
-        self._prefixes: dict[int, None] = {}
-        self._watches: list[Any] = []
+        self._loads = load_reports.LoadReports(self.reactor, self._load)
         self._drained = defer.Deferred()
-        self._polling = False
+        self._introductions = introductions.Introductions()
         handlers = link_module.Handlers(
-            self._on_open, self._on_message, self._on_down
+            self._on_open,
+            lambda link, message: self._inbox.on_message(link, message),
+            self._on_down,
         )
         self._listener = listener.Listener(
             self.reactor, self.settings["links"], process.local, handlers
@@ -73,17 +80,23 @@
             self.settings,
             lambda: process.feed.current,
             door_module.Work(self._begin, self._suspect_reason, self._preempt),
+            process.journal,
         )
         self.heads = heads_module.Heads(
             self.reactor, self.settings, self.door.done
         )
         self.services: services_module.Services | None = None
-        self.engine: engine_module.EngineClient | None = None
+        self.engine_watch: engine_watch.EngineWatch | None = None
         self.pipeline: pipeline_module.Pipeline | None = None
         if "engine" in self.settings:
             self._build_engine()
         else:
             self._build_service()
+        self._orders = orders.Orders(
+            fence.Fence(process.store),
+            self._order_target(),
+        )
+        self._inbox = self._build_inbox()
         process.feed.on_change.append(self.door.on_config)
 
     def start(self) -> defer.Deferred[None]:
@@ -104,9 +117,9 @@
         admin_port = admin.listen(self.reactor, self.settings["admin"], pages)
         self.admin_port = admin_port.getHost().port
         self._start_loops()
-        self._start_watches()
-        if self.engine is not None:
-            self._poll_engine()
+        process_module.read_config(self.process)
+        if self.engine_watch is not None:
+            self.engine_watch.poll()
         else:
             self._register()
         process_module.on_sigterm(self.reactor, self.drain)
@@ -166,8 +179,6 @@
         )
         yield process_module.wait_until(self.reactor, self._idle, timeout_s)
         yield removal
-        for watch in self._watches:
-            watch.stop()
         self._listening.stopListening()
         self.peers.stop()
         for link in list(self.links):
@@ -184,22 +195,25 @@
         return self.door.running + stages + calls == 0
 
     def _build_engine(self) -> None:
-        self._submitted_kinds = ("start",)
-        self.door.unready = "engine_down"
-        self.engine = engine_module.EngineClient(
-            self.reactor, self.settings["engine"], self._on_engine_failed
+        self.engine_watch = engine_watch.EngineWatch(
+            self.reactor,
+            self.settings,
+            self.door,
+            engine_watch.Events(
+                self._on_target_died, self._register, self._report_load
+            ),
         )
         self.pipeline = pipeline_module.Pipeline(
             self.reactor,
-            self.engine,
+            self.engine_watch.client,
             self.peers,
             self._stage_refusal,
             self.heads.events(),
+            pipeline_module.Record(self.process.journal, self.process.tracer),
         )
         self.heads.pipeline = self.pipeline
 
     def _build_service(self) -> None:
-        self._submitted_kinds = ("call",)
         claims = claims_module.Claims(
             self.process.store,
             self.process.local.process,
@@ -209,29 +223,27 @@
             self.reactor,
             self.settings,
             claims,
-            self.door.done,
-            self._on_target_died,
+            self.process.tracer,
+            services_module.Events(self.door.done, self._on_target_died),
         )
 
     def _start_loops(self) -> None:
-        loop = task.LoopingCall(self._report_load)
+        self._loop(self._report_load, LOAD_INTERVAL_S)
+        self._loop(self._read_config, CONFIG_CHECK_S)
+
+    def _loop(self, function: Callable[[], Any], interval_s: float) -> None:
+        loop = task.LoopingCall(function)
         loop.clock = self.reactor
-        loop.start(LOAD_INTERVAL_S, now=False)
-
-    def _start_watches(self) -> None:
-        self._watches.append(process_module.follow_config(self.process))
-        if self.settings["vm"]:
-            self._watches.append(
-                vms_module.follow(
-                    self.process.store,
-                    self.settings["vm_poll_s"],
-                    self._on_vms,
-                )
-            )
+        loop.start(interval_s, now=False).addErrback(process_module.log_end)
+
+    def _read_config(self) -> None:
+        """Reads the configuration if no entry can pass it on."""
+        if self._entry_links() and self.process.feed.version():
+            return
+        process_module.read_config(self.process)
 
-    def _on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
-        vm = vms.get(self.settings["vm"])
-        if vm is not None and vm.state == vms_module.LEAVING:
+    def _on_vm_leaving(self, link: link_module.Link, message: Any) -> None:
+        if message["vm"] == self.settings["vm"]:
             self.drain("VM list")
 
     def _register(self) -> None:
@@ -245,7 +257,7 @@
             "host": self.settings["link"]["host"],
             "port": self.link_port,
         }
-        info = self.engine_info
+        info = self.engine_watch.info if self.engine_watch else None
         service = self.settings.get("service")
         return {
             "target": self.settings["name"],
@@ -264,14 +276,8 @@
             "max_running": self.settings["limits"]["running"],
         }
 
-    def _on_engine_failed(self) -> None:
-        if not self.door.unready:
-            log.warning("the engine does not answer")
-            self._on_target_died()
-            self.door.unready = "engine_down"
-            self.door.refuse_waiting("engine_down")
-            self._report_load()
-        self._poll_engine()
+    def _pause(self) -> defer.Deferred[bool]:
+        return self.engine_watch.pause(self._idle)
 
     def _on_target_died(self) -> None:
         name = self.settings["name"]
@@ -281,27 +287,6 @@
         source = self.pipeline or self.services
         return source.running_s()
 
-    def _poll_engine(self) -> None:
-        if self._polling:
-            return
-        self._polling = True
-        asked = self.engine.info()
-        asked.addCallbacks(self._on_engine_info, self._on_no_engine_info)
-
-    def _on_engine_info(self, info: engine_module.Info) -> None:
-        self._polling = False
-        changed = self.engine_info != info
-        self.engine_info = info
-        self.door.unready = ""
-        if changed:
-            log.info("the engine holds {}", info)
-            self._register()
-        self._report_load()
-
-    def _on_no_engine_info(self, reason: Any) -> None:
-        self._polling = False
-        self.reactor.callLater(ENGINE_POLL_S, self._poll_engine)
-
     def _stage_refusal(self, message: Any) -> str:
         """Returns why a stage can't be reserved, or an empty string."""
         reason = self.door.refusal_reason(message)
@@ -311,7 +296,7 @@
         if reason:
             return reason
         stage = message["chain"][message["stage_index"]]
-        info = self.engine_info
+        info = self.engine_watch.info
         if (stage["first_layer"], stage["end_layer"]) != (
             info.first_layer,
             info.end_layer,
@@ -328,7 +313,7 @@
             return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
-        return "suspect_apart"
+        return pipeline_module.SUSPECT_APART
 
     def _preempt(self, key: runs.Key) -> None:
         self.heads.preempt(key)
@@ -337,11 +322,7 @@
         if message["type"] == "call":
             self.services.begin(message, link)
             return
-        for digest in prefixes_module.digests(message["prompt"]):
-            self._prefixes.pop(digest, None)
-            self._prefixes[digest] = None
-        while len(self._prefixes) > MAX_PREFIXES:
-            del self._prefixes[next(iter(self._prefixes))]
+        self._loads.note_prefixes(prefixes_module.digests(message["prompt"]))
         self.heads.begin(message, link)
 
     def _on_open(self, link: link_module.Link) -> None:
@@ -353,7 +334,7 @@
             if self.pipeline is not None:
                 self.pipeline.on_peer_up(link.peer["name"])
         else:
-            link.send(self._load())
+            link.send(self._loads.whole())
         if self.door.leaving:
             link.send(
                 {
@@ -367,6 +348,7 @@
         self.links.discard(link)
         self.process.feed.on_down(link)
         self.process.suspects.on_down(link)
+        self._introductions.on_down(link)
         if link.peer is None:
             return
         if link.peer["role"] == "entry":
@@ -375,52 +357,55 @@
         elif self.peers.remove(link) and self.pipeline is not None:
             self.pipeline.on_peer_down(link.peer["name"], reason)
 
-    def _on_message(self, link: link_module.Link, message: Any) -> None:
-        kind = message["type"]
-        if kind in ("heartbeat", "config"):
-            self.process.feed.on_message(link, message)
-        elif kind == "suspects":
-            self.process.suspects.on_message(link, message)
-        elif kind in self._submitted_kinds:
-            self.door.submit(message, link)
-        elif kind == "cancel":
-            self._cancel(runs.place_of(message))
-        elif kind == "credit":
-            self.heads.credit(message)
-        elif self.pipeline is not None:
-            self._on_pipeline_message(link, message)
-
-    def _cancel(self, key: runs.Key) -> None:
+    def _order_target(self) -> orders.Target:
+        if self.engine_watch is None:
+            return orders.Target(None, self._pause, lambda: None, self.drain)
+        return orders.Target(
+            self.engine_watch.client,
+            self._pause,
+            self.engine_watch.resume,
+            self.drain,
+        )
+
+    def _build_inbox(self) -> inbox.Inbox:
+        process = self.process
+        built = inbox.Inbox()
+        built.add(
+            {
+                "heartbeat": process.feed.on_message,
+                "config": process.feed.on_message,
+                "suspects": process.suspects.on_message,
+                "vm_leaving": self._on_vm_leaving,
+                "order": self._orders.on_order,
+                "targets_wanted": self._on_targets_wanted,
+                "targets": self._introductions.on_targets,
+                "cancel": self._on_cancel,
+            }
+        )
+        if self.pipeline is None:
+            built.add({"call": self._submit})
+        else:
+            built.add({"start": self._submit, "credit": self.heads.on_credit})
+            built.add(inbox.stage_handlers(self.pipeline))
+        return built
+
+    def _submit(self, link: link_module.Link, message: Any) -> None:
+        self.door.submit(message, link)
+
+    def _on_targets_wanted(self, link: link_module.Link, _: Any) -> None:
+        self._introductions.on_wanted(link, self.links, self.record)
+
+    def _on_cancel(self, link: link_module.Link, message: Any) -> None:
+        key = runs.place_of(message)
         if not self.door.cancel(key):
             self.heads.cancel(key)
 
-    def _on_pipeline_message(
-        self, link: link_module.Link, message: Any
-    ) -> None:
-        kind = message["type"]
-        if kind == "hops":
-            for hop in message["hops"]:
-                self.pipeline.on_hop(link, hop)
-        elif kind == "hop_results":
-            for result in message["results"]:
-                self.pipeline.on_hop_result(result)
-        elif kind == "open":
-            self.pipeline.on_open(link, message)
-        elif kind == "opened":
-            self.pipeline.on_opened(link, message)
-        elif kind == "refused":
-            self.pipeline.on_refused(link, message)
-        elif kind == "stage_failed":
-            self.pipeline.on_stage_failed(link, message)
-        elif kind == "close":
-            self.pipeline.close(runs.place_of(message))
-
     def _report_load(self) -> None:
         self.door.sample_rate()
-        message = self._load()
-        for link in list(self.links):
-            if link.peer["role"] == "entry":
-                link.send(message)
+        self._loads.send(self._entry_links())
+
+    def _entry_links(self) -> list[link_module.Link]:
+        return [link for link in self.links if link.peer["role"] == "entry"]
 
     def _load(self) -> dict[str, Any]:
         stages = len(self.pipeline.runs) if self.pipeline else 0
@@ -431,8 +416,7 @@
             "running": max(self.door.running, stages),
             "max_running": self.settings["limits"]["running"],
             "queued_cost_tokens": self.door.queued_cost_tokens,
-            "tokens_per_s": self.door.tokens_per_s,
+            "tokens_per_s": self.door.rates.tokens_per_s,
             "leaving": self.unready_reason() != "",
             "plan_served_tokens": dict(self.door.served_tokens),
-            "prefixes": list(reversed(self._prefixes)),
         }
--- a/src/hemlocktiller/_internal/agent/claims.py
+++ b/src/hemlocktiller/_internal/agent/claims.py
@@ -31,6 +31,7 @@
 RETRY_AFTER_S = 5.0
 CONTENTION_TRIES = 8
 DISPATCH_ID_BYTES = 12
+SETTLE_WAIT_S = 1.0
 
 _LOG = logbook.Logger(__name__)
 _BEGINS = prometheus_client.Counter(
@@ -162,10 +163,11 @@
     def finish(
         self, claim: Claim, recorded: claim_rules.Outcome
     ) -> "defer.Deferred[None]":
-        """Records the answer; fires once it is written.
+        """Records the answer.
 
-        The caller may be answered before that: the claim keeps the call
-        from running again in any case.
+        Fires once it is written, or after `SETTLE_WAIT_S` while it is
+        still being tried: the answer may go to the caller then, since the
+        claim keeps the call from running again in any case.
         """
         return self._end(claim, claim_rules.FINISHED, recorded)
 
@@ -176,8 +178,8 @@
     def not_run(self, claim: Claim) -> "defer.Deferred[None]":
         """Records that the service provably never got the call.
 
-        Fires once another attempt may claim the call, so wait for it
-        before the answer that asks for another attempt.
+        Fires like `finish`; another attempt may claim the call once it is
+        written, so wait for it before the answer that allows one.
         """
         return self._end(claim, claim_rules.VOID, None)
 
@@ -253,22 +255,29 @@
         return self._settle(claim.name, decide, claim.stored)
 
     def _settle(self, name, decide, known):
-        """Changes a claim, retrying until it is written or stopped."""
+        """Changes a claim, retrying until it is written or stopped.
+
+        Returns:
+            A Deferred that fires then, or after `SETTLE_WAIT_S`.
+        """
         settling = defer.Deferred.fromCoroutine(
             self._keep_changing(name, decide, known)
         )
         self._settling.add(settling)
         _UNSETTLED.inc()
-        settled = defer.Deferred()
-        settling.addBoth(self._settled, settling, settled)
-        return settled
+        waiting = defer.Deferred()
+        timer = self._store.reactor.callLater(
+            SETTLE_WAIT_S, waiting.callback, None
+        )
+        settling.addBoth(self._settled, settling)
+        settling.addCallback(_fire_early, timer, waiting)
+        return waiting
 
-    def _settled(self, result, settling, settled):
+    def _settled(self, result, settling):
         self._settling.discard(settling)
         _UNSETTLED.dec()
         if isinstance(result, failure.Failure) and not self._stopped:
             _LOG.error("a claim is not settled: {}", result)
-        settled.callback(None)
 
     async def _keep_changing(self, name, decide, known):
         failures = 0
@@ -323,5 +332,11 @@
         raise exceptions.StoreUnavailable(f"claim {name} is contended")
 
 
+def _fire_early(_, timer, waiting):
+    if timer.active():
+        timer.cancel()
+        waiting.callback(None)
+
+
 def _digest(content):
     return hashlib.sha256(content).hexdigest()
--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -12,14 +12,15 @@
 import prometheus_client
 
 from hemlocktiller._internal.agent import heads
+from hemlocktiller._internal.agent import rates
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import lending
 
 EXPIRY_INTERVAL_S = 0.1
-RATE_WEIGHT = 0.2  # Share of a new sample in the moving average.
 MIN_TOKENS_PER_S = 1.0
 
 REFUSED = prometheus_client.Counter(
@@ -64,22 +65,22 @@
         settings: Any,
         current_config: Callable[[], snapshot_module.Snapshot],
         work: Work,
+        journal: explain.Journal,
     ) -> None:
         self.leaving = False
         self.unready = ""
         self.served_tokens: dict[str, float] = {}
-        self.tokens_per_s = 0.0
+        self.rates = rates.Rates(reactor)
         self._reactor = reactor
         self._settings = settings
         self._current_config = current_config
         self._work = work
+        self._journal = journal
         self._lender = lending.Lender()
         self._queue = fair_queue.FairQueue(settings["limits"], {})
         self._waiting: dict[str, Waiting] = {}
         self._running: dict[str, Waiting] = {}
         self._started_s: dict[str, float] = {}
-        self._sampled_s = reactor.seconds()
-        self._sample_tokens = 0.0
         self._timer: Any = None
 
     @property
@@ -107,6 +108,10 @@
         if reason:
             self._refuse(message, link, reason)
             return
+        if self._is_hopeless(message):
+            self._refuse(message, link, "hopeless")
+            return
+        self._note(message, "queued", waiting=len(self._waiting))
         waiting = Waiting(message, link, self._item(message))
         pushed = self._queue.push(waiting.item)
         if not pushed.accepted:
@@ -140,6 +145,7 @@
                 break
             self._start(self._waiting.pop(item.request))
         self._take_back(now_s)
+        self.rates.set_busy(bool(self._running))
         QUEUED.set(len(self._waiting))
         RUNNING.set(len(self._running))
         self._check_later()
@@ -151,6 +157,7 @@
             return
         self._running[waiting.item.request] = waiting
         self._started_s[waiting.item.request] = self._reactor.seconds()
+        self._note(waiting.message, "started_here")
         self._work.begin(self._with_time_left(waiting), waiting.link)
 
     def _take_back(self, now_s: float) -> None:
@@ -215,7 +222,7 @@
         )
         served = self.served_tokens.get(item.plan, 0.0)
         self.served_tokens[item.plan] = served + actual_tokens
-        self._sample_tokens += actual_tokens
+        self.rates.done(actual_tokens)
         self._reactor.callLater(0, self.pump)
 
     def cancel(self, key: runs.Key) -> bool:
@@ -241,19 +248,9 @@
             self._queue.remove(name)
             self._drop(name, reason)
 
-    def sample_rate(self) -> float:
-        """Returns the moving average of the service rate in tokens/s.
-
-        Idle time does not count, so the rate tells what a backlog gets.
-        """
-        now_s = self._reactor.seconds()
-        elapsed_s = now_s - self._sampled_s
-        if elapsed_s > 0 and self._sample_tokens > 0:
-            rate = self._sample_tokens / elapsed_s
-            self.tokens_per_s += RATE_WEIGHT * (rate - self.tokens_per_s)
-        self._sampled_s = now_s
-        self._sample_tokens = 0.0
-        return self.tokens_per_s
+    def sample_rate(self) -> None:
+        """Takes what was served lately into the averages."""
+        self.rates.sample()
 
     def _with_time_left(self, waiting: Waiting) -> Any:
         left_s = waiting.item.deadline_s - self._reactor.seconds()
@@ -276,6 +273,16 @@
             self._reactor.seconds() + message["expires_in_s"],
         )
 
+    def _is_hopeless(self, message: Any) -> bool:
+        """Tells whether a request can't even start in time behind others."""
+        if not self.rates.known or not self._waiting:
+            return False
+        return self._wait_s(self._item(message)) > message["expires_in_s"]
+
+    def _wait_s(self, item: fair_queue.Item) -> float:
+        rate = max(self.rates.tokens_per_s, MIN_TOKENS_PER_S)
+        return self._queue.estimate_wait_s(item, rate)
+
     def _drop(self, name: str, reason: str) -> None:
         waiting = self._waiting.pop(name, None)
         if waiting is not None:
@@ -285,11 +292,10 @@
         self, message: Any, link: link_module.Link, reason: str
     ) -> None:
         REFUSED.labels(reason).inc()
+        self._note(message, "refused_here", why=reason)
         if not link.up:
             return
-        wait_s = self._queue.estimate_wait_s(
-            self._item(message), max(self.tokens_per_s, MIN_TOKENS_PER_S)
-        )
+        wait_s = self._wait_s(self._item(message))
         link.send(
             heads.refusal(
                 message,
@@ -300,6 +306,15 @@
             )
         )
 
+    def _note(self, message: Any, event: str, **fields: Any) -> None:
+        self._journal.note(
+            message["request"],
+            event,
+            attempt=message["attempt"],
+            target=self._settings["name"],
+            **fields,
+        )
+
     def _check_later(self) -> None:
         if self._timer is None and self._waiting:
             self._timer = self._reactor.callLater(
--- a/src/hemlocktiller/_internal/schemas/agent_settings.py
+++ b/src/hemlocktiller/_internal/schemas/agent_settings.py
@@ -34,6 +34,7 @@
     Links between processes.
     """
 
+    seeds: NotRequired[list[Address]]
     secret: str
     heartbeat_interval_s: NotRequired[float]
     silence_timeout_s: NotRequired[float]
@@ -100,7 +101,6 @@
     store: Store
     links: Links
     drain: NotRequired[Drain]
-    vm_poll_s: NotRequired[float]
     trace_sample_ratio: NotRequired[float]
     link: Address
     accelerator_kind: NotRequired[str]
@@ -122,7 +122,6 @@
     store: Store
     links: Links
     drain: NotRequired[Drain]
-    vm_poll_s: NotRequired[float]
     trace_sample_ratio: NotRequired[float]
     link: Address
     accelerator_kind: NotRequired[str]
