--- a/src/hemlocktiller/_internal/entry/attempts.py
+++ b/src/hemlocktiller/_internal/entry/attempts.py
@@ -7,6 +7,7 @@
 
 import prometheus_client
 
+from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.entry import targets as targets_module
 from hemlocktiller._internal.links import suspects_feed
@@ -40,6 +41,20 @@
     rng: random.Random
 
 
+def readmit(shared: Shared, call: Any) -> Any:
+    """Returns a call as admitted under the configuration in force.
+
+    Raises:
+        RequestError: Its caller may not do this any more.
+    """
+    if call.caller.config_version == shared.current_config().version:
+        return call
+    renewed = call.readmit()
+    if renewed.view.workspace != call.caller.view.workspace:
+        raise exceptions.Unauthorized("the key is another workspace's now")
+    return call._replace(caller=renewed)
+
+
 def may_retry(shared: Shared, attempt: int, reason: str) -> bool:
     """Tells whether an attempt may follow, and spends the budget."""
     if attempt >= shared.settings["retries"]["attempts"]:
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -19,6 +19,8 @@
 PREEMPTED = "preempted"
 SUSPECT_APART = "suspect_apart"
 APART_WAIT_S = 0.2
+STALE_CONFIG = "stale_config"
+STALE_WAIT_S = 0.1  # The target sends the newer one meanwhile.
 
 
 class ModelRequest:
@@ -64,7 +66,7 @@
     def begin(self) -> None:
         """Sends the next attempt."""
         self._wait = None
-        if self._held_back():
+        if self._held_back() or not self._readmitted():
             return
         route = routes.choose(self._shared, self.call, self._excluded)
         if route is None:
@@ -137,6 +139,16 @@
         self._failed_target()
         self._lost(reason)
 
+    def _readmitted(self) -> bool:
+        """Admits the call under the newest configuration, or ends it."""
+        try:
+            self.call = attempts.readmit(self._shared, self.call)
+        except exceptions.RequestError as error:
+            error.ran = "unknown" if self._may_have_run else "no"
+            self._fail(error)
+            return False
+        return True
+
     def _held_back(self) -> bool:
         """Ends a request that crashes targets; waits while undecided."""
         state = self._shared.suspects.state(self.call.digest)
@@ -176,7 +188,7 @@
             "workspace": view.workspace,
             "plan": view.plan["plan"],
             "model": self.call.model,
-            "config_version": self._shared.current_config().version,
+            "config_version": self.call.caller.config_version,
             "prompt": self.call.prompt,
             "max_tokens": self.call.max_tokens,
             "generated": self.tokens,
@@ -201,8 +213,10 @@
         if message["reason"] == SUSPECT_APART:
             self._begin_later(APART_WAIT_S)
             return
-        if message["reason"] != "stale_config":
-            self._excluded.add(message["target"])
+        if message["reason"] == STALE_CONFIG:
+            self._begin_later(STALE_WAIT_S)
+            return
+        self._excluded.add(message["target"])
         self._lost(message["reason"])
 
     def _on_failed(self, message: Any) -> None:
--- a/src/hemlocktiller/_internal/entry/outcomes.py
+++ b/src/hemlocktiller/_internal/entry/outcomes.py
@@ -37,7 +37,12 @@
 
 
 class ModelCall(NamedTuple):
-    """A model request as the caller sent it."""
+    """A model request as the caller sent it.
+
+    Attributes:
+        readmit: Admits the caller again under the configuration in force;
+            raises a RequestError if it may not do this any more.
+    """
 
     request: str
     caller: Caller
@@ -46,10 +51,15 @@
     max_tokens: int
     traceparent: str
     digest: int
+    readmit: Callable[[], Caller]
 
 
 class ServiceCall(NamedTuple):
-    """A call of a plain service as the caller sent it."""
+    """A call of a plain service as the caller sent it.
+
+    Attributes:
+        readmit: As in `ModelCall`.
+    """
 
     request: str
     caller: Caller
@@ -61,6 +71,7 @@
     idempotency_key: str
     traceparent: str
     digest: int
+    readmit: Callable[[], Caller]
 
 
 class ServiceAnswer(NamedTuple):
--- a/src/hemlocktiller/_internal/entry/pages.py
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -167,6 +167,12 @@
         chat: bool,
     ) -> None:
         self._check_model(caller.view, body)
+
+        def readmit() -> outcomes.Caller:
+            renewed = self._caller(request)
+            self._check_model(renewed.view, body)
+            return renewed
+
         call = outcomes.ModelCall(
             request_id,
             caller,
@@ -175,6 +181,7 @@
             body.max_tokens,
             _traceparent(request),
             _digest(caller, f"{body.model}\0{body.prompt}".encode()),
+            readmit,
         )
         form = answers.Form(request_id, body.model, chat)
         registry = self._context.registry
@@ -210,12 +217,13 @@
         path = request.uri.decode("ascii", "replace")
         name, _, rest = path.removeprefix("/services/").partition("/")
         name = name.partition("?")[0]
-        if not snapshot_module.may_use_service(caller.view, name):
-            if name not in self._context.services():
-                raise exceptions.UnknownName(f"no service {name}")
-            raise exceptions.NotAllowed(
-                f"plan {caller.view.plan['plan']} may not use {name}"
-            )
+        self._check_service(caller.view, name)
+
+        def readmit() -> outcomes.Caller:
+            renewed = self._caller(request)
+            self._check_service(renewed.view, name)
+            return renewed
+
         body = request.content.read()
         call = outcomes.ServiceCall(
             request_id,
@@ -228,6 +236,7 @@
             _idempotency_key(request),
             _traceparent(request),
             _digest(caller, path.encode() + b"\0" + body),
+            readmit,
         )
 
         def on_answer(answer: outcomes.ServiceAnswer) -> None:
@@ -240,6 +249,16 @@
         self._cancel_on_hang_up(request, request_id)
         self._context.registry.begin_service(call, on_answer, on_error)
 
+    def _check_service(
+        self, view: snapshot_module.WorkspaceView, name: str
+    ) -> None:
+        if not snapshot_module.may_use_service(view, name):
+            if name not in self._context.services():
+                raise exceptions.UnknownName(f"no service {name}")
+            raise exceptions.NotAllowed(
+                f"plan {view.plan['plan']} may not use {name}"
+            )
+
     def _cancel_on_hang_up(
         self, request: http.Request, request_id: str
     ) -> None:
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -61,7 +61,7 @@
     def begin(self) -> None:
         """Sends the next attempt."""
         self._wait = None
-        if self._held_back():
+        if self._held_back() or not self._readmitted():
             return
         route = routes.choose_service(self._shared, self.call, self._excluded)
         if route is None:
@@ -115,6 +115,16 @@
         self._exclude_target()
         self._lost(reason)
 
+    def _readmitted(self) -> bool:
+        """Admits the call under the newest configuration, or ends it."""
+        try:
+            self.call = attempts.readmit(self._shared, self.call)
+        except exceptions.RequestError as error:
+            error.ran = "unknown" if self._may_have_run else "no"
+            self._fail(error)
+            return False
+        return True
+
     def _held_back(self) -> bool:
         """Ends a request that crashes targets; waits while undecided."""
         state = self._shared.suspects.state(self.call.digest)
@@ -142,7 +152,7 @@
             "workspace": view.workspace,
             "plan": view.plan["plan"],
             "service": self.call.service,
-            "config_version": self._shared.current_config().version,
+            "config_version": self.call.caller.config_version,
             "method": self.call.method,
             "path": self.call.path,
             "content_type": self.call.content_type,
