--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -18,19 +18,8 @@
 READ = "GET"
 WRITES = ("PUT", "DELETE")
 IDLE_S = 100.0
-TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
 SETTLE_S = 30.0
-CALL = {
-    "workspace": "w",
-    "service": "bookings",
-    "idempotency_key": "key",
-    "request": "r0",
-    "attempt": 1,
-    "method": "POST",
-    "path": "/bookings",
-    "body": b'{"item": "hall"}',
-    "expires_in_s": 30.0,
-}
+TARGET = {"target": "t0", "host": "127.0.0.1", "port": 1}
 
 
 class Calls(NamedTuple):
@@ -51,33 +40,25 @@
 def booking() -> Calls:
     """Returns the calls of one booking that is made."""
     platform = memory.MemoryPlatform()
-    claims = _claims(platform)
-    before = _total(platform)
-    _book(platform, claims)
-    return _since(platform, before)
+    _book(platform)
+    return _total(platform)
 
 
 def repeated_booking() -> Calls:
     """Returns the calls of a booking that was made before."""
     platform = memory.MemoryPlatform()
-    claims = _claims(platform)
-    _book(platform, claims)
+    _book(platform)
     before = _total(platform)
-    platform.result(claims.begin({**CALL, "request": "r1"}))
+    _book(platform)
     return _since(platform, before)
 
 
-def _claims(platform):
-    return claims_module.Claims(
-        platform.store(), claims_module.ROUTER_SETTINGS, platform.clock
-    )
-
-
-def _book(platform, claims):
-    """Claims a booking and records its answer."""
-    begun = platform.result(claims.begin(CALL))
-    answer = claims_module.Answer(200, "application/json", b"{}")
-    platform.result(claims.finish(begun, answer))
+def _book(platform):
+    claims = claims_module.Claims(platform.store(), "agent")
+    begun = platform.result(claims.begin("name", "digest", "r", 1, IDLE_S))
+    if isinstance(begun, claims_module.Begun):
+        answer = claims_module.outcome(200, "application/json", b"{}")
+        platform.result(claims.finish(begun.claim, answer))
 
 
 def held_lease(bidders: int) -> tuple[float, float]:
--- a/tests/unit/test_capacity_bounds.py
+++ b/tests/unit/test_capacity_bounds.py
@@ -6,8 +6,13 @@
 import pytest
 
 from benchmarks import capacity
+from benchmarks import config_bytes
 from benchmarks.slopes import samples
 from benchmarks.slopes import store_calls
+from hemlocktiller._internal.agent import load_reports
+from hemlocktiller._internal.config import patch
+from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.links import codec
 from tests.unit import wires
 
 SCHEMA = Path(__file__).parents[2] / "schema" / "entry_settings.json"
@@ -21,8 +26,7 @@
 WATCHES = 3 * capacity.TARGET.entries + 2 * capacity.TARGET.replicas
 PROCESSES = capacity.TARGET.entries + capacity.TARGET.replicas
 HEADER_BYTES = 52  # IPv4, TCP and its timestamps
-DURATION_S = 20
-LOAD_INTERVAL_S = 1.0
+DURATION_S = 300
 
 
 class _Counted(wires.Wire):
@@ -45,9 +49,9 @@
     settings = {**wires.SETTINGS, "heartbeat_interval_s": interval_s}
     wire = _Counted(settings, settings).connect()
     wire.wire_bytes = 0
-    for _ in range(DURATION_S):
+    for _ in range(round(DURATION_S / load_reports.REFRESH_S)):
         wire.accepted.link.send(samples.load(plans=4, prefixes=0))
-        wire.advance(LOAD_INTERVAL_S)
+        wire.advance(load_reports.REFRESH_S)
     return wire.wire_bytes / DURATION_S
 
 
@@ -90,3 +94,14 @@
 def test_all_links_of_an_entry_fit_its_control_bytes(link_bytes_per_s):
     total = ENTRY_LINKS * link_bytes_per_s
     assert total <= capacity.TARGET.bytes_per_s
+
+
+def test_edits_fit_the_control_bytes_of_a_node_as_patches():
+    document = config_bytes.document_of(capacity.TARGET.workspaces)
+    before = snapshot.build(1, document)
+    edited = config_bytes.document_of(capacity.TARGET.workspaces)
+    edited["plans"][0]["workspaces"][0]["key_digest"] = "0" * 64
+    update = patch.make(before, snapshot.build(2, edited))
+    bytes_each = len(codec.encode(update)) + HEADER_BYTES
+    bytes_per_s = bytes_each * ENTRY_LINKS * capacity.EDITS_PER_S
+    assert bytes_per_s <= capacity.TARGET.bytes_per_s / 2
--- a/tests/unit/test_claims_history.py
+++ b/tests/unit/test_claims_history.py
@@ -10,8 +10,9 @@
 from tests.unit import test_claims
 
 PROCESSES = 3
+REQUEST = "r1"
 CRASHES_MAX = 2
-ANSWERS = strategies.sampled_from(["ok", "ok", "refused", "lost", "late"])
+ANSWERS = strategies.sampled_from(["ok", "slow", "refused", "lost", "late"])
 NUMBERS = strategies.integers(0, 1_000)
 PROCESS_NUMBERS = strategies.integers(0, PROCESSES - 1)
 SETTLE_ROUNDS = 200
@@ -51,11 +52,7 @@
         store = scripted_store.ScriptedStore(
             self.objects, f"process-{self.starts}"
         )
-        ledger = claims.Claims(store, test_claims.SETTINGS, self.objects.clock)
-        return store, ledger
-
-    def _call(self, attempt):
-        return {**test_claims.CALL, "attempt": attempt}
+        return store, claims.Claims(store, store.writer)
 
     @stateful.rule(number=PROCESS_NUMBERS)
     def _send(self, number):
@@ -89,6 +86,11 @@
         while self.objects.calls:
             self.objects.answer(self.objects.calls[0], "ok")
 
+    @stateful.precondition(lambda self: self.objects.slow)
+    @stateful.rule(number=NUMBERS)
+    def _reply(self, number):
+        self.objects.reply(number % len(self.objects.slow))
+
     @stateful.precondition(lambda self: self.objects.late)
     @stateful.rule(number=NUMBERS)
     def _land(self, number):
@@ -107,13 +109,13 @@
         ledger = made.process[1]
         if how == "u":
             self.said_not_run.add(made.attempt)
-            ledger.not_run(made.begun)
+            ledger.not_run(made.begun.claim)
             return
         self.runs.append(made.attempt)
         if how == "f":
-            ledger.finish(made.begun, test_claims.ANSWER)
+            ledger.finish(made.begun.claim, test_claims.ANSWER)
         if how == "l":
-            ledger.lose(made.begun)
+            ledger.lose(made.begun.claim)
         if how == "c":
             self._crash_process(made.process)
 
@@ -136,7 +138,11 @@
 
     def _deliver(self, number, attempt):
         process = self.processes[number]
-        begun = process[1].begin(self._call(attempt))
+        ends_at_s = self.objects.clock.seconds() + 30.0
+        begun = process[1].begin(
+            test_claims.NAME, test_claims.PRINT, REQUEST, attempt, ends_at_s
+        )
+        begun.addErrback(lambda error: error.trap(exceptions.StoreDown))
         begun.addCallback(self._begin_result, process, attempt)
 
     def _begin_result(self, result, process, attempt):
@@ -146,7 +152,7 @@
             self.said_not_run.add(attempt)
 
     def _void(self, attempt):
-        voided = self.router[1].void(self._call(attempt))
+        voided = self.router[1].void(test_claims.NAME, REQUEST, attempt)
         voided.addCallback(self._void_result, attempt)
         voided.addErrback(lambda error: error.trap(exceptions.StoreError))
 
@@ -166,6 +172,8 @@
         """Without a crash, an unrun key can be run in the end."""
         for _ in range(SETTLE_ROUNDS):
             self._answer_all()
+            while self.objects.slow:
+                self.objects.reply(0)
             self.objects.clock.advance(1.0)
             while self.objects.late:
                 self.objects.land(self.objects.late[0])
@@ -181,7 +189,7 @@
 ClaimsHistory.TestCase.settings = hypothesis.settings(
     derandomize=True,
     deadline=None,
-    max_examples=300,
-    stateful_step_count=40,
+    max_examples=400,
+    stateful_step_count=60,
 )
 test_claims_history = ClaimsHistory.TestCase
