--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -9,6 +9,7 @@
 from hemlocktiller._internal.entry import attempts
 from hemlocktiller._internal.entry import controller
 from hemlocktiller._internal.entry import pages as pages_module
+from hemlocktiller._internal.entry import registrations
 from hemlocktiller._internal.entry import registry as registry_module
 from hemlocktiller._internal.entry import seeds
 from hemlocktiller._internal.entry import targets as targets_module
@@ -20,7 +21,6 @@
 from hemlocktiller._internal.store import watch
 
 ENTRY_KIND = "entry"
-TARGET_KIND = "target"
 MAX_RECORDS = 4096  # The schema's limit for one message.
 
 log = logbook.Logger(__name__)
@@ -58,6 +58,13 @@
             lambda: self._entries,
             self.reactor,
         )
+        self._registrations = registrations.Registrations(
+            process.store,
+            self.settings,
+            self.targets,
+            self._controller.holds_data_centre,
+            self.reactor,
+        )
         self._has_listing = False
         self._seeds = self._build_seeds()
         self._entries = {self.settings["name"]: self.settings["data_centre"]}
@@ -104,6 +111,7 @@
         self._start_watches()
         self._seeds.start()
         self._controller.start()
+        self._registrations.start()
         process_module.register(
             self.process, ENTRY_KIND, self.settings["name"], self.record
         )
@@ -167,6 +175,7 @@
         )
         self._seeds.stop()
         self._controller.stop()
+        self._registrations.stop()
         for one in self._watches:
             one.stop()
         self.targets.stop()
@@ -187,11 +196,9 @@
         store = self.process.store
         self._watches = [
             process_module.follow_config(self.process),
-            watch.follow_kind(store, TARGET_KIND, self._on_targets),
+            watch.follow_kind(store, targets_module.KIND, self._on_targets),
             watch.follow_kind(store, ENTRY_KIND, self._on_entries),
-            vms_module.follow(
-                store, self.settings["vm_poll_s"], self.targets.on_vms
-            ),
+            vms_module.follow(store, self.settings["vm_poll_s"], self._on_vms),
         ]
 
     def _on_targets(
@@ -227,6 +234,10 @@
             lambda: self._has_listing,
         )
 
+    def _on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
+        self.targets.on_vms(vms)
+        self._registrations.on_vms(vms)
+
     def _on_entries(
         self,
         changed: list[client.StoredObject],
--- a/src/hemlocktiller/_internal/entry/controller.py
+++ b/src/hemlocktiller/_internal/entry/controller.py
@@ -25,6 +25,7 @@
 ORDER_TIMEOUT_S = 90.0
 GRACE_ROUNDS = 5  # Rounds for which a range may be missing before a move.
 BIDDERS = 3
+DATA_CENTRE_LEASE = ""  # No model has this name.
 LEASE: lease_module.LeaseSettings = {
     "duration_s": 15.0,
     "renew_interval_s": 5.0,
@@ -83,6 +84,11 @@
         running = self._loop.start(INTERVAL_S, now=False)
         running.addErrback(process_module.log_end)
 
+    def holds_data_centre(self) -> bool:
+        """Tells whether this entry looks after the data centre itself."""
+        model = self._models.get(DATA_CENTRE_LEASE)
+        return model is not None and _number(model) is not None
+
     def stop(self) -> None:
         """Gives the leases back."""
         if self._loop.running:
@@ -96,7 +102,7 @@
         return [
             name
             for name, model in self._models.items()
-            if _number(model) is not None
+            if name != DATA_CENTRE_LEASE and _number(model) is not None
         ]
 
     def on_result(self, message: Any) -> None:
@@ -108,11 +114,12 @@
             model.missing_rounds = 0
 
     def _round(self) -> None:
-        for name in self._targets.models():
+        for name in [DATA_CENTRE_LEASE, *self._targets.models()]:
             if name not in self._models and self._may_bid(name):
                 self._bid(name)
         for name, model in self._models.items():
-            self._watch(name, model)
+            if name != DATA_CENTRE_LEASE:
+                self._watch(name, model)
 
     def _may_bid(self, model: str) -> bool:
         """Tells whether this entry is one of the lease's bidders."""
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -20,6 +20,8 @@
 from hemlocktiller._internal.policy import routing
 from hemlocktiller._internal.store import vms as vms_module
 
+KIND = "target"
+
 LIVE_TARGETS = prometheus_client.Gauge(
     "hemlocktiller_live_targets", "Targets with an open link"
 )
