--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -10,26 +10,24 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.entry import attempts
 from hemlocktiller._internal.entry import outcomes
+from hemlocktiller._internal.entry import request_state
 from hemlocktiller._internal.entry import routes
-from hemlocktiller._internal.entry import targets as targets_module
 from hemlocktiller._internal.observe import traces
-from hemlocktiller._internal.policy import suspects
 
-RETRY_AFTER_S = 1.0
 PREEMPTED = "preempted"
 SUSPECT_APART = "suspect_apart"
 APART_WAIT_S = 0.2
-STALE_CONFIG = "stale_config"
-STALE_WAIT_S = 0.1  # The target sends the newer one meanwhile.
+NO_FAILURES = {
+    PREEMPTED: 0.0,
+    SUSPECT_APART: APART_WAIT_S,
+    request_state.STALE_CONFIG: request_state.STALE_WAIT_S,
+}
 
 
-class ModelRequest:
+class ModelRequest(request_state.RequestState):
     """State of a model request.
 
     Attributes:
-        call: The request.
-        attempt: Number of the current attempt, from 1.
-        target: Target of the current attempt, or None between attempts.
         tokens: Tokens received so far.
     """
 
@@ -39,56 +37,21 @@
         call: outcomes.ModelCall,
         sink: outcomes.Sink,
     ) -> None:
-        self.call = call
-        self.attempt = 0
-        self.target: targets_module.Target | None = None
+        cost_tokens = len(call.prompt.split()) + call.max_tokens
+        super().__init__(shared, call, cost_tokens, sink.on_error)
         self.tokens: list[int] = []
-        self.sent_s = 0.0
-        self.ended = False
-        self._shared = shared
         self._sink = sink
         self._ungranted = 0
-        self._excluded: set[str] = set()
-        self._may_have_run = False
-        self._failures = 0
-        self._refusal: Any = None
-        plan = call.caller.view.plan
-        now_s = shared.reactor.seconds()
-        self._deadline_s = now_s + plan["deadline_s"]
-        self._span = shared.tracer.start(
-            "request", call.traceparent, request=call.request
-        )
-        self._timer = shared.reactor.callLater(
-            plan["deadline_s"], self._on_deadline
-        )
-        self._wait: Any = None
 
     def begin(self) -> None:
         """Sends the next attempt."""
-        self._wait = None
-        if self._held_back() or not self._readmitted():
+        if not self._may_begin():
             return
         route = routes.choose(self._shared, self.call, self._excluded)
         if route is None:
             self._no_route()
-            return
-        self.attempt += 1
-        self.target = route.target
-        attempts.ATTEMPTS.inc()
-        self._note("attempt", target=route.target.name, why=route.why)
-        self._shared.push_config(route.target)
-        route.target.link.send(self._start(route))
-        now_s = self._shared.reactor.seconds()
-        self.sent_s = now_s
-        view = self._shared.targets.view
-        view.loads.sent(
-            route.target.name,
-            self.call.request,
-            self.call.caller.view.plan["plan"],
-            self._cost_tokens,
-            now_s,
-        )
-        view.breaker.sent(route.target.name, now_s)
+        else:
+            self._send(route, lambda: self._start(route))
 
     def grant(self, tokens: int) -> None:
         """Lets the target send more tokens, as the caller took some."""
@@ -100,17 +63,9 @@
         link.send({"type": "credit", **self._place, "tokens": self._ungranted})
         self._ungranted = 0
 
-    def cancel(self) -> None:
-        """Ends the request since its caller has gone."""
-        if not self.ended:
-            self._note("cancelled")
-            self._cancel_attempt()
-            self._end()
-
     def on_message(self, message: Any) -> None:
         """Takes a message of the current attempt's target."""
         if not self._is_current(message):
-            attempts.STALE_ANSWERS.inc()
             return
         handlers = {
             "started": self._on_started,
@@ -123,7 +78,6 @@
     def on_tokens(self, run: Any) -> None:
         """Takes the next tokens; any that don't follow are dropped."""
         if not self._is_current(run):
-            attempts.STALE_ANSWERS.inc()
             return
         skip = len(self.tokens) - run["first_index"]
         if skip < 0:
@@ -139,48 +93,12 @@
         self._failed_target()
         self._lost(reason)
 
-    def _readmitted(self) -> bool:
-        """Admits the call under the newest configuration, or ends it."""
-        try:
-            self.call = attempts.readmit(self._shared, self.call)
-        except exceptions.RequestError as error:
-            error.ran = "unknown" if self._may_have_run else "no"
-            self._fail(error)
-            return False
-        return True
-
-    def _held_back(self) -> bool:
-        """Ends a request that crashes targets; waits while undecided."""
-        state = self._shared.suspects.state(self.call.digest)
-        if state == "condemned":
-            ran = "unknown" if self._may_have_run else "no"
-            message = "targets died while they ran this request"
-            self._fail(exceptions.CrashesTargets(message, ran))
-        elif state == "undecided":
-            self._wait = self._shared.reactor.callLater(
-                suspects.DECISION_S, self.begin
-            )
-        return state in ("condemned", "undecided")
-
-    def _is_current(self, message: Any) -> bool:
-        same = message["attempt"] == self.attempt
-        return same and self.target is not None
-
-    @property
-    def _place(self) -> dict[str, Any]:
-        return {"request": self.call.request, "attempt": self.attempt}
-
     @property
     def _credit_tokens(self) -> int:
         return self._shared.settings["limits"]["stream_credit_tokens"]
 
-    @property
-    def _cost_tokens(self) -> float:
-        return len(self.call.prompt.split()) + self.call.max_tokens
-
     def _start(self, route: routes.Route) -> dict[str, Any]:
         view = self.call.caller.view
-        left_s = self._deadline_s - self._shared.reactor.seconds()
         self._ungranted = 0
         return {
             "type": "start",
@@ -194,7 +112,7 @@
             "generated": self.tokens,
             "cost_tokens": self._cost_tokens - len(self.tokens),
             "worth": view.plan["worth"],
-            "expires_in_s": max(left_s, 0.0),
+            "expires_in_s": self._time_left_s,
             "credit_tokens": self._credit_tokens,
             "chain": list(route.chain),
             "alternates": list(route.alternates),
@@ -207,44 +125,36 @@
         self._note("started", target=self.target.name)
 
     def _on_refused(self, message: Any) -> None:
-        self._refusal = message
-        self._note("refused", target=self.target.name, why=message["reason"])
+        reason = message["reason"]
+        self._note("refused", target=self.target.name, why=reason)
+        self._retry_after_s = max(
+            message["retry_after_s"], request_state.RETRY_AFTER_S
+        )
         self._release_target()
-        if message["reason"] == SUSPECT_APART:
-            self._begin_later(APART_WAIT_S)
-            return
-        if message["reason"] == STALE_CONFIG:
-            self._begin_later(STALE_WAIT_S)
+        if reason in NO_FAILURES:
+            self._begin_later(NO_FAILURES[reason])
             return
         self._excluded.add(message["target"])
-        self._lost(message["reason"])
+        self._lost(reason)
 
     def _on_failed(self, message: Any) -> None:
+        reason = message["reason"]
         self._may_have_run = True
-        self._note("failed", target=self.target.name, why=message["reason"])
-        if message["reason"] == PREEMPTED:
-            self._release_target()
-            self._begin_later(0.0)
-            return
-        if message["reason"] == SUSPECT_APART:
-            self._excluded.update(message["dead_targets"])
+        self._note("failed", target=self.target.name, why=reason)
+        self._excluded.update(message["dead_targets"])
+        if reason in NO_FAILURES:
             self._release_target()
-            self._begin_later(APART_WAIT_S)
+            self._begin_later(NO_FAILURES[reason])
             return
-        self._excluded.update(message["dead_targets"])
         self._failed_target()
-        self._lost(message["reason"])
+        self._lost(reason)
 
     def _on_finished(self, message: Any) -> None:
         if message["token_count"] != len(self.tokens):
             self._lost("gap")
             return
-        now_s = self._shared.reactor.seconds()
-        self._shared.budget.record_success(now_s)
-        self._shared.suspects.succeeded(self.call.digest)
-        self._shared.targets.view.breaker.succeeded(self.target.name)
         self._note("finished", tokens=len(self.tokens))
-        self._end()
+        self._succeeded()
         self._sink.on_end(
             outcomes.Usage(
                 message["prompt_token_count"],
@@ -256,104 +166,45 @@
     def _lost(self, reason: str) -> None:
         """Begins another attempt, or ends the request."""
         self._cancel_attempt()
-        self._failures += 1
-        if not attempts.may_retry(self._shared, self._failures, reason):
+        if self._may_retry(reason):
+            self._back_off()
+        else:
             self._give_up(reason)
-            return
-        self._wait = self._shared.reactor.callLater(
-            attempts.backoff_s(self._shared, self.attempt), self.begin
-        )
-
-    def _begin_later(self, wait_s: float) -> None:
-        """Begins another attempt for a reason that is no failure."""
-        self._wait = self._shared.reactor.callLater(wait_s, self.begin)
 
     def _no_route(self) -> None:
-        if self._excluded and attempts.may_retry(
-            self._shared, self._failures + 1, "no_target"
-        ):
-            self._failures += 1
-            self.attempt += 1
-            self._excluded.clear()
-            wait_s = attempts.backoff_s(self._shared, self.attempt)
-            self._wait = self._shared.reactor.callLater(wait_s, self.begin)
+        if not self._excluded or not self._may_retry("no_target"):
+            self._give_up("no_target")
             return
-        self._give_up("no_target")
+        self.attempt += 1
+        self._excluded.clear()
+        self._back_off()
 
     def _give_up(self, reason: str) -> None:
         """Gives the final answer at once, with when to come back."""
         self._fail(self._error(reason))
 
     def _error(self, reason: str) -> exceptions.RequestError:
-        refused_s = self._refusal["retry_after_s"] if self._refusal else 0.0
-        retry_after_s = max(refused_s, RETRY_AFTER_S)
+        wait_s = self._retry_after_s
         if self.tokens:
             return exceptions.Interrupted(
-                f"the answer was cut off: {reason}", "yes", retry_after_s
+                f"the answer was cut off: {reason}", "yes", wait_s
             )
-        ran = "unknown" if self._may_have_run else "no"
         if reason == "no_target":
             return exceptions.NoTarget(
-                f"no target can serve {self.call.model} now",
-                ran,
-                retry_after_s,
+                f"no target can serve {self.call.model} now", self._ran, wait_s
             )
         return exceptions.Overloaded(
-            f"no target took the request: {reason}", ran, retry_after_s
+            f"no target took the request: {reason}", self._ran, wait_s
         )
 
     def _on_deadline(self) -> None:
         if self.target is not None:
             self._may_have_run = True
         self._cancel_attempt()
-        ran = "yes" if self.tokens else "unknown"
-        if not self._may_have_run:
-            ran = "no"
         self._fail(
             exceptions.DeadlineExceeded(
-                "the plan's deadline passed", ran, RETRY_AFTER_S
+                "the plan's deadline passed",
+                "yes" if self.tokens else self._ran,
+                request_state.RETRY_AFTER_S,
             )
         )
-
-    def _fail(self, error: exceptions.RequestError) -> None:
-        if self.ended:
-            return
-        self._note("error", code=error.code, ran=error.ran, why=str(error))
-        self._end()
-        self._sink.on_error(error)
-
-    def _end(self) -> None:
-        self.ended = True
-        self._release_target()
-        self._span.end()
-        for timer in (self._timer, self._wait):
-            if timer is not None and timer.active():
-                timer.cancel()
-
-    def _cancel_attempt(self) -> None:
-        """Tells the target that the current attempt is given up."""
-        link = self.target.link if self.target else None
-        if link is not None:
-            link.send({"type": "cancel", **self._place})
-        self._release_target()
-
-    def _failed_target(self) -> None:
-        if self.target is None:
-            return
-        name = self.target.name
-        now_s = self._shared.reactor.seconds()
-        self._shared.targets.view.breaker.failed(name, now_s)
-        self._excluded.add(name)
-        self._release_target()
-
-    def _release_target(self) -> None:
-        if self.target is None:
-            return
-        loads = self._shared.targets.view.loads
-        loads.done(self.target.name, self.call.request)
-        self.target = None
-
-    def _note(self, event: str, **fields: Any) -> None:
-        self._shared.journal.note(
-            self.call.request, event, attempt=self.attempt, **fields
-        )
