--- a/src/hemlocktiller/_internal/entry/pages.py
+++ b/src/hemlocktiller/_internal/entry/pages.py
@@ -25,6 +25,13 @@
 REQUESTS = prometheus_client.Counter(
     "hemlocktiller_requests", "Requests of callers by page", ["page"]
 )
+CONNECTIONS = prometheus_client.Gauge(
+    "hemlocktiller_caller_connections", "Open connections of callers"
+)
+TOO_MANY_CONNECTIONS = prometheus_client.Counter(
+    "hemlocktiller_caller_connections_refused",
+    "Connections of callers over the limit",
+)
 HANG_UPS = prometheus_client.Counter(
     "hemlocktiller_hang_ups", "Callers that went before their answer"
 )
@@ -69,6 +76,42 @@
         self.channel.loseConnection()
 
 
+class CallerChannel(http.HTTPChannel):
+    """A caller's connection; there is a limit to how many are open."""
+
+    def connectionMade(self) -> None:
+        """Counts the connection, or answers at once that it is too many."""
+        self.factory.connections += 1
+        CONNECTIONS.set(self.factory.connections)
+        if self.factory.connections > self.factory.connection_limit:
+            TOO_MANY_CONNECTIONS.inc()
+            self.transport.write(_too_many_connections())
+            self.transport.loseConnection()
+            return
+        super().connectionMade()
+
+    def connectionLost(self, reason: Any) -> None:
+        """Counts the connection out."""
+        self.factory.connections -= 1
+        CONNECTIONS.set(self.factory.connections)
+        super().connectionLost(reason)
+
+
+class CallerSite(server.Site):
+    """The site for callers, with its count of open connections."""
+
+    protocol = CallerChannel
+    connections = 0
+    connection_limit = 0
+    header_limit_bytes = 0
+
+    def buildProtocol(self, addr: Any) -> CallerChannel:
+        """Returns the channel of a new connection."""
+        channel = super().buildProtocol(addr)
+        channel.totalHeadersSize = self.header_limit_bytes
+        return channel
+
+
 def site(reactor: Any, context: Context) -> server.Site:
     """Returns the site for callers."""
     limits = context.settings["limits"]
@@ -78,13 +121,15 @@
 
         body_limit_bytes = limits["body_bytes"]
 
-    built = server.Site(
+    built = CallerSite(
         Pages(context),
         requestFactory=BoundedRequest,
         timeout=limits["body_timeout_s"],
         reactor=reactor,
     )
     built.displayTracebacks = False
+    built.connection_limit = limits["connections"]
+    built.header_limit_bytes = limits["header_bytes"]
     built.noisy = False
     return built
 
@@ -167,6 +212,12 @@
         chat: bool,
     ) -> None:
         self._check_model(caller.view, body)
+
+        def readmit() -> outcomes.Caller:
+            renewed = self._caller(request)
+            self._check_model(renewed.view, body)
+            return renewed
+
         call = outcomes.ModelCall(
             request_id,
             caller,
@@ -175,6 +226,7 @@
             body.max_tokens,
             _traceparent(request),
             _digest(caller, f"{body.model}\0{body.prompt}".encode()),
+            readmit,
         )
         form = answers.Form(request_id, body.model, chat)
         registry = self._context.registry
@@ -210,12 +262,13 @@
         path = request.uri.decode("ascii", "replace")
         name, _, rest = path.removeprefix("/services/").partition("/")
         name = name.partition("?")[0]
-        if not snapshot_module.may_use_service(caller.view, name):
-            if name not in self._context.services():
-                raise exceptions.UnknownName(f"no service {name}")
-            raise exceptions.NotAllowed(
-                f"plan {caller.view.plan['plan']} may not use {name}"
-            )
+        self._check_service(caller.view, name)
+
+        def readmit() -> outcomes.Caller:
+            renewed = self._caller(request)
+            self._check_service(renewed.view, name)
+            return renewed
+
         body = request.content.read()
         call = outcomes.ServiceCall(
             request_id,
@@ -228,6 +281,7 @@
             _idempotency_key(request),
             _traceparent(request),
             _digest(caller, path.encode() + b"\0" + body),
+            readmit,
         )
 
         def on_answer(answer: outcomes.ServiceAnswer) -> None:
@@ -240,6 +294,16 @@
         self._cancel_on_hang_up(request, request_id)
         self._context.registry.begin_service(call, on_answer, on_error)
 
+    def _check_service(
+        self, view: snapshot_module.WorkspaceView, name: str
+    ) -> None:
+        if not snapshot_module.may_use_service(view, name):
+            if name not in self._context.services():
+                raise exceptions.UnknownName(f"no service {name}")
+            raise exceptions.NotAllowed(
+                f"plan {view.plan['plan']} may not use {name}"
+            )
+
     def _cancel_on_hang_up(
         self, request: http.Request, request_id: str
     ) -> None:
@@ -282,6 +346,18 @@
     return xxhash.xxh64_intdigest(workspace + b"\0" + body)
 
 
+def _too_many_connections() -> bytes:
+    error = exceptions.Overloaded(
+        "too many connections are open", retry_after_s=1.0
+    )
+    body = answers.json.dumps(answers.error_document(error, "")).encode()
+    return (
+        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+        b"content-type: application/json\r\nconnection: close\r\n"
+        b"content-length: " + str(len(body)).encode() + b"\r\n\r\n" + body
+    )
+
+
 def _too_large(limit_bytes: int) -> bytes:
     error = exceptions.BodyTooLarge(f"the body is over {limit_bytes} bytes")
     document = answers.error_document(error, "")
