--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -131,6 +131,7 @@
         if any(CRASH_WORD in prompt for prompt in prompts):
             os._exit(CRASH_CODE)
         words = sum(self._uncached_words(prompt) for prompt in prompts)
+        words += sum(self._prefilled_units(step) for step in steps)
         return (
             self.options.step_s
             + self.options.sequence_s * len(steps)
@@ -142,6 +143,13 @@
             return ""
         return cbor2.loads(step["data"]).get("prompt", "")
 
+    def _prefilled_units(self, step):
+        """Counts the units besides a prompt that only fill the cache."""
+        content = cbor2.loads(step["data"])
+        if not self.options.first_layer:
+            return len(content.get("generated", ()))
+        return len(content) - (0 if step.get("rebuild") else 1)
+
     def _uncached_words(self, prompt):
         """Counts the words outside cached blocks, and caches them."""
         words = prompt.split()
