Count with what answers really cost, and hold back what can't end in time

An item's run time counts only while all places are taken: a place that nobody else wants is given also to what may end late. A request that is refused as a suspect after it left the queue is no longer charged.

--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.observe import explain
+from hemlocktiller._internal.policy import costs
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import lending
 
@@ -155,6 +157,10 @@
     def _start(self, waiting: Waiting) -> None:
         reason = self._work.suspect_reason(waiting.message)
         if reason:
+            item = waiting.item
+            self._queue.correct(
+                item.plan, item.workspace, item.cost_tokens, 0.0
+            )
             self._refuse(waiting.message, waiting.link, reason)
             return
         self._running[waiting.item.request] = waiting
@@ -169,12 +175,34 @@
         if item is None or len(self._running) < places:
             return
         victim = self._lender.preempt(
-            item, self._lent(), self._shares(), places, now_s
+            item,
+            self._lent(),
+            self._shares(),
+            places,
+            now_s,
+            self._next_free_s(),
         )
         if victim is not None:
             running = self._running[victim.request]
             self._work.preempt(runs.place_of(running.message))
 
+    def _next_free_s(self) -> float:
+        """Returns the expected time until a place comes free."""
+        count = len(self._running)
+        if not self.rates.known or count == 0:
+            return math.inf
+        run_s = [
+            self._expected_run_s(running.message)
+            for running in self._running.values()
+        ]
+        return sum(run_s) / count**2
+
+    def _expected_run_s(self, message: Any) -> float:
+        """Returns how long a request would run here, if that is known."""
+        words_tokens = costs.actual_cost_tokens(_prompt_words(message), 0.0)
+        output_tokens = max(message["cost_tokens"] - words_tokens, 0.0)
+        return costs.run_s(output_tokens, self.rates.token_s)
+
     def _lent(self) -> list[lending.Running]:
         """Returns the running requests that can be resumed elsewhere."""
         return [
@@ -198,14 +226,16 @@
         waiting = self._running.pop(_name(done.key), None)
         if waiting is None:
             return
-        del self._started_s[waiting.item.request]
+        started_s = self._started_s.pop(waiting.item.request)
         item = waiting.item
-        prompt_tokens = item.cost_tokens - waiting.message.get("max_tokens", 0)
-        actual_tokens = max(prompt_tokens, 0) + done.token_count
+        actual_tokens = costs.actual_cost_tokens(
+            _prompt_words(waiting.message), done.token_count
+        )
         self._queue.correct(
             item.plan, item.workspace, item.cost_tokens, actual_tokens
         )
-        self.rates.done(actual_tokens)
+        run_s = self._reactor.seconds() - started_s
+        self.rates.done(actual_tokens, run_s, done.token_count)
         self._reactor.callLater(0, self.pump)
 
     def cancel(self, key: runs.Key) -> bool:
@@ -254,8 +284,19 @@
             message["cost_tokens"],
             message["worth"],
             self._reactor.seconds() + message["expires_in_s"],
+            self._contended_run_s(message),
         )
 
+    def _contended_run_s(self, message: Any) -> float:
+        """Returns the expected run time if others compete for the place.
+
+        A place that nobody else wants is given also to what may end late.
+        """
+        is_free = len(self._running) < self._settings["limits"]["running"]
+        if is_free or not self.rates.known:
+            return 0.0
+        return self._expected_run_s(message)
+
     def _is_hopeless(self, message: Any) -> bool:
         """Tells whether a request can't even start in time behind others."""
         if not self.rates.known or not self._waiting:
@@ -309,5 +350,11 @@
         self.pump()
 
 
+def _prompt_words(message: Any) -> int:
+    """Returns the words and tokens that a request starts from."""
+    words = len(message.get("prompt", "").split())
+    return words + len(message.get("generated", ()))
+
+
 def _name(key: runs.Key) -> str:
     return f"{key[0]}/{key[1]}"
--- a/src/hemlocktiller/_internal/agent/rates.py
+++ b/src/hemlocktiller/_internal/agent/rates.py
@@ -7,15 +7,17 @@
 
 
 class Rates:
-    """The moving average of the service rate.
+    """Moving averages of the service rate and of a token's time.
 
     Attributes:
         tokens_per_s: Tokens served in a second with work to do; 0 before
             there is a sample.
+        token_s: Time for one token of one request.
     """
 
     def __init__(self, reactor: Any) -> None:
         self.tokens_per_s = 0.0
+        self.token_s = 0.0
         self._reactor = reactor
         self._samples = 0
         self._busy_s = 0.0
@@ -38,10 +40,22 @@
         self._busy = busy
         self._busy_since_s = now_s
 
-    def done(self, cost_tokens: float) -> None:
-        """Notes the tokens that a request was served."""
+    def done(self, cost_tokens: float, run_s: float, tokens: int) -> None:
+        """Notes the end of a request.
+
+        Args:
+            cost_tokens: Cost that was served.
+            run_s: Time that it ran.
+            tokens: Tokens of the answer.
+        """
         self._samples += 1
         self._tokens += cost_tokens
+        if tokens == 0:
+            return
+        token_s = run_s / tokens
+        if self.token_s == 0.0:
+            self.token_s = token_s
+        self.token_s += WEIGHT * (token_s - self.token_s)
 
     def sample(self) -> None:
         """Takes the served tokens into the average of the rate."""
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -16,6 +16,7 @@
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import costs
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import vms as vms_module
 from hemlocktiller._internal.store import watch
@@ -77,6 +78,7 @@
             lambda target: process.feed.push(target.link),
             budget.RetryBudget(self.settings["retries"]),
             process.suspects,
+            costs.Estimator(),
             process.journal,
             process.tracer,
             process.rng,
--- a/src/hemlocktiller/_internal/entry/attempts.py
+++ b/src/hemlocktiller/_internal/entry/attempts.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import costs
 
 ATTEMPTS = prometheus_client.Counter(
     "hemlocktiller_attempts", "Attempts sent to targets"
@@ -36,6 +37,7 @@
     push_config: Callable[[Any], None]
     budget: budget.RetryBudget
     suspects: suspects_feed.SuspectsFeed
+    estimator: costs.Estimator
     journal: explain.Journal
     tracer: traces.Tracer
     rng: random.Random
--- a/src/hemlocktiller/_internal/entry/request_state.py
+++ b/src/hemlocktiller/_internal/entry/request_state.py
@@ -29,7 +29,6 @@
         self,
         shared: attempts.Shared,
         call: Any,
-        cost_tokens: float,
         on_error: Callable[[exceptions.RequestError], None],
     ) -> None:
         self.call = call
@@ -38,7 +37,6 @@
         self.sent_s = 0.0
         self.ended = False
         self._shared = shared
-        self._cost_tokens = cost_tokens
         self._on_error = on_error
         self._excluded: set[str] = set()
         self._may_have_run = False
@@ -71,6 +69,11 @@
     def _on_deadline(self) -> None:
         raise NotImplementedError
 
+    @property
+    def _cost_tokens(self) -> float:
+        """Expected cost of the next attempt."""
+        return 1.0
+
     @property
     def _place(self) -> dict[str, Any]:
         return {"request": self.call.request, "attempt": self.attempt}
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -14,6 +14,18 @@
 MAX_ALTERNATES = 16
 
 
+class Needs(NamedTuple):
+    """What an attempt is expected to need.
+
+    Attributes:
+        output_tokens: Tokens that are still to come.
+        remaining_s: Time to the deadline.
+    """
+
+    output_tokens: float
+    remaining_s: float
+
+
 class Route(NamedTuple):
     """Where an attempt goes, and why."""
 
@@ -24,7 +36,10 @@
 
 
 def choose(
-    shared: attempts.Shared, call: outcomes.ModelCall, excluded: set[str]
+    shared: attempts.Shared,
+    call: outcomes.ModelCall,
+    needs: Needs,
+    excluded: set[str],
 ) -> Route | None:
     """Returns the best chain for a model request, or None."""
     usable = {
@@ -44,8 +59,9 @@
     request = routing.Request(
         call.caller.view.plan["plan"],
         words,
-        call.max_tokens,
+        needs.output_tokens,
         prefixes.digests(call.prompt),
+        needs.remaining_s,
     )
     now_s = shared.reactor.seconds()
     ranked = routing.rank(
@@ -56,6 +72,7 @@
     best = ranked[0]
     head = usable[best.candidate.target]
     chain = best.candidate.chain
+    shared.targets.view.cached.note(head.name, request.prefixes, now_s)
     return Route(head, chain, _alternates(chain, usable), best.explanation)
 
 
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -16,7 +16,6 @@
 from hemlocktiller._internal.observe import traces
 
 REPEATABLE_METHODS = ("GET", "HEAD")
-COST_TOKENS = 1.0
 SERVICE_DOWN = "service_down"
 FINAL_REASONS = ("key_conflict", "void")
 ERRORS = {
@@ -37,7 +36,7 @@
         on_answer: Callable[[outcomes.ServiceAnswer], None],
         on_error: Callable[[exceptions.RequestError], None],
     ) -> None:
-        super().__init__(shared, call, COST_TOKENS, on_error)
+        super().__init__(shared, call, on_error)
         self._on_answer = on_answer
 
     def begin(self) -> None:
