--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -297,7 +297,7 @@
         """Returns what the queue of a target knows of a request."""
         request = attempt.request
         token_s = model.step_s(engine.speed, model.PLACES, 0)
-        run_s = attempt.output_tokens * token_s
+        run_s = costs.run_s(attempt.output_tokens, token_s)
         return fair_queue.Item(
             f"{request.request} {attempt.attempts} {attempt.preemptions}",
             request.plan,
@@ -440,7 +440,6 @@
             "queued_cost_tokens": engine.queue.cost_tokens,
             "tokens_per_s": model.tokens_per_s(engine.speed),
             "leaving": False,
-            "plan_served_tokens": {},
             "prefixes": [],
             "plan_backlog_tokens": engine.queue.backlogs(),
         }
