--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -30,6 +30,7 @@
 DAY_S = 86_400
 US_PER_S = 1_000_000
 REPEATS = 20
+WATCHES_OF_ENTRY = 4
 
 
 class Target(NamedTuple):
@@ -187,10 +188,9 @@
         count: {"calls": store_calls.idle_watches(count)} for count in sizes
     }
     slope = _slope("idle watches", "calls", idle, "watch", "calls/s")
-    watches = 3 * TARGET.entries + 2 * TARGET.replicas
+    watches = WATCHES_OF_ENTRY * TARGET.entries
     _conclude(
-        f"{watches} watches of entries and agents:"
-        f" {slope.slope * watches:.0f} reads/s"
+        f"{watches} watches of entries: {slope.slope * watches:.0f} reads/s"
     )
     for name, action in (
         ("registration", store_calls.change_seen_by),
--- a/benchmarks/slopes/store_calls.py
+++ b/benchmarks/slopes/store_calls.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.agent import claims as claims_module
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.control import lease as lease_module
+from hemlocktiller._internal.entry import controller
 from hemlocktiller._internal.store import watch
 from tests.fakes import memory
 
@@ -68,7 +69,7 @@
         lease_module.Lease(
             platform.store(f"entry-{number}"),
             "lease",
-            lease_module.DEFAULT_SETTINGS,
+            controller.LEASE,
             platform.clock,
             monotonic_s=platform.clock.seconds,
         ).start()
--- a/tests/unit/test_capacity_bounds.py
+++ b/tests/unit/test_capacity_bounds.py
@@ -18,13 +18,14 @@
 SCHEMA = Path(__file__).parents[2] / "schema" / "entry_settings.json"
 STORE_READS_PER_S = 2_000
 STORE_WRITES_PER_S = 300
-BOOKINGS_PER_S = 140
+BOOKINGS_PER_S = 110
+BIDDERS = 3
+LEASES = capacity.TARGET.data_centres * capacity.TARGET.models
 ENTRIES_OF_AGENT = 3
 ENTRY_LINKS = (
     ENTRIES_OF_AGENT * capacity.TARGET.replicas // capacity.TARGET.entries
 )
-WATCHES = 3 * capacity.TARGET.entries + 2 * capacity.TARGET.replicas
-PROCESSES = capacity.TARGET.entries + capacity.TARGET.replicas
+WATCHES = capacity.WATCHES_OF_ENTRY * capacity.TARGET.entries
 HEADER_BYTES = 52  # IPv4, TCP and its timestamps
 DURATION_S = 300
 
@@ -59,9 +60,11 @@
     assert store_calls.booking() == store_calls.Calls(reads=0, writes=2)
 
 
-def test_bookings_and_restarts_leave_the_object_api_room_to_write():
+def test_bookings_leases_and_restarts_leave_the_object_api_room_to_write():
+    _, lease_writes_per_s = store_calls.held_lease(BIDDERS)
     restarts_per_s = capacity.TARGET.restarts_per_day / capacity.DAY_S
     writes_per_s = BOOKINGS_PER_S * store_calls.booking().writes
+    writes_per_s += LEASES * lease_writes_per_s
     writes_per_s += restarts_per_s * store_calls.restart().writes
     assert writes_per_s <= STORE_WRITES_PER_S
 
@@ -75,7 +78,9 @@
     watchers = 10
     idle_reads = store_calls.idle_watches(watchers) / watchers * WATCHES
     edit_reads = store_calls.edit_seen_by(watchers).reads / watchers
-    edit_reads_per_s = edit_reads * PROCESSES * capacity.EDITS_PER_S
+    edit_reads_per_s = (
+        edit_reads * capacity.TARGET.entries * capacity.EDITS_PER_S
+    )
     assert idle_reads + edit_reads_per_s <= STORE_READS_PER_S
 
 
