Answer a booking once its claim holds the answer

A caller that sent it again at once met 'in progress', as the record was written after the answer went out.

--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -117,9 +117,9 @@
         if outcome.ran == "no":
             yield self._claims.not_run(begun.claim)
         elif outcome.ran == "yes":
-            self._claims.finish(begun.claim, _recorded(outcome))
+            yield self._claims.finish(begun.claim, _recorded(outcome))
         else:
-            self._claims.lose(begun.claim)
+            yield self._claims.lose(begun.claim)
         return outcome
 
     def _begin_claim(
