--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -26,6 +26,9 @@
 )
 _BACKOFF_EXPONENT_MAX = 16
 _NEVER_READ = -1
+# Many objects of a kind change together when a rack or a data centre comes
+# back; a pause lets one poll bring them all.
+KIND_PAUSE_S = 1.0
 
 
 class OnChanges(Protocol):
@@ -177,6 +180,7 @@
         if changes is not None and changes.version > last:
             last = changes.version
             report(on_changes, changes.changed, changes.deleted, False)
+            return KIND_PAUSE_S
         return 0.0
 
     async def poll():
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -131,3 +131,20 @@
     states = [{name: vm.state for name, vm in list_.items()} for list_ in seen]
     assert states == [{}, {"v1": vms.LIVE}, {"v1": vms.LEAVING}]
     assert platform.state.calls["GET"]["vms"] <= 7
+
+
+def test_many_changes_of_a_kind_come_with_few_polls(platform):
+    names = []
+
+    def on_changes(changed, deleted, whole):
+        names.extend(stored.name for stored in changed)
+
+    watch.follow_kind(platform.store(), "thing", on_changes)
+    platform.run(1.0)
+    before = platform.state.calls["GET"]["thing"]
+    for number in range(20):
+        platform.result(platform.store().create("thing", f"n{number}", 1))
+        platform.run(0.1)
+    platform.run(2.0)
+    assert sorted(names) == sorted(f"n{number}" for number in range(20))
+    assert platform.state.calls["GET"]["thing"] - before <= 5
