Notice silent peers and unanswered dials within a second

A frozen peer was noticed by heartbeats alone, after 2 s and more, and a lost stage whose address answers no dial after the connect timeout of 1 s. Links with work on them are now watched closely, and a lost stage that has an alternate is dialled for 0.3 s. Faster heartbeats on all links were ruled out: idle links already exceed their byte budget.

--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -27,6 +27,8 @@
 SUSPECT_APART = "suspect_apart"
 FINAL_REASONS = (NO_ALTERNATE, CRASHES_TARGETS, SUSPECT_APART)
 SILENCE = "silence"
+RECONNECT_S = 0.3  # Time for a lost next stage to be reserved again.
+RECONNECT_TIMEOUT = "reconnect_timeout"
 UPSTREAM_GRACE_S = 6.0  # Time for the stage before to connect again.
 
 REPLACED = prometheus_client.Counter(
@@ -226,6 +228,15 @@
             return
         run.reconnected.add(target)
         self._open_next(run)
+        self._reactor.callLater(
+            RECONNECT_S, self._on_reconnect_timeout, run, run.next_stage
+        )
+
+    def _on_reconnect_timeout(self, run: runs.Run, stage: Any) -> None:
+        """Takes an alternate rather than wait longer for a lost stage."""
+        waits = self._is_next(run, stage) and not run.next_asked
+        if waits and run.ready and runs.alternate_for(run) is not None:
+            self._replace_next(run, RECONNECT_TIMEOUT)
 
     def _replace_next(self, run: runs.Run, reason: str) -> None:
         STAGE_FAILURES.labels(reason).inc()
@@ -250,6 +261,7 @@
 
     def _open_next(self, run: runs.Run) -> None:
         run.next_open = False
+        run.next_asked = False
         if not run.ready:
             return  # `_go_on` reserves it once the cache is complete.
         stage = run.next_stage
@@ -273,6 +285,7 @@
             return
         process = link.peer["process"]
         same = process == run.next_process
+        run.next_asked = True
         run.next_process = process
         complete = run.complete_token - run.base_token
         inputs = [] if same else run.kept[:complete]
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -35,6 +35,7 @@
         complete_token: Index of the first token that may be incomplete;
             the answer holds all tokens before it.
         waiting: Inputs that came while the engine ran an earlier token.
+        next_asked: Whether the next stage was asked to be reserved.
         next_open: Whether the next stage is reserved.
         next_process: Process that holds the next stage.
         downstream_token: First token that the next stage has not run.
@@ -72,6 +73,7 @@
         self.ready = True
         self.fed = False
         self.upstream = ""
+        self.next_asked = False
         self.next_open = self.is_last
         self.next_process = ""
         self.downstream_token = base_token
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -28,6 +28,20 @@
 SUBPROTOCOLS = ("hemlocktiller.v1",)
 AUTHORIZATION = "Authorization"
 RTT_WEIGHT = 0.2  # Share of a new sample in the moving average.
+WATCH_INTERVAL_S = 0.15
+WATCH_MISSES = 5  # 0.6 to 0.75 s of silence while there is work.
+WORK_WINDOW_S = 5.0  # Time after a message of work for which it is watched.
+IDLE_KINDS = frozenset(
+    (
+        "hello",
+        "heartbeat",
+        "load",
+        "config",
+        "suspects",
+        "targets_wanted",
+        "targets",
+    )
+)
 
 FRAMES = prometheus_client.Counter(
     "hemlocktiller_link_frames", "Link frames by direction", ["direction"]
@@ -86,6 +100,9 @@
         self._down = False
         self._heartbeat = task.LoopingCall(self._beat)
         self._heartbeat.clock = reactor
+        self._worked_s = 0.0
+        self._misses = 0
+        self._watch: Any = None
 
     def connectionMade(self) -> None:
         """Starts the handshake and the silence timer."""
@@ -98,6 +115,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Feeds received bytes to the websocket protocol."""
         self._heard_s = self._reactor.seconds()
+        self._misses = 0
         self._ws.receive_data(data)
         try:
             for event in self._ws.events_received():
@@ -113,6 +131,9 @@
         """Tells the owner that the link is down, once."""
         if self._heartbeat.running:
             self._heartbeat.stop()
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
         was_up = self.up
         self.up = False
         if self._down:
@@ -130,6 +151,7 @@
         """
         if not self.up:
             raise exceptions.LinkDown("the link is not open")
+        self._note_work(message["type"])
         self._send_now(message)
 
     def close(self) -> None:
@@ -174,6 +196,7 @@
         else:
             if kind == "heartbeat":
                 self._on_heartbeat(message)
+            self._note_work(kind)
             self._handlers.on_message(self, message)
 
     def _on_hello(self, message: codec.Message) -> None:
@@ -201,9 +224,42 @@
             self.abort("silence")
             return
         if self.up:
-            self._sequence += 1
-            self._sent_s = {self._sequence: now_s}
-            self._send_heartbeat(self._sequence, echo=False)
+            self._probe()
+
+    def _probe(self) -> None:
+        """Sends a heartbeat, which the peer echoes."""
+        self._sequence += 1
+        self._sent_s = {self._sequence: self._reactor.seconds()}
+        self._send_heartbeat(self._sequence, echo=False)
+
+    def _note_work(self, kind: str) -> None:
+        """Begins to watch the peer closely, as a caller may be waiting."""
+        if kind in IDLE_KINDS:
+            return
+        self._worked_s = self._reactor.seconds()
+        if self._watch is None and self.up:
+            self._misses = 0
+            self._watch_later()
+
+    def _watch_later(self) -> None:
+        self._watch = self._reactor.callLater(WATCH_INTERVAL_S, self._on_watch)
+
+    def _on_watch(self) -> None:
+        """Counts an interval in which nothing came.
+
+        Intervals are counted, not timed, so that a pause of this process
+        is not taken for silence of the peer.
+        """
+        self._watch = None
+        self._misses += 1
+        if self._misses >= WATCH_MISSES:
+            self.abort("silence")
+            return
+        if self._misses > 1:
+            self._probe()
+        idle_s = self._reactor.seconds() - self._worked_s
+        if idle_s < WORK_WINDOW_S:
+            self._watch_later()
 
     def _send_heartbeat(self, sequence: int, echo: bool) -> None:
         self._send_now(
--- a/tests/unit/pipeline_net.py
+++ b/tests/unit/pipeline_net.py
@@ -72,7 +72,7 @@
         target = stage["target"]
         if target in self.net.nodes:
             waiter.on_link(Link(self.net, self.name, target))
-        else:
+        elif target not in self.net.unreachable:
             waiter.on_failed(peers_module.REFUSED)
 
 
@@ -215,6 +215,7 @@
         self.queues = collections.defaultdict(collections.deque)
         self.runs = []
         self.nodes = {}
+        self.unreachable = set()
         self.processes = {}
         self.stages = []
         step = LAYERS // STAGES
@@ -289,6 +290,11 @@
         for node in list(self.nodes.values()):
             node.pipeline.on_peer_down(name, "closed")
 
+    def lose(self, name):
+        """Ends a node with its VM; nothing answers a dial to it."""
+        self.unreachable.add(name)
+        self.kill(name)
+
     def cut(self, one, other):
         """Loses a link and what was on its way; both ends live on."""
         for pair in ((one, other), (other, one)):
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -102,6 +102,41 @@
     assert not wire.dialled.downs
 
 
+def test_silence_during_work_takes_a_link_down_sooner(wire):
+    wire.dialled.link.send(CANCEL)
+    wire.pump()
+    wire.cut = True
+    wire.advance(0.9, step_s=0.05)
+    assert wire.dialled.transport.aborted
+    assert wire.accepted.transport.aborted
+
+
+def test_heartbeats_keep_a_link_up_while_a_long_step_runs(wire):
+    for _ in range(20):
+        wire.dialled.link.send(CANCEL)
+        wire.advance(0.5, step_s=0.05)
+    assert wire.dialled.link.up
+    assert not wire.dialled.downs
+
+
+def test_a_pause_of_this_process_is_not_silence_of_the_peer(wire):
+    wire.dialled.link.send(CANCEL)
+    wire.pump()
+    wire.clock.advance(1.5)
+    wire.pump()
+    wire.advance(1.0, step_s=0.05)
+    assert wire.dialled.link.up
+    assert not wire.dialled.downs
+
+
+def test_an_idle_link_is_not_watched_closely(wire):
+    wire.dialled.link.send(CANCEL)
+    wire.advance(link_module.WORK_WINDOW_S + 1.0, step_s=0.05)
+    wire.cut = True
+    wire.advance(1.5, step_s=0.05)
+    assert not wire.dialled.transport.aborted
+
+
 def test_sending_on_a_link_that_is_down_fails(wire):
     wire.dialled.lose()
     with pytest.raises(exceptions.LinkDown):
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -152,6 +152,17 @@
     check_whole(link)
 
 
+@pytest.mark.promise(1)
+@pytest.mark.parametrize("net", SEEDS, indirect=True)
+def test_a_stage_that_does_not_answer_a_new_dial_is_replaced(net):
+    link = net.start(TOKENS)
+    stage = net.rng.choice(["s1r0", "s2r0"])
+    at = net.rng.randrange(2, 80)
+    finish(net, link, [(at, lambda net: net.lose(stage))])
+    check_whole(link)
+    check_layers(net)
+
+
 @pytest.mark.promise(1)
 @pytest.mark.parametrize("net", SEEDS, indirect=True)
 def test_two_kills_are_both_replaced(net):
