--- a/src/hemlocktiller/_internal/entry/attempts.py
+++ b/src/hemlocktiller/_internal/entry/attempts.py
@@ -40,11 +40,24 @@
     rng: random.Random
 
 
-def may_retry(shared: Shared, attempt: int, reason: str) -> bool:
-    """Tells whether an attempt may follow, and spends the budget."""
+def may_retry(
+    shared: Shared, attempt: int, reason: str, died: bool = False
+) -> bool:
+    """Tells whether an attempt may follow, and spends the budget.
+
+    The budget keeps refusals from multiplying under overload. An attempt
+    that lost its target spends none: there is one for each death, and the
+    limit of attempts holds for it as well.
+
+    Args:
+        shared: The parts of the entry.
+        attempt: Number of attempts that failed.
+        reason: Why the last one did.
+        died: Whether its target, or one of its stages, was lost.
+    """
     if attempt >= shared.settings["retries"]["attempts"]:
         return False
-    if not shared.budget.try_retry(shared.reactor.seconds()):
+    if not died and not shared.budget.try_retry(shared.reactor.seconds()):
         return False
     RETRIES.labels(reason).inc()
     return True
