--- a/src/hemlocktiller/_internal/entry/request_state.py
+++ b/src/hemlocktiller/_internal/entry/request_state.py
@@ -144,10 +144,10 @@
         """Begins another attempt after a wait."""
         self._wait = self._shared.reactor.callLater(wait_s, self.begin)
 
-    def _may_retry(self, reason: str) -> bool:
+    def _may_retry(self, reason: str, died: bool = False) -> bool:
         """Counts a failure; tells whether an attempt may follow it."""
         self._failures += 1
-        return attempts.may_retry(self._shared, self._failures, reason)
+        return attempts.may_retry(self._shared, self._failures, reason, died)
 
     def _back_off(self) -> None:
         """Begins another attempt after the wait that failures call for."""
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -42,6 +42,9 @@
     )
 )
 RTT_WEIGHT = 0.2  # Share of a new sample in the moving average.
+WATCH_INTERVAL_S = 0.15
+WATCH_MISSES = 5  # 0.6 to 0.75 s of silence while there is work.
+WORK_WINDOW_S = 5.0  # Time after a message of work for which it is watched.
 
 FRAMES = prometheus_client.Counter(
     "hemlocktiller_link_frames", "Link frames by direction", ["direction"]
@@ -79,7 +82,9 @@
 
     The end that dialled sends heartbeats and the other echoes them. A link
     that carried no work for a while beats and times out more slowly. One
-    that carries other messages both ways needs no heartbeats.
+    that carries other messages both ways needs no heartbeats. While there
+    is work, the end that dialled watches the other closely; the other does
+    not, since an entry that is late for a moment must not lose its streams.
 
     Attributes:
         beats: Whether this end sends heartbeats.
@@ -108,6 +113,8 @@
         self._worked_s = -ACTIVE_S
         self._said_s = -ACTIVE_S
         self._timer: Any = None
+        self._misses = 0
+        self._watch: Any = None
 
     def connectionMade(self) -> None:
         """Starts the handshake and the silence timer."""
@@ -119,6 +126,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Feeds received bytes to the websocket protocol."""
         self._heard_s = self._reactor.seconds()
+        self._misses = 0
         self._ws.receive_data(data)
         try:
             for event in self._ws.events_received():
@@ -133,6 +141,9 @@
     ) -> None:
         """Tells the owner that the link is down, once."""
         self._stop_timer()
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
         was_up = self.up
         self.up = False
         if self._down:
@@ -235,6 +246,9 @@
             self._heard_s = now_s
             self._stop_timer()
             self._beat()
+        if self.beats and self.up and self._watch is None:
+            self._misses = 0
+            self._watch_later()
 
     def _is_lively(self, now_s: float) -> bool:
         """Tells whether other messages show both ends that the link lives."""
@@ -256,11 +270,35 @@
             self.abort("silence")
             return
         if self.up and self.beats and not self._is_lively(now_s):
-            self._sequence += 1
-            self._sent_s = {self._sequence: now_s}
-            self._send_heartbeat(self._sequence, echo=False)
+            self._probe()
         self._beat_later()
 
+    def _probe(self) -> None:
+        """Sends a heartbeat, which the peer echoes."""
+        self._sequence += 1
+        self._sent_s = {self._sequence: self._reactor.seconds()}
+        self._send_heartbeat(self._sequence, echo=False)
+
+    def _watch_later(self) -> None:
+        self._watch = self._reactor.callLater(WATCH_INTERVAL_S, self._on_watch)
+
+    def _on_watch(self) -> None:
+        """Counts an interval in which nothing came.
+
+        Intervals are counted, not timed, so that a pause of this process
+        is not taken for silence of the peer.
+        """
+        self._watch = None
+        self._misses += 1
+        if self._misses >= WATCH_MISSES:
+            self.abort("silence")
+            return
+        if self._misses > 1:
+            self._probe()
+        idle_s = self._reactor.seconds() - self._worked_s
+        if idle_s < WORK_WINDOW_S:
+            self._watch_later()
+
     def _send_heartbeat(self, sequence: int, echo: bool) -> None:
         self._send_now(
             {
--- a/tests/unit/wires.py
+++ b/tests/unit/wires.py
@@ -93,7 +93,8 @@
         for end in (self.dialled, self.accepted):
             if end.transport.closing and not end.downs:
                 end.lose()
-                self._other(end).lose()
+                if not self.cut:
+                    self._other(end).lose()
 
     def advance(self, seconds, step_s=0.25):
         """Lets time pass in steps, with bytes moving after each."""
