--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -19,8 +19,10 @@
 from hemlocktiller._internal.agent import orders
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.agent import record
 from hemlocktiller._internal.agent import runs
 from hemlocktiller._internal.agent import services as services_module
+from hemlocktiller._internal.agent import successors
 from hemlocktiller._internal.control import fence
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
@@ -209,7 +211,7 @@
             self.peers,
             self._stage_refusal,
             self.heads.events(),
-            pipeline_module.Record(self.process.journal, self.process.tracer),
+            record.Record(self.process.journal, self.process.tracer),
         )
         self.heads.pipeline = self.pipeline
 
@@ -313,7 +315,7 @@
             return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
-        return pipeline_module.SUSPECT_APART
+        return successors.SUSPECT_APART
 
     def _preempt(self, key: runs.Key) -> None:
         self.heads.preempt(key)
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -1,10 +1,7 @@
-"""Runs one stage of many chains, and replaces the next stage if it dies.
+"""Runs one stage of many chains.
 
 Each hop names its request, attempt, token and first layer. A stage runs
-a token once: a repeated hop is answered with the kept output. A stage
-keeps what it sent on; when the next stage is lost, an alternate rebuilds
-its cache from these inputs and takes the current token again, so no
-earlier layer runs twice for a token.
+a token once: a repeated hop is answered with the kept output.
 """
 
 from collections.abc import Callable
@@ -15,37 +12,28 @@
 from twisted.python import failure
 
 from hemlocktiller._internal.agent import engine as engine_module
+from hemlocktiller._internal.agent import outbox
 from hemlocktiller._internal.agent import peers as peers_module
+from hemlocktiller._internal.agent import record as record_module
 from hemlocktiller._internal.agent import runs
-from hemlocktiller._internal.links import coalesce
+from hemlocktiller._internal.agent import successors
 from hemlocktiller._internal.links import link as link_module
-from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 
-NO_ALTERNATE = "no_alternate"
 CRASHES_TARGETS = "crashes_targets"
-SUSPECT_APART = "suspect_apart"
-FINAL_REASONS = (NO_ALTERNATE, CRASHES_TARGETS, SUSPECT_APART)
-SILENCE = "silence"
-RECONNECT_S = 0.3  # Time for a lost next stage to be reserved again.
-RECONNECT_TIMEOUT = "reconnect_timeout"
+FINAL_REASONS = (
+    successors.NO_ALTERNATE,
+    successors.SUSPECT_APART,
+    CRASHES_TARGETS,
+)
 UPSTREAM_GRACE_S = 6.0  # Time for the stage before to connect again.
 
-REPLACED = prometheus_client.Counter(
-    "hemlocktiller_stages_replaced", "Stages replaced during a request"
-)
 REPEATED_HOPS = prometheus_client.Counter(
     "hemlocktiller_hops_repeated", "Hops that came again for a token"
 )
 REBUILT_TOKENS = prometheus_client.Counter(
     "hemlocktiller_tokens_rebuilt", "Tokens whose cache was rebuilt"
 )
-REBUILD_BYTES = prometheus_client.Counter(
-    "hemlocktiller_rebuild_bytes", "Bytes of kept inputs sent to rebuild"
-)
-STAGE_FAILURES = prometheus_client.Counter(
-    "hemlocktiller_stage_failures", "Stages that failed by reason", ["reason"]
-)
 
 
 class Events(NamedTuple):
@@ -56,13 +44,6 @@
     on_failed: Callable[[runs.Run, str], None]
 
 
-class Record(NamedTuple):
-    """Where the stages note what happened."""
-
-    journal: explain.Journal
-    tracer: traces.Tracer
-
-
 class Pipeline:
     """The runs of this stage and the way to their neighbours."""
 
@@ -73,7 +54,7 @@
         peers: peers_module.Peers,
         admit: Callable[[Any], str],
         events: Events,
-        record: Record,
+        record: record_module.Record,
     ) -> None:
         self.runs: dict[runs.Key, runs.Run] = {}
         self._reactor = reactor
@@ -82,7 +63,14 @@
         self._admit = admit
         self._events = events
         self._record = record
-        self._batches: dict[tuple[str, str], coalesce.Coalescer] = {}
+        self._outbox = outbox.Outbox(reactor, peers)
+        self._successors = successors.Successors(
+            reactor,
+            peers,
+            self._outbox,
+            successors.Events(self._is_open, self._fail),
+            record,
+        )
 
     def open_head(self, run: runs.Run) -> None:
         """Reserves all later stages of a chain that starts here."""
@@ -90,7 +78,7 @@
         if run.is_last:
             self._events.on_opened(run)
         else:
-            self._open_next(run)
+            self._successors.reserve(run)
 
     def feed(
         self, run: runs.Run, token_index: int, data: bytes, first: bool
@@ -158,7 +146,7 @@
             self._reply_if_open(run)
         elif not run.fed:
             self._events.on_opened(run)
-        self._send_kept(run)
+        self._successors.send_kept(run)
 
     def on_refused(self, link: link_module.Link, message: Any) -> None:
         """Tries an alternate in place of a stage that refused."""
@@ -168,7 +156,7 @@
         if message["reason"] == CRASHES_TARGETS:
             self._fail(run, CRASHES_TARGETS, sorted(run.dead))
         else:
-            self._replace_next(run, message["reason"])
+            self._successors.replace(run, message["reason"])
 
     def on_hop(self, link: link_module.Link, hop: Any) -> None:
         """Runs a token, or answers a repeated hop from what is kept."""
@@ -205,7 +193,7 @@
         if message["reason"] in FINAL_REASONS:
             self._fail(run, message["reason"], sorted(run.dead))
         else:
-            self._replace_next(run, message["reason"])
+            self._successors.replace(run, message["reason"])
 
     def on_peer_up(self, name: str) -> None:
         """Sends results again that a lost link may have swallowed."""
@@ -217,99 +205,12 @@
         """Connects to the next stages at a lost peer, or replaces them."""
         for run in list(self.runs.values()):
             if not run.is_last and run.next_stage["target"] == name:
-                self._next_lost(run, reason)
+                self._successors.lost(run, reason)
             if run.upstream == name:
                 self._lapse_later(run)
 
-    def _next_lost(self, run: runs.Run, reason: str) -> None:
-        target = run.next_stage["target"]
-        if reason == SILENCE or target in run.reconnected:
-            self._replace_next(run, reason)
-            return
-        run.reconnected.add(target)
-        self._open_next(run)
-        self._reactor.callLater(
-            RECONNECT_S, self._on_reconnect_timeout, run, run.next_stage
-        )
-
-    def _on_reconnect_timeout(self, run: runs.Run, stage: Any) -> None:
-        """Takes an alternate rather than wait longer for a lost stage."""
-        waits = self._is_next(run, stage) and not run.next_asked
-        if waits and run.ready and runs.alternate_for(run) is not None:
-            self._replace_next(run, RECONNECT_TIMEOUT)
-
-    def _replace_next(self, run: runs.Run, reason: str) -> None:
-        STAGE_FAILURES.labels(reason).inc()
-        run.tried.add(run.next_stage["target"])
-        run.apart = run.apart or reason == SUSPECT_APART
-        alternate = runs.alternate_for(run)
-        if alternate is None:
-            final = SUSPECT_APART if run.apart else NO_ALTERNATE
-            self._fail(run, final, sorted(run.dead))
-            return
-        REPLACED.inc()
-        self._note(
-            run,
-            "stage_replaced",
-            lost=run.next_stage["target"],
-            by=alternate["target"],
-            why=reason,
-        )
-        run.chain[run.index + 1] = alternate
-        run.next_process = ""
-        self._open_next(run)
-
-    def _open_next(self, run: runs.Run) -> None:
-        run.next_open = False
-        run.next_asked = False
-        if not run.ready:
-            return  # `_go_on` reserves it once the cache is complete.
-        stage = run.next_stage
-        waiter = peers_module.Waiter(
-            lambda link: self._send_open(run, stage, link),
-            lambda reason: self._on_unreachable(run, stage, reason),
-        )
-        self._peers.with_link(stage, waiter)
-
-    def _on_unreachable(self, run: runs.Run, stage: Any, reason: str) -> None:
-        if not self._is_next(run, stage):
-            return
-        if reason == peers_module.REFUSED:
-            run.dead.add(stage["target"])
-        self._replace_next(run, reason)
-
-    def _send_open(
-        self, run: runs.Run, stage: Any, link: link_module.Link
-    ) -> None:
-        if not self._is_next(run, stage):
-            return
-        process = link.peer["process"]
-        same = process == run.next_process
-        run.next_asked = True
-        run.next_process = process
-        complete = run.complete_token - run.base_token
-        inputs = [] if same else run.kept[:complete]
-        REBUILD_BYTES.inc(sum(len(data) for data in inputs))
-        link.send(
-            {
-                "type": "open",
-                **run.place,
-                "stage_index": run.index + 1,
-                "chain": run.chain,
-                "alternates": run.alternates,
-                "config_version": run.terms.config_version,
-                "priority": run.terms.priority,
-                "expires_in_s": self._time_left_s(run),
-                "rebuild_inputs": inputs,
-                "rebuild_kv": b"",
-                "first_token": run.base_token + len(inputs),
-                "digest": run.terms.digest,
-                "traceparent": traces.traceparent(run.span),
-            }
-        )
-
-    def _is_next(self, run: runs.Run, stage: Any) -> bool:
-        return self.runs.get(run.key) is run and run.next_stage is stage
+    def _is_open(self, run: runs.Run) -> bool:
+        return self.runs.get(run.key) is run
 
     def _run_before(
         self, link: link_module.Link, message: Any
@@ -343,7 +244,7 @@
         if run.is_last:
             self._reply_if_open(run)
         else:
-            self._open_next(run)
+            self._successors.reserve(run)
 
     def _rebuild(self, run: runs.Run, inputs: list[bytes]) -> None:
         """Fills the cache of this stage from kept inputs, in order."""
@@ -384,14 +285,14 @@
     def _on_output(
         self, output: engine_module.Output, run: runs.Run, token_index: int
     ) -> None:
-        if self.runs.get(run.key) is not run:
+        if not self._is_open(run):
             return
         run.busy = False
         run.next_token = token_index + 1
         run.last = output
         if not run.is_last:
             run.kept.append(output.data)
-            self._send_newest(run)
+            self._successors.send_newest(run)
         elif run.index == 0:
             self._events.on_token(run, token_index, output)
         else:
@@ -409,10 +310,10 @@
         self._fail(run, "engine_failed" if engine_died else "step", dead)
 
     def _fail(self, run: runs.Run, reason: str, dead: list[str]) -> None:
-        if self.runs.get(run.key) is not run:
+        if not self._is_open(run):
             return
-        STAGE_FAILURES.labels(reason).inc()
-        self._note(run, "stage_failed", why=reason)
+        successors.STAGE_FAILURES.labels(reason).inc()
+        self._record.note(run, "stage_failed", why=reason)
         run.dead.update(dead)
         self._remove(run.key)
         self._engine.close([run.sequence])
@@ -441,30 +342,7 @@
         if run.is_last:
             self._send_result(run)
         else:
-            self._send_newest(run)
-
-    def _send_kept(self, run: runs.Run) -> None:
-        """Sends all outputs that the next stage has not received."""
-        newest = run.newest_kept_token
-        for token_index in range(run.downstream_token, newest + 1):
-            self._send_hop(run, token_index)
-
-    def _send_newest(self, run: runs.Run) -> None:
-        token_index = run.newest_kept_token
-        if token_index >= run.downstream_token:
-            self._send_hop(run, token_index)
-
-    def _send_hop(self, run: runs.Run, token_index: int) -> None:
-        if not run.next_open:
-            return
-        hop = {
-            **run.place,
-            "stage_index": run.index + 1,
-            "token_index": token_index,
-            "next_layer": run.next_stage["first_layer"],
-            "data": run.kept[token_index - run.base_token],
-        }
-        self._batch(run.next_stage["target"], "hops", "hops").add(hop)
+            self._successors.send_newest(run)
 
     def _send_result(self, run: runs.Run) -> None:
         waiter = peers_module.Waiter(
@@ -482,21 +360,7 @@
             "final": run.last.final,
         }
         name = run.head["target"]
-        self._batch(name, "hop_results", "results").add(result)
-
-    def _batch(self, name: str, kind: str, field: str) -> coalesce.Coalescer:
-        """Returns the batch of one kind of message to one peer."""
-        batch = self._batches.get((name, kind))
-        if batch is None:
-            batch = coalesce.Coalescer(
-                self._reactor,
-                0.0,
-                lambda items: self._peers.send(
-                    name, {"type": kind, field: items}
-                ),
-            )
-            self._batches[(name, kind)] = batch
-        return batch
+        self._outbox.add(name, outbox.HOP_RESULTS, result)
 
     def _new_run(self, message: Any) -> runs.Run:
         terms = runs.Terms(
@@ -526,7 +390,9 @@
             stage=run.index,
         )
         run.timer = self._reactor.callLater(
-            self._time_left_s(run) + UPSTREAM_GRACE_S, self.close, run.key
+            run.time_left_s(run.started_s) + UPSTREAM_GRACE_S,
+            self.close,
+            run.key,
         )
 
     def _remove(self, key: runs.Key) -> runs.Run | None:
@@ -547,15 +413,6 @@
             "engine", parent, request=run.key[0], attempt=run.key[1]
         )
 
-    def _note(self, run: runs.Run, event: str, **fields: Any) -> None:
-        self._record.journal.note(
-            run.key[0], event, attempt=run.key[1], stage=run.index, **fields
-        )
-
-    def _time_left_s(self, run: runs.Run) -> float:
-        left_s = run.terms.expires_at_s - self._reactor.seconds()
-        return max(left_s, 0.0)
-
     def _lapse_later(self, run: runs.Run) -> None:
         """Releases a run unless the stage before connects again."""
         name = run.upstream
@@ -563,7 +420,7 @@
         self._reactor.callLater(UPSTREAM_GRACE_S, self._lapse, run, name)
 
     def _lapse(self, run: runs.Run, name: str) -> None:
-        if run.upstream == "" and self.runs.get(run.key) is run:
+        if run.upstream == "" and self._is_open(run):
             self.close(run.key)
 
 
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -126,6 +126,10 @@
         """Index of the newest token whose output is kept."""
         return self.base_token + len(self.kept) - 1
 
+    def time_left_s(self, now_s: float) -> float:
+        """Returns the time in which the request is still wanted."""
+        return max(self.terms.expires_at_s - now_s, 0.0)
+
 
 def place_of(message: Any) -> Key:
     """Returns the request id and attempt that a message names."""
--- a/tests/unit/pipeline_net.py
+++ b/tests/unit/pipeline_net.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal.agent import heads as heads_module
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.agent import record
 from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 from tests.fakes import model
@@ -172,9 +173,7 @@
             self.peers,
             lambda message: "",
             self.heads.events(),
-            pipeline_module.Record(
-                explain.Journal(), traces.create(name, 0.0)
-            ),
+            record.Record(explain.Journal(), traces.create(name, 0.0)),
         )
         self.heads.pipeline = self.pipeline
 
