Leave condemning to entries, and bound the engines that one attempt takes

Targets that ran nothing were not counted as deaths at entries either. Now entries alone condemn, and the stage before the lost ones ends an attempt after two engines, or three VMs, died of it; the entry decides from there.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -309,10 +309,12 @@
         return ""
 
     def _suspect_reason(self, message: Any) -> str:
-        """Returns why a suspect request may not start here now."""
+        """Returns why a suspect request may not start here now.
+
+        Whether it is condemned is for its entry to say: an agent sees too
+        few deaths to tell a crashing request from a rack that failed.
+        """
         digest = message["digest"]
-        if self.process.suspects.state(digest) == "condemned":
-            return pipeline_module.CRASHES_TARGETS
         if self.process.suspects.may_join(digest, self._running_s()):
             return ""
         return successors.SUSPECT_APART
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -20,11 +20,10 @@
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.observe import traces
 
-CRASHES_TARGETS = "crashes_targets"
 FINAL_REASONS = (
     successors.NO_ALTERNATE,
     successors.SUSPECT_APART,
-    CRASHES_TARGETS,
+    successors.CRASHES_TARGETS,
 )
 UPSTREAM_GRACE_S = 6.0  # Time for the stage before to connect again.
 
@@ -151,11 +150,7 @@
     def on_refused(self, link: link_module.Link, message: Any) -> None:
         """Tries an alternate in place of a stage that refused."""
         run = self._run_before(link, message)
-        if run is None:
-            return
-        if message["reason"] == CRASHES_TARGETS:
-            self._fail(run, CRASHES_TARGETS, sorted(run.dead))
-        else:
+        if run is not None:
             self._successors.replace(run, message["reason"])
 
     def on_hop(self, link: link_module.Link, hop: Any) -> None:
@@ -190,6 +185,7 @@
         if run is None:
             return
         run.dead.update(message["dead_targets"])
+        run.crashed.update(message["dead_targets"])
         if message["reason"] in FINAL_REASONS:
             self._fail(run, message["reason"], sorted(run.dead))
         else:
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -43,6 +43,7 @@
         tried: Targets that failed as the next stage.
         reconnected: Targets dialled again after a lost link.
         dead: Targets that died while they ran this request.
+        crashed: Those of them whose agent lives and told so.
         apart: Whether a stage refused it beside another suspect.
         started_s: When this stage was reserved.
         span: Span of this stage.
@@ -80,6 +81,7 @@
         self.tried: set[str] = set()
         self.reconnected: set[str] = set()
         self.dead: set[str] = set()
+        self.crashed: set[str] = set()
         self.apart = False
         self.timer: Any = None
         self.started_s = 0.0
--- a/src/hemlocktiller/_internal/agent/successors.py
+++ b/src/hemlocktiller/_internal/agent/successors.py
@@ -19,6 +19,9 @@
 from hemlocktiller._internal.observe import traces
 
 NO_ALTERNATE = "no_alternate"
+CRASHES_TARGETS = "crashes_targets"
+MAX_CRASHED = 2  # Engines that may die of one attempt before it ends.
+MAX_DEAD = 3  # The same for whole VMs, which die of other causes too.
 SUSPECT_APART = "suspect_apart"
 SILENCE = "silence"
 RECONNECT_S = 0.3  # Time for a lost next stage to be reserved again.
@@ -88,6 +91,9 @@
         run.tried.add(run.next_stage["target"])
         run.apart = run.apart or reason == SUSPECT_APART
         alternate = runs.alternate_for(run)
+        if len(run.crashed) >= MAX_CRASHED or len(run.dead) >= MAX_DEAD:
+            self._events.fail(run, CRASHES_TARGETS, sorted(run.dead))
+            return
         if alternate is None:
             final = SUSPECT_APART if run.apart else NO_ALTERNATE
             self._events.fail(run, final, sorted(run.dead))
--- a/src/hemlocktiller/_internal/links/suspects_feed.py
+++ b/src/hemlocktiller/_internal/links/suspects_feed.py
@@ -44,11 +44,14 @@
         self.suspects.succeeded(digest, self._reactor.seconds())
 
     def died(self, target: str, running_s: Mapping[int, float]) -> None:
-        """Takes the death of a target and passes the evidence on."""
-        if not running_s:
-            return
+        """Takes the death of a target and passes the evidence on.
+
+        A target that ran nothing counts too: when many die at once, the
+        cause is not a request.
+        """
         now_s = self._reactor.seconds()
-        log.warning("{} died with {} requests", target, len(running_s))
+        if running_s:
+            log.warning("{} died with {} requests", target, len(running_s))
         self.suspects.died(target, running_s, now_s)
         entries = [
             entry
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -217,3 +217,23 @@
     net.nodes["s0r0"].heads.on_credit(None, grant)
     finish(net, link)
     check_whole(link)
+
+
+def test_an_attempt_ends_after_the_engines_of_two_targets_died(net):
+    """Keeps a request that crashes each engine from taking all of them."""
+    link = net.start(TOKENS)
+    failures = []
+
+    def fail_busy_engine(net):
+        busy = [
+            node.engine
+            for name, node in net.nodes.items()
+            if name.startswith("s1") and node.engine.pending
+        ]
+        for engine in busy:
+            failures.append(engine.name)
+            engine.fail()
+
+    finish(net, link, [(at, fail_busy_engine) for at in range(MAX_STEPS)])
+    assert link.messages[-1]["type"] == "failed"
+    assert len(set(failures)) == 2
