Be ready only once the links to targets are open

Ruled out: a target that left too early, as the other entry served all along. An entry is ready once every link is open, or after 3 s with what it reaches; later losses don't make it unready, so that callers still hear when to come back.

--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -22,6 +22,7 @@
 from hemlocktiller._internal.store import watch
 
 ENTRY_KIND = "entry"
+SETTLE_S = 3.0  # Time after which an entry is ready with what it reaches.
 MAX_RECORDS = 4096  # The schema's limit for one message.
 
 log = logbook.Logger(__name__)
@@ -67,6 +68,8 @@
             self.reactor,
         )
         self._has_listing = False
+        self._settled = False
+        self._started_s = self.reactor.seconds()
         self._seeds = self._build_seeds()
         self._entries = {self.settings["name"]: self.settings["data_centre"]}
         self.registry.entries = lambda: len(self._entries)
@@ -131,8 +134,23 @@
             return "draining"
         if self.process.feed.version() == 0:
             return "no configuration"
+        if not self._is_settled():
+            return "links to targets are not open yet"
         return ""
 
+    def _is_settled(self) -> bool:
+        """Tells whether the links were opened that can be, once.
+
+        A process that has just started is not ready before; later, lost
+        targets are told to callers and not hidden by an unready page.
+        """
+        if not self._settled:
+            links = [one.link for one in self.targets.by_name.values()]
+            waited_s = self.reactor.seconds() - self._started_s
+            all_open = bool(links) and None not in links
+            self._settled = all_open or waited_s > SETTLE_S
+        return self._settled
+
     def status(self) -> dict[str, Any]:
         """Returns the state for the status page."""
         return {
