Suspect only what the engine works on when it dies

Cause: every request with a place at a dead engine became a suspect, and one that stood on both stages of a chain that failed had two deaths against it: condemned wrongly after half of a fleet died, and held apart for a second each otherwise. A chain has one stage at work at a time, so the requests in the engine are the ones to suspect. Requests whose agent dies with its VM are still all suspected by their entry.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -202,7 +202,7 @@
             self.settings,
             self.door,
             engine_watch.Events(
-                self._on_target_died, self._register, self._report_load
+                self._on_engine_died, self._register, self._report_load
             ),
         )
         self.pipeline = pipeline_module.Pipeline(
@@ -226,7 +226,7 @@
             self.settings,
             claims,
             self.process.tracer,
-            services_module.Events(self.door.done, self._on_target_died),
+            services_module.Events(self.door.done, self._on_service_died),
         )
 
     def _start_loops(self) -> None:
@@ -281,9 +281,15 @@
     def _pause(self) -> defer.Deferred[bool]:
         return self.engine_watch.pause(self._idle)
 
-    def _on_target_died(self) -> None:
-        name = self.settings["name"]
-        self.process.suspects.died(name, self._running_s())
+    def _on_engine_died(self) -> None:
+        self.process.suspects.died(
+            self.settings["name"], self.pipeline.in_engine_s()
+        )
+
+    def _on_service_died(self) -> None:
+        self.process.suspects.died(
+            self.settings["name"], self.services.running_s()
+        )
 
     def _running_s(self) -> dict[int, float]:
         source = self.pipeline or self.services
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
@@ -101,11 +102,21 @@
 
     def running_s(self) -> dict[int, float]:
         """Returns how long each digest has been running here."""
+        return self._ages_s(self.runs.values())
+
+    def in_engine_s(self) -> dict[int, float]:
+        """Returns the same of the digests that the engine works on now.
+
+        A chain has one stage at work at a time, so one that loses several
+        targets at once is found in the engine of one of them.
+        """
+        return self._ages_s(
+            run for run in self.runs.values() if run.busy or not run.ready
+        )
+
+    def _ages_s(self, some: Iterable[runs.Run]) -> dict[int, float]:
         now_s = self._reactor.seconds()
-        return {
-            run.terms.digest: now_s - run.started_s
-            for run in self.runs.values()
-        }
+        return {run.terms.digest: now_s - run.started_s for run in some}
 
     def close(self, key: runs.Key) -> None:
         """Releases this stage and all later ones."""
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -237,3 +237,21 @@
     finish(net, link, [(at, fail_busy_engine) for at in range(MAX_STEPS)])
     assert link.messages[-1]["type"] == "failed"
     assert len(set(failures)) == 2
+
+
+@pytest.mark.parametrize("net", SEEDS, indirect=True)
+def test_a_request_is_in_the_engine_of_one_stage_at_a_time(net):
+    link = net.start(TOKENS)
+    found = []
+
+    def look(net):
+        stages = [
+            name
+            for name, node in net.nodes.items()
+            if node.pipeline.in_engine_s()
+        ]
+        found.append(len(stages))
+
+    finish(net, link, [(at, look) for at in range(MAX_STEPS)])
+    check_whole(link)
+    assert max(found) == 1
