Build refusals in one place, and a queued item once

The pipeline wrote out the refusal that heads.py already built; both and the door use runs.refusal now. The door built an item, which counts the words of its prompt, a second time to ask whether it is hopeless, and the peers copied a handler tuple field by field. Behaviour stays; the tests of the pipeline, links, whole path, orders, half fleet and crashing request passed.

--- a/src/hemlocktiller/_internal/agent/door.py
+++ b/src/hemlocktiller/_internal/agent/door.py
@@ -112,11 +112,12 @@
         if reason:
             self._refuse(message, link, reason)
             return
-        if self._is_hopeless(message):
+        item = self._item(message)
+        if self._is_hopeless(item, message["expires_in_s"]):
             self._refuse(message, link, "hopeless")
             return
         self._note(message, "queued", waiting=len(self._waiting))
-        waiting = Waiting(message, link, self._item(message))
+        waiting = Waiting(message, link, item)
         pushed = self._queue.push(waiting.item)
         if not pushed.accepted:
             self._refuse(message, link, "full")
@@ -297,11 +298,11 @@
             return 0.0
         return self._expected_run_s(message)
 
-    def _is_hopeless(self, message: Any) -> bool:
+    def _is_hopeless(self, item: fair_queue.Item, expires_in_s: float) -> bool:
         """Tells whether a request can't even start in time behind others."""
         if not self.rates.known or not self._waiting:
             return False
-        return self._wait_s(self._item(message)) > message["expires_in_s"]
+        return self._wait_s(item) > expires_in_s
 
     def _wait_s(self, item: fair_queue.Item) -> float:
         rate = max(self.rates.tokens_per_s, MIN_TOKENS_PER_S)
@@ -321,7 +322,7 @@
             return
         wait_s = self._wait_s(self._item(message))
         link.send(
-            heads.refusal(
+            runs.refusal(
                 message,
                 reason,
                 self._settings["name"],
--- a/src/hemlocktiller/_internal/agent/heads.py
+++ b/src/hemlocktiller/_internal/agent/heads.py
@@ -177,7 +177,9 @@
         if run.fed:
             _send(head.link, _failed(head, reason))
         else:
-            _send(head.link, refusal(run.place, reason, run.stage["target"]))
+            _send(
+                head.link, runs.refusal(run.place, reason, run.stage["target"])
+            )
 
     def _finish(self, head: Head, reason: str) -> None:
         self._end(head.run.key, "finished")
@@ -218,25 +220,6 @@
             batch.flush()
 
 
-def refusal(
-    place: Any,
-    reason: str,
-    target: str,
-    retry_after_s: float = 0.0,
-    config_version: int = 0,
-) -> dict[str, Any]:
-    """Returns the message that proves that a request did not run."""
-    return {
-        "type": "refused",
-        "request": place["request"],
-        "attempt": place["attempt"],
-        "reason": reason,
-        "retry_after_s": retry_after_s,
-        "target": target,
-        "config_version": config_version,
-    }
-
-
 def _failed(head: Head, reason: str) -> dict[str, Any]:
     return {
         "type": "failed",
--- a/src/hemlocktiller/_internal/agent/peers.py
+++ b/src/hemlocktiller/_internal/agent/peers.py
@@ -93,17 +93,12 @@
             return
         if current is not None:
             current.stop()
-        handlers = link_module.Handlers(
-            self._handlers.on_open,
-            self._handlers.on_message,
-            self._handlers.on_down,
-        )
         self._dialers[name] = dialer.Dialer(
             self._reactor,
             self._settings,
             self._local,
             address,
-            handlers,
+            self._handlers,
             lambda: self._refused(name),
             self._rng,
         )
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -136,7 +136,7 @@
             return
         reason = self._admit(message)
         if reason:
-            link.send(_refusal(message, reason))
+            link.send(_refused(message, reason))
             return
         run = self._new_run(message)
         run.upstream = link.peer["name"]
@@ -234,7 +234,7 @@
         self, run: runs.Run, link: link_module.Link, message: Any
     ) -> None:
         if message["stage_index"] != run.index:
-            link.send(_refusal(message, "wrong_stage"))
+            link.send(_refused(message, "wrong_stage"))
             return
         run.upstream = link.peer["name"]
         self._reply_if_open(run)
@@ -440,14 +440,7 @@
     )
 
 
-def _refusal(message: Any, reason: str) -> dict[str, Any]:
+def _refused(message: Any, reason: str) -> dict[str, Any]:
+    """Returns the refusal of a stage that was to be reserved."""
     stage = message["chain"][message["stage_index"]]
-    return {
-        "type": "refused",
-        "request": message["request"],
-        "attempt": message["attempt"],
-        "reason": reason,
-        "retry_after_s": 0.0,
-        "target": stage["target"],
-        "config_version": 0,
-    }
+    return runs.refusal(message, reason, stage["target"])
--- a/src/hemlocktiller/_internal/agent/runs.py
+++ b/src/hemlocktiller/_internal/agent/runs.py
@@ -138,6 +138,25 @@
     return message["request"], message["attempt"]
 
 
+def refusal(
+    place: Any,
+    reason: str,
+    target: str,
+    retry_after_s: float = 0.0,
+    config_version: int = 0,
+) -> dict[str, Any]:
+    """Returns the message that proves that a request did not run."""
+    return {
+        "type": "refused",
+        "request": place["request"],
+        "attempt": place["attempt"],
+        "reason": reason,
+        "retry_after_s": retry_after_s,
+        "target": target,
+        "config_version": config_version,
+    }
+
+
 def alternate_for(run: Run) -> Any:
     """Returns an untried stage with the next stage's layers, or None."""
     wanted = run.next_stage
