--- a/tests/functional/process.py
+++ b/tests/functional/process.py
@@ -12,6 +12,9 @@
 START_POLLS = 600
 EXIT_POLLS = 1200
 ROOT = Path(__file__).parents[2]
+PORT_TAKEN = "Address already in use"
+PORT_TRIES = 10
+PORT_WAIT_S = 0.5
 
 
 class Address(NamedTuple):
@@ -67,7 +70,22 @@
         self._child: subprocess.Popen | None = None
 
     def start(self) -> "Process":
-        """Starts the process and waits until it prints its addresses."""
+        """Starts the process and waits until it prints its addresses.
+
+        A restarted process keeps its ports; one that a connection of
+        another test has taken meanwhile comes free again in a moment.
+        """
+        for _ in range(PORT_TRIES):
+            known = len(self.errors()) if self._errors.exists() else 0
+            try:
+                return self._start()
+            except ProcessFailed:
+                if PORT_TAKEN not in self.errors()[known:]:
+                    raise
+            time.sleep(PORT_WAIT_S)
+        return self._start()
+
+    def _start(self) -> "Process":
         path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
         environment = dict(os.environ, PYTHONPATH=path, PYTHONUNBUFFERED="1")
         with self._output.open("wb") as out, self._errors.open("ab") as err:
