--- /dev/null
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -0,0 +1,381 @@
+"""Builds the gateway from its parts, and runs its life from start to stop."""
+
+import random
+import secrets
+import signal
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+from twisted.internet import defer
+from twisted.internet import task
+
+from hemlocktiller._internal.control import lease as lease_module
+from hemlocktiller._internal.gateway import calls
+from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
+from hemlocktiller._internal.gateway import ingress
+from hemlocktiller._internal.gateway import layout_duty
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import serving
+from hemlocktiller._internal.gateway import streams
+from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import wire as wire_module
+from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.observe import metrics
+from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import watch
+
+LEASE_NAME = "layout"
+# The layout's next holder takes over within seconds of a lost one.
+LEASE_SETTINGS: lease_module.LeaseSettings = {
+    "duration_s": 3.0,
+    "renew_interval_s": 1.0,
+}
+# Few objects change at once here, and draining must be known soon.
+WATCH_PAUSE_S = 0.05
+CHECK_INTERVAL_S = 0.1
+# The balancer asks once a second and needs two misses to look elsewhere.
+STOP_ACCEPTING_S = 2.6
+# What is left of the grace period when the last streams are cut.
+STOP_MARGIN_S = 0.4
+POLL_S = 0.05
+# Shared by this many processes at most, of which each may spend a part.
+BUDGET_SHARERS = 8
+
+CONFIG_VERSION = prometheus_client.Gauge(
+    "hemlocktiller_gateway_config_version", "Configuration in force"
+)
+IN_PROGRESS = prometheus_client.Gauge(
+    "hemlocktiller_gateway_in_progress", "Requests in progress"
+)
+
+
+class Address(NamedTuple):
+    """Where to listen."""
+
+    host: str
+    port: int
+
+
+class Settings(NamedTuple):
+    """Settings of a gateway.
+
+    Attributes:
+        name: Name of this process.
+        data_centre: Where it runs.
+        callers: Where callers connect.
+        readiness: Where the balancer asks whether it is ready.
+        readiness_path: Path of that question.
+        metrics: Where metrics are served.
+        store: Settings of the object API.
+        config_kind: Kind and name of the stored configuration.
+        config_name: See `config_kind`.
+        target_kind: Kind of the registrations.
+        retry_ratio: Repeats allowed as a share of the requests.
+        retry_extra: Repeats allowed in a window beside these, by all.
+        retry_window_s: Length of that window.
+        stop_grace_s: Time from SIGTERM to the kill.
+    """
+
+    name: str
+    data_centre: str
+    callers: Address
+    readiness: Address
+    readiness_path: str
+    metrics: Address | None
+    store: Any
+    config_kind: str
+    config_name: str
+    target_kind: str
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    stop_grace_s: float
+
+
+class Gateway:
+    """The running process.
+
+    Attributes:
+        catalog: Configuration in force; None before the first.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Settings,
+        wire: wire_module.Wire,
+        store: client.ObjectStore,
+    ) -> None:
+        self.catalog: model.Catalog | None = None
+        self._reactor = reactor
+        self._settings = settings
+        self._wire = wire
+        self._store = store
+        self._rng = random.Random(secrets.token_hex(8))
+        self._budgets: dict[str, budget.RetryBudget] = {}
+        self._serving: set[Any] = set()
+        self._stopping = False
+        self._watches: list[watch.Watch] = []
+        self._ports: list[Any] = []
+        self._done: defer.Deferred = defer.Deferred()
+        self.targets = targets_module.Targets(
+            reactor, wire, self._health_path
+        )
+        self.targets.on_down.append(self._target_down)
+        self._dispatcher = dispatcher_module.Dispatcher(reactor, self.targets)
+        self._outstanding = calls.Outstanding()
+        self._callers = ingress.CallerFactory(reactor, self.serve)
+        self._context = serving.Context(
+            reactor,
+            wire,
+            self.targets,
+            self._budget,
+            settings.data_centre,
+            settings.name,
+        )
+        self._lease = lease_module.Lease(
+            store,
+            LEASE_NAME,
+            LEASE_SETTINGS,
+            reactor,
+            self._on_lease,
+        )
+        self._duty = layout_duty.LayoutDuty(
+            reactor,
+            store,
+            self._lease,
+            self.targets,
+            wire,
+            lambda: self.catalog.services.values() if self.catalog else (),
+        )
+        self._checker = task.LoopingCall(self._check)
+        self._checker.clock = reactor
+
+    def start(self) -> defer.Deferred:
+        """Listens and follows the store; fires when it has stopped."""
+        settings = self._settings
+        self._listen(settings.callers, self._callers)
+        pages = ingress.PageFactory(self._reactor, self._page)
+        self._listen(settings.readiness, pages)
+        if settings.metrics:
+            self._listen(settings.metrics, pages)
+        self._watches = [
+            watch.follow_kind(
+                self._store,
+                settings.config_kind,
+                self._take_configs,
+                WATCH_PAUSE_S,
+            ),
+            watch.follow_kind(
+                self._store,
+                settings.target_kind,
+                self.targets.take,
+                WATCH_PAUSE_S,
+            ),
+        ]
+        for one in self._watches:
+            one.on_failure = self.targets.store_lost
+        self._lease.start()
+        self._duty.start()
+        self._checker.start(CHECK_INTERVAL_S, now=False)
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        events.emit("start", node=settings.name)
+        return self._done
+
+    def serve(self, caller: ingress.CallerRequest) -> None:
+        """Serves one request of a caller."""
+        asked = self._wire.read_request(caller.requestHeaders)
+        catalog = self.catalog
+        if catalog is None:
+            self._reject(caller, asked, 503, "no configuration yet")
+            return
+        host = (caller.getHeader(b"host") or b"").decode("latin-1")
+        path = caller.uri.split(b"?")[0].decode("latin-1")
+        route = catalog.route(host.split(":")[0].lower(), path)
+        if route is None:
+            self._reject(caller, asked, 404, "no route")
+            return
+        workspace = model.Workspace("", None)
+        if catalog.workspaces is not None and not route.is_public:
+            found = catalog.workspaces.get(asked.key)
+            if found is None:
+                self._reject(caller, asked, 401, "unknown key")
+                return
+            workspace = found
+        service = catalog.services.get(self._pick_service(route))
+        if service is None:
+            self._reject(caller, asked, 503, "no such service")
+            return
+        priority = route.priority
+        if workspace.priority is not None:
+            priority = workspace.priority
+        self._admit(
+            serving.Admitted(
+                caller,
+                asked,
+                route,
+                service,
+                workspace.name,
+                priority,
+                caller.body(),
+                catalog.version,
+            )
+        )
+
+    def stop(self) -> None:
+        """Stops gracefully: unready, then closed, then gone."""
+        if self._stopping:
+            return
+        self._stopping = True
+        events.emit("stop", in_progress=len(self._serving))
+        stopping = defer.Deferred.fromCoroutine(self._stop())
+        stopping.addErrback(
+            lambda reason: events.emit(
+                "stop_failed", reason=reason.getTraceback()
+            )
+        )
+        stopping.addBoth(lambda _: self._done.callback(None))
+
+    def _admit(self, admitted):
+        if admitted.service.engine is not None:
+            work = streams.Stream(
+                self._context, self._dispatcher, admitted, self._over
+            )
+        else:
+            work = calls.Call(
+                self._context,
+                self._outstanding,
+                self._rng,
+                admitted,
+                self._over,
+            )
+        self._serving.add(work)
+        IN_PROGRESS.set(len(self._serving))
+        work.begin()
+
+    def _over(self, work):
+        self._serving.discard(work)
+        IN_PROGRESS.set(len(self._serving))
+
+    def _reject(self, caller, asked, status, reason):
+        events.emit(
+            "rejected",
+            request=asked.request_id,
+            status=status,
+            reason=reason,
+            config=self.catalog.version if self.catalog else None,
+        )
+        headers = []
+        if status == 503:
+            headers.append((b"Retry-After", b"1.0"))
+        caller.answer(status, headers, reason.encode() + b"\n")
+
+    def _pick_service(self, route):
+        names = [name for name, _ in route.services]
+        weights = [weight for _, weight in route.services]
+        if len(names) == 1 or sum(weights) <= 0:
+            return names[0]
+        return self._rng.choices(names, weights)[0]
+
+    def _budget(self, service):
+        if service not in self._budgets:
+            settings = self._settings
+            per_s = settings.retry_extra / settings.retry_window_s
+            self._budgets[service] = budget.RetryBudget(
+                {
+                    "budget_ratio": settings.retry_ratio,
+                    "budget_min_per_s": per_s / BUDGET_SHARERS,
+                }
+            )
+        return self._budgets[service]
+
+    def _health_path(self, service):
+        catalog = self.catalog
+        if catalog and service in catalog.services:
+            return catalog.services[service].health_path
+        return "/"
+
+    def _take_configs(self, changed, deleted, whole):
+        for stored in changed:
+            if stored.name == self._settings.config_name:
+                self._take_config(stored)
+
+    def _take_config(self, stored):
+        try:
+            catalog = self._wire.catalog(stored.value)
+        except ValueError as error:
+            events.emit("config_rejected", reason=str(error))
+            return
+        if self.catalog and catalog.version <= self.catalog.version:
+            return
+        before = self.catalog.version if self.catalog else None
+        self.catalog = catalog
+        self._callers.set_limits(catalog.limits)
+        CONFIG_VERSION.set(catalog.version)
+        events.emit(
+            "config",
+            version=catalog.version,
+            before=before,
+            revision=stored.version,
+        )
+
+    def _target_down(self, target, reason):
+        for work in list(self._serving):
+            work.lost(target, reason)
+
+    def _on_lease(self, is_held):
+        self._duty.on_lease(is_held)
+
+    def _check(self):
+        now_s = self._reactor.seconds()
+        for work in list(self._serving):
+            work.check(now_s)
+
+    def _page(self, path):
+        if path == self._settings.readiness_path:
+            is_ready = (
+                self.catalog is not None
+                and self.targets.known
+                and not self._stopping
+            )
+            return (200 if is_ready else 503), "text/plain", b""
+        if path == "/metrics":
+            return 200, metrics.PAGE_CONTENT_TYPE, metrics.page()
+        return 404, "text/plain", b""
+
+    def _listen(self, address, factory):
+        port = self._reactor.listenTCP(
+            address.port, factory, backlog=256, interface=address.host
+        )
+        self._ports.append(port)
+
+    def _on_signal(self, number, frame):
+        self._reactor.callFromThread(self.stop)
+
+    def _on_hangup(self, number, frame):
+        self._reactor.callFromThread(events.emit, "reload")
+
+    async def _stop(self):
+        grace_s = self._settings.stop_grace_s
+        began_s = self._reactor.seconds()
+        await self._lease.release()
+        self._duty.stop()
+        self._callers.is_closing = True
+        while self._reactor.seconds() < began_s + STOP_ACCEPTING_S:
+            await task.deferLater(self._reactor, POLL_S)
+        await defer.maybeDeferred(self._ports[0].stopListening)
+        while (
+            self._serving
+            and self._reactor.seconds() < began_s + grace_s - STOP_MARGIN_S
+        ):
+            self._callers.close_idle()
+            await task.deferLater(self._reactor, POLL_S)
+        self._callers.close_idle()
+        for one in self._watches:
+            one.stop()
+        self._checker.stop()
+        await task.deferLater(self._reactor, POLL_S)
+        events.emit("stopped", in_progress=len(self._serving))
--- /dev/null
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -0,0 +1,109 @@
+"""What streams and calls share: a request in progress and its clocks."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+
+from hemlocktiller._internal.gateway import ingress
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import wire as wire_module
+from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import budget
+
+OUTCOMES = prometheus_client.Counter(
+    "hemlocktiller_gateway_answers",
+    "Answers to callers by kind of route and outcome",
+    ["kind", "outcome"],
+)
+FIRST_S = prometheus_client.Histogram(
+    "hemlocktiller_gateway_first_seconds",
+    "Time to the first byte of an answer",
+    ["kind"],
+    buckets=(0.05, 0.1, 0.2, 0.35, 0.5, 0.89, 1.5, 3.0, 10.0),
+)
+
+STATUS_OVERLOADED = 503
+STATUS_BAD_GATEWAY = 502
+STATUS_TIMEOUT = 504
+
+
+class Context(NamedTuple):
+    """What requests are served with.
+
+    Attributes:
+        reactor: Reactor.
+        wire: The platform's adapter.
+        targets: The targets.
+        budgets: Returns the retry budget of a service.
+        data_centre: Where this process runs.
+        node: Name of this process.
+    """
+
+    reactor: Any
+    wire: wire_module.Wire
+    targets: targets_module.Targets
+    budgets: Callable[[str], budget.RetryBudget]
+    data_centre: str
+    node: str
+
+
+class Admitted(NamedTuple):
+    """A request that the configuration allows.
+
+    Attributes:
+        caller: The caller's request.
+        asked: What its headers ask for.
+        route: Its route.
+        service: The service that it goes to.
+        workspace: Workspace of its key; empty on public routes.
+        priority: Its rank; 0 is the most urgent.
+        body: Its body.
+        config_version: Version that it was admitted under.
+    """
+
+    caller: ingress.CallerRequest
+    asked: wire_module.Asked
+    route: model.Route
+    service: model.Service
+    workspace: str
+    priority: int
+    body: bytes
+    config_version: int
+
+
+def deadline_s(admitted: Admitted) -> float:
+    """Returns when the caller or the route gives up."""
+    longest_s = admitted.route.timeout_s
+    if admitted.asked.time_left_s is not None:
+        longest_s = min(longest_s, admitted.asked.time_left_s)
+    return admitted.caller.arrived_s + longest_s
+
+
+def refuse(
+    admitted: Admitted, status: int, reason: str, retry_after_s: float = 0.0
+) -> None:
+    """Answers a request with a failure of our own."""
+    headers = []
+    if retry_after_s > 0.0:
+        value = f"{retry_after_s:.2f}".encode()
+        headers.append((b"Retry-After", value))
+    finished(admitted, f"{status}", reason)
+    admitted.caller.answer(status, headers, reason.encode() + b"\n")
+
+
+def finished(admitted: Admitted, outcome: str, reason: str = "") -> None:
+    """Counts and logs the end of a request."""
+    OUTCOMES.labels(admitted.route.kind, outcome).inc()
+    caller = admitted.caller
+    took_s = caller.channel.factory.clock.seconds() - caller.arrived_s
+    events.emit(
+        "request_end",
+        request=admitted.asked.request_id,
+        route=admitted.route.name,
+        outcome=outcome,
+        reason=reason,
+        took_ms=round(took_s * 1000),
+    )
--- /dev/null
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -0,0 +1,383 @@
+"""Relays one stream, and goes on at other targets when a stage is lost."""
+
+from typing import Any
+
+from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
+from hemlocktiller._internal.gateway import serving
+from hemlocktiller._internal.gateway import sse
+from hemlocktiller._internal.gateway import upstream
+from hemlocktiller._internal.gateway import wire as wire_module
+from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import admission
+from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import paths
+
+# A stream that shows nothing for this long makes its targets suspect; it is
+# several events at the slowest accelerator under load.
+SILENCE_TO_SUSPECT_S = 0.35
+# The first event also waits for other prompts to be read.
+FIRST_SILENCE_TO_SUSPECT_S = 0.6
+# Callers give up after two seconds of silence; a new run needs the rest.
+SILENCE_TO_MOVE_S = 1.1
+# A new path for a stream is looked for until the caller will have left.
+RESUME_WINDOW_S = 1.6
+# Offers that a target turned down before running; more rarely find room.
+OFFERS_MAX = 4
+LONGEST_QUEUE_WAIT_S = admission.LONGEST_WAIT_S
+
+
+class Stream:
+    """State of one streaming request.
+
+    Attributes:
+        path: Stages of the current run; empty while there is none.
+    """
+
+    def __init__(
+        self,
+        context: serving.Context,
+        dispatcher: dispatcher_module.Dispatcher,
+        admitted: serving.Admitted,
+        on_over: Any,
+    ) -> None:
+        self.path: paths.model.Path = ()
+        self._context = context
+        self._dispatcher = dispatcher
+        self._admitted = admitted
+        self._on_over = on_over
+        self._id = admitted.asked.request_id
+        self._key = f"{id(self):x}/{self._id}"
+        self._exchange: upstream.Exchange | None = None
+        self._splitter = sse.Splitter()
+        self._last_event_id = admitted.asked.last_event_id
+        self._events = 0
+        self._runs = 0
+        self._offers = 0
+        self._run = 0
+        self._is_streaming = False
+        self._failure: tuple[int, wire_module.Headers] | None = None
+        self._failure_body: list[bytes] = []
+        self._heard_s = 0.0
+        self._suspected = False
+        self._over = False
+        caller = admitted.caller
+        caller.on_gone = self._gone
+        left_s = serving.deadline_s(admitted) - context.reactor.seconds()
+        self._timer = context.reactor.callLater(
+            max(0.0, left_s), self._expire
+        )
+
+    def begin(self) -> None:
+        """Looks for a path."""
+        self._dispatcher.submit(self._job(LONGEST_QUEUE_WAIT_S, self._refuse))
+
+    def check(self, now_s: float) -> None:
+        """Notices silence; called a few times a second."""
+        if not self.path or self._over:
+            return
+        silent_s = now_s - self._heard_s
+        limit_s = (
+            SILENCE_TO_SUSPECT_S
+            if self._is_streaming
+            else FIRST_SILENCE_TO_SUSPECT_S
+        )
+        if silent_s > limit_s and not self._suspected:
+            self._suspected = True
+            for stage in self.path:
+                self._context.targets.suspect(stage.target, "silent stream")
+        if silent_s > SILENCE_TO_MOVE_S and self._may_run_again():
+            self._move("silence")
+
+    def lost(self, target: Any, reason: str) -> None:
+        """Moves away from a target that is down."""
+        if any(stage.target.name == target.name for stage in self.path):
+            self._move(f"{target.name} is down: {reason}")
+
+    # Runs
+
+    def _job(self, wait_s, refuse):
+        admitted = self._admitted
+        asked = admitted.asked
+        now_s = self._context.reactor.seconds()
+        engine = admitted.service.engine
+        expected = asked.expected_output_tokens or asked.max_output_tokens
+        deadline_s = min(serving.deadline_s(admitted), now_s + wait_s)
+        item = fair_queue.Item(
+            self._key,
+            f"priority {admitted.priority}",
+            admitted.workspace,
+            asked.prompt_tokens + expected,
+            1.0,
+            deadline_s,
+        )
+        need = dispatcher_module.need(asked.prompt_tokens, expected, engine)
+        return dispatcher_module.Job(
+            item, admitted.service, need, self._start, refuse
+        )
+
+    def _start(self, choice):
+        if self._over:
+            self._dispatcher.withdraw(self._key)
+            return
+        context = self._context
+        now_s = context.reactor.seconds()
+        admitted = self._admitted
+        self.path = choice.path
+        self._run += 1
+        self._offers += 1
+        self._heard_s = now_s
+        self._suspected = False
+        self._splitter = sse.Splitter()
+        self._failure = None
+        self._failure_body = []
+        target = choice.path[0].target
+        left_s = serving.deadline_s(admitted) - now_s
+        headers = context.wire.dispatch_headers(
+            admitted.asked,
+            wire_module.Dispatch(
+                target,
+                choice.path,
+                left_s,
+                admitted.workspace,
+                self._last_event_id,
+            ),
+        )
+        events.emit(
+            "dispatch",
+            request=self._id,
+            run=self._run,
+            path=[
+                [s.target.name, s.first_layer, s.end_layer]
+                for s in choice.path
+            ],
+            first_ms=round(choice.first_event_ms),
+            waited_ms=round((now_s - admitted.caller.arrived_s) * 1000),
+            after_event=self._last_event_id,
+            config=admitted.config_version,
+        )
+        context.targets.sent(target)
+        run = self._run
+        caller = admitted.caller
+        request = (
+            caller.method.decode("latin-1"),
+            caller.uri.decode("latin-1"),
+            headers,
+            admitted.body,
+        )
+        self._exchange = upstream.Exchange(
+            context.reactor,
+            (target.host, target.port),
+            request,
+            upstream.Events(
+                lambda status, answer: self._on_head(run, status, answer),
+                lambda data: self._on_data(run, data),
+                lambda failed: self._on_end(run, failed),
+            ),
+        )
+
+    def _may_run_again(self):
+        admitted = self._admitted
+        if not admitted.route.may_repeat:
+            return False
+        if self._runs >= admitted.route.attempts:
+            return False
+        return self._budget().remaining(self._context.reactor.seconds()) >= 1
+
+    def _budget(self):
+        return self._context.budgets(self._admitted.service.name)
+
+    def _move(self, reason, ran=True):
+        """Gives the current run up and goes on at another path."""
+        self._drop_run()
+        admitted = self._admitted
+        now_s = self._context.reactor.seconds()
+        can_repeat = admitted.route.may_repeat or not ran
+        if self._offers >= OFFERS_MAX + admitted.route.attempts:
+            can_repeat = False
+        if not can_repeat or not self._budget().try_retry(now_s):
+            self._fail(reason, ran)
+            return
+        events.emit(
+            "resume",
+            request=self._id,
+            reason=reason,
+            after_event=self._last_event_id,
+            silent_ms=round((now_s - self._heard_s) * 1000),
+        )
+        self._dispatcher.resume(
+            self._job(
+                RESUME_WINDOW_S,
+                lambda retry_s, why: self._fail(why, self._runs > 0, retry_s),
+            )
+        )
+
+    def _drop_run(self):
+        self._run += 1
+        self.path = ()
+        if self._exchange is not None:
+            self._exchange.cancel()
+            self._exchange = None
+        self._dispatcher.withdraw(self._key)
+
+    # Answers of targets
+
+    def _on_head(self, run, status, headers):
+        if run != self._run or self._over:
+            return
+        answered = self._context.wire.read_answer(status, headers)
+        self._heard_s = self._context.reactor.seconds()
+        is_own = answered.request_id in ("", self._id)
+        if status == 200 and answered.is_signed and is_own:
+            if not answered.is_plain:
+                self._move("encoded answer")
+                return
+            self._runs += 1
+            self._is_streaming = True
+            if not self._admitted.caller.is_started:
+                self._admitted.caller.start(status, headers)
+            return
+        self._failure = (status, headers)
+
+    def _on_data(self, run, data):
+        if run != self._run or self._over:
+            return
+        if self._failure is not None:
+            self._failure_body.append(data)
+            return
+        for event in self._splitter.feed(data):
+            self._forward(event)
+
+    def _forward(self, event):
+        if event.event_id and not self._is_next(event.event_id):
+            return
+        now_s = self._context.reactor.seconds()
+        if not self._events:
+            arrived_s = self._admitted.caller.arrived_s
+            serving.FIRST_S.labels("streaming").observe(now_s - arrived_s)
+            self._dispatcher.occupancy.began(self._key)
+        self._heard_s = now_s
+        self._suspected = False
+        self._events += 1
+        if event.event_id:
+            self._last_event_id = event.event_id
+        self._admitted.caller.write(event.raw)
+
+    def _is_next(self, event_id):
+        """Tells whether an event was not yet passed on."""
+        last = self._last_event_id
+        if not (last.isdigit() and event_id.isdigit()):
+            return True
+        return int(event_id) > int(last)
+
+    def _on_end(self, run, failed):
+        if run != self._run or self._over:
+            return
+        target = self.path[0].target
+        if failed is None and self._failure is None:
+            self._whole(target)
+            return
+        if failed is not None:
+            self._broken(target, failed)
+            return
+        status, headers = self._failure
+        answered = self._context.wire.read_answer(status, headers)
+        if answered.not_run:
+            self._turned_down(answered, status)
+            return
+        self._answered_failure(status, headers, answered)
+
+    def _whole(self, target):
+        self._context.targets.succeeded(target)
+        self._budget().record_success(self._context.reactor.seconds())
+        caller = self._admitted.caller
+        rest = self._splitter.rest
+        if rest:
+            caller.write(rest)
+        self._finish("ok")
+        caller.end()
+
+    def _broken(self, target, failed):
+        if not self._is_streaming and failed.was_refused:
+            self._context.targets.mark_down(target, failed.reason)
+            if self.path:
+                self._move(failed.reason, ran=False)
+            return
+        for stage in self.path:
+            self._context.targets.suspect(stage.target, failed.reason)
+        self._move(failed.reason, ran=failed.was_sent)
+
+    def _turned_down(self, answered, status):
+        """Goes elsewhere: a stage is at fault, or has no room."""
+        fault = self._context.targets.at(answered.fault_at)
+        if fault is not None and status != 503:
+            self._context.targets.suspect(fault, f"answered {status}")
+        elif fault is not None:
+            self._context.targets.suspect(fault, "no room or stalled")
+        self._move(f"turned down with {status}", ran=self._runs > 0)
+
+    def _answered_failure(self, status, headers, answered):
+        caller = self._admitted.caller
+        if self._may_run_again() and status >= 500:
+            self._runs += 1
+            self._move(f"answered {status}")
+            return
+        if caller.is_started or not answered.is_signed:
+            self._fail(f"answered {status}", ran=True)
+            return
+        body = b"".join(self._failure_body)
+        self._finish(str(status))
+        caller.answer(status, headers, body)
+
+    # Ends
+
+    def _refuse(self, retry_after_s, reason):
+        self._close()
+        serving.refuse(
+            self._admitted, serving.STATUS_OVERLOADED, reason, retry_after_s
+        )
+
+    def _fail(self, reason, ran, retry_after_s=0.5):
+        """Ends the request without a whole answer."""
+        caller = self._admitted.caller
+        if caller.is_started:
+            self._finish("cut", reason)
+            caller.cut()
+            return
+        self._close()
+        if ran or self._runs:
+            serving.refuse(
+                self._admitted, serving.STATUS_BAD_GATEWAY, reason
+            )
+            return
+        serving.refuse(
+            self._admitted, serving.STATUS_OVERLOADED, reason, retry_after_s
+        )
+
+    def _expire(self):
+        was_sent = bool(self.path) or self._runs > 0
+        reason = "deadline passed"
+        if self._admitted.caller.is_started:
+            self._fail(reason, ran=True)
+            return
+        self._close()
+        status = serving.STATUS_OVERLOADED
+        if was_sent:
+            status = serving.STATUS_TIMEOUT
+        serving.refuse(self._admitted, status, reason)
+
+    def _gone(self):
+        if not self._over:
+            self._finish("caller left")
+
+    def _finish(self, outcome, reason=""):
+        self._close()
+        serving.finished(self._admitted, outcome, reason)
+
+    def _close(self):
+        self._over = True
+        if self._timer.active():
+            self._timer.cancel()
+        self._drop_run()
+        self._on_over(self)
+
+
--- /dev/null
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -0,0 +1,256 @@
+"""Decides which target holds which layers; pure, without I/O.
+
+Answers the load that memory binds: a chain of targets serves as many
+requests at once as its tightest stage has memory for, each for as long as
+its accelerators take for an answer. Chains stay inside a data centre, since
+one pipe between data centres carries the activations of all prompts.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import functools
+import itertools
+from typing import NamedTuple
+
+from hemlocktiller._internal.gateway import model
+
+# A chain below this many requests of usual size at once is not worth its
+# weights: the memory of one copy of the model is better spent elsewhere.
+MIN_CHAIN_REQUESTS = 6
+# More states than this are not searched; the slowest kinds stay idle then.
+MAX_STATES = 4_000
+
+
+class Slot(NamedTuple):
+    """A range of layers that a target of a kind should hold.
+
+    Attributes:
+        data_centre: Where.
+        accelerator: Kind of accelerator it was planned for.
+        first_layer: First layer.
+        end_layer: Layer after the last one.
+        chain: Number of the chain within the data centre.
+    """
+
+    data_centre: str
+    accelerator: str
+    first_layer: int
+    end_layer: int
+    chain: int
+
+
+class Placement(NamedTuple):
+    """A target that should load a range of layers."""
+
+    target: model.Target
+    first_layer: int
+    end_layer: int
+
+
+def plan(
+    targets: Iterable[model.Target], engine: model.Engine
+) -> tuple[Slot, ...]:
+    """Returns the slots that serve best, for empty targets.
+
+    Args:
+        targets: Live targets of one service.
+        engine: How they work.
+    """
+    by_data_centre: dict[str, dict[str, int]] = {}
+    for target in targets:
+        if target.accelerator in engine.accelerators:
+            counts = by_data_centre.setdefault(target.data_centre, {})
+            counts[target.accelerator] = counts.get(target.accelerator, 0) + 1
+    slots: list[Slot] = []
+    for data_centre, counts in sorted(by_data_centre.items()):
+        chains = _best_chains(counts, engine)
+        for number, chain in enumerate(chains):
+            slots.extend(_slots(data_centre, number, chain, engine))
+    return tuple(slots)
+
+
+def assign(
+    slots: Iterable[Slot],
+    targets: Iterable[model.Target],
+    engine: model.Engine,
+) -> list[Placement]:
+    """Returns the loads that fill the slots, moving as little as possible.
+
+    A target that holds a slot keeps it. Empty targets fill the others:
+    first those of the planned kind, then any that has the memory.
+
+    Args:
+        slots: The plan.
+        targets: Live targets.
+        engine: How they work.
+    """
+    empty: list[model.Target] = []
+    holders: dict[tuple[str, int, int], int] = {}
+    for target in sorted(targets, key=lambda one: one.name):
+        if target.accelerator not in engine.accelerators:
+            continue
+        if target.layers == 0:
+            empty.append(target)
+            continue
+        key = (target.data_centre, target.first_layer, target.end_layer)
+        holders[key] = holders.get(key, 0) + 1
+    open_slots = []
+    for slot in slots:
+        key = (slot.data_centre, slot.first_layer, slot.end_layer)
+        if holders.get(key, 0) > 0:
+            holders[key] -= 1
+        else:
+            open_slots.append(slot)
+    placements = []
+    for slot in sorted(open_slots, key=lambda one: one.chain):
+        target = _best_fit(slot, empty, engine)
+        if target is not None:
+            empty.remove(target)
+            placements.append(
+                Placement(target, slot.first_layer, slot.end_layer)
+            )
+    return placements
+
+
+def room_tokens(
+    accelerator: model.Accelerator, layers: int, engine: model.Engine
+) -> float:
+    """Returns the tokens that fit beside a number of layers."""
+    free_mb = accelerator.memory_mb - layers * engine.layer_mb
+    per_layer_mb = engine.kv_mb_per_token / engine.layer_count
+    return max(0.0, free_mb) / (layers * per_layer_mb) if layers else 0.0
+
+
+def _best_fit(slot, empty, engine):
+    """Returns the empty target that suits a slot best, or None."""
+    usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens
+
+    def badness(target):
+        kind = engine.accelerators[target.accelerator]
+        room = room_tokens(kind, slot.end_layer - slot.first_layer, engine)
+        if target.data_centre != slot.data_centre or room < usual_tokens:
+            return None
+        return (target.accelerator != slot.accelerator, kind.step_factor)
+
+    fitting = [one for one in empty if badness(one) is not None]
+    return min(fitting, key=badness, default=None)
+
+
+def _best_chains(
+    counts: Mapping[str, int], engine: model.Engine
+) -> list[dict[str, int]]:
+    """Returns the chains of one data centre with the most throughput."""
+    kinds = sorted(counts, key=lambda kind: engine.accelerators[kind][2])
+    while _states(counts, kinds) > MAX_STATES:
+        kinds.pop()
+    full = tuple(counts[kind] for kind in kinds)
+    shapes = {
+        shape: _throughput(dict(zip(kinds, shape, strict=True)), engine)
+        for shape in itertools.product(*(range(n + 1) for n in full))
+    }
+    shapes = {shape: gain for shape, gain in shapes.items() if gain > 0.0}
+
+    @functools.cache
+    def best(left):
+        found = (0.0, ())
+        for shape, gain in shapes.items():
+            rest = tuple(a - b for a, b in zip(left, shape, strict=True))
+            if min(rest) < 0:
+                continue
+            below = best(rest)
+            if below[0] + gain > found[0] + 1e-9:
+                found = (below[0] + gain, (shape, *below[1]))
+        return found
+
+    return [
+        {kind: n for kind, n in zip(kinds, shape, strict=True) if n}
+        for shape in best(full)[1]
+    ]
+
+
+def _states(counts, kinds):
+    states = 1
+    for kind in kinds:
+        states *= counts[kind] + 1
+    return states
+
+
+def _throughput(chain: Mapping[str, int], engine: model.Engine) -> float:
+    """Estimates the requests per second of a chain; 0 if it is too tight.
+
+    By Little's law: requests that fit at once over the time of an answer.
+    """
+    ranges = _ranges(chain, engine)
+    if not ranges:
+        return 0.0
+    usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens / 2
+    room = min(
+        room_tokens(engine.accelerators[kind], end - first, engine)
+        for kind, first, end in ranges
+    )
+    sequences = room / usual_tokens
+    if sequences < MIN_CHAIN_REQUESTS:
+        return 0.0
+    share = {
+        kind: sum(end - first for name, first, end in ranges if name == kind)
+        / engine.layer_count
+        for kind in chain
+    }
+    step_ms = (
+        engine.step_ms
+        + sequences * engine.sequence_ms
+        + sequences * usual_tokens / 1000.0 * engine.context_ms_per_1k
+    ) * sum(
+        engine.accelerators[kind].step_factor * part
+        for kind, part in share.items()
+    )
+    prefill_ms = (
+        engine.usual_prompt_tokens
+        / engine.prefill_tokens_per_ms
+        * sum(
+            engine.accelerators[kind].prefill_factor * part
+            for kind, part in share.items()
+        )
+    )
+    answer_ms = prefill_ms + engine.usual_output_tokens * step_ms
+    return sequences / answer_ms * 1000.0
+
+
+def _ranges(chain, engine):
+    """Returns (kind, first, end) of each member, by memory; [] if short.
+
+    Equal room at each stage means layers in proportion to memory.
+    """
+    members = [kind for kind in _member_order(chain) for _ in range(chain[kind])]
+    total_mb = sum(engine.accelerators[kind].memory_mb for kind in members)
+    if total_mb <= engine.layer_count * engine.layer_mb:
+        return []
+    exact = [
+        engine.accelerators[kind].memory_mb * engine.layer_count / total_mb
+        for kind in members
+    ]
+    counts = [int(value) for value in exact]
+    by_rest = sorted(
+        range(len(members)), key=lambda i: counts[i] - exact[i]
+    )
+    for index in by_rest[: engine.layer_count - sum(counts)]:
+        counts[index] += 1
+    ranges = []
+    first = 0
+    for kind, count in zip(members, counts, strict=True):
+        if count:
+            ranges.append((kind, first, first + count))
+        first += count
+    return ranges
+
+
+def _member_order(chain):
+    """Orders kinds; chains of one data centre share their later kinds."""
+    return sorted(chain, key=lambda kind: (chain[kind], kind))
+
+
+def _slots(data_centre, number, chain, engine):
+    return [
+        Slot(data_centre, kind, first, end, number)
+        for kind, first, end in _ranges(chain, engine)
+    ]
--- /dev/null
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -0,0 +1,116 @@
+"""Memory and sequences in use at each target, own and of peers.
+
+Reports of targets are older than the requests of a moment, so gateways
+count what they have sent themselves and tell each other the sums.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from hemlocktiller._internal.gateway import model
+
+# A peer's sums count for this long: five missed reports at two a second.
+PEER_TTL_S = 2.5
+
+
+class Load(NamedTuple):
+    """What runs at a target.
+
+    Attributes:
+        token_layers: Memory in use or promised, in tokens times layers.
+        sequences: Requests that run.
+        prefill_tokens: Prompt tokens not yet read, times layers.
+    """
+
+    token_layers: float = 0.0
+    sequences: int = 0
+    prefill_tokens: float = 0.0
+
+
+NO_LOAD = Load()
+
+
+class Reserved(NamedTuple):
+    """Memory promised to one request on its path."""
+
+    path: model.Path
+    tokens: float
+    prompt_tokens: float
+    reading: bool
+
+
+class Occupancy:
+    """Loads of targets by name."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, Load] = {}
+        self._requests: dict[str, Reserved] = {}
+        self._peers: dict[str, tuple[float, Mapping[str, Load]]] = {}
+
+    def reserve(
+        self, request: str, path: model.Path, tokens: float, prompt: float
+    ) -> None:
+        """Promises memory along a path to a request."""
+        self.release(request)
+        reserved = Reserved(path, tokens, prompt, True)
+        self._requests[request] = reserved
+        self._add(reserved, 1)
+
+    def began(self, request: str) -> None:
+        """Notes that a request's prompt has been read."""
+        reserved = self._requests.get(request)
+        if reserved is None or not reserved.reading:
+            return
+        self._add(reserved, -1)
+        reserved = reserved._replace(reading=False)
+        self._requests[request] = reserved
+        self._add(reserved, 1)
+
+    def release(self, request: str) -> None:
+        """Takes back what was promised to a request."""
+        reserved = self._requests.pop(request, None)
+        if reserved is not None:
+            self._add(reserved, -1)
+
+    def own(self) -> Mapping[str, Load]:
+        """Returns the sums of this process, to tell the peers."""
+        return self._own
+
+    def running(self) -> int:
+        """Returns the requests of this process that hold memory."""
+        return len(self._requests)
+
+    def heard(
+        self, peer: str, loads: Mapping[str, Load], now_s: float
+    ) -> None:
+        """Takes the sums of a peer."""
+        self._peers[peer] = (now_s, loads)
+
+    def load(self, target: str, now_s: float) -> Load:
+        """Returns what runs at a target, as far as it is known."""
+        total = self._own.get(target, NO_LOAD)
+        for heard_s, loads in self._peers.values():
+            if target in loads and now_s - heard_s < PEER_TTL_S:
+                total = _sum(total, loads[target], 1)
+        return total
+
+    def _add(self, reserved: Reserved, sign: int) -> None:
+        for stage in reserved.path:
+            name = stage.target.name
+            reading = reserved.prompt_tokens if reserved.reading else 0.0
+            change = Load(
+                reserved.tokens * stage.layers, 1, reading * stage.layers
+            )
+            total = _sum(self._own.get(name, NO_LOAD), change, sign)
+            if total.sequences:
+                self._own[name] = total
+            else:
+                self._own.pop(name, None)
+
+
+def _sum(left: Load, right: Load, sign: int) -> Load:
+    return Load(
+        max(0.0, left.token_layers + sign * right.token_layers),
+        max(0, left.sequences + sign * right.sequences),
+        max(0.0, left.prefill_tokens + sign * right.prefill_tokens),
+    )
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -54,11 +54,24 @@
         writer: str,
         reactor,
         agent=None,
+        carrier=None,
     ):
+        """Creates a client.
+
+        Args:
+            settings: Settings of the object API.
+            writer: Id of this process.
+            reactor: Reactor that times the calls.
+            agent: HTTP agent to use instead of an own one.
+            carrier: Carries the calls instead of `transport.Transport`,
+                for platforms whose pages differ.
+        """
         self.settings = settings
         self.reactor = reactor
         self.writer = writer
-        self._transport = transport.Transport(settings, reactor, agent)
+        self._transport = carrier or transport.Transport(
+            settings, reactor, agent
+        )
 
     def close(self) -> defer.Deferred:
         """Closes the kept connections."""
--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -57,6 +57,9 @@
 
     The poll is a function that returns a Deferred of the seconds to wait
     before the next poll.
+
+    Attributes:
+        on_failure: Called after each poll that failed.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         self._poll = poll
         self._stopped = False
         self._failures = 0
+        self.on_failure: Callable[[], None] = lambda: None
         self._running = defer.Deferred.fromCoroutine(self._run())
         self._running.addErrback(self._ended)
 
@@ -98,6 +102,7 @@
         if self._stopped:
             return 0.0
         _FAILURES.labels(self._subject).inc()
+        self.on_failure()
         if not self._failures:
             _LOG.warning("watch of {} fails: {}", self._subject, error)
         wait_s = backoff_s(self._store.settings, self._failures)
@@ -150,12 +155,21 @@
 
 
 def follow_kind(
-    store: client.ObjectStore, kind: str, on_changes: OnChanges
+    store: client.ObjectStore,
+    kind: str,
+    on_changes: OnChanges,
+    pause_s: float = KIND_PAUSE_S,
 ) -> Watch:
     """Follows all objects of a kind.
 
     The receiver first gets the whole kind, and the whole kind again when
     the store no longer knows what changed.
+
+    Args:
+        store: Client of the object API.
+        kind: Kind of the objects.
+        on_changes: Called with what changed.
+        pause_s: Wait after a change, so that one poll brings many.
     """
     last = _NEVER_READ
     must_read_all = True
@@ -180,7 +194,7 @@
         if changes is not None and changes.version > last:
             last = changes.version
             report(on_changes, changes.changed, changes.deleted, False)
-            return KIND_PAUSE_S
+            return pause_s if changes.changed else 0.0
         return 0.0
 
     async def poll():
