Answer a sent call without a reply with 504, not 503

Cause: whether an attempt runs was read after the attempts were dropped, so a call past its deadline was always said not to have run. Ruled out: the target (its log shows the run) and the reset path (it answers 502).

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -286,13 +286,13 @@
         )
 
     def _expire(self):
-        ran = self._ran or self._running
+        may_have_run = self._ran > 0 or bool(self._running)
         self._close()
         if self._kept is not None:
             self._deliver(self._kept)
             return
         status = serving.STATUS_OVERLOADED
-        if ran:
+        if may_have_run:
             status = serving.STATUS_TIMEOUT
         serving.refuse(self._admitted, status, "deadline passed")
 
--- /dev/null
+++ b/tests/unit/gateway/conftest.py
@@ -0,0 +1,311 @@
+"""Fixtures for the gateway: targets, an engine and callers in memory."""
+
+from collections.abc import Callable
+import random
+from types import SimpleNamespace
+from typing import Any
+from typing import NamedTuple
+
+import pytest
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+
+from hemlocktiller._internal.gateway import calls
+from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import serving
+from hemlocktiller._internal.gateway import streams
+from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import wire
+from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.store import client
+
+ACCELERATORS = {
+    kind.name: kind
+    for kind in (
+        model.Accelerator("fast", 72_000.0, 2.4, 3.2),
+        model.Accelerator("middle", 43_200.0, 5.6, 2.7),
+        model.Accelerator("slow", 21_600.0, 16.0, 8.2),
+    )
+}
+
+
+def make_target(name: str, **fields: Any) -> model.Target:
+    """Returns a target; its address follows from its name."""
+    port = 1024 + sum(name.encode()) * 7 % 60_000
+    base = model.Target(
+        name, "model", "10.0.0.1", port, "dc-a", model.READY, 96, 1, "fast"
+    )
+    return base._replace(**fields)
+
+
+class FakeCaller:
+    """A caller's request that records the answer."""
+
+    def __init__(self, reactor: Any, method: bytes = b"POST") -> None:
+        self.method = method
+        self.uri = b"/drafts/1"
+        self.arrived_s = reactor.seconds()
+        self.is_started = False
+        self.status = 0
+        self.headers: wire.Headers = []
+        self.written = b""
+        self.ending = ""
+        self.on_gone: Callable[[], None] = lambda: None
+        factory = SimpleNamespace(clock=reactor)
+        self.channel = SimpleNamespace(factory=factory)
+
+    def start(self, status: int, headers: wire.Headers) -> None:
+        """Records the head."""
+        assert not self.is_started
+        self.is_started = True
+        self.status, self.headers = status, headers
+
+    def write(self, data: bytes) -> None:
+        """Records a part of the body."""
+        assert self.is_started
+        self.written += data
+
+    def answer(
+        self, status: int, headers: wire.Headers, body: bytes = b""
+    ) -> None:
+        """Records a whole answer."""
+        self.start(status, headers)
+        self.write(body)
+        self.end()
+
+    def end(self) -> None:
+        """Records a whole end."""
+        assert not self.ending
+        self.ending = "whole"
+
+    def cut(self) -> None:
+        """Records an answer cut short."""
+        assert not self.ending
+        self.ending = "cut"
+
+    def header(self, name: bytes) -> bytes:
+        """Returns a header of the answer, or b''."""
+        return dict(self.headers).get(name, b"")
+
+
+class Transport(StringTransport):
+    """A transport in memory, with the calls of TCP ones."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Takes the option."""
+
+    def abortConnection(self) -> None:
+        """Closes at once."""
+        self.loseConnection()
+
+
+class Sent(NamedTuple):
+    """A connection that was opened to a target."""
+
+    port: int
+    protocol: Any
+    transport: StringTransport
+
+    def answer(self, data: bytes) -> None:
+        """Sends bytes of an answer."""
+        self.protocol.dataReceived(data)
+
+    def reset(self) -> None:
+        """Resets the connection."""
+        lost = failure.Failure(error.ConnectionLost())
+        self.protocol.connectionLost(lost)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+class Bench:
+    """The parts around a request, on a clock and without a network."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.reports: dict[int, bytes] = {}
+        self.wire = wire.Wire(
+            read_request=lambda headers: None,
+            dispatch_headers=_dispatch_headers,
+            read_answer=_read_answer,
+            catalog=lambda value: value,
+            target=lambda name, value: value,
+            report_path="/report",
+            report=lambda body: None,
+            order_path="/order",
+            place_order=lambda *order: b"{}",
+        )
+        self.targets = targets_module.Targets(
+            self.reactor, self.wire, lambda service: "/health"
+        )
+        self.budget = budget.RetryBudget(
+            {"budget_ratio": 0.2, "budget_min_per_s": 5.0}
+        )
+        self.context = serving.Context(
+            self.reactor,
+            self.wire,
+            self.targets,
+            lambda service: self.budget,
+            "dc-a",
+            "gateway-1",
+        )
+        self.dispatcher = dispatcher_module.Dispatcher(
+            self.reactor, self.targets
+        )
+        self.over: list[Any] = []
+        self._seen = 0
+
+    def register(self, *targets: model.Target) -> None:
+        """Registers targets."""
+        self.targets.take(
+            [client.StoredObject("t", one.name, 1, one) for one in targets],
+            [],
+            False,
+        )
+
+    def admitted(self, service, route, **asked: Any) -> serving.Admitted:
+        """Returns a request that the configuration allows."""
+        facts = {
+            "request_id": "r1",
+            "time_left_s": route.timeout_s,
+            "key": "",
+            "prompt_tokens": 700,
+            "max_output_tokens": 300,
+            "expected_output_tokens": 200,
+            "last_event_id": "",
+            "forwarded": [(b"Host", b"drafts.example")],
+            **asked,
+        }
+        return serving.Admitted(
+            FakeCaller(self.reactor),
+            wire.Asked(**facts),
+            route,
+            service,
+            "workspace",
+            1,
+            b"body",
+            1,
+        )
+
+    def call(self, admitted: serving.Admitted) -> calls.Call:
+        """Begins a call."""
+        made = calls.Call(
+            self.context,
+            calls.Outstanding(),
+            random.Random(1),
+            admitted,
+            self.over.append,
+        )
+        made.begin()
+        return made
+
+    def stream(self, admitted: serving.Admitted) -> streams.Stream:
+        """Begins a stream."""
+        made = streams.Stream(
+            self.context, self.dispatcher, admitted, self.over.append
+        )
+        self.targets.on_down.append(made.lost)
+        made.begin()
+        return made
+
+    def connect(self) -> Sent:
+        """Accepts the next connection that was opened."""
+        host, port, factory, *_ = self.reactor.tcpClients[self._seen]
+        self._seen += 1
+        protocol = factory.buildProtocol(None)
+        transport = Transport()
+        protocol.makeConnection(transport)
+        return Sent(port, protocol, transport)
+
+    def refuse(self) -> int:
+        """Refuses the next connection that was opened; returns its port."""
+        host, port, factory, *_ = self.reactor.tcpClients[self._seen]
+        self._seen += 1
+        reason = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, reason)
+        return port
+
+    def opened(self) -> int:
+        """Returns how many opened connections were not yet looked at."""
+        return len(self.reactor.tcpClients) - self._seen
+
+
+def _dispatch_headers(asked, to):
+    path = ",".join(
+        f"{stage.target.name}={stage.first_layer}-{stage.end_layer}"
+        for stage in to.path
+    )
+    return [
+        *asked.forwarded,
+        (b"Path", path.encode()),
+        (b"Time-Left-S", f"{to.time_left_s:.1f}".encode()),
+        (b"Last-Event-Id", to.last_event_id.encode()),
+    ]
+
+
+def _read_answer(status, headers):
+    found = dict(headers)
+    return wire.Answered(
+        found.get(b"Request-Id", b"").decode(),
+        b"Not-Run" in found,
+        b"Signature" in found,
+        status == 421,
+        found.get(b"Fault-At", b"").decode(),
+        True,
+    )
+
+
+@pytest.fixture
+def bench() -> Bench:
+    """Parts around a request."""
+    return Bench()
+
+
+@pytest.fixture
+def engine() -> model.Engine:
+    """An engine of 80 layers, as on the users' platform."""
+    return model.Engine(
+        80, 1750.0, 1.836, 1.02, 0.01428, 0.01912, 105.0, 0.0918, 400_000.0,
+        18_000.0, 3, 96, 14.0, 774.0, 203.0, ACCELERATORS,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def model_service(engine) -> model.Service:
+    """A service whose targets hold layers."""
+    return model.Service("model", "/health", 900, engine)
+
+
+@pytest.fixture
+def plain_service() -> model.Service:
+    """A service without layers."""
+    return model.Service("plain", "/health", 100, None)
+
+
+@pytest.fixture
+def stream_route() -> model.Route:
+    """A route of streams that may be resumed."""
+    return model.Route(
+        "drafts", "drafts.example", "/", model.STREAMING, 20.0, 0.5, 1,
+        (("model", 1.0),), 2, False, True, 0.2,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def booking_route() -> model.Route:
+    """A route whose requests run once at most."""
+    return model.Route(
+        "booking", "drafts.example", "/", model.NON_IDEMPOTENT, 1.0, 0.2, 2,
+        (("plain", 1.0),), 1, False, False, 1.0,
+    )  # fmt: skip
+
+
+@pytest.fixture
+def lookup_route(booking_route) -> model.Route:
+    """A route whose requests may be repeated."""
+    return booking_route._replace(kind=model.IDEMPOTENT, attempts=2)
