--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -16,6 +16,7 @@
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import layout_duty
 from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import streams
 from hemlocktiller._internal.gateway import targets as targets_module
@@ -76,6 +77,8 @@
         retry_extra: Repeats allowed in a window beside these, by all.
         retry_window_s: Length of that window.
         stop_grace_s: Time from SIGTERM to the kill.
+        links: Settings of the links between gateways.
+        links_address: Where this process accepts them.
     """
 
     name: str
@@ -92,6 +95,8 @@
     retry_extra: float
     retry_window_s: float
     stop_grace_s: float
+    links: Any
+    links_address: Address
 
 
 class Gateway:
@@ -120,9 +125,7 @@
         self._watches: list[watch.Watch] = []
         self._ports: list[Any] = []
         self._done: defer.Deferred = defer.Deferred()
-        self.targets = targets_module.Targets(
-            reactor, wire, self._health_path
-        )
+        self.targets = targets_module.Targets(reactor, wire, self._health_path)
         self.targets.on_down.append(self._target_down)
         self._dispatcher = dispatcher_module.Dispatcher(reactor, self.targets)
         self._outstanding = calls.Outstanding()
@@ -150,6 +153,21 @@
             wire,
             lambda: self.catalog.services.values() if self.catalog else (),
         )
+        self._stored_catalog: peers_module.StoredCatalog | None = None
+        self._peers = peers_module.Peers(
+            reactor,
+            settings,
+            store,
+            peers_module.Parts(
+                self.targets,
+                self._dispatcher.occupancy,
+                lambda: self._stored_catalog,
+                self._offer_catalog,
+            ),
+            self._rng,
+        )
+        self.targets.on_health = self._peers.tell_health
+        self.targets.on_registration = self._peers.tell_registration
         self._checker = task.LoopingCall(self._check)
         self._checker.clock = reactor
 
@@ -161,6 +179,7 @@
         self._listen(settings.readiness, pages)
         if settings.metrics:
             self._listen(settings.metrics, pages)
+        self._listen(settings.links_address, self._peers.factory())
         self._watches = [
             watch.follow_kind(
                 self._store,
@@ -177,6 +196,7 @@
         ]
         for one in self._watches:
             one.on_failure = self.targets.store_lost
+        self._peers.start()
         self._lease.start()
         self._duty.start()
         self._checker.start(CHECK_INTERVAL_S, now=False)
@@ -301,16 +321,20 @@
     def _take_configs(self, changed, deleted, whole):
         for stored in changed:
             if stored.name == self._settings.config_name:
-                self._take_config(stored)
+                self._take_config(stored.value)
 
-    def _take_config(self, stored):
+    def _offer_catalog(self, stored):
+        return self._take_config(stored.value)
+
+    def _take_config(self, value):
+        """Puts a configuration in force; tells whether it is newer."""
         try:
-            catalog = self._wire.catalog(stored.value)
+            catalog = self._wire.catalog(value)
         except ValueError as error:
             events.emit("config_rejected", reason=str(error))
-            return
+            return False
         if self.catalog and catalog.version <= self.catalog.version:
-            return
+            return False
         before = self.catalog.version if self.catalog else None
         self.catalog = catalog
         self._callers.set_limits(catalog.limits)
@@ -319,8 +343,12 @@
             "config",
             version=catalog.version,
             before=before,
-            revision=stored.version,
         )
+        self._stored_catalog = peers_module.StoredCatalog(
+            catalog.version, value
+        )
+        self._peers.tell_catalog()
+        return True
 
     def _target_down(self, target, reason):
         for work in list(self._serving):
@@ -377,5 +405,6 @@
         for one in self._watches:
             one.stop()
         self._checker.stop()
+        self._peers.stop()
         await task.deferLater(self._reactor, POLL_S)
         events.emit("stopped", in_progress=len(self._serving))
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -83,9 +83,7 @@
         self._hedge: Any = None
         admitted.caller.on_gone = self._gone
         left_s = serving.deadline_s(admitted) - context.reactor.seconds()
-        self._timer = context.reactor.callLater(
-            max(0.0, left_s), self._expire
-        )
+        self._timer = context.reactor.callLater(max(0.0, left_s), self._expire)
 
     def begin(self) -> None:
         """Sends the call."""
@@ -261,7 +259,10 @@
         elif self._ran:
             self._close()
             serving.refuse(
-                self._admitted, serving.STATUS_BAD_GATEWAY, reason
+                self._context,
+                self._admitted,
+                serving.STATUS_BAD_GATEWAY,
+                reason,
             )
         else:
             self._refuse(reason)
@@ -271,7 +272,7 @@
         if answer.status < 500:
             now_s = self._context.reactor.seconds()
             self._budget().record_success(now_s)
-        serving.finished(self._admitted, str(answer.status))
+        serving.finished(self._context, self._admitted, str(answer.status))
         self._admitted.caller.answer(
             answer.status, answer.headers, answer.body
         )
@@ -279,6 +280,7 @@
     def _refuse(self, reason):
         self._close()
         serving.refuse(
+            self._context,
             self._admitted,
             serving.STATUS_OVERLOADED,
             reason,
@@ -294,12 +296,14 @@
         status = serving.STATUS_OVERLOADED
         if may_have_run:
             status = serving.STATUS_TIMEOUT
-        serving.refuse(self._admitted, status, "deadline passed")
+        serving.refuse(
+            self._context, self._admitted, status, "deadline passed"
+        )
 
     def _gone(self):
         if not self._over:
             self._close()
-            serving.finished(self._admitted, "caller left")
+            serving.finished(self._context, self._admitted, "caller left")
 
     def _drop(self, run):
         if self._running.pop(run.target.name, None) is not None:
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -63,9 +63,7 @@
 class Dispatcher:
     """The queue of model requests and the memory promised to them."""
 
-    def __init__(
-        self, reactor: Any, targets: targets_module.Targets
-    ) -> None:
+    def __init__(self, reactor: Any, targets: targets_module.Targets) -> None:
         self.occupancy = occupancy_module.Occupancy()
         self._reactor = reactor
         self._targets = targets
@@ -209,9 +207,7 @@
         if self._timer is not None and self._timer.active():
             return
         if self._jobs or self._urgent:
-            self._timer = self._reactor.callLater(
-                PUMP_INTERVAL_S, self.pump
-            )
+            self._timer = self._reactor.callLater(PUMP_INTERVAL_S, self.pump)
 
 
 def need(
--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -182,9 +182,7 @@
         path = self.uri.split(b"?")[0].decode("latin-1")
         status, content_type, body = self.channel.factory.page(path)
         self.setResponseCode(status)
-        self.responseHeaders.setRawHeaders(
-            "content-type", [content_type]
-        )
+        self.responseHeaders.setRawHeaders("content-type", [content_type])
         self.responseHeaders.setRawHeaders(
             b"content-length", [str(len(body)).encode()]
         )
--- /dev/null
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -0,0 +1,363 @@
+"""Links between gateways: loads, health, and what the store said last.
+
+Each gateway registers its address in the object API, and of two the one
+with the lower name dials. What a gateway hears from a peer about the
+store's objects counts only where it is newer than what it has.
+"""
+
+from collections.abc import Callable
+import json
+import random
+from typing import Any
+from typing import NamedTuple
+
+import prometheus_client
+from twisted.internet import defer
+from twisted.internet import task
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.links import dialer
+from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.links import listener
+from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import watch
+
+KIND = "gateways"
+ROLE = "gateway"
+# A started gateway is linked to within this; the read may be stale, which
+# costs a tenth.
+DISCOVERY_S = 2.0
+# Half of the engines' own lag, at a fifth of the bytes of 50 ms.
+OCCUPANCY_S = 0.25
+# All rows are sent this often, in case a peer has expired some of them.
+WHOLE_EVERY = 4
+
+CATALOGS_SENT = prometheus_client.Counter(
+    "hemlocktiller_gateway_catalogs_sent", "Configurations sent to peers"
+)
+CATALOGS_TAKEN = prometheus_client.Counter(
+    "hemlocktiller_gateway_catalogs_taken",
+    "Configurations put in force that came from a peer",
+)
+LINKED = prometheus_client.Gauge(
+    "hemlocktiller_gateway_peers", "Peers with an open link"
+)
+
+
+class StoredCatalog(NamedTuple):
+    """A configuration as it is stored."""
+
+    version: int
+    value: Any
+
+
+class Parts(NamedTuple):
+    """What the links carry news of.
+
+    Attributes:
+        targets: The targets.
+        occupancy: Loads of this process and of its peers.
+        stored_catalog: Returns the newest configuration, or None.
+        offer_catalog: Takes a configuration of a peer; tells whether it
+            was put in force.
+    """
+
+    targets: targets_module.Targets
+    occupancy: occupancy_module.Occupancy
+    stored_catalog: Callable[[], StoredCatalog | None]
+    offer_catalog: Callable[[StoredCatalog], bool]
+
+
+class Peers:
+    """The links to other gateways."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: Any,
+        store: client.ObjectStore,
+        parts: Parts,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._store = store
+        self._parts = parts
+        self._rng = rng
+        self._local = link_module.Local(
+            store.writer,
+            ROLE,
+            settings.name,
+            settings.data_centre,
+            self._config_version,
+        )
+        self._handlers = link_module.Handlers(
+            self._on_open, self._on_message, self._on_down
+        )
+        self._links: set[link_module.Link] = set()
+        self._pushed: dict[link_module.Link, int] = {}
+        self._dialers: dict[str, dialer.Dialer] = {}
+        self._sent: dict[str, occupancy_module.Load] = {}
+        self._rounds = 0
+        self._loops: list[task.LoopingCall] = []
+
+    def factory(self) -> listener.Listener:
+        """Returns the factory of accepted links."""
+        return listener.Listener(
+            self._reactor, self._settings.links, self._local, self._handlers
+        )
+
+    def start(self) -> None:
+        """Registers this process and links to the others."""
+        registering = defer.Deferred.fromCoroutine(self._register())
+        registering.addErrback(_log_end)
+        for interval_s, step in (
+            (DISCOVERY_S, self._discover),
+            (OCCUPANCY_S, self._tell_occupancy),
+        ):
+            loop = task.LoopingCall(step)
+            loop.clock = self._reactor
+            loop.start(interval_s).addErrback(_log_end)
+            self._loops.append(loop)
+
+    def stop(self) -> None:
+        """Closes the links."""
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        for one in self._dialers.values():
+            one.stop()
+        for link in list(self._links):
+            link.close()
+
+    def tell_catalog(self) -> None:
+        """Sends the configuration to peers that are behind."""
+        for link in list(self._links):
+            self._push_catalog(link, link.peer["config_version"])
+
+    def tell_health(
+        self, target: model.Target, is_down: bool, reason: str
+    ) -> None:
+        """Tells peers what this process found of a target."""
+        self._broadcast(
+            {
+                "type": "target_health",
+                "target": target.name,
+                "born_ms": target.born_ms,
+                "is_down": is_down,
+                "reason": reason[:500],
+            }
+        )
+
+    def tell_registration(self, name: str, version: int, value: Any) -> None:
+        """Tells peers what the store reported."""
+        text = json.dumps(value) if value is not None else ""
+        self._broadcast(
+            {
+                "type": "registration",
+                "target": name,
+                "version": version,
+                "value": text,
+            }
+        )
+
+    async def _register(self):
+        """Writes the own address, until that has succeeded."""
+        address = self._settings.links_address
+        value = {"host": address.host, "port": address.port}
+        failures = 0
+        while True:
+            try:
+                current = await self._store.read(KIND, self._settings.name)
+                if current is not None and current.value == value:
+                    return
+                version = current.version if current else 0
+                await self._store.update(
+                    KIND, self._settings.name, value, version
+                )
+            except exceptions.StoreError as error:
+                events.emit("not_registered", reason=str(error))
+            else:
+                return
+            wait_s = watch.backoff_s(self._store.settings, failures)
+            failures += 1
+            await task.deferLater(self._reactor, wait_s)
+
+    def _discover(self):
+        reading = self._store.read_all(KIND, may_be_stale=True)
+        reading.addCallback(self._found)
+        reading.addErrback(_log_unread)
+        return reading
+
+    def _found(self, listing):
+        named = {
+            stored.name: dialer.Address(
+                stored.value["host"], stored.value["port"]
+            )
+            for stored in listing.objects
+            if _is_registration(stored.value)
+        }
+        for name, address in named.items():
+            known = self._dialers.get(name)
+            if name <= self._settings.name:
+                continue
+            if known is not None and known.address != address:
+                known.stop()
+                known = None
+            if known is None:
+                self._dial(name, address)
+        for name in set(self._dialers) - set(named):
+            self._dialers.pop(name).stop()
+
+    def _dial(self, name, address):
+        self._dialers[name] = dialer.Dialer(
+            self._reactor,
+            self._settings.links,
+            self._local,
+            address,
+            self._handlers,
+            lambda: None,
+            self._rng,
+        )
+        self._dialers[name].start()
+
+    def _config_version(self):
+        stored = self._parts.stored_catalog()
+        return stored.version if stored else 0
+
+    def _on_open(self, link):
+        self._links.add(link)
+        LINKED.set(len(self._links))
+        events.emit("peer_linked", peer=link.peer["name"])
+        self._push_catalog(link, link.peer["config_version"])
+        rows = _rows(self._parts.occupancy.own())
+        link.send({"type": "occupancy", "loads": rows, "whole": True})
+
+    def _on_down(self, link, reason):
+        self._links.discard(link)
+        self._pushed.pop(link, None)
+        LINKED.set(len(self._links))
+        if link.peer:
+            events.emit("peer_lost", peer=link.peer["name"], reason=reason)
+
+    def _on_message(self, link, message):
+        kind = message["type"]
+        if kind == "heartbeat":
+            self._push_catalog(link, message["config_version"])
+        elif kind == "occupancy":
+            self._take_occupancy(link, message)
+        elif kind == "target_health":
+            self._parts.targets.heard(
+                message["target"],
+                message["born_ms"],
+                message["is_down"],
+                f"{link.peer['name']}: {message['reason']}",
+            )
+        elif kind == "registration":
+            value = json.loads(message["value"]) if message["value"] else None
+            self._parts.targets.heard_registration(
+                message["target"], message["version"], value
+            )
+        elif kind == "catalog":
+            self._take_catalog(link, message)
+
+    def _take_occupancy(self, link, message):
+        loads = {
+            row["target"]: occupancy_module.Load(
+                row["token_layers"], row["sequences"], row["prefill_tokens"]
+            )
+            for row in message["loads"]
+        }
+        self._parts.occupancy.heard(
+            link.peer["name"],
+            loads,
+            self._reactor.seconds(),
+            message["whole"],
+        )
+
+    def _take_catalog(self, link, message):
+        stored = StoredCatalog(
+            message["version"], json.loads(message["value"])
+        )
+        if self._parts.offer_catalog(stored):
+            CATALOGS_TAKEN.inc()
+            events.emit(
+                "config_from_peer",
+                peer=link.peer["name"],
+                version=stored.version,
+            )
+
+    def _push_catalog(self, link, known_version):
+        stored = self._parts.stored_catalog()
+        if stored is None or not link.up or known_version >= stored.version:
+            return
+        if self._pushed.get(link, 0) >= stored.version:
+            return
+        self._pushed[link] = stored.version
+        CATALOGS_SENT.inc()
+        link.send(
+            {
+                "type": "catalog",
+                "version": stored.version,
+                "value": json.dumps(stored.value),
+            }
+        )
+
+    def _tell_occupancy(self):
+        own = dict(self._parts.occupancy.own())
+        self._rounds += 1
+        is_whole = self._rounds % WHOLE_EVERY == 0
+        changed = {
+            name: load
+            for name, load in own.items()
+            if is_whole or self._sent.get(name) != load
+        }
+        for name in set(self._sent) - set(own):
+            changed[name] = occupancy_module.NO_LOAD
+        self._sent = own
+        if changed or is_whole:
+            self._broadcast(
+                {
+                    "type": "occupancy",
+                    "loads": _rows(changed),
+                    "whole": is_whole,
+                }
+            )
+
+    def _broadcast(self, message):
+        for link in list(self._links):
+            if link.up:
+                link.send(message)
+
+
+def _rows(loads):
+    return [
+        {
+            "target": name,
+            "token_layers": float(round(load.token_layers)),
+            "sequences": load.sequences,
+            "prefill_tokens": float(round(load.prefill_tokens)),
+        }
+        for name, load in loads.items()
+    ]
+
+
+def _is_registration(value):
+    return (
+        isinstance(value, dict)
+        and isinstance(value.get("host"), str)
+        and isinstance(value.get("port"), int)
+    )
+
+
+def _log_unread(reason):
+    reason.trap(exceptions.StoreError)
+    events.emit("peers_unread", reason=str(reason.value))
+
+
+def _log_end(reason):
+    events.emit("loop_ended", reason=reason.getTraceback())
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -83,22 +83,27 @@
 
 
 def refuse(
-    admitted: Admitted, status: int, reason: str, retry_after_s: float = 0.0
+    context: Context,
+    admitted: Admitted,
+    status: int,
+    reason: str,
+    retry_after_s: float = 0.0,
 ) -> None:
     """Answers a request with a failure of our own."""
     headers = []
     if retry_after_s > 0.0:
         value = f"{retry_after_s:.2f}".encode()
         headers.append((b"Retry-After", value))
-    finished(admitted, f"{status}", reason)
+    finished(context, admitted, f"{status}", reason)
     admitted.caller.answer(status, headers, reason.encode() + b"\n")
 
 
-def finished(admitted: Admitted, outcome: str, reason: str = "") -> None:
+def finished(
+    context: Context, admitted: Admitted, outcome: str, reason: str = ""
+) -> None:
     """Counts and logs the end of a request."""
     OUTCOMES.labels(admitted.route.kind, outcome).inc()
-    caller = admitted.caller
-    took_s = caller.channel.factory.clock.seconds() - caller.arrived_s
+    took_s = context.reactor.seconds() - admitted.caller.arrived_s
     events.emit(
         "request_end",
         request=admitted.asked.request_id,
--- a/src/hemlocktiller/_internal/gateway/sse.py
+++ b/src/hemlocktiller/_internal/gateway/sse.py
@@ -37,9 +37,7 @@
 
 def _end(data):
     """Returns where the first event ends, or -1."""
-    found = [
-        data.index(mark) + len(mark) for mark in _ENDS if mark in data
-    ]
+    found = [data.index(mark) + len(mark) for mark in _ENDS if mark in data]
     return min(found, default=-1)
 
 
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -63,9 +63,7 @@
         caller = admitted.caller
         caller.on_gone = self._gone
         left_s = serving.deadline_s(admitted) - context.reactor.seconds()
-        self._timer = context.reactor.callLater(
-            max(0.0, left_s), self._expire
-        )
+        self._timer = context.reactor.callLater(max(0.0, left_s), self._expire)
 
     def begin(self) -> None:
         """Looks for a path."""
@@ -333,7 +331,11 @@
     def _refuse(self, retry_after_s, reason):
         self._close()
         serving.refuse(
-            self._admitted, serving.STATUS_OVERLOADED, reason, retry_after_s
+            self._context,
+            self._admitted,
+            serving.STATUS_OVERLOADED,
+            reason,
+            retry_after_s,
         )
 
     def _fail(self, reason, ran, retry_after_s=0.5):
@@ -346,11 +348,18 @@
         self._close()
         if ran or self._runs:
             serving.refuse(
-                self._admitted, serving.STATUS_BAD_GATEWAY, reason
+                self._context,
+                self._admitted,
+                serving.STATUS_BAD_GATEWAY,
+                reason,
             )
             return
         serving.refuse(
-            self._admitted, serving.STATUS_OVERLOADED, reason, retry_after_s
+            self._context,
+            self._admitted,
+            serving.STATUS_OVERLOADED,
+            reason,
+            retry_after_s,
         )
 
     def _expire(self):
@@ -363,7 +372,7 @@
         status = serving.STATUS_OVERLOADED
         if was_sent:
             status = serving.STATUS_TIMEOUT
-        serving.refuse(self._admitted, status, reason)
+        serving.refuse(self._context, self._admitted, status, reason)
 
     def _gone(self):
         if not self._over:
@@ -371,7 +380,7 @@
 
     def _finish(self, outcome, reason=""):
         self._close()
-        serving.finished(self._admitted, outcome, reason)
+        serving.finished(self._context, self._admitted, outcome, reason)
 
     def _close(self):
         self._over = True
@@ -379,5 +388,3 @@
             self._timer.cancel()
         self._drop_run()
         self._on_over(self)
-
-
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -37,6 +37,9 @@
         by_name: The targets.
         on_down: Called with a target that was found to be down.
         on_change: Called after any change.
+        on_health: Called with what this process found of a target.
+        on_registration: Called with name, version and value of each change
+            that the store reported; the value is None for a deletion.
     """
 
     def __init__(
@@ -45,6 +48,12 @@
         self.by_name: dict[str, model.Target] = {}
         self.on_down: list[Callable[[model.Target, str], None]] = []
         self.on_change: list[Callable[[], None]] = []
+        self.on_health: Callable[[model.Target, bool, str], None] = (
+            lambda target, is_down, reason: None
+        )
+        self.on_registration: Callable[[str, int, Any], None] = (
+            lambda name, version, value: None
+        )
         self.known = False
         self.outage_s = -LAPSE_GRACE_S
         self._reactor = reactor
@@ -54,6 +63,7 @@
         self._down: dict[str, model.Target] = {}
         self._probing: set[str] = set()
         self._lapsed: dict[str, Any] = {}
+        self._versions: dict[str, int] = {}
         self._paces: dict[str, float] = {}
         self._failure_ratios: dict[str, float] = {}
 
@@ -66,11 +76,14 @@
         """Takes changed and deleted registrations."""
         self.known = True
         for stored in changed:
-            self._take_one(stored.name, stored.value)
+            if self._take_one(stored.name, stored.version, stored.value):
+                self.on_registration(stored.name, stored.version, stored.value)
         if whole:
             listed = {stored.name for stored in changed}
             deleted = [name for name in self.by_name if name not in listed]
         for name in deleted:
+            if name in self.by_name:
+                self.on_registration(name, 0, None)
             self._lapse(name)
         if changed or deleted:
             self._changed()
@@ -148,6 +161,7 @@
         self._down[name] = target
         DOWN.set(len(self._down))
         events.emit("target_down", target=name, reason=reason)
+        self.on_health(target, True, reason)
         for callback in list(self.on_down):
             callback(target, reason)
         self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
@@ -185,7 +199,42 @@
             lambda failed: on_failed(failed.reason),
         )
 
-    def _take_one(self, name, value):
+    def heard(
+        self, name: str, born_ms: int, is_down: bool, reason: str
+    ) -> None:
+        """Takes what a peer found of a target; the own probe decides."""
+        target = self.by_name.get(name)
+        if target is None or target.born_ms != born_ms:
+            return
+        if is_down and name not in self._down:
+            self.suspect(target, reason)
+        elif not is_down and name in self._down:
+            self._probe(target)
+
+    def heard_registration(self, name: str, version: int, value: Any) -> None:
+        """Takes what the store told a peer.
+
+        A deletion has no version, so it counts only while the own watch of
+        the store fails.
+        """
+        if value is not None:
+            if self._take_one(name, version, value):
+                self._changed()
+            return
+        now_s = self._reactor.seconds()
+        if now_s - self.outage_s < LAPSE_GRACE_S and name in self.by_name:
+            self._remove(name)
+            self._changed()
+
+    def _take_one(self, name, version, value):
+        """Takes a registration; tells whether it was news."""
+        if version <= self._versions.get(name, 0):
+            return False
+        self._versions[name] = version
+        self._put(name, value)
+        return True
+
+    def _put(self, name, value):
         target = self._wire.target(name, value)
         if target is None:
             events.emit("registration_ignored", target=name)
@@ -287,6 +336,7 @@
         if self._down.pop(target.name, None) is not None:
             DOWN.set(len(self._down))
             events.emit("target_up", target=target.name)
+            self.on_health(target, False, "answers")
             self._changed()
 
     def _dead(self, target, reason):
--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -221,7 +221,9 @@
 
     Equal room at each stage means layers in proportion to memory.
     """
-    members = [kind for kind in _member_order(chain) for _ in range(chain[kind])]
+    members = [
+        kind for kind in _member_order(chain) for _ in range(chain[kind])
+    ]
     total_mb = sum(engine.accelerators[kind].memory_mb for kind in members)
     if total_mb <= engine.layer_count * engine.layer_mb:
         return []
@@ -230,9 +232,7 @@
         for kind in members
     ]
     counts = [int(value) for value in exact]
-    by_rest = sorted(
-        range(len(members)), key=lambda i: counts[i] - exact[i]
-    )
+    by_rest = sorted(range(len(members)), key=lambda i: counts[i] - exact[i])
     for index in by_rest[: engine.layer_count - sum(counts)]:
         counts[index] += 1
     ranges = []
--- a/src/hemlocktiller/_internal/policy/occupancy.py
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -81,9 +81,15 @@
         return len(self._requests)
 
     def heard(
-        self, peer: str, loads: Mapping[str, Load], now_s: float
+        self,
+        peer: str,
+        loads: Mapping[str, Load],
+        now_s: float,
+        is_whole: bool = True,
     ) -> None:
-        """Takes the sums of a peer."""
+        """Takes sums of a peer: all of them, or those that changed."""
+        if not is_whole and peer in self._peers:
+            loads = {**self._peers[peer][1], **loads}
         self._peers[peer] = (now_s, loads)
 
     def load(self, target: str, now_s: float) -> Load:
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -70,7 +70,9 @@
     return layout.room_tokens(kind, target.layers, engine) * target.layers
 
 
-def has_room(target: model.Target, layers: int, need: Need, view: View) -> bool:
+def has_room(
+    target: model.Target, layers: int, need: Need, view: View
+) -> bool:
     """Tells whether a target can take a request for some layers."""
     used = view.load(target.name)
     asked = used.token_layers + need.reserved_tokens * layers
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -8,12 +8,12 @@
 
 def check_hello(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent', 'gateway']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['type', 'process', 'role', 'name', 'data_centre', 'config_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent', 'gateway']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -31,9 +31,9 @@
             data_keys.remove("role")
             data__role = data["role"]
             if not isinstance(data__role, (str)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".role must be string", value=data__role, name="" + (name_prefix or "data") + ".role", definition={'type': 'string', 'enum': ['entry', 'agent']}, rule='type')
-            if not (isinstance(data__role, str) and data__role == 'entry' or isinstance(data__role, str) and data__role == 'agent'):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".role must be one of ['entry', 'agent']", value=data__role, name="" + (name_prefix or "data") + ".role", definition={'type': 'string', 'enum': ['entry', 'agent']}, rule='enum')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".role must be string", value=data__role, name="" + (name_prefix or "data") + ".role", definition={'type': 'string', 'enum': ['entry', 'agent', 'gateway']}, rule='type')
+            if not (isinstance(data__role, str) and data__role == 'entry' or isinstance(data__role, str) and data__role == 'agent' or isinstance(data__role, str) and data__role == 'gateway'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".role must be one of ['entry', 'agent', 'gateway']", value=data__role, name="" + (name_prefix or "data") + ".role", definition={'type': 'string', 'enum': ['entry', 'agent', 'gateway']}, rule='enum')
         if "name" in data_keys:
             data_keys.remove("name")
             data__name = data["name"]
@@ -53,7 +53,7 @@
                 if data__configversion < 0:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be bigger than or equal to 0", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'role', 'name', 'data_centre', 'config_version'], 'properties': {'type': {'const': 'hello', 'type': 'string'}, 'process': {'type': 'string'}, 'role': {'type': 'string', 'enum': ['entry', 'agent', 'gateway']}, 'name': {'type': 'string'}, 'data_centre': {'type': 'string'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
@@ -2088,6 +2088,224 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'records'], 'properties': {'type': {'const': 'targets', 'type': 'string'}, 'records': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'host', 'port', 'admin_host', 'admin_port', 'data_centre', 'vm', 'model', 'first_layer', 'end_layer', 'layer_count', 'accelerator_kind', 'service', 'max_running'], 'properties': {'target': {'type': 'string'}, 'host': {'type': 'string'}, 'port': {'type': 'integer', 'minimum': 0}, 'admin_host': {'type': 'string'}, 'admin_port': {'type': 'integer', 'minimum': 0}, 'data_centre': {'type': 'string'}, 'vm': {'type': 'string'}, 'model': {'type': 'string'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}, 'layer_count': {'type': 'integer', 'minimum': 0}, 'accelerator_kind': {'type': 'string'}, 'service': {'type': 'string'}, 'max_running': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 4096}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_occupancy(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'loads', 'whole']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'occupancy', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'occupancy'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: occupancy", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'occupancy', 'type': 'string'}, rule='const')
+        if "loads" in data_keys:
+            data_keys.remove("loads")
+            data__loads = data["loads"]
+            if not isinstance(data__loads, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads must be array", value=data__loads, name="" + (name_prefix or "data") + ".loads", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, rule='type')
+            data__loads_is_list = isinstance(data__loads, (list, tuple))
+            if data__loads_is_list:
+                data__loads_len = len(data__loads)
+                if data__loads_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads must contain less than or equal to 4096 items", value=data__loads, name="" + (name_prefix or "data") + ".loads", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, rule='maxItems')
+                for data__loads_x, data__loads_item in enumerate(data__loads):
+                    if not isinstance(data__loads_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must be object", value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='type')
+                    data__loads_item_is_dict = isinstance(data__loads_item, dict)
+                    if data__loads_item_is_dict:
+                        data__loads_item__missing_keys = set(['target', 'token_layers', 'sequences', 'prefill_tokens']) - data__loads_item.keys()
+                        if data__loads_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must contain " + (str(sorted(data__loads_item__missing_keys)) + " properties"), value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='required')
+                        data__loads_item_keys = set(data__loads_item.keys())
+                        if "target" in data__loads_item_keys:
+                            data__loads_item_keys.remove("target")
+                            data__loads_item__target = data__loads_item["target"]
+                            if not isinstance(data__loads_item__target, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].target".format(**locals()) + " must be string", value=data__loads_item__target, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].target".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "token_layers" in data__loads_item_keys:
+                            data__loads_item_keys.remove("token_layers")
+                            data__loads_item__tokenlayers = data__loads_item["token_layers"]
+                            if not isinstance(data__loads_item__tokenlayers, (int, float, Decimal)) or isinstance(data__loads_item__tokenlayers, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + " must be number", value=data__loads_item__tokenlayers, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
+                            if isinstance(data__loads_item__tokenlayers, (int, float, Decimal)) and not isinstance(data__loads_item__tokenlayers, bool):
+                                if data__loads_item__tokenlayers < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__tokenlayers, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                        if "sequences" in data__loads_item_keys:
+                            data__loads_item_keys.remove("sequences")
+                            data__loads_item__sequences = data__loads_item["sequences"]
+                            if not isinstance(data__loads_item__sequences, (int)) and not (isinstance(data__loads_item__sequences, float) and data__loads_item__sequences.is_integer()) or isinstance(data__loads_item__sequences, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + " must be integer", value=data__loads_item__sequences, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__loads_item__sequences, (int, float, Decimal)) and not isinstance(data__loads_item__sequences, bool):
+                                if data__loads_item__sequences < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__sequences, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "prefill_tokens" in data__loads_item_keys:
+                            data__loads_item_keys.remove("prefill_tokens")
+                            data__loads_item__prefilltokens = data__loads_item["prefill_tokens"]
+                            if not isinstance(data__loads_item__prefilltokens, (int, float, Decimal)) or isinstance(data__loads_item__prefilltokens, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + " must be number", value=data__loads_item__prefilltokens, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
+                            if isinstance(data__loads_item__prefilltokens, (int, float, Decimal)) and not isinstance(data__loads_item__prefilltokens, bool):
+                                if data__loads_item__prefilltokens < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__prefilltokens, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                        if data__loads_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must not contain "+str(data__loads_item_keys)+" properties", value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+        if "whole" in data_keys:
+            data_keys.remove("whole")
+            data__whole = data["whole"]
+            if not isinstance(data__whole, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".whole must be boolean", value=data__whole, name="" + (name_prefix or "data") + ".whole", definition={'type': 'boolean'}, rule='type')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_target_health(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'is_down', 'reason'], 'properties': {'type': {'const': 'target_health', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'is_down': {'type': 'boolean'}, 'reason': {'type': 'string', 'maxLength': 500}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'target', 'born_ms', 'is_down', 'reason']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'is_down', 'reason'], 'properties': {'type': {'const': 'target_health', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'is_down': {'type': 'boolean'}, 'reason': {'type': 'string', 'maxLength': 500}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_health', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'target_health'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: target_health", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_health', 'type': 'string'}, rule='const')
+        if "target" in data_keys:
+            data_keys.remove("target")
+            data__target = data["target"]
+            if not isinstance(data__target, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "born_ms" in data_keys:
+            data_keys.remove("born_ms")
+            data__bornms = data["born_ms"]
+            if not isinstance(data__bornms, (int)) and not (isinstance(data__bornms, float) and data__bornms.is_integer()) or isinstance(data__bornms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".born_ms must be integer", value=data__bornms, name="" + (name_prefix or "data") + ".born_ms", definition={'type': 'integer'}, rule='type')
+        if "is_down" in data_keys:
+            data_keys.remove("is_down")
+            data__isdown = data["is_down"]
+            if not isinstance(data__isdown, (bool)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".is_down must be boolean", value=data__isdown, name="" + (name_prefix or "data") + ".is_down", definition={'type': 'boolean'}, rule='type')
+        if "reason" in data_keys:
+            data_keys.remove("reason")
+            data__reason = data["reason"]
+            if not isinstance(data__reason, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".reason must be string", value=data__reason, name="" + (name_prefix or "data") + ".reason", definition={'type': 'string', 'maxLength': 500}, rule='type')
+            if isinstance(data__reason, str):
+                data__reason_len = len(data__reason)
+                if data__reason_len > 500:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".reason must be shorter than or equal to 500 characters", value=data__reason, name="" + (name_prefix or "data") + ".reason", definition={'type': 'string', 'maxLength': 500}, rule='maxLength')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'is_down', 'reason'], 'properties': {'type': {'const': 'target_health', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'is_down': {'type': 'boolean'}, 'reason': {'type': 'string', 'maxLength': 500}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_registration(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'version', 'value'], 'properties': {'type': {'const': 'registration', 'type': 'string'}, 'target': {'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 65536}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'target', 'version', 'value']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'version', 'value'], 'properties': {'type': {'const': 'registration', 'type': 'string'}, 'target': {'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 65536}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'registration', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'registration'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: registration", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'registration', 'type': 'string'}, rule='const')
+        if "target" in data_keys:
+            data_keys.remove("target")
+            data__target = data["target"]
+            if not isinstance(data__target, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "version" in data_keys:
+            data_keys.remove("version")
+            data__version = data["version"]
+            if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+            if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
+                if data__version < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "value" in data_keys:
+            data_keys.remove("value")
+            data__value = data["value"]
+            if not isinstance(data__value, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': 'string', 'maxLength': 65536}, rule='type')
+            if isinstance(data__value, str):
+                data__value_len = len(data__value)
+                if data__value_len > 65536:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be shorter than or equal to 65536 characters", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': 'string', 'maxLength': 65536}, rule='maxLength')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'version', 'value'], 'properties': {'type': {'const': 'registration', 'type': 'string'}, 'target': {'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 65536}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_catalog(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'version', 'value'], 'properties': {'type': {'const': 'catalog', 'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 2000000}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'version', 'value']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'version', 'value'], 'properties': {'type': {'const': 'catalog', 'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 2000000}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'catalog', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'catalog'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: catalog", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'catalog', 'type': 'string'}, rule='const')
+        if "version" in data_keys:
+            data_keys.remove("version")
+            data__version = data["version"]
+            if not isinstance(data__version, (int)) and not (isinstance(data__version, float) and data__version.is_integer()) or isinstance(data__version, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be integer", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+            if isinstance(data__version, (int, float, Decimal)) and not isinstance(data__version, bool):
+                if data__version < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".version must be bigger than or equal to 0", value=data__version, name="" + (name_prefix or "data") + ".version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "value" in data_keys:
+            data_keys.remove("value")
+            data__value = data["value"]
+            if not isinstance(data__value, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be string", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': 'string', 'maxLength': 2000000}, rule='type')
+            if isinstance(data__value, str):
+                data__value_len = len(data__value)
+                if data__value_len > 2000000:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".value must be shorter than or equal to 2000000 characters", value=data__value, name="" + (name_prefix or "data") + ".value", definition={'type': 'string', 'maxLength': 2000000}, rule='maxLength')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'version', 'value'], 'properties': {'type': {'const': 'catalog', 'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 2000000}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -2116,6 +2334,10 @@
     'vm_leaving': check_vm_leaving,
     'targets_wanted': check_targets_wanted,
     'targets': check_targets,
+    'occupancy': check_occupancy,
+    'target_health': check_target_health,
+    'registration': check_registration,
+    'catalog': check_catalog,
 }
 
 BYTES_PATHS = {
@@ -2146,4 +2368,8 @@
     'vm_leaving': [],
     'targets_wanted': [],
     'targets': [],
+    'occupancy': [],
+    'target_health': [],
+    'registration': [],
+    'catalog': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -27,7 +27,7 @@
 
     type: Literal['hello']
     process: str
-    role: Literal['entry', 'agent']
+    role: Literal['entry', 'agent', 'gateway']
     name: str
     data_centre: str
     config_version: int
@@ -424,6 +424,60 @@
     records: list[TargetRecord]
 
 
+class Occupied(TypedDict, closed=True):
+    """
+    What one gateway's requests take at a target.
+    """
+
+    target: str
+    token_layers: float
+    sequences: int
+    prefill_tokens: float
+
+
+class Occupancy(TypedDict, closed=True):
+    """
+    What a gateway's requests take at the targets that they use.
+    """
+
+    type: Literal['occupancy']
+    loads: list[Occupied]
+    whole: bool
+
+
+class TargetHealth(TypedDict, closed=True):
+    """
+    A gateway found that a target does not answer, or does again.
+    """
+
+    type: Literal['target_health']
+    target: str
+    born_ms: int
+    is_down: bool
+    reason: str
+
+
+class Registration(TypedDict, closed=True):
+    """
+    A registration that the object API reported to the sender.
+    """
+
+    type: Literal['registration']
+    target: str
+    version: int
+    value: str
+
+
+class Catalog(TypedDict, closed=True):
+    """
+    A stored configuration, for a gateway that is behind.
+    """
+
+    type: Literal['catalog']
+    version: int
+    value: str
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -461,4 +515,8 @@
     | VmLeaving
     | TargetsWanted
     | Targets
+    | Occupancy
+    | TargetHealth
+    | Registration
+    | Catalog
 )
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -87,13 +87,20 @@
         """
         return defer.Deferred.fromCoroutine(self._read(kind, name))
 
-    def read_all(self, kind: str) -> "defer.Deferred[Listing]":
+    def read_all(
+        self, kind: str, may_be_stale: bool = False
+    ) -> "defer.Deferred[Listing]":
         """Reads all objects of a kind.
 
+        Args:
+            kind: Kind of the objects.
+            may_be_stale: Whether objects some seconds old will do, which
+                is cheaper on some platforms.
+
         Raises:
             StoreUnavailable: The kind could not be read.
         """
-        return defer.Deferred.fromCoroutine(self._read_all(kind))
+        return defer.Deferred.fromCoroutine(self._read_all(kind, may_be_stale))
 
     def wait_object(
         self, kind: str, name: str, after: int
@@ -185,8 +192,9 @@
         body = _expected(reply)
         return writes.Found(objects.stored(kind, body), objects.origin(body))
 
-    async def _read_all(self, kind):
-        reply = await self._get("read_all", kind, ("objects", kind))
+    async def _read_all(self, kind, may_be_stale):
+        query = {"stale": 1} if may_be_stale else None
+        reply = await self._get("read_all", kind, ("objects", kind), query)
         body = _expected(reply)
         return Listing(
             body["version"], objects.all_stored(kind, body["objects"])
--- a/tests/unit/gateway/test_calls.py
+++ b/tests/unit/gateway/test_calls.py
@@ -10,9 +10,7 @@
     b"HTTP/1.1 500 Failed\r\nSignature: s\r\nRequest-Id: r1\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
-TURNED_DOWN = (
-    b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-)
+TURNED_DOWN = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
 def plain(name):
