--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -99,7 +99,11 @@
 
 
 def finished(
-    context: Context, admitted: Admitted, outcome: str, reason: str = ""
+    context: Context,
+    admitted: Admitted,
+    outcome: str,
+    reason: str = "",
+    **facts: Any,
 ) -> None:
     """Counts and logs the end of a request."""
     OUTCOMES.labels(admitted.route.kind, outcome).inc()
@@ -111,4 +115,5 @@
         outcome=outcome,
         reason=reason,
         took_ms=round(took_s * 1000),
+        **facts,
     )
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -54,6 +54,9 @@
         self._runs = 0
         self._offers = 0
         self._run = 0
+        self._longest_gap_s = 0.0
+        self._longest_gap_at = 0
+        self._first_s = 0.0
         self._is_streaming = False
         self._failure: tuple[int, wire_module.Headers] | None = None
         self._failure_body: list[bytes] = []
@@ -249,7 +252,13 @@
         if event.event_id and not self._is_next(event.event_id):
             return
         now_s = self._context.reactor.seconds()
-        if not self._events:
+        if self._events:
+            gap_s = now_s - self._heard_s
+            if gap_s > self._longest_gap_s:
+                self._longest_gap_s = gap_s
+                self._longest_gap_at = self._events
+        else:
+            self._first_s = now_s - self._admitted.caller.arrived_s
             arrived_s = self._admitted.caller.arrived_s
             serving.FIRST_S.labels("streaming").observe(now_s - arrived_s)
             self._dispatcher.occupancy.began(self._key)
@@ -379,8 +388,20 @@
             self._finish("caller left")
 
     def _finish(self, outcome, reason=""):
+        path = self.path
         self._close()
-        serving.finished(self._context, self._admitted, outcome, reason)
+        serving.finished(
+            self._context,
+            self._admitted,
+            outcome,
+            reason,
+            first_ms=round(self._first_s * 1000),
+            longest_gap_ms=round(self._longest_gap_s * 1000),
+            longest_gap_at=self._longest_gap_at,
+            events=self._events,
+            runs=self._runs,
+            path=[stage.target.name for stage in path],
+        )
 
     def _close(self):
         self._over = True
