Keep new targets for draining ranges, and pass over suspects and full ones

Causes, each shown in its log: (1) streams of a crashed first stage were resumed at the same target before its probe ended, twice, at 8 ms of processor each; (2) a stage that turned work down was offered it again within 20 ms, three times; (3) the target that a release starts waited a second for orders, and refused callers came back before the queue could have drained. Ruled out: preemption (29 requests) and the store.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -23,6 +23,9 @@
     "short_cost_tokens": 1_000_000_000,
 }
 PUMP_INTERVAL_S = 0.05
+# A target that turned work down is asked again after some of its requests
+# will have ended: a tenth of a usual answer.
+FULL_S = 0.2
 # Memory asked for beside the prompt, as a share of the expected answer: an
 # answer grows into its memory, and half of it is its mean.
 ANSWER_SHARE = 0.6
@@ -71,6 +74,8 @@
         self._queues: dict[str, fair_queue.FairQueue] = {}
         self._jobs: dict[str, Job] = {}
         self._urgent: dict[str, Job] = {}
+        self._full_until_s: dict[str, float] = {}
+        self._arrivals = admission.Rate()
         self._timer: Any = None
         self._pumping = False
         targets.on_change.append(self.pump)
@@ -78,6 +83,7 @@
     def submit(self, job: Job) -> None:
         """Starts a request, lets it wait, or refuses it."""
         now_s = self._reactor.seconds()
+        self._arrivals.started(now_s)
         queue = self._queue(job.service.name)
         if not len(queue):
             choice = self.choose(job)
@@ -85,7 +91,7 @@
                 self._start(job, choice)
                 return
         verdict = admission.judge(
-            len(queue), self._rate.per_s(now_s), job.item.deadline_s - now_s
+            self._traffic(queue), job.item.deadline_s - now_s
         )
         if not verdict.may_wait:
             self._refuse(job, verdict.retry_after_s, "queue too long")
@@ -95,6 +101,11 @@
         self._note_waiting()
         self._pump_later()
 
+    def turned_down(self, target: model.Target) -> None:
+        """Keeps requests away from a target that had no room."""
+        until_s = self._reactor.seconds() + FULL_S
+        self._full_until_s[target.name] = until_s
+
     def resume(self, job: Job) -> None:
         """Finds a new path for a stream, before all that wait."""
         choice = self.choose(job)
@@ -121,6 +132,7 @@
             job.service.engine,
             lambda name: self.occupancy.load(name, now_s),
             self._targets.pace,
+            lambda name: self._full_until_s.get(name, 0.0) > now_s,
         )
         holders = self._targets.of_service(job.service.name)
         with CHOICE_S.time():
@@ -156,8 +168,7 @@
     def _pump_queue(self, queue, now_s):
         for item in queue.expired(now_s):
             job = self._jobs.pop(item.request)
-            rate_per_s = self._rate.per_s(now_s)
-            retry_s = admission.retry_after_s(len(queue), rate_per_s)
+            retry_s = admission.retry_after_s(self._traffic(queue))
             self._refuse(job, retry_s, "waited too long")
         while len(queue):
             item = queue.peek(now_s)
@@ -193,6 +204,14 @@
         )
         job.refuse(retry_after_s, reason)
 
+    def _traffic(self, queue):
+        now_s = self._reactor.seconds()
+        return admission.Traffic(
+            len(queue),
+            self._rate.per_s(now_s),
+            self._arrivals.per_s(now_s),
+        )
+
     def _queue(self, service):
         if service not in self._queues:
             self._queues[service] = fair_queue.FairQueue(
--- a/src/hemlocktiller/_internal/gateway/layout_duty.py
+++ b/src/hemlocktiller/_internal/gateway/layout_duty.py
@@ -30,9 +30,12 @@
 # An order without an answer may be carried out seconds later; the target is
 # left alone for that long.
 QUIET_AFTER_ORDER_S = 3.0
-# A range whose target is gone is filled by another after this long; a
-# target that restarts is back sooner and takes its range again.
-REFILL_WAIT_S = 1.0
+# A load under way counts as done for this long: all layers of a large card
+# while others load as well.
+PENDING_S = 12.0
+# A release starts a new target before the old one drains; it is kept for
+# the old one's range for this long.
+SPARE_WAIT_S = 4.0
 
 ORDERS = prometheus_client.Counter(
     "hemlocktiller_layout_orders", "Layout orders by result", ["result"]
@@ -61,6 +64,8 @@
         self._seen: tuple[str, ...] = ()
         self._seen_s = 0.0
         self._quiet_until_s: dict[str, float] = {}
+        self._first_seen_s: dict[str, float] = {}
+        self._pending: dict[str, tuple[layout.Placement, float]] = {}
         self._is_busy = False
         self._loop = task.LoopingCall(self._round)
         self._loop.clock = reactor
@@ -115,8 +120,9 @@
         if names != self._seen:
             self._seen = names
             self._seen_s = now_s
-        settle_s = REFILL_WAIT_S if service.name in self._plans else SETTLE_S
-        return bool(names) and now_s - self._seen_s >= settle_s
+        if service.name in self._plans:
+            return True
+        return bool(names) and now_s - self._seen_s >= SETTLE_S
 
     def _live(self, service):
         return [
@@ -142,7 +148,11 @@
 
     def _order(self, service, plan):
         now_s = self._reactor.seconds()
-        placements = layout.assign(plan, self._live(service), service.engine)
+        live = [self._as_ordered(one, now_s) for one in self._live(service)]
+        placements = layout.assign(plan, live, service.engine)
+        if not placements:
+            idle = [one for one in live if self._is_settled_in(one, now_s)]
+            placements = layout.spares(plan, idle, service.engine)
         for placement in placements:
             name = placement.target.name
             if self._quiet_until_s.get(name, 0.0) > now_s:
@@ -160,11 +170,31 @@
                 ),
             )
 
+    def _as_ordered(self, target, now_s):
+        """Returns a target with the layers that it was ordered to load."""
+        ordered = self._pending.get(target.name)
+        if ordered is None:
+            return target
+        placement, since_s = ordered
+        is_same = placement.target.born_ms == target.born_ms
+        if not is_same or now_s - since_s > PENDING_S:
+            del self._pending[target.name]
+            return target
+        return target._replace(
+            first_layer=placement.first_layer, end_layer=placement.end_layer
+        )
+
+    def _is_settled_in(self, target, now_s):
+        """Tells whether a target has been idle for long, or holds layers."""
+        since_s = self._first_seen_s.setdefault(target.name, now_s)
+        return target.layers > 0 or now_s - since_s >= SPARE_WAIT_S
+
     def _send(self, service, placement, report):
-        """Orders a target that is still empty to load its layers."""
+        """Orders a target to load layers, if it holds what we think."""
         number = self._fencing_number()
         target = placement.target
-        if not number or report.end_layer > report.first_layer:
+        held = (report.first_layer, report.end_layer)
+        if not number or held != (target.first_layer, target.end_layer):
             return
         if report.is_busy or report.born_ms not in (0, target.born_ms):
             return
@@ -181,6 +211,9 @@
         )
 
         def note(result):
+            if result in (200, 202):
+                now_s = self._reactor.seconds()
+                self._pending[target.name] = (placement, now_s)
             ORDERS.labels(str(result)).inc()
             events.emit(
                 "order",
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -316,10 +316,9 @@
     def _turned_down(self, answered, status):
         """Goes elsewhere: a stage is at fault, or has no room."""
         fault = self._context.targets.at(answered.fault_at)
-        if fault is not None and status != 503:
-            self._context.targets.suspect(fault, f"answered {status}")
-        elif fault is not None:
-            self._context.targets.suspect(fault, "no room or stalled")
+        fault = fault or self.path[0].target
+        self._dispatcher.turned_down(fault)
+        self._context.targets.suspect(fault, f"turned down with {status}")
         self._move(f"turned down with {status}", ran=self._runs > 0)
 
     def _answered_failure(self, status, headers, answered):
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -97,6 +97,7 @@
             if target.service == service
             and target.state == model.READY
             and target.name not in self._down
+            and target.name not in self._probing
             and self._breaker.allows(target.name, now_s)
         ]
 
@@ -337,7 +338,7 @@
             DOWN.set(len(self._down))
             events.emit("target_up", target=target.name)
             self.on_health(target, False, "answers")
-            self._changed()
+        self._changed()
 
     def _dead(self, target, reason):
         PROBES.labels("dead").inc()
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -21,6 +21,9 @@
 # A target of the same region accepts within milliseconds; a lost first
 # packet is sent again after a second, and another target is faster.
 CONNECT_TIMEOUT_S = 0.6
+# A timer that fires later than this shows that this process was busy, and
+# an answer may be waiting to be read.
+LATE_TIMER_S = 0.05
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -232,9 +235,16 @@
             on_failed(failed)
 
     def expire():
+        nonlocal timer, due_s
+        late_s = reactor.seconds() - due_s
+        if late_s > LATE_TIMER_S:
+            due_s = reactor.seconds() + LATE_TIMER_S
+            timer = reactor.callLater(LATE_TIMER_S, expire)
+            return
         exchange.cancel()
         on_failed(Failed("no answer in time", exchange.sent))
 
+    due_s = reactor.seconds() + timeout_s
     timer = reactor.callLater(timeout_s, expire)
     exchange = Exchange(
         reactor,
--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -17,6 +17,8 @@
 # A chain below this many requests of usual size at once is not worth its
 # weights: the memory of one copy of the model is better spent elsewhere.
 MIN_CHAIN_REQUESTS = 6
+# A spare leaves room for this many, so that it is worth passing through.
+SPARE_CHAIN_REQUESTS = 14
 # More states than this are not searched; the slowest kinds stay idle then.
 MAX_STATES = 4_000
 
@@ -76,40 +78,90 @@
 ) -> list[Placement]:
     """Returns the loads that fill the slots, moving as little as possible.
 
-    A target that holds a slot keeps it. Empty targets fill the others:
-    first those of the planned kind, then any that has the memory.
+    A target that holds a slot keeps it. Empty targets fill the others, and
+    after them those that hold no slot: first those of the planned kind,
+    then any that has the memory.
 
     Args:
         slots: The plan.
         targets: Live targets.
         engine: How they work.
     """
-    empty: list[model.Target] = []
-    holders: dict[tuple[str, int, int], int] = {}
+    open_slots, free = _match(slots, targets, engine)
+    placements = []
+    for slot in sorted(open_slots, key=lambda one: one.chain):
+        target = _best_fit(slot, free, engine)
+        if target is not None:
+            free.remove(target)
+            placements.append(
+                Placement(target, slot.first_layer, slot.end_layer)
+            )
+    return placements
+
+
+def spares(
+    slots: Iterable[Slot],
+    targets: Iterable[model.Target],
+    engine: model.Engine,
+) -> list[Placement]:
+    """Returns ranges for empty targets that no slot needs.
+
+    Each takes the layers that fewest others of its data centre hold.
+    """
+    _, free = _match(slots, targets, engine)
+    usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens
+    coverage: dict[str, list[int]] = {}
+    for target in targets:
+        counts = coverage.setdefault(
+            target.data_centre, [0] * engine.layer_count
+        )
+        for layer in range(target.first_layer, target.end_layer):
+            counts[layer] += 1
+    placements = []
+    for target in free:
+        kind = engine.accelerators[target.accelerator]
+        layers = _most_layers(
+            kind, engine, usual_tokens * SPARE_CHAIN_REQUESTS
+        )
+        if target.layers or not layers:
+            continue
+        counts = coverage[target.data_centre]
+        first = counts.index(min(counts))
+        first = min(first, engine.layer_count - layers)
+        placements.append(Placement(target, first, first + layers))
+        for layer in range(first, first + layers):
+            counts[layer] += 1
+    return placements
+
+
+def _match(slots, targets, engine):
+    """Returns the slots without a holder, and targets without a slot."""
+    free: list[model.Target] = []
+    holders: dict[tuple[str, int, int], list[model.Target]] = {}
     for target in sorted(targets, key=lambda one: one.name):
         if target.accelerator not in engine.accelerators:
             continue
         if target.layers == 0:
-            empty.append(target)
+            free.append(target)
             continue
         key = (target.data_centre, target.first_layer, target.end_layer)
-        holders[key] = holders.get(key, 0) + 1
+        holders.setdefault(key, []).append(target)
     open_slots = []
     for slot in slots:
         key = (slot.data_centre, slot.first_layer, slot.end_layer)
-        if holders.get(key, 0) > 0:
-            holders[key] -= 1
+        if holders.get(key):
+            holders[key].pop()
         else:
             open_slots.append(slot)
-    placements = []
-    for slot in sorted(open_slots, key=lambda one: one.chain):
-        target = _best_fit(slot, empty, engine)
-        if target is not None:
-            empty.remove(target)
-            placements.append(
-                Placement(target, slot.first_layer, slot.end_layer)
-            )
-    return placements
+    free.extend(target for left in holders.values() for target in left)
+    return open_slots, free
+
+
+def _most_layers(kind, engine, tokens):
+    """Returns the most layers that leave room for some tokens."""
+    per_layer_mb = engine.kv_mb_per_token / engine.layer_count
+    most = int(kind.memory_mb / (engine.layer_mb + tokens * per_layer_mb))
+    return min(most, engine.layer_count)
 
 
 def room_tokens(
@@ -121,8 +173,8 @@
     return max(0.0, free_mb) / (layers * per_layer_mb) if layers else 0.0
 
 
-def _best_fit(slot, empty, engine):
-    """Returns the empty target that suits a slot best, or None."""
+def _best_fit(slot, free, engine):
+    """Returns the free target that suits a slot best, or None."""
     usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens
 
     def badness(target):
@@ -130,9 +182,13 @@
         room = room_tokens(kind, slot.end_layer - slot.first_layer, engine)
         if target.data_centre != slot.data_centre or room < usual_tokens:
             return None
-        return (target.accelerator != slot.accelerator, kind.step_factor)
+        return (
+            target.layers > 0,
+            target.accelerator != slot.accelerator,
+            kind.step_factor,
+        )
 
-    fitting = [one for one in empty if badness(one) is not None]
+    fitting = [one for one in free if badness(one) is not None]
     return min(fitting, key=badness, default=None)
 
 
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 import heapq
 import itertools
+import math
 from typing import NamedTuple
 
 from hemlocktiller._internal.gateway import model
@@ -48,12 +49,33 @@
         engine: How they work.
         load: Load of a target by name.
         pace: Slowness of a target by name; 1 is usual.
-        room: Measured room of a target in tokens times layers, or None.
+        is_full: Whether a target turned work down a moment ago.
     """
 
     engine: model.Engine
     load: Callable[[str], occupancy.Load]
     pace: Callable[[str], float]
+    is_full: Callable[[str], bool]
+
+
+class _Holder(NamedTuple):
+    """A target with what a request meets there.
+
+    Attributes:
+        target: The target.
+        max_layers: Most layers that it has memory for.
+        read_ms: Time to read the prompt, for each layer.
+        step_ms: Time of a token, for each layer.
+        wait_ms: Time until the prompts before it are read.
+        stops: Layers at which a path may leave it.
+    """
+
+    target: model.Target
+    max_layers: float
+    read_ms: float
+    step_ms: float
+    wait_ms: float
+    stops: tuple[int, ...]
 
 
 class Choice(NamedTuple):
@@ -70,108 +92,133 @@
     return layout.room_tokens(kind, target.layers, engine) * target.layers
 
 
-def has_room(
-    target: model.Target, layers: int, need: Need, view: View
-) -> bool:
-    """Tells whether a target can take a request for some layers."""
-    used = view.load(target.name)
-    asked = used.token_layers + need.reserved_tokens * layers
-    if used.sequences >= view.engine.max_sequences:
-        return False
-    return asked <= capacity(target, view.engine) * MEMORY_RATIO
-
-
 def choose(
     holders: Iterable[model.Target], need: Need, view: View
 ) -> Choice | None:
     """Returns the path that should answer soonest, or None if all is full.
 
-    A shortest-path search over (layer reached, last target); at each step a
-    target runs on to its end or to where another holder begins.
+    An A* search over (layer reached, last target); at each step a target
+    runs on to its end or to where another holder begins. What is left is
+    bounded from below by the fastest holder of each layer.
     """
-    usable = [
-        target
-        for target in holders
-        if target.layers and target.accelerator in view.engine.accelerators
-    ]
-    ends = sorted({target.first_layer for target in usable})
-    costs = {target.name: _cost(target, need, view) for target in usable}
+    usable = _usable(holders, need, view)
+    last_layer = view.engine.layer_count
+    left_ms = _least_left(usable, need, last_layer)
+    if left_ms is None:
+        return None
+    by_layer: dict[int, list[_Holder]] = {}
     order = itertools.count()
-    heap: list = [(0.0, next(order), 0, None, 0.0, ())]
+    heap: list = [(left_ms[0], next(order), 0.0, 0, None, 0.0, ())]
     done: set[tuple[int, str]] = set()
-    last_layer = view.engine.layer_count
     while heap:
-        total, _, layer, last, first_ms, path = heapq.heappop(heap)
+        _, _, total, layer, last, first_ms, path = heapq.heappop(heap)
         if layer >= last_layer:
             return Choice(path, first_ms, total)
         key = (layer, last.name if last else "")
         if key in done or len(path) >= MAX_STAGES:
             continue
         done.add(key)
-        for target in usable:
-            if not target.first_layer <= layer < target.end_layer:
-                continue
+        if layer not in by_layer:
+            by_layer[layer] = [
+                one
+                for one in usable
+                if one.target.first_layer <= layer < one.target.end_layer
+            ]
+        for holder in by_layer[layer]:
+            target = holder.target
             if any(stage.target is target for stage in path):
                 continue
-            reading_ms, step_ms, waiting_ms = costs[target.name]
             hop_read_ms, hop_ms = _hop(last, target, need, view.engine)
-            for end in _stops(target, layer, ends):
+            for end in holder.stops:
                 layers = end - layer
-                if not has_room(target, layers, need, view):
+                if not 0 < layers <= holder.max_layers:
                     continue
-                first = (
-                    first_ms + reading_ms * layers + waiting_ms + hop_read_ms
+                first = holder.read_ms * layers + holder.wait_ms + hop_read_ms
+                reached = (
+                    total
+                    + first
+                    + need.output_tokens * (holder.step_ms * layers + hop_ms)
                 )
-                more = (
-                    reading_ms * layers
-                    + waiting_ms
-                    + hop_read_ms
-                    + need.output_tokens * (step_ms * layers + hop_ms)
-                )
-                stage = model.Stage(target, layer, end)
                 heapq.heappush(
                     heap,
                     (
-                        total + more,
+                        reached + left_ms[end],
                         next(order),
+                        reached,
                         end,
                         target,
-                        first,
-                        (*path, stage),
+                        first_ms + first,
+                        (*path, model.Stage(target, layer, end)),
                     ),
                 )
     return None
 
 
-def _stops(target, layer, starts):
-    """Returns the layers at which a path may leave a target."""
-    inner = [at for at in starts if layer < at < target.end_layer]
-    return [target.end_layer, *inner]
+def _least_left(usable, need, last_layer):
+    """Returns the least ms from each layer on; None if one has no holder."""
+    fastest = [math.inf] * last_layer
+    for holder in usable:
+        layer_ms = holder.read_ms + need.output_tokens * holder.step_ms
+        first, end = holder.target.first_layer, holder.target.end_layer
+        for layer in range(first, min(end, last_layer)):
+            if layer_ms < fastest[layer]:
+                fastest[layer] = layer_ms
+    if math.inf in fastest:
+        return None
+    left_ms = [0.0]
+    for layer_ms in reversed(fastest):
+        left_ms.append(left_ms[-1] + layer_ms)
+    left_ms.reverse()
+    return left_ms
+
+
+def _usable(holders, need, view):
+    """Returns the holders that have room for at least one layer."""
+    held = [
+        target
+        for target in holders
+        if target.layers
+        and target.accelerator in view.engine.accelerators
+        and not view.is_full(target.name)
+    ]
+    starts = sorted({target.first_layer for target in held})
+    usable = []
+    for target in held:
+        holder = _holder(target, need, view, starts)
+        if holder.max_layers >= 1:
+            usable.append(holder)
+    return usable
 
 
-def _cost(target, need, view):
-    """Returns ms a layer to read the prompt and for a token, and the wait."""
+def _holder(target, need, view, starts):
     engine = view.engine
     kind = engine.accelerators[target.accelerator]
     load = view.load(target.name)
     pace = view.pace(target.name)
-    sequences = load.sequences + 1
-    context = (load.token_layers / max(1, target.layers)) + need.prompt_tokens
+    left = capacity(target, engine) * MEMORY_RATIO - load.token_layers
+    max_layers = left / need.reserved_tokens
+    if load.sequences >= engine.max_sequences:
+        max_layers = 0
+    context = load.token_layers / target.layers + need.prompt_tokens
     step_ms = (
         engine.step_ms
-        + sequences * engine.sequence_ms
+        + (load.sequences + 1) * engine.sequence_ms
         + context / 1000.0 * engine.context_ms_per_1k
     )
-    per_token_ms = (
+    read_ms = (
         kind.prefill_factor
         * pace
         / engine.prefill_tokens_per_ms
         / engine.layer_count
     )
-    return (
-        need.prompt_tokens * per_token_ms,
+    inner = [at for at in starts if target.first_layer < at < target.end_layer]
+    return _Holder(
+        target,
+        max_layers,
+        need.prompt_tokens * read_ms,
         step_ms * kind.step_factor * pace / engine.layer_count,
-        load.prefill_tokens * per_token_ms,
+        load.prefill_tokens * read_ms,
+        (target.end_layer, *inner),
     )
 
 
--- /dev/null
+++ b/tests/unit/gateway/test_layout.py
@@ -0,0 +1,142 @@
+"""The layout: whole copies, few moves, and ranges that losses leave open."""
+
+import itertools
+
+import pytest
+
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import layout
+from tests.unit.gateway.conftest import make_target
+
+ZONES = {
+    "dc-a": {"fast": 1, "middle": 6, "slow": 5},
+    "dc-b": {"fast": 2, "middle": 2, "slow": 5},
+    "dc-c": {"fast": 1, "middle": 3, "slow": 8},
+}
+
+
+def fleet(zones=ZONES):
+    """Returns empty targets."""
+    return [
+        make_target(f"{zone}-{kind}-{i}", data_centre=zone, accelerator=kind)
+        for zone, kinds in zones.items()
+        for kind, count in kinds.items()
+        for i in range(count)
+    ]
+
+
+def carried_out(targets, placements):
+    """Returns the targets after they have loaded what was ordered."""
+    ranges = {
+        one.target.name: (one.first_layer, one.end_layer) for one in placements
+    }
+    return [
+        target._replace(
+            first_layer=ranges.get(target.name, (target.first_layer,))[0],
+            end_layer=ranges.get(target.name, (0, target.end_layer))[1],
+        )
+        for target in targets
+    ]
+
+
+@pytest.fixture
+def laid_out(engine):
+    """The plan and the targets that hold it."""
+    targets = fleet()
+    plan = layout.plan(targets, engine)
+    return plan, carried_out(targets, layout.assign(plan, targets, engine))
+
+
+def test_each_chain_holds_every_layer_once_and_in_order(engine):
+    plan = layout.plan(fleet(), engine)
+    chains = itertools.groupby(plan, key=lambda one: one[0] + str(one.chain))
+    for _, slots in chains:
+        ends = [0]
+        for slot in slots:
+            assert slot.first_layer == ends[-1]
+            ends.append(slot.end_layer)
+        assert ends[-1] == engine.layer_count
+
+
+def test_no_slot_is_larger_than_its_kind_holds(engine):
+    for slot in layout.plan(fleet(), engine):
+        kind = engine.accelerators[slot.accelerator]
+        layers = slot.end_layer - slot.first_layer
+        assert layers * engine.layer_mb < kind.memory_mb
+
+
+def test_each_data_centre_has_a_whole_copy(engine):
+    plan = layout.plan(fleet(), engine)
+    assert {slot.data_centre for slot in plan} == set(ZONES)
+
+
+def test_what_is_laid_out_stays(engine, laid_out):
+    plan, targets = laid_out
+    assert layout.assign(plan, targets, engine) == []
+
+
+def test_a_new_target_takes_the_range_of_one_that_drains(engine, laid_out):
+    plan, targets = laid_out
+    leaving = next(one for one in targets if one.accelerator == "fast")
+    new = leaving._replace(name="new", first_layer=0, end_layer=0)
+    live = [one for one in targets if one is not leaving] + [new]
+    assert layout.assign(plan, live, engine) == [
+        layout.Placement(new, leaving.first_layer, leaving.end_layer)
+    ]
+
+
+def test_a_spare_fills_a_range_that_a_slot_needs(engine, laid_out):
+    plan, targets = laid_out
+    lost = next(
+        one
+        for one in targets
+        if one.data_centre == "dc-a" and one.accelerator == "slow"
+    )
+    spare = make_target(
+        "spare", data_centre="dc-a", accelerator="slow",
+        first_layer=0, end_layer=10,
+    )  # fmt: skip
+    live = [one for one in targets if one is not lost] + [spare]
+    placements = layout.assign(plan, live, engine)
+    assert placements == [
+        layout.Placement(spare, lost.first_layer, lost.end_layer)
+    ]
+
+
+def test_spares_hold_what_fewest_hold(engine, laid_out):
+    plan, targets = laid_out
+    placements = layout.spares(plan, targets, engine)
+    idle = {one.name for one in targets if not one.layers}
+    assert {one.target.name for one in placements} == idle
+    taken = sorted((one.first_layer, one.end_layer) for one in placements)
+    assert all(
+        left[1] <= right[0] for left, right in itertools.pairwise(taken)
+    )
+
+
+def test_a_target_too_small_for_a_range_is_not_ordered_to_hold_it(
+    engine, laid_out
+):
+    plan, targets = laid_out
+    lost = next(one for one in targets if one.accelerator == "fast")
+    small = make_target(
+        "small", data_centre=lost.data_centre, accelerator="slow"
+    )
+    live = [one for one in targets if one is not lost] + [small]
+    for one in layout.assign(plan, live, engine):
+        kind = engine.accelerators[one.target.accelerator]
+        layers = one.end_layer - one.first_layer
+        assert layers * engine.layer_mb < kind.memory_mb
+
+
+def test_unknown_kinds_are_left_alone(engine):
+    targets = [*fleet(), make_target("odd", accelerator="unknown")]
+    plan = layout.plan(targets, engine)
+    names = {one.target.name for one in layout.assign(plan, targets, engine)}
+    assert "odd" not in names
+
+
+def test_a_fleet_without_a_copy_has_no_plan(engine):
+    targets = fleet({"dc-a": {"slow": 3}})
+    assert layout.plan(targets, engine) == ()
+    assert targets[0].state == model.READY
--- /dev/null
+++ b/tests/unit/gateway/test_paths.py
@@ -0,0 +1,128 @@
+"""The choice of a path under load."""
+
+import pytest
+
+from hemlocktiller._internal.policy import occupancy
+from hemlocktiller._internal.policy import paths
+from tests.unit.gateway.conftest import make_target
+
+NEED = paths.Need(774.0, 203.0, 900.0)
+
+
+def chain(name, kind, cuts, data_centre="dc-a"):
+    """Returns holders of consecutive ranges."""
+    return [
+        make_target(
+            f"{name}{first}",
+            data_centre=data_centre,
+            accelerator=kind,
+            first_layer=first,
+            end_layer=end,
+        )  # fmt: skip
+        for first, end in zip(cuts, cuts[1:], strict=False)
+    ]
+
+
+@pytest.fixture
+def view(engine):
+    """A view of idle, healthy targets."""
+    loads = occupancy.Occupancy()
+    return paths.View(
+        engine, lambda name: loads.load(name, 0.0), lambda name: 1.0,
+        lambda name: False,
+    )  # fmt: skip
+
+
+def names(choice):
+    return [stage.target.name for stage in choice.path]
+
+
+def assert_whole(choice, engine):
+    layer = 0
+    for stage in choice.path:
+        assert stage.first_layer == layer
+        assert stage.target.first_layer <= stage.first_layer
+        assert stage.end_layer <= stage.target.end_layer
+        layer = stage.end_layer
+    assert layer == engine.layer_count
+
+
+def test_the_fastest_way_wins_while_idle(view, engine):
+    fast = chain("f", "fast", [0, 27, 54, 80])
+    slow = chain("s", "slow", list(range(0, 81, 10)))
+    choice = paths.choose(fast + slow, NEED, view)
+    assert names(choice) == ["f0", "f27", "f54"]
+    assert_whole(choice, engine)
+
+
+def test_a_lost_range_is_taken_from_another_chain(view, engine):
+    one = chain("a", "middle", [0, 16, 32, 48, 64, 80])
+    two = chain("b", "slow", list(range(0, 81, 10)))
+    left = [target for target in one if target.name != "a32"] + two
+    choice = paths.choose(left, NEED, view)
+    assert_whole(choice, engine)
+    assert {"a0", "a16", "a48", "a64"} <= set(names(choice))
+
+
+def test_a_range_that_nobody_holds_has_no_path(view):
+    assert paths.choose(chain("a", "fast", [0, 27, 54]), NEED, view) is None
+
+
+def test_full_targets_are_left_out(view, engine):
+    fast = chain("f", "fast", [0, 27, 54, 80])
+    slow = chain("s", "slow", list(range(0, 81, 10)))
+    full = view._replace(is_full=lambda name: name == "f27")
+    assert "f27" not in names(paths.choose(fast + slow, NEED, full))
+
+
+def test_promised_memory_is_never_promised_twice(engine):
+    targets = chain("f", "fast", [0, 27, 54, 80])
+    loads = occupancy.Occupancy()
+    view = paths.View(
+        engine, lambda name: loads.load(name, 0.0), lambda name: 1.0,
+        lambda name: False,
+    )  # fmt: skip
+    started = 0
+    while (choice := paths.choose(targets, NEED, view)) is not None:
+        loads.reserve(str(started), choice.path, NEED.reserved_tokens, 0.0)
+        started += 1
+        assert started < 200
+    room = min(
+        paths.capacity(target, engine) / target.layers for target in targets
+    )
+    assert started == int(room * paths.MEMORY_RATIO / NEED.reserved_tokens)
+
+
+def test_a_slow_target_is_passed_by(view):
+    one = chain("a", "middle", [0, 16, 32, 48, 64, 80])
+    two = chain("b", "middle", [0, 16, 32, 48, 64, 80])
+    paced = view._replace(pace=lambda name: 8.0 if name == "a32" else 1.0)
+    assert "a32" not in names(paths.choose(one + two, NEED, paced))
+
+
+def test_prompts_that_wait_there_count(engine):
+    one = chain("a", "middle", [0, 16, 32, 48, 64, 80])
+    two = chain("b", "middle", [0, 16, 32, 48, 64, 80])
+    busy = occupancy.Load(900.0, 1, 50_000.0 * 16)
+    view = paths.View(
+        engine,
+        lambda name: busy if name == "a48" else occupancy.NO_LOAD,
+        lambda name: 1.0,
+        lambda name: False,
+    )
+    assert "a48" not in names(paths.choose(one + two, NEED, view))
+
+
+def test_peers_loads_count_until_they_are_old():
+    loads = occupancy.Occupancy()
+    loads.heard("peer", {"a": occupancy.Load(10.0, 2, 0.0)}, 100.0)
+    assert loads.load("a", 101.0).sequences == 2
+    assert loads.load("a", 100.0 + occupancy.PEER_TTL_S).sequences == 0
+
+
+def test_partial_news_of_a_peer_keep_the_rest():
+    loads = occupancy.Occupancy()
+    loads.heard("peer", {"a": occupancy.Load(1.0, 1, 0.0)}, 1.0)
+    loads.heard("peer", {"b": occupancy.Load(1.0, 3, 0.0)}, 1.2, False)
+    assert loads.load("a", 1.3).sequences == 1
+    assert loads.load("b", 1.3).sequences == 3
