--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -1,5 +1,6 @@
 """Builds the gateway from its parts, and runs its life from start to stop."""
 
+import gc
 import random
 import secrets
 import signal
@@ -33,8 +34,9 @@
     "duration_s": 3.0,
     "renew_interval_s": 1.0,
 }
-# Few objects change at once here, and draining must be known soon.
-WATCH_PAUSE_S = 0.05
+# Loads of a deployment that starts end together; what drains must be known
+# within two seconds.
+WATCH_PAUSE_S = 0.25
 CHECK_INTERVAL_S = 0.1
 # The balancer asks once a second and needs two misses to look elsewhere.
 STOP_ACCEPTING_S = 2.6
@@ -52,6 +54,16 @@
 )
 
 
+def _freeze_modules() -> None:
+    """Keeps the collector away from what was loaded at the start.
+
+    A full collection that walks all modules holds up every stream for 60
+    to 110 ms on an entry VM.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 class Address(NamedTuple):
     """Where to listen."""
 
@@ -203,6 +215,7 @@
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
         events.emit("start", node=settings.name)
+        _freeze_modules()
         return self._done
 
     def serve(self, caller: ingress.CallerRequest) -> None:
