--- /dev/null
+++ b/tests/unit/test_platform_folder.py
@@ -0,0 +1,442 @@
+"""The adapter decodes what the users' platform speaks, and only that."""
+
+import json
+from pathlib import Path
+import platform as standard_platform
+import subprocess
+import sys
+
+import pytest
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import wire
+from hemlocktiller._internal.store import transport
+
+ROOT = Path(__file__).parents[2]
+FOLDER = ROOT / "platform"
+LINES_MAX = 1_500
+
+ROUTE = {
+    "name": "r-1",
+    "hostname": "Drafts.Example",
+    "path_prefix": "/a/",
+    "route_type": "streaming",
+    "timeout_ms": 20000,
+    "target_latency_ms": 500,
+    "priority": 1,
+    "traffic_split": [
+        {"backend": "m", "weight": 90},
+        {"backend": "p", "weight": 10},
+    ],
+    "attempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gap_aim_ms": 200,
+}
+ENGINE = {
+    "slots": 96,
+    "kv_token_bytes": 1_836_000,
+    "link_mbps": 400_000.0,
+    "stride": 3,
+    "models": [{"name": "x", "pace": 1.0, "load_s": 14.0}],
+    "step_ms": 1.02,
+    "per_seq_ms": 0.01428,
+    "context_per_k": 0.01912,
+    "read_per_s": 105_000.0,
+    "usual": {"prompt": 774, "answer": 203},
+    "layers": 80,
+    "layer_mb": 1750.0,
+    "act_bytes": 91_800,
+    "pipe_mbps": 18_000.0,
+    "kinds": [{"name": "k", "mb": 72_000.0, "pace": 2.4, "read_x": 3.2}],
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE, {**ROUTE, "name": "r-2", "path_prefix": "/a/b/"}],
+    "backends": [
+        {
+            "name": "m",
+            "health_check": "/health",
+            "max_connections": 9,
+            "engine": ENGINE,
+        },
+        {"name": "p", "health_check": "/up", "max_connections": 9},
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 0}],
+}
+ENTRY = {
+    "backend": "m",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "route_type": "k",
+    "layers": {"from": 20, "target": 31, "version": 1},
+    "born": 1_700_000_000_000,
+    "seq": 4,
+}
+NODE_FILE = """node=edge-a-1
+zone=z
+ip=10.1.0.40
+listen.front=10.1.0.40:8227
+listen.ready=10.1.0.40:8220
+port_range=7340,7355
+bounds.grace_s=8
+bounds.budget_window_s=10
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_extra=200
+provider.address=10.200.1.7:8223
+a.field.of.tomorrow=1
+"""
+
+
+@pytest.fixture(scope="module")
+def adapter():
+    """The modules of the folder, imported as the program does."""
+    sys.path.append(str(FOLDER))
+    try:
+        import decoders
+        import exchange_headers
+        import node_file
+        import object_store
+    finally:
+        sys.path.remove(str(FOLDER))
+
+    class Modules:
+        """Names of the folder's modules."""
+
+    Modules.decoders = decoders
+    Modules.exchange_headers = exchange_headers
+    Modules.node_file = node_file
+    Modules.object_store = object_store
+    return Modules
+
+
+def test_the_folder_stays_small():
+    lines = sum(
+        len(path.read_text().splitlines()) for path in FOLDER.glob("*.py")
+    )
+    assert lines < LINES_MAX
+
+
+def test_the_folder_hides_no_standard_module():
+    assert Path(standard_platform.__file__).parent != FOLDER
+    assert not (FOLDER / "__init__.py").exists()
+    done = subprocess.run(
+        [sys.executable, "-c", "import platform; print(platform.__file__)"],
+        cwd=FOLDER,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert str(FOLDER) not in done.stdout
+
+
+def test_the_build_installs_what_the_package_declares():
+    declared = (ROOT / "pyproject.toml").read_text()
+    for line in (ROOT / "requirements.txt").read_text().split():
+        assert f'"{line}"' in declared
+
+
+def test_a_configuration_is_decoded(adapter):
+    catalog = adapter.decoders.catalog(CONFIG)
+    assert catalog.version == 7
+    assert catalog.route("drafts.example", "/a/b/c").name == "r-2"
+    assert catalog.route("drafts.example", "/a/x").name == "r-1"
+    assert catalog.route("drafts.example", "/b/") is None
+    route = catalog.route("drafts.example", "/a/x")
+    assert route.kind == model.STREAMING
+    assert (route.timeout_s, route.target_latency_s) == (20.0, 0.5)
+    assert route.services == (("m", 90.0), ("p", 10.0))
+    assert route.may_repeat
+    assert catalog.workspaces["k2"] == model.Workspace("t", 0)
+    assert catalog.limits.idle_timeout_s == 15.0
+    engine = catalog.services["m"].engine
+    assert engine.kv_mb_per_token == pytest.approx(1.836)
+    assert engine.accelerators["k"].memory_mb == 72_000.0
+    assert catalog.services["p"].engine is None
+
+
+def test_a_configuration_without_tenants_asks_for_no_keys(adapter):
+    value = {key: row for key, row in CONFIG.items() if key != "tenants"}
+    assert adapter.decoders.catalog(value).workspaces is None
+
+
+@pytest.mark.parametrize("value", [None, [], {}, {"version": 1}, "x", 7])
+def test_what_is_no_configuration_is_said_so(adapter, value):
+    with pytest.raises(ValueError, match="not a configuration"):
+        adapter.decoders.catalog(value)
+
+
+def test_an_entry_is_decoded(adapter):
+    target = adapter.decoders.target("i-1", ENTRY)
+    assert target.address == "10.0.0.9:8080"
+    assert (target.first_layer, target.end_layer) == (20, 31)
+    assert (target.service, target.data_centre) == ("m", "z")
+    assert target.accelerator == "k"
+    assert target.born_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"state": 3},
+        {"address": "nowhere"},
+        {"address": None},
+        {"slots": "many"},
+        {"backend": 4},
+        {"zone": []},
+        {"born": "then"},
+        {"layers": [{"from": "x"}]},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(adapter, change):
+    assert adapter.decoders.target("i-1", {**ENTRY, **change}) is None
+
+
+@pytest.mark.parametrize("value", [None, "text", 3, [], {}])
+def test_bytes_that_are_no_entry_name_no_target(adapter, value):
+    assert adapter.decoders.target("i-1", value) is None
+
+
+def test_a_report_is_decoded(adapter):
+    body = json.dumps(
+        {
+            "born": 5,
+            "seq": 2,
+            "busy": True,
+            "pace": 3.5,
+            "layers": {"from": 0, "target": 40, "version": 1},
+            "kv_used": 10,
+            "kv_total": 20,
+            "waiting": 1,
+            "running": 2,
+            "stalled": [{"id": "r", "address": "10.0.0.2:80"}],
+        }
+    ).encode()
+    report = adapter.decoders.report(body)
+    assert (report.orders, report.is_busy, report.pace) == (2, True, 3.5)
+    assert report.stalled_on == {"10.0.0.2:80"}
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"seq": "x"}'])
+def test_what_is_no_report_is_said_so(adapter, body):
+    with pytest.raises(ValueError, match=r".*"):
+        adapter.decoders.report(body)
+
+
+def test_a_callers_headers_are_read(adapter):
+    headers = http_headers.Headers(
+        {
+            "Host": ["drafts.example"],
+            "Request-Id": ["9c41"],
+            "Deadline-Ms": ["20000"],
+            "Token-Usage": ["1460,80"],
+            "Length-Hint": ["33"],
+            "Last-Event-Id": ["12"],
+            "Key": ["secret"],
+            "Tenant": ["forged"],
+            "Hop-Count": ["10.0.0.1:1=0-80"],
+            "Connection": ["close, X-Hop"],
+            "X-Hop": ["1"],
+            "Model": ["m"],
+        }
+    )
+    asked = adapter.exchange_headers.read_request(headers)
+    assert asked.time_left_s == 20.0
+    assert (asked.prompt_tokens, asked.max_output_tokens) == (1460, 80)
+    assert asked.expected_output_tokens == 33
+    assert asked.key == "secret"
+    forwarded = {name.lower() for name, _ in asked.forwarded}
+    assert forwarded == {b"host", b"request-id", b"token-usage", b"model",
+                         b"length-hint"}  # fmt: skip
+
+
+def test_a_target_is_told_path_workspace_and_time(adapter):
+    asked = wire.Asked("r", 20.0, "secret", 0, 0, 0, "", [])
+    target = adapter.decoders.target("i-1", ENTRY)
+    path = (model.Stage(target, 20, 31),)
+    headers = dict(
+        adapter.exchange_headers.dispatch_headers(
+            asked, wire.Dispatch(target, path, 1.5, "t", "7")
+        )
+    )
+    assert headers == {
+        b"Deadline-Ms": b"1500",
+        b"Target-Instance": b"i-1",
+        b"Tenant": b"t",
+        b"Last-Event-Id": b"7",
+        b"Hop-Count": b"10.0.0.9:8080=20-31",
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, [(b"Not-Executed", b"1")], True),
+        (503, [], False),
+        (421, [(b"Instance-Id", b"i-2")], True),
+        (200, [(b"Response-Signature", b"s")], False),
+    ],
+)
+def test_only_the_target_vouches_that_it_did_not_run(
+    adapter, status, headers, not_run
+):
+    answered = adapter.exchange_headers.read_answer(status, headers)
+    assert answered.not_run == not_run
+
+
+def test_an_order_carries_fence_and_count(adapter):
+    body = json.loads(adapter.exchange_headers.place_order(20, 31, 9, 2))
+    assert body == {
+        "operation": "place",
+        "from": 20,
+        "target": 31,
+        "mode": "wait",
+        "expect": 2,
+        "fence_token": 9,
+    }
+
+
+def test_the_settings_file_is_read(adapter):
+    fields = adapter.node_file.parse(NODE_FILE)
+    settings = adapter.node_file.settings(fields)
+    assert settings.callers == ("10.1.0.40", 8227)
+    assert settings.store["url"] == "http://10.200.1.7:8223"
+    assert settings.stop_grace_s == 8.0
+
+
+def test_a_settings_file_without_a_field_names_it(adapter):
+    fields = adapter.node_file.parse(NODE_FILE)
+    del fields["listen.front"]
+    with pytest.raises(adapter.node_file.BadNodeFile, match=r"listen\.front"):
+        adapter.node_file.settings(fields)
+
+
+class FakeTransport:
+    """Answers calls from a list, and keeps what was asked."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.calls = []
+
+    def call(self, method, segments, query, headers, body, wait_s):
+        """Records a call and answers it."""
+        self.calls.append((method, "/".join(segments), query, body))
+        return defer.succeed(self.replies.pop(0))
+
+
+def carry(adapter, replies, *call, **options):
+    """Returns the reply to one call of the product, and what was asked."""
+    settings = {"url": "http://10.0.0.1:1", "timeout_s": 1.0}
+    carrier = adapter.object_store.Carrier(settings, None)
+    carrier._transport = FakeTransport(*replies)
+    results = []
+    pending = carrier.call(*call, **options)
+    pending.addBoth(results.append)
+    return results[0], carrier._transport.calls
+
+
+def item(name, revision, spec):
+    return {
+        "metadata": {"name": name, "revision": revision},
+        "spec": spec,
+        "status": None,
+    }
+
+
+def test_a_listing_goes_on_until_its_last_page(adapter):
+    pages = [
+        transport.Reply(
+            200, {"items": [item("a", 1, 1)], "has_more": True, "as_of": 8}
+        ),
+        transport.Reply(
+            200, {"items": [item("b", 2, 2)], "has_more": False, "as_of": 9}
+        ),
+    ]
+    reply, calls = carry(adapter, pages, "GET", ("objects", "servers"))
+    assert reply.body["version"] == 8
+    assert [one["name"] for one in reply.body["objects"]] == ["a", "b"]
+    assert calls[1][2] == {"after": "a"}
+
+
+def test_a_watch_reports_the_last_event_of_each_object(adapter):
+    events = [
+        {"deleted": False, "object": item("a", 5, 1)},
+        {"deleted": True, "object": item("a", 6, 1)},
+        {"deleted": True, "object": item("b", 7, 1)},
+        {"deleted": False, "object": item("b", 8, 2)},
+    ]
+    reply, calls = carry(
+        adapter,
+        [transport.Reply(200, {"events": events, "as_of": 8})],
+        "GET",
+        ("objects", "servers"),
+        {"after": 4, "timeout_s": 2.0},
+    )
+    assert reply.body["deleted"] == ["a"]
+    assert reply.body["changed"] == [{"name": "b", "version": 8, "value": 2}]
+    assert calls[0][2] == {"watch": 4, "wait_ms": 2000}
+
+
+def test_lost_history_is_passed_on(adapter):
+    reply, _ = carry(
+        adapter,
+        [transport.Reply(410, None)],
+        "GET",
+        ("objects", "servers"),
+        {"after": 4, "timeout_s": 2.0},
+    )
+    assert reply.status == 410
+
+
+def test_a_create_and_an_update_carry_their_condition(adapter):
+    done = transport.Reply(200, {"metadata": {"revision": 12}})
+    reply, calls = carry(
+        adapter, [done], "PUT", ("objects", "lease", "x"),
+        headers={"If-None-Match": "*"}, body=b'{"a":1}',
+    )  # fmt: skip
+    assert reply.body == {"version": 12}
+    assert calls[0][:2] == ("POST", "api/objects/lease")
+    assert json.loads(calls[0][3]) == {
+        "metadata": {"name": "x"},
+        "spec": {"a": 1},
+    }
+    _, calls = carry(
+        adapter, [done], "PUT", ("objects", "lease", "x"),
+        headers={"If-Match": '"11"'}, body=b'{"a":1}',
+    )  # fmt: skip
+    assert calls[0][:2] == ("PUT", "api/objects/lease/x")
+    assert json.loads(calls[0][3])["metadata"]["revision"] == 11
+
+
+@pytest.mark.parametrize("status", [409, 404])
+def test_a_lost_condition_is_one(adapter, status):
+    reply, _ = carry(
+        adapter, [transport.Reply(status, None)], "PUT",
+        ("objects", "lease", "x"), headers={"If-Match": '"11"'}, body=b"1",
+    )  # fmt: skip
+    assert reply.status == 412
+
+
+def test_a_call_over_the_rate_was_not_carried_out(adapter):
+    failure, _ = carry(
+        adapter,
+        [transport.Reply(429, None)],
+        "GET",
+        ("objects", "config", "m"),
+    )
+    assert failure.check(exceptions.StoreUnavailable)
