Reload settings, and reject headers that can't be passed on

Cause of the second: a request without a Host header raised in the client of the target and was never answered (found by a test that failed first).

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -1,5 +1,6 @@
 """Builds the gateway from its parts, and runs its life from start to stop."""
 
+from collections.abc import Callable
 import gc
 import random
 import secrets
@@ -21,6 +22,7 @@
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import streams
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
@@ -38,6 +40,8 @@
 # within two seconds.
 WATCH_PAUSE_S = 0.25
 CHECK_INTERVAL_S = 0.1
+# The settings file may change without a signal; reading it costs little.
+RELOAD_INTERVAL_S = 5.0
 # The balancer asks once a second and needs two misses to look elsewhere.
 STOP_ACCEPTING_S = 2.6
 # What is left of the grace period when the last streams are cut.
@@ -111,6 +115,11 @@
     links_address: Address
 
 
+RELOADABLE = frozenset(
+    ("retry_ratio", "retry_extra", "retry_window_s", "stop_grace_s")
+)
+
+
 class Gateway:
     """The running process.
 
@@ -124,7 +133,18 @@
         settings: Settings,
         wire: wire_module.Wire,
         store: client.ObjectStore,
+        read_settings: Callable[[], Settings] | None = None,
     ) -> None:
+        """Builds the parts.
+
+        Args:
+            reactor: Reactor.
+            settings: Settings at the start.
+            wire: The platform's adapter.
+            store: Client of the object API.
+            read_settings: Reads the settings again; raises ValueError.
+        """
+        self._read_settings = read_settings or (lambda: settings)
         self.catalog: model.Catalog | None = None
         self._reactor = reactor
         self._settings = settings
@@ -182,6 +202,8 @@
         self.targets.on_registration = self._peers.tell_registration
         self._checker = task.LoopingCall(self._check)
         self._checker.clock = reactor
+        self._reloader = task.LoopingCall(self.reload)
+        self._reloader.clock = reactor
 
     def start(self) -> defer.Deferred:
         """Listens and follows the store; fires when it has stopped."""
@@ -212,9 +234,17 @@
         self._lease.start()
         self._duty.start()
         self._checker.start(CHECK_INTERVAL_S, now=False)
+        self._reloader.start(RELOAD_INTERVAL_S, now=False)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
-        events.emit("start", node=settings.name)
+        events.emit(
+            "start",
+            node=settings.name,
+            data_centre=settings.data_centre,
+            callers=settings.callers,
+            metrics=settings.metrics,
+            links=settings.links_address,
+        )
         _freeze_modules()
         return self._done
 
@@ -225,6 +255,14 @@
         if catalog is None:
             self._reject(caller, asked, 503, "no configuration yet")
             return
+        is_sound = upstream.may_be_sent(
+            caller.method.decode("latin-1"),
+            caller.uri.decode("latin-1"),
+            asked.forwarded,
+        )
+        if not is_sound:
+            self._reject(caller, asked, 400, "malformed headers")
+            return
         host = (caller.getHeader(b"host") or b"").decode("latin-1")
         path = caller.uri.split(b"?")[0].decode("latin-1")
         route = catalog.route(host.split(":")[0].lower(), path)
@@ -258,6 +296,29 @@
             )
         )
 
+    def reload(self) -> None:
+        """Puts changed settings in force, as far as that needs no restart."""
+        try:
+            settings = self._read_settings()
+        except (OSError, ValueError) as error:
+            events.emit("reload_failed", reason=str(error))
+            return
+        changed = {
+            name
+            for name in Settings._fields
+            if getattr(settings, name) != getattr(self._settings, name)
+        }
+        if not changed:
+            return
+        kept = {name: getattr(settings, name) for name in RELOADABLE}
+        self._settings = self._settings._replace(**kept)
+        self._budgets.clear()
+        events.emit(
+            "reload",
+            changed=sorted(changed),
+            need_restart=sorted(changed - RELOADABLE),
+        )
+
     def stop(self) -> None:
         """Stops gracefully: unready, then closed, then gone."""
         if self._stopping:
@@ -397,7 +458,7 @@
         self._reactor.callFromThread(self.stop)
 
     def _on_hangup(self, number, frame):
-        self._reactor.callFromThread(events.emit, "reload")
+        self._reactor.callFromThread(self.reload)
 
     async def _stop(self):
         grace_s = self._settings.stop_grace_s
@@ -418,6 +479,7 @@
         for one in self._watches:
             one.stop()
         self._checker.stop()
+        self._reloader.stop()
         self._peers.stop()
         await task.deferLater(self._reactor, POLL_S)
         events.emit("stopped", in_progress=len(self._serving))
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -197,6 +197,15 @@
         self._exchange._not_made(reason)
 
 
+def may_be_sent(method: str, path: str, headers: wire.Headers) -> bool:
+    """Tells whether a caller's request line and headers are well-formed."""
+    try:
+        h11.Request(method=method, target=path, headers=headers)
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
 def call(
     reactor: Any,
     target: model.Target,
--- /dev/null
+++ b/tests/unit/gateway/test_app.py
@@ -0,0 +1,187 @@
+"""The gateway as a whole: admission, readiness, reload and stop."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet import defer
+from twisted.internet.testing import MemoryReactorClock
+
+from hemlocktiller._internal.gateway import app
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import wire
+from tests.unit.gateway.conftest import FakeCaller
+from tests.unit.gateway.conftest import make_target
+
+LIMITS = model.CallerLimits(16_384, 1_000, 3.0, 15.0)
+
+
+class SilentStore:
+    """A store that never answers."""
+
+    writer = "w"
+    settings = {"retry_min_s": 0.1, "retry_max_s": 0.5}  # noqa: RUF012
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def __getattr__(self, name):
+        return lambda *args, **options: defer.Deferred()
+
+
+def make_settings(**changes):
+    address = app.Address("127.0.0.1", 0)
+    settings = app.Settings(
+        name="gateway-1",
+        data_centre="dc-a",
+        callers=address,
+        readiness=address,
+        readiness_path="/ready",
+        metrics=None,
+        store={},
+        config_kind="config",
+        config_name="main",
+        target_kind="targets",
+        retry_ratio=0.2,
+        retry_extra=200.0,
+        retry_window_s=10.0,
+        stop_grace_s=8.0,
+        links={"secret": "s"},
+        links_address=address,
+    )
+    return settings._replace(**changes)
+
+
+def asked(headers):
+    forwarded = headers.get("forwarded", [(b"Host", b"drafts.example")])
+    return wire.Asked(
+        "r1", 5.0, headers.get("key", ""), 9, 9, 9, "", forwarded
+    )
+
+
+@pytest.fixture
+def gateway(bench):
+    """A gateway that was not started, with one plain target."""
+    reactor = MemoryReactorClock()
+    built = app.Gateway(
+        reactor,
+        make_settings(),
+        bench.wire._replace(read_request=asked),
+        SilentStore(reactor),
+        lambda: make_settings(stop_grace_s=20.0, name="other"),
+    )
+    target = make_target("a", service="plain", accelerator="")
+    built.targets.by_name["a"] = target
+    return built
+
+
+@pytest.fixture
+def catalog(booking_route, plain_service):
+    """A configuration with one route and one workspace."""
+    return model.Catalog(
+        3,
+        {"drafts.example": (booking_route,)},
+        {"plain": plain_service},
+        {"good": model.Workspace("w", None)},
+        LIMITS,
+    )
+
+
+def request(gateway, key="good", host=b"drafts.example:80", **headers):
+    """Sends a request; returns the caller."""
+    caller = FakeCaller(gateway._reactor)
+    caller.requestHeaders = {"key": key, **headers}
+    caller.getHeader = lambda name: host
+    caller.body = lambda: b""
+    caller.channel = SimpleNamespace()
+    gateway.serve(caller)
+    return caller
+
+
+def test_without_a_configuration_callers_are_asked_to_come_back(gateway):
+    caller = request(gateway)
+    assert caller.status == 503
+    assert float(caller.header(b"Retry-After")) > 0
+
+
+def test_an_unknown_key_is_rejected(gateway, catalog):
+    gateway._take_config(catalog)
+    assert request(gateway, key="bad").status == 401
+
+
+def test_an_unknown_host_has_no_route(gateway, catalog):
+    gateway._take_config(catalog)
+    assert request(gateway, host=b"other.example").status == 404
+
+
+def test_a_known_key_is_served(gateway, catalog):
+    gateway._take_config(catalog)
+    request(gateway)
+    assert len(gateway._reactor.tcpClients) == 1
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [[], [(b"Host", b"a"), (b"Bad Name", b"x")], [(b"Host", b"a\x00b")]],
+)
+def test_headers_that_can_not_be_passed_on_are_rejected(
+    gateway, catalog, headers
+):
+    gateway._take_config(catalog)
+    assert request(gateway, forwarded=headers).status == 400
+    assert not gateway._reactor.tcpClients
+
+
+def test_public_routes_need_no_key(gateway, catalog, booking_route):
+    public = booking_route._replace(is_public=True)
+    routes = {"drafts.example": (public,)}
+    gateway._take_config(catalog._replace(routes=routes))
+    request(gateway, key="")
+    assert len(gateway._reactor.tcpClients) == 1
+
+
+def test_a_configuration_never_goes_back(gateway, catalog):
+    gateway._take_config(catalog)
+    assert not gateway._take_config(catalog._replace(version=2))
+    assert gateway.catalog.version == 3
+
+
+def test_a_configuration_that_can_not_be_read_changes_nothing(
+    gateway, catalog
+):
+    gateway._take_config(catalog)
+
+    def unreadable(value):
+        raise ValueError("broken")
+
+    gateway._wire = gateway._wire._replace(catalog=unreadable)
+    assert not gateway._take_config(object())
+    assert gateway.catalog.version == 3
+
+
+def test_it_is_ready_once_it_knows_routes_and_targets(gateway, catalog):
+    assert gateway._page("/ready")[0] == 503
+    gateway._take_config(catalog)
+    assert gateway._page("/ready")[0] == 503
+    gateway.targets.known = True
+    assert gateway._page("/ready")[0] == 200
+
+
+def test_metrics_are_served(gateway):
+    status, _, body = gateway._page("/metrics")
+    assert status == 200
+    assert b"hemlocktiller_gateway_answers" in body
+
+
+def test_a_reload_takes_what_needs_no_restart(gateway):
+    gateway.reload()
+    assert gateway._settings.stop_grace_s == 20.0
+    assert gateway._settings.name == "gateway-1"
+
+
+def test_a_reload_of_a_broken_file_keeps_the_settings(gateway):
+    def broken():
+        raise ValueError("no such field")
+
+    gateway._read_settings = broken
+    gateway.reload()
+    assert gateway._settings == make_settings()
