--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -49,6 +49,7 @@
     """A model request that needs a path.
 
     Attributes:
+        request_id: The caller's id, for logs.
         item: What the queue orders by.
         service: Service and its engine.
         need: What it takes.
@@ -56,6 +57,7 @@
         refuse: Called with the time to come back when it may not.
     """
 
+    request_id: str
     item: fair_queue.Item
     service: model.Service
     need: paths.Need
@@ -196,7 +198,7 @@
         REFUSED.labels(reason).inc()
         events.emit(
             "refused",
-            request=job.item.request,
+            request=job.request_id,
             reason=reason,
             retry_after_s=round(retry_after_s, 2),
             waiting=len(self._jobs),
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -113,7 +113,7 @@
         )
         need = dispatcher_module.need(asked.prompt_tokens, expected, engine)
         return dispatcher_module.Job(
-            item, admitted.service, need, self._start, refuse
+            self._id, item, admitted.service, need, self._start, refuse
         )
 
     def _start(self, choice):
