Ask one peer for a configuration instead of sending it to all

Ruled out: the engines (none was full) and the path search. A gateway that is behind now asks one peer after 0.2 to 0.4 s.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -421,7 +421,6 @@
         self._stored_catalog = peers_module.StoredCatalog(
             catalog.version, value
         )
-        self._peers.tell_catalog()
         return True
 
     def _target_down(self, target, reason):
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -33,6 +33,9 @@
 DISCOVERY_S = 2.0
 # Half of the engines' own lag, at a fifth of the bytes of 50 ms.
 OCCUPANCY_S = 0.25
+# The store tells all gateways of a new configuration within milliseconds;
+# one that has not heard of it by then asks a peer.
+ASK_AFTER_S = 0.2
 # All rows are sent this often, in case a peer has expired some of them.
 WHOLE_EVERY = 4
 
@@ -99,7 +102,7 @@
             self._on_open, self._on_message, self._on_down
         )
         self._links: set[link_module.Link] = set()
-        self._pushed: dict[link_module.Link, int] = {}
+        self._asking = False
         self._dialers: dict[str, dialer.Dialer] = {}
         self._sent: dict[str, occupancy_module.Load] = {}
         self._rounds = 0
@@ -134,11 +137,6 @@
         for link in list(self._links):
             link.close()
 
-    def tell_catalog(self) -> None:
-        """Sends the configuration to peers that are behind."""
-        for link in list(self._links):
-            self._push_catalog(link, link.peer["config_version"])
-
     def tell_health(
         self, target: model.Target, is_down: bool, reason: str
     ) -> None:
@@ -233,13 +231,11 @@
         self._links.add(link)
         LINKED.set(len(self._links))
         events.emit("peer_linked", peer=link.peer["name"])
-        self._push_catalog(link, link.peer["config_version"])
-        rows = _rows(self._parts.occupancy.own())
-        link.send({"type": "occupancy", "loads": rows, "whole": True})
+        self._heard_version(link, link.peer["config_version"])
+        link.send(self._occupancy(self._parts.occupancy.own(), True))
 
     def _on_down(self, link, reason):
         self._links.discard(link)
-        self._pushed.pop(link, None)
         LINKED.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
@@ -247,8 +243,9 @@
     def _on_message(self, link, message):
         kind = message["type"]
         if kind == "heartbeat":
-            self._push_catalog(link, message["config_version"])
+            self._heard_version(link, message["config_version"])
         elif kind == "occupancy":
+            self._heard_version(link, message["config_version"])
             self._take_occupancy(link, message)
         elif kind == "target_health":
             self._parts.targets.heard(
@@ -262,6 +259,8 @@
             self._parts.targets.heard_registration(
                 message["target"], message["version"], value
             )
+        elif kind == "catalog_wanted":
+            self._send_catalog(link)
         elif kind == "catalog":
             self._take_catalog(link, message)
 
@@ -291,13 +290,23 @@
                 version=stored.version,
             )
 
-    def _push_catalog(self, link, known_version):
-        stored = self._parts.stored_catalog()
-        if stored is None or not link.up or known_version >= stored.version:
+    def _heard_version(self, link, version):
+        """Asks one peer for a newer configuration, if the store is slow."""
+        if self._asking or version <= self._config_version():
             return
-        if self._pushed.get(link, 0) >= stored.version:
+        self._asking = True
+        wait_s = ASK_AFTER_S * self._rng.uniform(1.0, 2.0)
+        self._reactor.callLater(wait_s, self._ask, link, version)
+
+    def _ask(self, link, version):
+        self._asking = False
+        if link.up and version > self._config_version():
+            link.send({"type": "catalog_wanted"})
+
+    def _send_catalog(self, link):
+        stored = self._parts.stored_catalog()
+        if stored is None:
             return
-        self._pushed[link] = stored.version
         CATALOGS_SENT.inc()
         link.send(
             {
@@ -320,13 +329,15 @@
             changed[name] = occupancy_module.NO_LOAD
         self._sent = own
         if changed or is_whole:
-            self._broadcast(
-                {
-                    "type": "occupancy",
-                    "loads": _rows(changed),
-                    "whole": is_whole,
-                }
-            )
+            self._broadcast(self._occupancy(changed, is_whole))
+
+    def _occupancy(self, loads, is_whole):
+        return {
+            "type": "occupancy",
+            "loads": _rows(loads),
+            "whole": is_whole,
+            "config_version": self._config_version(),
+        }
 
     def _broadcast(self, message):
         for link in list(self._links):
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2096,12 +2096,12 @@
 
 def check_occupancy(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['type', 'loads', 'whole']) - data.keys()
+        data__missing_keys = set(['type', 'loads', 'whole', 'config_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -2165,8 +2165,16 @@
             data__whole = data["whole"]
             if not isinstance(data__whole, (bool)):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".whole must be boolean", value=data__whole, name="" + (name_prefix or "data") + ".whole", definition={'type': 'boolean'}, rule='type')
+        if "config_version" in data_keys:
+            data_keys.remove("config_version")
+            data__configversion = data["config_version"]
+            if not isinstance(data__configversion, (int)) and not (isinstance(data__configversion, float) and data__configversion.is_integer()) or isinstance(data__configversion, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be integer", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='type')
+            if isinstance(data__configversion, (int, float, Decimal)) and not isinstance(data__configversion, bool):
+                if data__configversion < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be bigger than or equal to 0", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
@@ -2306,6 +2314,31 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'version', 'value'], 'properties': {'type': {'const': 'catalog', 'type': 'string'}, 'version': {'type': 'integer', 'minimum': 0}, 'value': {'type': 'string', 'maxLength': 2000000}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_catalog_wanted(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'catalog_wanted', 'type': 'string'}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'catalog_wanted', 'type': 'string'}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'catalog_wanted', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'catalog_wanted'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: catalog_wanted", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'catalog_wanted', 'type': 'string'}, rule='const')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'catalog_wanted', 'type': 'string'}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -2338,6 +2371,7 @@
     'target_health': check_target_health,
     'registration': check_registration,
     'catalog': check_catalog,
+    'catalog_wanted': check_catalog_wanted,
 }
 
 BYTES_PATHS = {
@@ -2372,4 +2406,5 @@
     'target_health': [],
     'registration': [],
     'catalog': [],
+    'catalog_wanted': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -443,6 +443,7 @@
     type: Literal['occupancy']
     loads: list[Occupied]
     whole: bool
+    config_version: int
 
 
 class TargetHealth(TypedDict, closed=True):
@@ -478,6 +479,14 @@
     value: str
 
 
+class CatalogWanted(TypedDict, closed=True):
+    """
+    Asks for the stored configuration; the sender is behind.
+    """
+
+    type: Literal['catalog_wanted']
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -519,4 +528,5 @@
     | TargetHealth
     | Registration
     | Catalog
+    | CatalogWanted
 )
--- /dev/null
+++ b/tests/unit/gateway/test_peers.py
@@ -0,0 +1,165 @@
+"""What gateways tell each other, and what they make of it."""
+
+import random
+
+import pytest
+
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import peers as peers_module
+from hemlocktiller._internal.policy import occupancy
+from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_app import make_settings
+from tests.unit.gateway.test_app import SilentStore
+
+
+class FakeLink:
+    """An open link that keeps what was sent."""
+
+    def __init__(self, name, config_version=0):
+        self.peer = {"name": name, "config_version": config_version}
+        self.up = True
+        self.sent = []
+
+    def send(self, message):
+        """Keeps a message."""
+        self.sent.append(message)
+
+    def kinds(self):
+        """Returns the types of what was sent."""
+        return [message["type"] for message in self.sent]
+
+
+class Network:
+    """The links of one gateway."""
+
+    def __init__(self, bench, stored):
+        self.bench = bench
+        self.occupancy = occupancy.Occupancy()
+        self.offered = []
+        self.stored = stored
+        self.peers = peers_module.Peers(
+            bench.reactor,
+            make_settings(),
+            SilentStore(bench.reactor),
+            peers_module.Parts(
+                bench.targets, self.occupancy, lambda: self.stored, self._offer
+            ),
+            random.Random(1),
+        )
+
+    def _offer(self, stored):
+        self.offered.append(stored)
+        return True
+
+    def link(self, name, config_version=0):
+        """Opens a link to a peer."""
+        link = FakeLink(name, config_version)
+        self.peers._on_open(link)
+        return link
+
+
+@pytest.fixture
+def network(bench):
+    """A gateway with configuration 5 in force."""
+    return Network(bench, peers_module.StoredCatalog(5, {"version": 5}))
+
+
+def loads(*rows, whole=True, version=5):
+    return {
+        "type": "occupancy",
+        "loads": [
+            {
+                "target": name,
+                "token_layers": tokens,
+                "sequences": sequences,
+                "prefill_tokens": 0.0,
+            }
+            for name, tokens, sequences in rows
+        ],
+        "whole": whole,
+        "config_version": version,
+    }
+
+
+def test_a_new_configuration_is_not_sent_to_all(network):
+    links = [network.link(f"g{i}", 4) for i in range(30)]
+    network.bench.reactor.advance(2.0)
+    assert all(link.kinds() == ["occupancy"] for link in links)
+
+
+def test_one_peer_is_asked_for_a_newer_configuration(network):
+    links = [network.link(f"g{i}") for i in range(30)]
+    for link in links:
+        network.peers._on_message(link, loads(version=6))
+    network.bench.reactor.advance(1.0)
+    asked = [link for link in links if "catalog_wanted" in link.kinds()]
+    assert len(asked) == 1
+
+
+def test_nobody_is_asked_once_the_store_has_told(network):
+    link = network.link("g1")
+    network.peers._on_message(link, loads(version=6))
+    network.stored = peers_module.StoredCatalog(6, {"version": 6})
+    network.bench.reactor.advance(1.0)
+    assert "catalog_wanted" not in link.kinds()
+
+
+def test_the_configuration_is_sent_to_a_peer_that_asks(network):
+    link = network.link("g1")
+    network.peers._on_message(link, {"type": "catalog_wanted"})
+    assert link.sent[-1]["version"] == 5
+
+
+def test_a_peers_configuration_is_offered(network):
+    link = network.link("g1")
+    message = {"type": "catalog", "version": 6, "value": '{"version": 6}'}
+    network.peers._on_message(link, message)
+    assert network.offered == [peers_module.StoredCatalog(6, {"version": 6})]
+
+
+def test_loads_of_peers_add_up(network):
+    for name in ("g1", "g2"):
+        network.peers._on_message(network.link(name), loads(("a", 10.0, 2)))
+    now_s = network.bench.reactor.seconds()
+    assert network.occupancy.load("a", now_s).sequences == 4
+
+
+def test_a_target_that_a_peer_finds_down_is_asked_itself(network):
+    network.bench.register(make_target("a"))
+    message = {
+        "type": "target_health",
+        "target": "a",
+        "born_ms": 1,
+        "is_down": True,
+        "reason": "no answer",
+    }
+    network.peers._on_message(network.link("g1"), message)
+    assert network.bench.opened() == 1
+    assert not network.bench.targets.is_down(make_target("a"))
+
+
+def test_draining_is_heard_from_a_peer(network):
+    network.bench.register(make_target("a"))
+    network.bench.targets.heard_registration(
+        "a", 9, make_target("a", state=model.DRAINING)
+    )
+    assert network.bench.targets.of_service("model") == []
+
+
+def test_older_news_of_a_registration_change_nothing(network):
+    network.bench.register(make_target("a"))
+    network.bench.targets.heard_registration(
+        "a", 1, make_target("a", state=model.DRAINING)
+    )
+    assert network.bench.targets.of_service("model")
+
+
+def test_a_peers_deletion_counts_only_while_the_own_watch_fails(network):
+    targets = network.bench.targets
+    network.bench.register(make_target("a"))
+    network.bench.reactor.advance(10.0)
+    targets.heard_registration("a", 0, None)
+    assert "a" in targets.by_name
+    targets.store_lost()
+    targets.heard_registration("a", 0, None)
+    assert "a" not in targets.by_name
