--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -15,6 +15,7 @@
 from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.gateway import calls
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
+from hemlocktiller._internal.gateway import early
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import layout_duty
 from hemlocktiller._internal.gateway import model
@@ -200,6 +201,17 @@
         )
         self.targets.on_health = self._peers.tell_health
         self.targets.on_registration = self._peers.tell_registration
+        self._early = early.EarlyRequests(
+            reactor,
+            self.serve,
+            lambda caller: self._reject(
+                caller,
+                wire.read_request(caller.requestHeaders),
+                503,
+                "no configuration yet",
+            ),
+        )
+        self.targets.on_change.append(self._release_early)
         self._checker = task.LoopingCall(self._check)
         self._checker.clock = reactor
         self._reloader = task.LoopingCall(self.reload)
@@ -208,6 +220,7 @@
     def start(self) -> defer.Deferred:
         """Listens and follows the store; fires when it has stopped."""
         settings = self._settings
+        _freeze_modules()
         self._listen(settings.callers, self._callers)
         pages = ingress.PageFactory(self._reactor, self._page)
         self._listen(settings.readiness, pages)
@@ -245,16 +258,15 @@
             metrics=settings.metrics,
             links=settings.links_address,
         )
-        _freeze_modules()
         return self._done
 
     def serve(self, caller: ingress.CallerRequest) -> None:
         """Serves one request of a caller."""
+        if not self._knows_deployment():
+            self._early.hold(caller)
+            return
         asked = self._wire.read_request(caller.requestHeaders)
         catalog = self.catalog
-        if catalog is None:
-            self._reject(caller, asked, 503, "no configuration yet")
-            return
         is_sound = upstream.may_be_sent(
             caller.method.decode("latin-1"),
             caller.uri.decode("latin-1"),
@@ -418,11 +430,19 @@
             version=catalog.version,
             before=before,
         )
+        self._release_early()
         self._stored_catalog = peers_module.StoredCatalog(
             catalog.version, value
         )
         return True
 
+    def _knows_deployment(self):
+        return self.catalog is not None and self.targets.known
+
+    def _release_early(self):
+        if self._knows_deployment():
+            self._early.release()
+
     def _target_down(self, target, reason):
         for work in list(self._serving):
             work.lost(target, reason)
@@ -437,11 +457,7 @@
 
     def _page(self, path):
         if path == self._settings.readiness_path:
-            is_ready = (
-                self.catalog is not None
-                and self.targets.known
-                and not self._stopping
-            )
+            is_ready = self._knows_deployment() and not self._stopping
             return (200 if is_ready else 503), "text/plain", b""
         if path == "/metrics":
             return 200, metrics.PAGE_CONTENT_TYPE, metrics.page()
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -7,6 +7,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from hemlocktiller._internal.gateway import app
+from hemlocktiller._internal.gateway import early
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import wire
 from tests.unit.gateway.conftest import FakeCaller
@@ -71,6 +72,7 @@
     )
     target = make_target("a", service="plain", accelerator="")
     built.targets.by_name["a"] = target
+    built.targets.known = True
     return built
 
 
@@ -99,10 +101,32 @@
 
 def test_without_a_configuration_callers_are_asked_to_come_back(gateway):
     caller = request(gateway)
+    assert caller.status == 0
+    gateway._reactor.advance(early.HOLD_S)
     assert caller.status == 503
     assert float(caller.header(b"Retry-After")) > 0
 
 
+def test_a_request_before_the_configuration_is_served_with_it(
+    gateway, catalog
+):
+    caller = request(gateway)
+    gateway._reactor.advance(early.HOLD_S / 2)
+    gateway._take_config(catalog)
+    assert len(gateway._reactor.tcpClients) == 1
+    gateway._reactor.advance(early.HOLD_S)
+    assert caller.status == 0
+
+
+def test_a_caller_that_left_before_the_configuration_is_not_served(
+    gateway, catalog
+):
+    caller = request(gateway)
+    caller.on_gone()
+    gateway._take_config(catalog)
+    assert not gateway._reactor.tcpClients
+
+
 def test_an_unknown_key_is_rejected(gateway, catalog):
     gateway._take_config(catalog)
     assert request(gateway, key="bad").status == 401
@@ -160,6 +184,7 @@
 
 def test_it_is_ready_once_it_knows_routes_and_targets(gateway, catalog):
     assert gateway._page("/ready")[0] == 503
+    gateway.targets.known = False
     gateway._take_config(catalog)
     assert gateway._page("/ready")[0] == 503
     gateway.targets.known = True
