--- /dev/null
+++ b/tests/functional/gateway_deployment.py
@@ -0,0 +1,269 @@
+"""Gateways, targets and a store as processes on this machine."""
+
+import http.client
+import json
+from pathlib import Path
+import sys
+import time
+
+from tests.functional import process
+
+LAYERS = 80
+CARD_MB = 100_000.0
+MODEL_TARGETS = 4
+PLAIN_TARGETS = 2
+GATEWAYS = 3
+BEAT_S = 0.5
+HOST = "drafts.example"
+KEY = "key-1"
+CALL_TIMEOUT_S = 5.0
+
+
+class Gateway(process.Process):
+    """The gateway as the platform starts it, from its settings file."""
+
+    def __init__(self, name: str, settings: Path, directory: Path):
+        super().__init__(name, "", (), directory)
+        self.settings = settings
+
+    def _command(self):
+        return [sys.executable, str(process.ROOT / "platform" / "main.py")]
+
+    def _environment(self):
+        environment = super()._environment()
+        return dict(environment, HEMLOCKTILLER_NODE_FILE=str(self.settings))
+
+    def _listening(self):
+        if not self.running():
+            raise process.ProcessFailed(f"{self.name}: {self.errors()}")
+        for line in self.output().splitlines():
+            if '"event": "start"' in line:
+                event = json.loads(line[line.index("{") :])
+                return {"": process.Address(*event["callers"])}
+        return {}
+
+    def page(self, path: str) -> tuple[int, str]:
+        """Returns status and body of one of its own pages."""
+        fields = dict(
+            line.split("=", 1) for line in self.settings.read_text().split()
+        )
+        host, _, port = fields["listen.ready"].partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=1.0)
+        try:
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read().decode()
+        finally:
+            connection.close()
+
+    def config_version(self) -> int | None:
+        """Returns the configuration that it says is in force."""
+        try:
+            _, text = self.page("/metrics")
+        except (OSError, http.client.HTTPException):
+            return None
+        for line in text.splitlines():
+            if line.startswith("hemlocktiller_gateway_config_version "):
+                return int(float(line.split()[1]))
+        return None
+
+
+class Deployment:
+    """All processes of one run; `stop` ends them.
+
+    Attributes:
+        journal: File in which targets note what they run.
+        version: Version of the newest configuration.
+    """
+
+    def __init__(self, directory: Path):
+        self._directory = directory
+        self.journal = directory / "journal"
+        self.journal.touch()
+        self.version = 0
+        self.retired: list[process.Process] = []
+        self.store = process.Process(
+            "store", "tests.fakes.objects_api", ["--beat-s", BEAT_S], directory
+        ).start()
+        self.put_config()
+        self.targets = {
+            **{f"model-{i}": "model" for i in range(MODEL_TARGETS)},
+            **{f"plain-{i}": "plain" for i in range(PLAIN_TARGETS)},
+        }
+        self.targets = {
+            name: self.start_target(name, service)
+            for name, service in self.targets.items()
+        }
+        self.links = [self._start_link(i) for i in range(GATEWAYS)]
+        self.gateways = [self._start_gateway(i) for i in range(GATEWAYS)]
+
+    def start_target(self, name, service):
+        """Starts a target and returns its process."""
+        return process.Process(
+            name,
+            "tests.fakes.platform_target",
+            [
+                "--service", service,
+                "--store", self.store.address.url(),
+                "--journal", self.journal,
+                "--beat-s", BEAT_S,
+            ],
+            self._directory,
+        ).start()  # fmt: skip
+
+    def call_store(self, method: str, path: str, value=None) -> dict:
+        """Makes one call to the store."""
+        connection = http.client.HTTPConnection(
+            self.store.address.host,
+            self.store.address.port,
+            timeout=CALL_TIMEOUT_S,
+        )
+        try:
+            body = json.dumps(value) if value is not None else None
+            connection.request(method, path, body)
+            return json.loads(connection.getresponse().read() or "{}")
+        finally:
+            connection.close()
+
+    def put_config(self) -> None:
+        """Writes the next configuration, as the operator does."""
+        self.version += 1
+        spec = configuration(self.version)
+        path = "/api/objects/config"
+        metadata = {"name": "main"}
+        if self.version == 1:
+            self.call_store("POST", path, {"metadata": metadata, "spec": spec})
+            return
+        value = {"metadata": metadata, "spec": spec}
+        self.call_store("PUT", f"{path}/main", value)
+
+    def wait_until_serving(self) -> None:
+        """Waits until each gateway is ready and the layout is made."""
+        process.poll(self._is_laid_out, 400, "the layout is made")
+        for gateway in self.gateways:
+            process.poll(
+                lambda gateway=gateway: is_ready(gateway),
+                400,
+                f"{gateway.name} is ready",
+            )
+        time.sleep(0.5)
+
+    def stop(self) -> None:
+        """Ends all processes that this deployment started."""
+        everyone = [
+            *self.gateways,
+            *self.links,
+            *self.targets.values(),
+            *self.retired,
+            self.store,
+        ]
+        for one in everyone:
+            one.wake()
+            one.kill()
+
+    def _is_laid_out(self):
+        items = self.call_store("GET", "/api/objects/servers")["items"]
+        holding = [item for item in items if item["spec"].get("layers")]
+        return len(holding) >= MODEL_TARGETS
+
+    def _start_link(self, number):
+        target = self._directory / f"store-address-{number}"
+        address = self.store.address
+        target.write_text(f"{address.host}:{address.port}")
+        return process.Process(
+            f"link-{number}",
+            "tests.functional.proxy",
+            ["--target-file", target],
+            self._directory,
+        ).start()
+
+    def _start_gateway(self, number):
+        link = self.links[number].address
+        ports = process.free_ports(4)
+        settings = self._directory / f"gateway-{number}.conf"
+        settings.write_text(
+            f"node=gateway-{number}\n"
+            "zone=dc-a\n"
+            "ip=127.0.0.1\n"
+            f"listen.front=127.0.0.1:{ports[0]}\n"
+            f"listen.ready=127.0.0.1:{ports[1]}\n"
+            f"port_range={ports[2]},{ports[3]}\n"
+            "bounds.grace_s=8\n"
+            "bounds.budget_window_s=10\n"
+            "bounds.retry_budget_ratio=0.2\n"
+            "bounds.retry_budget_extra=200\n"
+            f"provider.address={link.host}:{link.port}\n"
+        )
+        return Gateway(f"gateway-{number}", settings, self._directory).start()
+
+
+def is_ready(gateway: Gateway) -> bool:
+    """Tells whether a gateway says that it is ready."""
+    try:
+        return gateway.page("/api/ready")[0] == 200
+    except (OSError, http.client.HTTPException):
+        return False
+
+
+def configuration(version: int) -> dict:
+    """Returns a configuration in the platform's words."""
+
+    def route(name, kind, service, attempts, **fields):
+        return {
+            "name": name,
+            "hostname": HOST,
+            "path_prefix": f"/{name}/",
+            "route_type": kind,
+            "timeout_ms": 8000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "backend": service,
+            "attempts": attempts,
+            **fields,
+        }
+
+    engine = {
+        "slots": 32,
+        "kv_token_bytes": 1_836_000,
+        "link_mbps": 400_000.0,
+        "stride": 3,
+        "models": [{"name": "m", "load_s": 1.0}],
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.02,
+        "read_per_s": 100_000.0,
+        "usual": {"prompt": 100, "answer": 30},
+        "layers": LAYERS,
+        "layer_mb": 1750.0,
+        "act_bytes": 90_000,
+        "pipe_mbps": 18_000.0,
+        "kinds": [{"name": "card", "mb": CARD_MB, "pace": 1.0, "read_x": 1.0}],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "model", 2, resumable=True),
+            route("booking", "non_idempotent", "plain", 1),
+            route("lookup", "idempotent", "plain", 2),
+        ],
+        "backends": [
+            {
+                "name": "model",
+                "health_check": "/health",
+                "max_connections": 500,
+                "engine": engine,
+            },
+            {
+                "name": "plain",
+                "health_check": "/health",
+                "max_connections": 100,
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "w", "api_keys": [KEY]}],
+    }
--- a/tests/functional/process.py
+++ b/tests/functional/process.py
@@ -3,6 +3,7 @@
 import os
 from pathlib import Path
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -86,15 +87,13 @@
         return self._start()
 
     def _start(self) -> "Process":
-        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
-        environment = dict(os.environ, PYTHONPATH=path, PYTHONUNBUFFERED="1")
         with self._output.open("wb") as out, self._errors.open("ab") as err:
             self._child = subprocess.Popen(
-                [sys.executable, "-m", self.module, *self.arguments],
+                self._command(),
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
-                env=environment,
+                env=self._environment(),
                 cwd=ROOT,
             )
         self.addresses = poll(
@@ -102,6 +101,13 @@
         )
         return self
 
+    def _command(self) -> list[str]:
+        return [sys.executable, "-m", self.module, *self.arguments]
+
+    def _environment(self) -> dict[str, str]:
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        return dict(os.environ, PYTHONPATH=path, PYTHONUNBUFFERED="1")
+
     def _listening(self) -> dict[str, Address]:
         if not self.running():
             raise ProcessFailed(
@@ -164,6 +170,15 @@
         return self._child.returncode
 
 
+def free_ports(count: int) -> list[int]:
+    """Returns ports of the loopback that nothing listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
 def parse_listening(line: str) -> dict[str, Address]:
     """Parses the line that a process prints when it can be reached.
 
