--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -41,6 +41,9 @@
 # within two seconds.
 WATCH_PAUSE_S = 0.25
 CHECK_INTERVAL_S = 0.1
+# A slow target makes every event on its paths late; one gateway asks each
+# target once a second, which costs a thousandth of a day.
+POLL_TARGETS_S = 1.0
 # The settings file may change without a signal; reading it costs little.
 RELOAD_INTERVAL_S = 5.0
 # The balancer asks once a second and needs two misses to look elsewhere.
@@ -200,6 +203,7 @@
             self._rng,
         )
         self.targets.on_health = self._peers.tell_health
+        self.targets.on_pace = self._peers.tell_pace
         self.targets.on_registration = self._peers.tell_registration
         self._early = early.EarlyRequests(
             reactor,
@@ -214,6 +218,8 @@
         self.targets.on_change.append(self._release_early)
         self._checker = task.LoopingCall(self._check)
         self._checker.clock = reactor
+        self._poller = task.LoopingCall(self.targets.poll, self._peers.is_own)
+        self._poller.clock = reactor
         self._reloader = task.LoopingCall(self.reload)
         self._reloader.clock = reactor
 
@@ -248,6 +254,7 @@
         self._duty.start()
         self._checker.start(CHECK_INTERVAL_S, now=False)
         self._reloader.start(RELOAD_INTERVAL_S, now=False)
+        self._poller.start(POLL_TARGETS_S, now=False)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
         events.emit(
@@ -495,6 +502,7 @@
             one.stop()
         self._checker.stop()
         self._reloader.stop()
+        self._poller.stop()
         self._peers.stop()
         await task.deferLater(self._reactor, POLL_S)
         events.emit("stopped", in_progress=len(self._serving))
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -23,6 +23,7 @@
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.policy import subsets
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
@@ -151,6 +152,23 @@
             }
         )
 
+    def tell_pace(self, target: model.Target, pace: float) -> None:
+        """Tells peers how slow a target is."""
+        self._broadcast(
+            {
+                "type": "target_pace",
+                "target": target.name,
+                "born_ms": target.born_ms,
+                "pace": pace,
+            }
+        )
+
+    def is_own(self, target: str) -> bool:
+        """Tells whether this process polls a target for all linked ones."""
+        names = [link.peer["name"] for link in self._links if link.up]
+        own = subsets.score(self._settings.name, target)
+        return all(subsets.score(name, target) <= own for name in names)
+
     def tell_registration(self, name: str, version: int, value: Any) -> None:
         """Tells peers what the store reported."""
         text = json.dumps(value) if value is not None else ""
@@ -254,6 +272,10 @@
                 message["is_down"],
                 f"{link.peer['name']}: {message['reason']}",
             )
+        elif kind == "target_pace":
+            self._parts.targets.heard_pace(
+                message["target"], message["born_ms"], message["pace"]
+            )
         elif kind == "registration":
             value = json.loads(message["value"]) if message["value"] else None
             self._parts.targets.heard_registration(
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -19,6 +19,8 @@
 PROBE_INTERVAL_S = 0.5
 # The platform has lapsed registrations back two seconds after an outage.
 LAPSE_GRACE_S = 2.4
+# Smaller changes of a target's slowness are not worth telling.
+PACE_CHANGE = 0.2
 # Failed share of a target's recent answers, as a moving average.
 FAILURE_WEIGHT = 0.2
 
@@ -38,6 +40,7 @@
         on_down: Called with a target that was found to be down.
         on_change: Called after any change.
         on_health: Called with what this process found of a target.
+        on_pace: Called with a slowness that a target reported anew.
         on_registration: Called with name, version and value of each change
             that the store reported; the value is None for a deletion.
     """
@@ -51,6 +54,9 @@
         self.on_health: Callable[[model.Target, bool, str], None] = (
             lambda target, is_down, reason: None
         )
+        self.on_pace: Callable[[model.Target, float], None] = (
+            lambda target, pace: None
+        )
         self.on_registration: Callable[[str, int, Any], None] = (
             lambda name, version, value: None
         )
@@ -188,7 +194,7 @@
             except ValueError as error:
                 on_failed(f"bad report: {error}")
                 return
-            self._paces[target.name] = max(1.0, report.pace)
+            self._note_pace(target, report.pace)
             on_report(report)
 
         upstream.call(
@@ -227,6 +233,43 @@
             self._remove(name)
             self._changed()
 
+    def heard_pace(self, name: str, born_ms: int, pace: float) -> None:
+        """Takes the slowness that a target reported to a peer."""
+        target = self.by_name.get(name)
+        if target is not None and target.born_ms == born_ms:
+            self._set_pace(target, pace)
+
+    def poll(self, is_own: Callable[[str], bool]) -> None:
+        """Asks model targets for their reports, to notice slow ones.
+
+        Args:
+            is_own: Tells whether this process is the one to ask a target.
+        """
+        for target in list(self.by_name.values()):
+            is_asked = target.layers > 0 and target.name not in self._down
+            if is_asked and is_own(target.name):
+                self.report(
+                    target,
+                    lambda report: None,
+                    lambda reason, target=target: self.suspect(
+                        target, f"no report: {reason}"
+                    ),
+                )
+
+    def _note_pace(self, target, pace):
+        """Notes a reported slowness, and tells peers of a change."""
+        if self._set_pace(target, pace):
+            self.on_pace(target, pace)
+
+    def _set_pace(self, target, pace):
+        """Sets the slowness of a target; tells whether it changed much."""
+        before = self._paces.get(target.name, 1.0)
+        self._paces[target.name] = max(1.0, pace)
+        is_news = abs(pace - before) > PACE_CHANGE * before
+        if is_news:
+            events.emit("target_pace", target=target.name, pace=pace)
+        return is_news
+
     def _take_one(self, name, version, value):
         """Takes a registration; tells whether it was news."""
         if version <= self._versions.get(name, 0):
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2339,6 +2339,49 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type'], 'properties': {'type': {'const': 'catalog_wanted', 'type': 'string'}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_target_pace(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'pace'], 'properties': {'type': {'const': 'target_pace', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'pace': {'type': 'number', 'minimum': 0}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'target', 'born_ms', 'pace']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'pace'], 'properties': {'type': {'const': 'target_pace', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'pace': {'type': 'number', 'minimum': 0}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_pace', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'target_pace'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: target_pace", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_pace', 'type': 'string'}, rule='const')
+        if "target" in data_keys:
+            data_keys.remove("target")
+            data__target = data["target"]
+            if not isinstance(data__target, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "born_ms" in data_keys:
+            data_keys.remove("born_ms")
+            data__bornms = data["born_ms"]
+            if not isinstance(data__bornms, (int)) and not (isinstance(data__bornms, float) and data__bornms.is_integer()) or isinstance(data__bornms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".born_ms must be integer", value=data__bornms, name="" + (name_prefix or "data") + ".born_ms", definition={'type': 'integer'}, rule='type')
+        if "pace" in data_keys:
+            data_keys.remove("pace")
+            data__pace = data["pace"]
+            if not isinstance(data__pace, (int, float, Decimal)) or isinstance(data__pace, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".pace must be number", value=data__pace, name="" + (name_prefix or "data") + ".pace", definition={'type': 'number', 'minimum': 0}, rule='type')
+            if isinstance(data__pace, (int, float, Decimal)) and not isinstance(data__pace, bool):
+                if data__pace < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".pace must be bigger than or equal to 0", value=data__pace, name="" + (name_prefix or "data") + ".pace", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'pace'], 'properties': {'type': {'const': 'target_pace', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'pace': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -2372,6 +2415,7 @@
     'registration': check_registration,
     'catalog': check_catalog,
     'catalog_wanted': check_catalog_wanted,
+    'target_pace': check_target_pace,
 }
 
 BYTES_PATHS = {
@@ -2407,4 +2451,5 @@
     'registration': [],
     'catalog': [],
     'catalog_wanted': [],
+    'target_pace': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -487,6 +487,17 @@
     type: Literal['catalog_wanted']
 
 
+class TargetPace(TypedDict, closed=True):
+    """
+    The slowness that a target reported to the sender.
+    """
+
+    type: Literal['target_pace']
+    target: str
+    born_ms: int
+    pace: float
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -529,4 +540,5 @@
     | Registration
     | Catalog
     | CatalogWanted
+    | TargetPace
 )
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -141,6 +141,8 @@
         status = response.status
         while part := response.read1(65536):
             body += part
+        # `read1` does not note the end of a body with a length.
+        response.read()
         is_whole = True
     except (OSError, http.client.HTTPException):
         connection.close()
@@ -154,6 +156,7 @@
         self._deployment = deployment
         self._count = 0
         self.threads: list[threading.Thread] = []
+        self._restarting = threading.Lock()
 
     def start(self, fault: Fault) -> None:
         """Starts a fault; it ends in a thread of its own."""
@@ -188,8 +191,9 @@
         self._restart(gateway)
 
     def _restart(self, gateway):
-        if not gateway.running():
-            gateway.start()
+        with self._restarting:
+            if not gateway.running():
+                gateway.start()
 
     def _pause_gateway(self, fault):
         gateway = self._gateway(fault)
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -163,3 +163,35 @@
     targets.store_lost()
     targets.heard_registration("a", 0, None)
     assert "a" not in targets.by_name
+
+
+def test_the_slowness_that_a_peer_heard_counts(network):
+    network.bench.register(make_target("a"))
+    message = {
+        "type": "target_pace", "target": "a", "born_ms": 1, "pace": 4.0
+    }  # fmt: skip
+    network.peers._on_message(network.link("g1"), message)
+    assert network.bench.targets.pace("a") == 4.0
+
+
+def test_the_slowness_of_an_earlier_process_does_not_count(network):
+    network.bench.register(make_target("a", born_ms=7))
+    message = {
+        "type": "target_pace", "target": "a", "born_ms": 1, "pace": 4.0
+    }  # fmt: skip
+    network.peers._on_message(network.link("g1"), message)
+    assert network.bench.targets.pace("a") == 1.0
+
+
+def test_one_of_all_linked_gateways_polls_a_target(bench):
+    stored = peers_module.StoredCatalog(5, {})
+    names = ["gateway-1", "gateway-2", "gateway-3"]
+    networks = [Network(bench, stored) for _ in names]
+    for name, one in zip(names, networks, strict=True):
+        one.peers._settings = make_settings(name=name)
+        for other in names:
+            if other != name:
+                one.link(other)
+    for target in ("a", "b", "c", "d"):
+        owners = [one.peers.is_own(target) for one in networks]
+        assert owners.count(True) == 1
