--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -51,8 +51,9 @@
 # What is left of the grace period when the last streams are cut.
 STOP_MARGIN_S = 0.4
 POLL_S = 0.05
-# Shared by this many processes at most, of which each may spend a part.
-BUDGET_SHARERS = 8
+# Part of the platform's bound on repeats that is spent; the rest covers
+# windows that lie otherwise and gateways that were just started.
+BUDGET_PART = 0.8
 
 CONFIG_VERSION = prometheus_client.Gauge(
     "hemlocktiller_gateway_config_version", "Configuration in force"
@@ -156,6 +157,7 @@
         self._store = store
         self._rng = random.Random(secrets.token_hex(8))
         self._budgets: dict[str, budget.RetryBudget] = {}
+        self._retries = {"budget_ratio": 0.0, "budget_min_per_s": 0.0}
         self._serving: set[Any] = set()
         self._stopping = False
         self._watches: list[watch.Watch] = []
@@ -216,6 +218,7 @@
             ),
         )
         self.targets.on_change.append(self._release_early)
+        self._share_retries()
         self._checker = task.LoopingCall(self._check)
         self._checker.clock = reactor
         self._poller = task.LoopingCall(self.targets.poll, self._peers.is_own)
@@ -331,7 +334,6 @@
             return
         kept = {name: getattr(settings, name) for name in RELOADABLE}
         self._settings = self._settings._replace(**kept)
-        self._budgets.clear()
         events.emit(
             "reload",
             changed=sorted(changed),
@@ -395,16 +397,18 @@
 
     def _budget(self, service):
         if service not in self._budgets:
-            settings = self._settings
-            per_s = settings.retry_extra / settings.retry_window_s
-            self._budgets[service] = budget.RetryBudget(
-                {
-                    "budget_ratio": settings.retry_ratio,
-                    "budget_min_per_s": per_s / BUDGET_SHARERS,
-                }
-            )
+            self._budgets[service] = budget.RetryBudget(self._retries)
         return self._budgets[service]
 
+    def _share_retries(self):
+        """Sets this process's part of the repeats that all may make."""
+        settings = self._settings
+        per_s = settings.retry_extra / settings.retry_window_s
+        self._retries["budget_ratio"] = settings.retry_ratio * BUDGET_PART
+        self._retries["budget_min_per_s"] = (
+            per_s * BUDGET_PART / self._peers.sharers()
+        )
+
     def _health_path(self, service):
         catalog = self.catalog
         if catalog and service in catalog.services:
@@ -459,6 +463,7 @@
 
     def _check(self):
         now_s = self._reactor.seconds()
+        self._share_retries()
         for work in list(self._serving):
             work.check(now_s)
 
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -28,7 +28,7 @@
 FULL_S = 0.2
 # Memory asked for beside the prompt, as a share of the expected answer: an
 # answer grows into its memory, and half of it is its mean.
-ANSWER_SHARE = 0.6
+ANSWER_SHARE = 0.5
 
 WAITING = prometheus_client.Gauge(
     "hemlocktiller_gateway_waiting", "Model requests that wait for a path"
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -104,6 +104,7 @@
         )
         self._links: set[link_module.Link] = set()
         self._asking = False
+        self._registered: set[str] = {settings.name}
         self._dialers: dict[str, dialer.Dialer] = {}
         self._sent: dict[str, occupancy_module.Load] = {}
         self._rounds = 0
@@ -163,6 +164,10 @@
             }
         )
 
+    def sharers(self) -> int:
+        """Returns how many gateways there are, by the newest listing."""
+        return max(len(self._registered), len(self._links) + 1)
+
     def is_own(self, target: str) -> bool:
         """Tells whether this process polls a target for all linked ones."""
         names = [link.peer["name"] for link in self._links if link.up]
@@ -217,6 +222,7 @@
             for stored in listing.objects
             if _is_registration(stored.value)
         }
+        self._registered = {self._settings.name, *named}
         for name, address in named.items():
             known = self._dialers.get(name)
             if name <= self._settings.name:
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -210,3 +210,14 @@
     gateway._read_settings = broken
     gateway.reload()
     assert gateway._settings == make_settings()
+
+
+def test_a_share_of_the_repeats_is_spent_by_each_gateway(gateway):
+    gateway._peers._registered = {f"gateway-{i}" for i in range(31)}
+    gateway._share_retries()
+    spent = 0
+    while gateway._budget("plain").try_retry(0.0):
+        spent += 1
+        assert spent < 1_000
+    settings = make_settings()
+    assert spent * 31 <= settings.retry_extra
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -7,6 +7,7 @@
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.policy import occupancy
+from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_app import make_settings
 from tests.unit.gateway.test_app import SilentStore
@@ -195,3 +196,14 @@
     for target in ("a", "b", "c", "d"):
         owners = [one.peers.is_own(target) for one in networks]
         assert owners.count(True) == 1
+
+
+def test_all_registered_gateways_share_the_repeats(network):
+    rows = [
+        client.StoredObject(
+            "gateways", f"a{i}", 1, {"host": "127.0.0.1", "port": 9}
+        )
+        for i in range(30)
+    ]
+    network.peers._found(client.Listing(1, rows))
+    assert network.peers.sharers() == 31
