--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -50,12 +50,15 @@
         load: Load of a target by name.
         pace: Slowness of a target by name; 1 is usual.
         is_full: Whether a target turned work down a moment ago.
+        bias: Factor on the predicted time at a data centre; differs between
+            requests, so that gateways that know the same choose apart.
     """
 
     engine: model.Engine
     load: Callable[[str], occupancy.Load]
     pace: Callable[[str], float]
     is_full: Callable[[str], bool]
+    bias: Callable[[str], float] = lambda data_centre: 1.0
 
 
 class _Holder(NamedTuple):
@@ -194,7 +197,7 @@
     engine = view.engine
     kind = engine.accelerators[target.accelerator]
     load = view.load(target.name)
-    pace = view.pace(target.name)
+    pace = view.pace(target.name) * view.bias(target.data_centre)
     left = capacity(target, engine) * MEMORY_RATIO - load.token_layers
     max_layers = left / need.reserved_tokens
     if load.sequences >= engine.max_sequences:
