--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -165,7 +165,9 @@
         self._done: defer.Deferred = defer.Deferred()
         self.targets = targets_module.Targets(reactor, wire, self._health_path)
         self.targets.on_down.append(self._target_down)
-        self._dispatcher = dispatcher_module.Dispatcher(reactor, self.targets)
+        self._dispatcher = dispatcher_module.Dispatcher(
+            reactor, self.targets, settings.data_centre, self._rng
+        )
         self._outstanding = calls.Outstanding()
         self._callers = ingress.CallerFactory(reactor, self.serve)
         self._context = serving.Context(
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -1,6 +1,7 @@
 """Starts model requests on paths with room; others wait or are refused."""
 
 from collections.abc import Callable
+import random
 from typing import Any
 from typing import NamedTuple
 
@@ -30,6 +31,13 @@
 # answer grows into its memory, and half of it is its mean.
 ANSWER_SHARE = 0.5
 
+# Predicted times of data centres vary by up to this factor between requests:
+# what all gateways send within the age of their news must not all go to the
+# one path that was best.
+SPREAD = 1.3
+# Preference for the own data centre, for the same reason.
+REMOTE = 1.1
+
 WAITING = prometheus_client.Gauge(
     "hemlocktiller_gateway_waiting", "Model requests that wait for a path"
 )
@@ -68,7 +76,23 @@
 class Dispatcher:
     """The queue of model requests and the memory promised to them."""
 
-    def __init__(self, reactor: Any, targets: targets_module.Targets) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        targets: targets_module.Targets,
+        data_centre: str,
+        rng: random.Random,
+    ) -> None:
+        """Starts with an empty queue.
+
+        Args:
+            reactor: Reactor.
+            targets: The targets.
+            data_centre: Where this process runs.
+            rng: Spreads the choices of gateways.
+        """
+        self._data_centre = data_centre
+        self._rng = rng
         self.occupancy = occupancy_module.Occupancy()
         self._reactor = reactor
         self._targets = targets
@@ -135,11 +159,26 @@
             lambda name: self.occupancy.load(name, now_s),
             self._targets.pace,
             lambda name: self._full_until_s.get(name, 0.0) > now_s,
+            self._bias(),
         )
         holders = self._targets.of_service(job.service.name)
         with CHOICE_S.time():
             return paths.choose(holders, job.need, view)
 
+    def _bias(self):
+        """Returns factors that spread what gateways choose at once."""
+        factors: dict[str, float] = {}
+
+        def bias(data_centre):
+            if data_centre not in factors:
+                factor = self._rng.uniform(1.0, SPREAD)
+                if data_centre != self._data_centre:
+                    factor *= REMOTE
+                factors[data_centre] = factor
+            return factors[data_centre]
+
+        return bias
+
     def pump(self) -> None:
         """Starts what has become possible, and refuses what is too late."""
         if self._pumping:
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -23,6 +23,11 @@
 RESUME_WINDOW_S = 1.6
 # Offers that a target turned down before running; more rarely find room.
 OFFERS_MAX = 4
+# Repeats that only streams in progress may spend: the work of those is lost,
+# while one that has not begun can be told to come back.
+RETRIES_KEPT = 3
+# Repeats are allowed anew as others succeed, several times a second.
+BUDGET_WAIT_S = 0.15
 LONGEST_QUEUE_WAIT_S = admission.LONGEST_WAIT_S
 
 
@@ -63,6 +68,7 @@
         self._heard_s = 0.0
         self._suspected = False
         self._over = False
+        self._waiting: Any = None
         caller = admitted.caller
         caller.on_gone = self._gone
         left_s = serving.deadline_s(admitted) - context.reactor.seconds()
@@ -195,9 +201,12 @@
         can_repeat = admitted.route.may_repeat or not ran
         if self._offers >= OFFERS_MAX + admitted.route.attempts:
             can_repeat = False
-        if not can_repeat or not self._budget().try_retry(now_s):
+        if not can_repeat:
             self._fail(reason, ran)
             return
+        if not self._spend_retry(now_s):
+            self._wait_for_budget(reason, ran, now_s)
+            return
         events.emit(
             "resume",
             request=self._id,
@@ -212,6 +221,23 @@
             )
         )
 
+    def _spend_retry(self, now_s):
+        """Spends a repeat; streams in progress have the last ones."""
+        budget = self._budget()
+        if not self._events and budget.remaining(now_s) < RETRIES_KEPT:
+            return False
+        return budget.try_retry(now_s)
+
+    def _wait_for_budget(self, reason, ran, now_s):
+        """Tries a stream in progress again, until its caller has left."""
+        waited_s = now_s - self._heard_s
+        if not self._events or waited_s > RESUME_WINDOW_S:
+            self._fail(f"{reason}; no repeats left", ran)
+            return
+        self._waiting = self._context.reactor.callLater(
+            BUDGET_WAIT_S, self._move, reason, ran
+        )
+
     def _drop_run(self):
         self._run += 1
         self.path = ()
@@ -219,6 +245,9 @@
             self._exchange.cancel()
             self._exchange = None
         self._dispatcher.withdraw(self._key)
+        if self._waiting is not None and self._waiting.active():
+            self._waiting.cancel()
+        self._waiting = None
 
     # Answers of targets
 
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -155,7 +155,7 @@
             "gateway-1",
         )
         self.dispatcher = dispatcher_module.Dispatcher(
-            self.reactor, self.targets
+            self.reactor, self.targets, "dc-a", random.Random(1)
         )
         self.over: list[Any] = []
         self._seen = 0
--- a/tests/unit/gateway/test_paths.py
+++ b/tests/unit/gateway/test_paths.py
@@ -1,7 +1,13 @@
 """The choice of a path under load."""
 
+import random
+
 import pytest
+from twisted.internet.testing import MemoryReactorClock
 
+from hemlocktiller._internal.gateway import dispatcher
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import occupancy
 from hemlocktiller._internal.policy import paths
 from tests.unit.gateway.conftest import make_target
@@ -126,3 +132,23 @@
     loads.heard("peer", {"b": occupancy.Load(1.0, 3, 0.0)}, 1.2, False)
     assert loads.load("a", 1.3).sequences == 1
     assert loads.load("b", 1.3).sequences == 3
+
+
+def test_gateways_that_know_the_same_spread_over_equal_data_centres(engine):
+    targets = [
+        target
+        for name in ("dc-a", "dc-b", "dc-c")
+        for target in chain(name, "middle", [0, 16, 32, 48, 64, 80], name)
+    ]
+    firsts = []
+    for number in range(30):
+        reactor = MemoryReactorClock()
+        known = targets_module.Targets(reactor, None, None)
+        known.by_name = {target.name: target for target in targets}
+        gateway = dispatcher.Dispatcher(
+            reactor, known, "dc-z", random.Random(number)
+        )
+        service = model.Service("model", "/", 1, engine)
+        job = dispatcher.Job("r", None, service, NEED, None, None)
+        firsts.append(gateway.choose(job).path[0].target.data_centre)
+    assert all(firsts.count(name) >= 4 for name in ("dc-a", "dc-b", "dc-c"))
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -186,3 +186,35 @@
     bench.connect()
     bench.reactor.advance(20.0)
     assert admitted.caller.status == 504
+
+
+def spend_repeats(bench, left):
+    now_s = bench.reactor.seconds()
+    while bench.budget.remaining(now_s) > left:
+        assert bench.budget.try_retry(now_s)
+
+
+def test_a_stream_in_progress_waits_for_repeats(streaming):
+    bench, admitted = streaming
+    bench.stream(admitted)
+    sent = bench.connect()
+    sent.answer(HEAD + chunk(event(1)))
+    spend_repeats(bench, 0)
+    sent.reset()
+    assert admitted.caller.ending == ""
+    for _ in range(20):
+        bench.budget.record_success(bench.reactor.seconds())
+    bench.reactor.advance(0.2)
+    next_run(bench).answer(HEAD + chunk(event(2)) + END)
+    assert admitted.caller.ending == "whole"
+
+
+def test_the_last_repeats_are_kept_for_streams_in_progress(streaming):
+    bench, admitted = streaming
+    bench.stream(admitted)
+    spend_repeats(bench, 2)
+    bench.connect().answer(
+        b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert admitted.caller.status == 503
+    assert float(admitted.caller.header(b"Retry-After")) > 0
