--- a/noxfile.py
+++ b/noxfile.py
@@ -3,7 +3,7 @@
 import nox
 
 nox.options.sessions = ["lint", "generated", "tests"]
-SOURCES = ("src", "tests", "benchmarks", "examples", "schema")
+SOURCES = ("src", "tests", "benchmarks", "examples", "schema", "platform")
 
 
 @nox.session
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -37,9 +37,12 @@
     "duration_s": 3.0,
     "renew_interval_s": 1.0,
 }
-# Loads of a deployment that starts end together; what drains must be known
-# within two seconds.
-WATCH_PAUSE_S = 0.25
+# Loads of a deployment that starts end together; what drains, and a new
+# configuration, must be known within two seconds.
+CONFIG_PAUSE_S = 0.25
+# Gateways rest at different moments, and the first that hears of a change
+# tells the others.
+TARGETS_PAUSE_S = 0.6
 CHECK_INTERVAL_S = 0.1
 # A slow target makes every event on its paths late; one gateway asks each
 # target once a second, which costs a thousandth of a day.
@@ -243,13 +246,13 @@
                 self._store,
                 settings.config_kind,
                 self._take_configs,
-                WATCH_PAUSE_S,
+                CONFIG_PAUSE_S,
             ),
             watch.follow_kind(
                 self._store,
                 settings.target_kind,
                 self.targets.take,
-                WATCH_PAUSE_S,
+                TARGETS_PAUSE_S,
             ),
         ]
         for one in self._watches:
--- /dev/null
+++ b/tests/functional/test_gateway_soak.py
@@ -0,0 +1,76 @@
+"""A short seeded part of the gateways' fault soak, and its checks."""
+
+import pytest
+
+from tests.functional import gateway_soak
+
+# Chosen for what they hold: outages of the store with lost writes and a
+# restart; kills and drains of targets with a frozen gateway.
+SEEDS = (3, 5)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_seeded_run_keeps_the_promises(seed, tmp_path):
+    found, exchanges = gateway_soak.run(seed, tmp_path)
+    assert found == []
+    kinds = {one.kind for one in exchanges if one.status == 200}
+    assert kinds == {"draft", "booking", "lookup"}
+
+
+def test_a_schedule_follows_from_its_seed():
+    assert gateway_soak.schedule(7) == gateway_soak.schedule(7)
+    assert gateway_soak.schedule(7) != gateway_soak.schedule(8)
+
+
+def exchange(kind, status, body=b"", is_whole=True, request_id="r"):
+    return gateway_soak.Exchange(
+        kind, request_id, "g", 0.0, status, body, is_whole
+    )
+
+
+def row(what, request="r", target="t", at_s=0.0):
+    return {"what": what, "request": request, "target": target, "at_s": at_s}
+
+
+def events(first, end):
+    return b"".join(
+        gateway_soak.platform_target.event_of("r", number)
+        for number in range(first, end)
+    )
+
+
+@pytest.mark.parametrize(
+    ("exchanges", "journal", "samples"),
+    [
+        ([exchange("booking", 200)], [row("run"), row("run")], []),
+        ([exchange("booking", 503)], [row("run")], []),
+        ([exchange("booking", 200, b"done other")], [row("run")], []),
+        ([exchange("draft", 200, events(1, 5))], [], []),
+        ([exchange("draft", 200, events(2, 31))], [], []),
+        ([exchange("draft", 200, events(1, 3) * 2, False)], [], []),
+        ([], [row("bad_path")], []),
+        ([], [row("draining"), row("run", at_s=2.5)], []),
+        ([], [], [("g", 1, 5), ("g", 1, 4)]),
+    ],
+)
+def test_each_broken_promise_is_found(exchanges, journal, samples):
+    assert gateway_soak.findings(exchanges, journal, samples)
+
+
+def test_a_history_that_holds_has_no_findings():
+    exchanges = [
+        exchange("draft", 200, events(1, 31), request_id="r"),
+        exchange("draft", 200, events(1, 4), is_whole=False),
+        exchange("booking", 200, b"done b", request_id="b"),
+        exchange("booking", 502, request_id="c"),
+        exchange("booking", 503, request_id="d"),
+    ]
+    journal = [
+        row("run", "b"),
+        row("run", "c"),
+        row("run", "r"),
+        row("draining", target="u", at_s=1.0),
+        row("run", "r", target="u", at_s=1.5),
+    ]
+    samples = [("g", 1, 5), ("g", 1, 6), ("g", 2, 5)]
+    assert gateway_soak.findings(exchanges, journal, samples) == []
