--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -293,11 +293,18 @@
             self._take_catalog(link, message)
 
     def _take_occupancy(self, link, message):
+        columns = (
+            message["targets"],
+            message["token_layers"],
+            message["sequences"],
+            message["prefill_tokens"],
+        )
+        if len({len(column) for column in columns}) > 1:
+            events.emit("bad_occupancy", peer=link.peer["name"])
+            return
         loads = {
-            row["target"]: occupancy_module.Load(
-                row["token_layers"], row["sequences"], row["prefill_tokens"]
-            )
-            for row in message["loads"]
+            name: occupancy_module.Load(*load)
+            for name, *load in zip(*columns, strict=True)
         }
         self._parts.occupancy.heard(
             link.peer["name"],
@@ -360,9 +367,13 @@
             self._broadcast(self._occupancy(changed, is_whole))
 
     def _occupancy(self, loads, is_whole):
+        sent = list(loads.values())
         return {
             "type": "occupancy",
-            "loads": _rows(loads),
+            "targets": list(loads),
+            "token_layers": [round(one.token_layers) for one in sent],
+            "sequences": [one.sequences for one in sent],
+            "prefill_tokens": [round(one.prefill_tokens) for one in sent],
             "whole": is_whole,
             "config_version": self._config_version(),
         }
@@ -373,18 +384,6 @@
                 link.send(message)
 
 
-def _rows(loads):
-    return [
-        {
-            "target": name,
-            "token_layers": float(round(load.token_layers)),
-            "sequences": load.sequences,
-            "prefill_tokens": float(round(load.prefill_tokens)),
-        }
-        for name, load in loads.items()
-    ]
-
-
 def _is_registration(value):
     return (
         isinstance(value, dict)
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2096,12 +2096,12 @@
 
 def check_occupancy(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'targets', 'token_layers', 'sequences', 'prefill_tokens', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'targets': {'type': 'array', 'items': {'type': 'string'}, 'maxItems': 4096}, 'token_layers': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'sequences': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'prefill_tokens': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
-        data__missing_keys = set(['type', 'loads', 'whole', 'config_version']) - data.keys()
+        data__missing_keys = set(['type', 'targets', 'token_layers', 'sequences', 'prefill_tokens', 'whole', 'config_version']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'targets', 'token_layers', 'sequences', 'prefill_tokens', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'targets': {'type': 'array', 'items': {'type': 'string'}, 'maxItems': 4096}, 'token_layers': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'sequences': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'prefill_tokens': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -2110,56 +2110,67 @@
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'occupancy', 'type': 'string'}, rule='type')
             if not (isinstance(data__type, str) and data__type == 'occupancy'):
                 raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: occupancy", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'occupancy', 'type': 'string'}, rule='const')
-        if "loads" in data_keys:
-            data_keys.remove("loads")
-            data__loads = data["loads"]
-            if not isinstance(data__loads, (list, tuple)):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads must be array", value=data__loads, name="" + (name_prefix or "data") + ".loads", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, rule='type')
-            data__loads_is_list = isinstance(data__loads, (list, tuple))
-            if data__loads_is_list:
-                data__loads_len = len(data__loads)
-                if data__loads_len > 4096:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads must contain less than or equal to 4096 items", value=data__loads, name="" + (name_prefix or "data") + ".loads", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, rule='maxItems')
-                for data__loads_x, data__loads_item in enumerate(data__loads):
-                    if not isinstance(data__loads_item, (dict)):
-                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must be object", value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='type')
-                    data__loads_item_is_dict = isinstance(data__loads_item, dict)
-                    if data__loads_item_is_dict:
-                        data__loads_item__missing_keys = set(['target', 'token_layers', 'sequences', 'prefill_tokens']) - data__loads_item.keys()
-                        if data__loads_item__missing_keys:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must contain " + (str(sorted(data__loads_item__missing_keys)) + " properties"), value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='required')
-                        data__loads_item_keys = set(data__loads_item.keys())
-                        if "target" in data__loads_item_keys:
-                            data__loads_item_keys.remove("target")
-                            data__loads_item__target = data__loads_item["target"]
-                            if not isinstance(data__loads_item__target, (str)):
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].target".format(**locals()) + " must be string", value=data__loads_item__target, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].target".format(**locals()) + "", definition={'type': 'string'}, rule='type')
-                        if "token_layers" in data__loads_item_keys:
-                            data__loads_item_keys.remove("token_layers")
-                            data__loads_item__tokenlayers = data__loads_item["token_layers"]
-                            if not isinstance(data__loads_item__tokenlayers, (int, float, Decimal)) or isinstance(data__loads_item__tokenlayers, bool):
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + " must be number", value=data__loads_item__tokenlayers, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
-                            if isinstance(data__loads_item__tokenlayers, (int, float, Decimal)) and not isinstance(data__loads_item__tokenlayers, bool):
-                                if data__loads_item__tokenlayers < 0:
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__tokenlayers, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].token_layers".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
-                        if "sequences" in data__loads_item_keys:
-                            data__loads_item_keys.remove("sequences")
-                            data__loads_item__sequences = data__loads_item["sequences"]
-                            if not isinstance(data__loads_item__sequences, (int)) and not (isinstance(data__loads_item__sequences, float) and data__loads_item__sequences.is_integer()) or isinstance(data__loads_item__sequences, bool):
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + " must be integer", value=data__loads_item__sequences, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
-                            if isinstance(data__loads_item__sequences, (int, float, Decimal)) and not isinstance(data__loads_item__sequences, bool):
-                                if data__loads_item__sequences < 0:
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__sequences, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].sequences".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
-                        if "prefill_tokens" in data__loads_item_keys:
-                            data__loads_item_keys.remove("prefill_tokens")
-                            data__loads_item__prefilltokens = data__loads_item["prefill_tokens"]
-                            if not isinstance(data__loads_item__prefilltokens, (int, float, Decimal)) or isinstance(data__loads_item__prefilltokens, bool):
-                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + " must be number", value=data__loads_item__prefilltokens, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
-                            if isinstance(data__loads_item__prefilltokens, (int, float, Decimal)) and not isinstance(data__loads_item__prefilltokens, bool):
-                                if data__loads_item__prefilltokens < 0:
-                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + " must be bigger than or equal to 0", value=data__loads_item__prefilltokens, name="" + (name_prefix or "data") + ".loads[{data__loads_x}].prefill_tokens".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
-                        if data__loads_item_keys:
-                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + " must not contain "+str(data__loads_item_keys)+" properties", value=data__loads_item, name="" + (name_prefix or "data") + ".loads[{data__loads_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+        if "targets" in data_keys:
+            data_keys.remove("targets")
+            data__targets = data["targets"]
+            if not isinstance(data__targets, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".targets must be array", value=data__targets, name="" + (name_prefix or "data") + ".targets", definition={'type': 'array', 'items': {'type': 'string'}, 'maxItems': 4096}, rule='type')
+            data__targets_is_list = isinstance(data__targets, (list, tuple))
+            if data__targets_is_list:
+                data__targets_len = len(data__targets)
+                if data__targets_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".targets must contain less than or equal to 4096 items", value=data__targets, name="" + (name_prefix or "data") + ".targets", definition={'type': 'array', 'items': {'type': 'string'}, 'maxItems': 4096}, rule='maxItems')
+                for data__targets_x, data__targets_item in enumerate(data__targets):
+                    if not isinstance(data__targets_item, (str)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".targets[{data__targets_x}]".format(**locals()) + " must be string", value=data__targets_item, name="" + (name_prefix or "data") + ".targets[{data__targets_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+        if "token_layers" in data_keys:
+            data_keys.remove("token_layers")
+            data__tokenlayers = data["token_layers"]
+            if not isinstance(data__tokenlayers, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_layers must be array", value=data__tokenlayers, name="" + (name_prefix or "data") + ".token_layers", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='type')
+            data__tokenlayers_is_list = isinstance(data__tokenlayers, (list, tuple))
+            if data__tokenlayers_is_list:
+                data__tokenlayers_len = len(data__tokenlayers)
+                if data__tokenlayers_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_layers must contain less than or equal to 4096 items", value=data__tokenlayers, name="" + (name_prefix or "data") + ".token_layers", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='maxItems')
+                for data__tokenlayers_x, data__tokenlayers_item in enumerate(data__tokenlayers):
+                    if not isinstance(data__tokenlayers_item, (int)) and not (isinstance(data__tokenlayers_item, float) and data__tokenlayers_item.is_integer()) or isinstance(data__tokenlayers_item, bool):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_layers[{data__tokenlayers_x}]".format(**locals()) + " must be integer", value=data__tokenlayers_item, name="" + (name_prefix or "data") + ".token_layers[{data__tokenlayers_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                    if isinstance(data__tokenlayers_item, (int, float, Decimal)) and not isinstance(data__tokenlayers_item, bool):
+                        if data__tokenlayers_item < 0:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".token_layers[{data__tokenlayers_x}]".format(**locals()) + " must be bigger than or equal to 0", value=data__tokenlayers_item, name="" + (name_prefix or "data") + ".token_layers[{data__tokenlayers_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "sequences" in data_keys:
+            data_keys.remove("sequences")
+            data__sequences = data["sequences"]
+            if not isinstance(data__sequences, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".sequences must be array", value=data__sequences, name="" + (name_prefix or "data") + ".sequences", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='type')
+            data__sequences_is_list = isinstance(data__sequences, (list, tuple))
+            if data__sequences_is_list:
+                data__sequences_len = len(data__sequences)
+                if data__sequences_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".sequences must contain less than or equal to 4096 items", value=data__sequences, name="" + (name_prefix or "data") + ".sequences", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='maxItems')
+                for data__sequences_x, data__sequences_item in enumerate(data__sequences):
+                    if not isinstance(data__sequences_item, (int)) and not (isinstance(data__sequences_item, float) and data__sequences_item.is_integer()) or isinstance(data__sequences_item, bool):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".sequences[{data__sequences_x}]".format(**locals()) + " must be integer", value=data__sequences_item, name="" + (name_prefix or "data") + ".sequences[{data__sequences_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                    if isinstance(data__sequences_item, (int, float, Decimal)) and not isinstance(data__sequences_item, bool):
+                        if data__sequences_item < 0:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".sequences[{data__sequences_x}]".format(**locals()) + " must be bigger than or equal to 0", value=data__sequences_item, name="" + (name_prefix or "data") + ".sequences[{data__sequences_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "prefill_tokens" in data_keys:
+            data_keys.remove("prefill_tokens")
+            data__prefilltokens = data["prefill_tokens"]
+            if not isinstance(data__prefilltokens, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefill_tokens must be array", value=data__prefilltokens, name="" + (name_prefix or "data") + ".prefill_tokens", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='type')
+            data__prefilltokens_is_list = isinstance(data__prefilltokens, (list, tuple))
+            if data__prefilltokens_is_list:
+                data__prefilltokens_len = len(data__prefilltokens)
+                if data__prefilltokens_len > 4096:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefill_tokens must contain less than or equal to 4096 items", value=data__prefilltokens, name="" + (name_prefix or "data") + ".prefill_tokens", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, rule='maxItems')
+                for data__prefilltokens_x, data__prefilltokens_item in enumerate(data__prefilltokens):
+                    if not isinstance(data__prefilltokens_item, (int)) and not (isinstance(data__prefilltokens_item, float) and data__prefilltokens_item.is_integer()) or isinstance(data__prefilltokens_item, bool):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefill_tokens[{data__prefilltokens_x}]".format(**locals()) + " must be integer", value=data__prefilltokens_item, name="" + (name_prefix or "data") + ".prefill_tokens[{data__prefilltokens_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                    if isinstance(data__prefilltokens_item, (int, float, Decimal)) and not isinstance(data__prefilltokens_item, bool):
+                        if data__prefilltokens_item < 0:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".prefill_tokens[{data__prefilltokens_x}]".format(**locals()) + " must be bigger than or equal to 0", value=data__prefilltokens_item, name="" + (name_prefix or "data") + ".prefill_tokens[{data__prefilltokens_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if "whole" in data_keys:
             data_keys.remove("whole")
             data__whole = data["whole"]
@@ -2174,7 +2185,7 @@
                 if data__configversion < 0:
                     raise JsonSchemaValueException("" + (name_prefix or "data") + ".config_version must be bigger than or equal to 0", value=data__configversion, name="" + (name_prefix or "data") + ".config_version", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'loads', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'loads': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'token_layers', 'sequences', 'prefill_tokens'], 'properties': {'target': {'type': 'string'}, 'token_layers': {'type': 'number', 'minimum': 0}, 'sequences': {'type': 'integer', 'minimum': 0}, 'prefill_tokens': {'type': 'number', 'minimum': 0}}}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'targets', 'token_layers', 'sequences', 'prefill_tokens', 'whole', 'config_version'], 'properties': {'type': {'const': 'occupancy', 'type': 'string'}, 'targets': {'type': 'array', 'items': {'type': 'string'}, 'maxItems': 4096}, 'token_layers': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'sequences': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'prefill_tokens': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 4096}, 'whole': {'type': 'boolean'}, 'config_version': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -424,24 +424,25 @@
     records: list[TargetRecord]
 
 
-class Occupied(TypedDict, closed=True):
-    """
-    What one gateway's requests take at a target.
-    """
+TokenLayer: TypeAlias = int
 
-    target: str
-    token_layers: float
-    sequences: int
-    prefill_tokens: float
+
+Sequence: TypeAlias = int
+
+
+PrefillToken: TypeAlias = int
 
 
 class Occupancy(TypedDict, closed=True):
     """
-    What a gateway's requests take at the targets that they use.
+    What a gateway's requests take at the targets that they use, by column.
     """
 
     type: Literal['occupancy']
-    loads: list[Occupied]
+    targets: list[str]
+    token_layers: list[TokenLayer]
+    sequences: list[Sequence]
+    prefill_tokens: list[PrefillToken]
     whole: bool
     config_version: int
 
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -6,6 +6,7 @@
 
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import peers as peers_module
+from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import occupancy
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
@@ -68,15 +69,10 @@
 def loads(*rows, whole=True, version=5):
     return {
         "type": "occupancy",
-        "loads": [
-            {
-                "target": name,
-                "token_layers": tokens,
-                "sequences": sequences,
-                "prefill_tokens": 0.0,
-            }
-            for name, tokens, sequences in rows
-        ],
+        "targets": [name for name, _, _ in rows],
+        "token_layers": [tokens for _, tokens, _ in rows],
+        "sequences": [sequences for _, _, sequences in rows],
+        "prefill_tokens": [0 for _ in rows],
         "whole": whole,
         "config_version": version,
     }
@@ -207,3 +203,19 @@
     ]
     network.peers._found(client.Listing(1, rows))
     assert network.peers.sharers() == 31
+
+
+def test_loads_with_columns_of_unlike_length_are_dropped(network):
+    message = {**loads(("a", 10, 2)), "sequences": []}
+    network.peers._on_message(network.link("g1"), message)
+    now_s = network.bench.reactor.seconds()
+    assert network.occupancy.load("a", now_s).sequences == 0
+
+
+def test_the_loads_of_a_gateway_pass_the_links_checks(network):
+    network.occupancy.reserve(
+        "r", (model.Stage(make_target("a"), 0, 40),), 100.4, 70.2
+    )
+    link = network.link("g1")
+    assert codec.decode(codec.encode(link.sent[0])) == link.sent[0]
+    assert link.sent[0]["token_layers"] == [4016]
