Let no path cross a busy pipe, and no silent run end for want of repeats

Ruled out: preemption (57 requests) and processors (0.12 of a core at most). Gateways now count crossings and tell each other; tests failed first.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -159,6 +159,7 @@
             lambda name: self.occupancy.load(name, now_s),
             self._targets.pace,
             lambda name: self._full_until_s.get(name, 0.0) > now_s,
+            self.occupancy.crossing_mbps(now_s),
             self._bias(),
         )
         holders = self._targets.of_service(job.service.name)
@@ -224,7 +225,14 @@
             self._start(job, choice)
 
     def _start(self, job, choice):
-        self._rate.started(self._reactor.seconds())
+        now_s = self._reactor.seconds()
+        self._rate.started(now_s)
+        self.occupancy.crossed(
+            paths.crossing_megabits(
+                choice.path, job.need.prompt_tokens, job.service.engine
+            ),
+            now_s,
+        )
         self.occupancy.reserve(
             job.item.request,
             choice.path,
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -312,6 +312,11 @@
             self._reactor.seconds(),
             message["whole"],
         )
+        self._parts.occupancy.heard_crossing(
+            link.peer["name"],
+            message["crossing_mbps"],
+            self._reactor.seconds(),
+        )
 
     def _take_catalog(self, link, message):
         stored = StoredCatalog(
@@ -376,6 +381,9 @@
             "prefill_tokens": [round(one.prefill_tokens) for one in sent],
             "whole": is_whole,
             "config_version": self._config_version(),
+            "crossing_mbps": self._parts.occupancy.own_crossing_mbps(
+                self._reactor.seconds()
+            ),
         }
 
     def _broadcast(self, message):
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -92,7 +92,7 @@
             self._suspected = True
             for stage in self.path:
                 self._context.targets.suspect(stage.target, "silent stream")
-        if silent_s > SILENCE_TO_MOVE_S and self._may_run_again():
+        if silent_s > SILENCE_TO_MOVE_S and self._may_move(now_s):
             self._move("silence")
 
     def lost(self, target: Any, reason: str) -> None:
@@ -221,6 +221,13 @@
             )
         )
 
+    def _may_move(self, now_s):
+        """Tells whether a silent run may be given up for another."""
+        kept = 0 if self._events else RETRIES_KEPT
+        has_repeats = self._budget().remaining(now_s) >= kept + 1
+        has_offers = self._offers < OFFERS_MAX
+        return has_repeats and has_offers and self._may_run_again()
+
     def _spend_retry(self, now_s):
         """Spends a repeat; streams in progress have the last ones."""
         budget = self._budget()
--- a/src/hemlocktiller/_internal/policy/occupancy.py
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -4,6 +4,7 @@
 count what they have sent themselves and tell each other the sums.
 """
 
+import collections
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -13,6 +14,11 @@
 PEER_TTL_S = 2.5
 
 
+# Crossings are counted over this long; a prompt takes a tenth of it on a
+# slow pipe.
+CROSSING_WINDOW_S = 1.5
+
+
 class Load(NamedTuple):
     """What runs at a target.
 
@@ -46,6 +52,10 @@
         self._own: dict[str, Load] = {}
         self._requests: dict[str, Reserved] = {}
         self._peers: dict[str, tuple[float, Mapping[str, Load]]] = {}
+        self._crossings: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self._peer_crossings_mbps: dict[str, tuple[float, float]] = {}
 
     def reserve(
         self, request: str, path: model.Path, tokens: float, prompt: float
@@ -56,6 +66,31 @@
         self._requests[request] = reserved
         self._add(reserved, 1)
 
+    def crossed(self, megabits: float, now_s: float) -> None:
+        """Notes activations that a request sends between data centres."""
+        if megabits:
+            self._crossings.append((now_s, megabits))
+
+    def own_crossing_mbps(self, now_s: float) -> float:
+        """Returns what requests of this process send between them."""
+        oldest_s = now_s - CROSSING_WINDOW_S
+        while self._crossings and self._crossings[0][0] < oldest_s:
+            self._crossings.popleft()
+        total = sum(megabits for _, megabits in self._crossings)
+        return total / CROSSING_WINDOW_S
+
+    def heard_crossing(self, peer: str, mbps: float, now_s: float) -> None:
+        """Takes what a peer's requests send between data centres."""
+        self._peer_crossings_mbps[peer] = (now_s, mbps)
+
+    def crossing_mbps(self, now_s: float) -> float:
+        """Returns what all send between data centres, as far as known."""
+        return self.own_crossing_mbps(now_s) + sum(
+            mbps
+            for heard_s, mbps in self._peer_crossings_mbps.values()
+            if now_s - heard_s < PEER_TTL_S
+        )
+
     def began(self, request: str) -> None:
         """Notes that a request's prompt has been read."""
         reserved = self._requests.get(request)
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -26,6 +26,20 @@
 # Part of a target's memory that is promised; beyond it engines preempt.
 MEMORY_RATIO = 0.95
 MAX_STAGES = 32
+# Beyond this share of the pipe no path crosses: transfers wait for one
+# another there, and each of them holds up all stages of its request.
+PIPE_SHARE = 0.4
+
+
+def crossing_megabits(
+    path: model.Path, prompt_tokens: float, engine: model.Engine
+) -> float:
+    """Returns what a prompt sends between data centres on a path."""
+    crossings = sum(
+        left.target.data_centre != right.target.data_centre
+        for left, right in itertools.pairwise(path)
+    )
+    return crossings * prompt_tokens * engine.activation_mb * 8.0
 
 
 class Need(NamedTuple):
@@ -50,6 +64,7 @@
         load: Load of a target by name.
         pace: Slowness of a target by name; 1 is usual.
         is_full: Whether a target turned work down a moment ago.
+        crossing_mbps: What all send between data centres of late.
         bias: Factor on the predicted time at a data centre; differs between
             requests, so that gateways that know the same choose apart.
     """
@@ -58,6 +73,7 @@
     load: Callable[[str], occupancy.Load]
     pace: Callable[[str], float]
     is_full: Callable[[str], bool]
+    crossing_mbps: float = 0.0
     bias: Callable[[str], float] = lambda data_centre: 1.0
 
 
@@ -131,7 +147,9 @@
             target = holder.target
             if any(stage.target is target for stage in path):
                 continue
-            hop_read_ms, hop_ms = _hop(last, target, need, view.engine)
+            hop_read_ms, hop_ms = _hop(last, target, need, view)
+            if hop_read_ms == math.inf:
+                continue
             for end in holder.stops:
                 layers = end - layer
                 if not 0 < layers <= holder.max_layers:
@@ -225,12 +243,16 @@
     )
 
 
-def _hop(last, target, need, engine):
-    """Returns ms to pass on the prompt, and each token."""
+def _hop(last, target, need, view):
+    """Returns ms to pass on the prompt, and each token; inf for no way."""
+    engine = view.engine
     if last is None:
         return 0.0, 0.0
     megabits = need.prompt_tokens * engine.activation_mb * 8.0
     if last.data_centre == target.data_centre:
         return megabits / engine.link_mbps * 1000.0, HOP_MS
+    free = 1.0 - view.crossing_mbps / (engine.pipe_mbps * PIPE_SHARE)
+    if free <= 0.0:
+        return math.inf, CROSSING_MS
     crossing_ms = megabits / engine.pipe_mbps * 1000.0
-    return crossing_ms * CROSSING_WEIGHT, CROSSING_MS
+    return crossing_ms * CROSSING_WEIGHT / free, CROSSING_MS
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -445,6 +445,7 @@
     prefill_tokens: list[PrefillToken]
     whole: bool
     config_version: int
+    crossing_mbps: float
 
 
 class TargetHealth(TypedDict, closed=True):
--- a/tests/unit/gateway/test_paths.py
+++ b/tests/unit/gateway/test_paths.py
@@ -152,3 +152,32 @@
         job = dispatcher.Job("r", None, service, NEED, None, None)
         firsts.append(gateway.choose(job).path[0].target.data_centre)
     assert all(firsts.count(name) >= 4 for name in ("dc-a", "dc-b", "dc-c"))
+
+
+def split_chain():
+    """One chain of which each data centre holds a half."""
+    left = chain("a", "middle", [0, 16, 32, 48, 64, 80])[:3]
+    right = chain("b", "middle", [0, 16, 32, 48, 64, 80], "dc-b")[3:]
+    return left + right
+
+
+def test_a_path_may_cross_while_the_pipe_is_idle(view, engine):
+    choice = paths.choose(split_chain(), NEED, view)
+    assert_whole(choice, engine)
+    crossed = paths.crossing_megabits(choice.path, 774.0, engine)
+    assert crossed == pytest.approx(774.0 * engine.activation_mb * 8.0)
+
+
+def test_no_path_crosses_a_busy_pipe(view, engine):
+    busy = view._replace(
+        crossing_mbps=engine.pipe_mbps * paths.PIPE_SHARE + 1.0
+    )
+    assert paths.choose(split_chain(), NEED, busy) is None
+
+
+def test_crossings_are_forgotten(engine):
+    loads = occupancy.Occupancy()
+    loads.crossed(300.0, 10.0)
+    rate = 300.0 / occupancy.CROSSING_WINDOW_S
+    assert loads.crossing_mbps(10.5) == rate
+    assert loads.crossing_mbps(20.0) == 0.0
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -75,6 +75,7 @@
         "prefill_tokens": [0 for _ in rows],
         "whole": whole,
         "config_version": version,
+        "crossing_mbps": 100.0,
     }
 
 
@@ -219,3 +220,10 @@
     link = network.link("g1")
     assert codec.decode(codec.encode(link.sent[0])) == link.sent[0]
     assert link.sent[0]["token_layers"] == [4016]
+
+
+def test_crossings_of_peers_add_up(network):
+    for name in ("g1", "g2"):
+        network.peers._on_message(network.link(name), loads())
+    now_s = network.bench.reactor.seconds()
+    assert network.occupancy.crossing_mbps(now_s) == 200.0
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -218,3 +218,15 @@
     )
     assert admitted.caller.status == 503
     assert float(admitted.caller.header(b"Retry-After")) > 0
+
+
+def test_a_silent_run_goes_on_where_it_may_not_be_repeated(streaming):
+    bench, admitted = streaming
+    stream = bench.stream(admitted)
+    sent = bench.connect()
+    spend_repeats(bench, 2)
+    bench.reactor.advance(1.2)
+    stream.check(bench.reactor.seconds())
+    assert admitted.caller.ending == ""
+    sent.answer(HEAD + chunk(event(1)) + END)
+    assert admitted.caller.ending == "whole"
