--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -25,7 +25,7 @@
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import subsets
 from hemlocktiller._internal.store import client
-from hemlocktiller._internal.store import watch
+from hemlocktiller._internal.store import registration
 
 KIND = "gateways"
 ROLE = "gateway"
@@ -118,7 +118,15 @@
 
     def start(self) -> None:
         """Registers this process and links to the others."""
-        registering = defer.Deferred.fromCoroutine(self._register())
+        address = self._settings.links_address
+        registering = defer.Deferred.fromCoroutine(
+            registration.write(
+                self._store,
+                KIND,
+                self._settings.name,
+                {"host": address.host, "port": address.port},
+            )
+        )
         registering.addErrback(_log_end)
         for interval_s, step in (
             (DISCOVERY_S, self._discover),
@@ -186,28 +194,6 @@
             }
         )
 
-    async def _register(self):
-        """Writes the own address, until that has succeeded."""
-        address = self._settings.links_address
-        value = {"host": address.host, "port": address.port}
-        failures = 0
-        while True:
-            try:
-                current = await self._store.read(KIND, self._settings.name)
-                if current is not None and current.value == value:
-                    return
-                version = current.version if current else 0
-                await self._store.update(
-                    KIND, self._settings.name, value, version
-                )
-            except exceptions.StoreError as error:
-                events.emit("not_registered", reason=str(error))
-            else:
-                return
-            wait_s = watch.backoff_s(self._store.settings, failures)
-            failures += 1
-            await task.deferLater(self._reactor, wait_s)
-
     def _discover(self):
         reading = self._store.read_all(KIND, may_be_stale=True)
         reading.addCallback(self._found)
--- a/src/hemlocktiller/_internal/process.py
+++ b/src/hemlocktiller/_internal/process.py
@@ -19,6 +19,7 @@
 from hemlocktiller._internal.observe import explain
 from hemlocktiller._internal.observe import traces
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import registration
 from hemlocktiller._internal.store import watch
 
 PROCESS_ID_BYTES = 8
@@ -145,32 +146,10 @@
 def register(
     process: Process, kind: str, name: str, value: dict[str, Any]
 ) -> defer.Deferred[None]:
-    """Writes the object by which others find this process.
-
-    It is tried again until it is written: the process serves meanwhile
-    those who know it already.
-    """
-    return defer.Deferred.fromCoroutine(_register(process, kind, name, value))
-
-
-async def _register(
-    process: Process, kind: str, name: str, value: dict[str, Any]
-) -> None:
-    failures = 0
-    while True:
-        try:
-            current = await process.store.read(kind, name)
-            version = current.version if current else 0
-            await process.store.update(kind, name, value, version)
-        except Exception as error:
-            log.info("not registered yet: {}", error)
-        else:
-            return
-        waiting = defer.Deferred()
-        wait_s = watch.backoff_s(process.settings["store"], failures)
-        process.reactor.callLater(wait_s, waiting.callback, None)
-        await waiting
-        failures += 1
+    """Writes the object by which others find this process."""
+    return defer.Deferred.fromCoroutine(
+        registration.write(process.store, kind, name, value)
+    )
 
 
 async def unregister(
