Begin a run beyond the allowed attempts where an earlier one began

Cause: runs after the loss of a later stage were not held against the route's attempts. Ruled out: lost first targets, which don't count. A test failed first; a target that has ended is still no attempt.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -63,6 +63,7 @@
         need: What it takes.
         start: Called with the path when it may start.
         refuse: Called with the time to come back when it may not.
+        first_targets: Targets that the path must begin at; None for any.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     need: paths.Need
     start: Callable[[paths.Choice], None]
     refuse: Callable[[float, str], None]
+    first_targets: frozenset[str] | None = None
 
 
 class Dispatcher:
@@ -163,6 +165,12 @@
             self._bias(),
         )
         holders = self._targets.of_service(job.service.name)
+        if job.first_targets is not None:
+            holders = [
+                target
+                for target in holders
+                if target.first_layer > 0 or target.name in job.first_targets
+            ]
         with CHOICE_S.time():
             return paths.choose(holders, job.need, view)
 
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
+from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import sse
 from hemlocktiller._internal.gateway import upstream
@@ -10,7 +11,6 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import fair_queue
-from hemlocktiller._internal.policy import paths
 
 # A stream that shows nothing for this long makes its targets suspect; it is
 # several events at the slowest accelerator under load.
@@ -45,7 +45,7 @@
         admitted: serving.Admitted,
         on_over: Any,
     ) -> None:
-        self.path: paths.model.Path = ()
+        self.path: model.Path = ()
         self._context = context
         self._dispatcher = dispatcher
         self._admitted = admitted
@@ -58,6 +58,7 @@
         self._events = 0
         self._runs = 0
         self._offers = 0
+        self._began_at: list[model.Target] = []
         self._run = 0
         self._longest_gap_s = 0.0
         self._longest_gap_at = 0
@@ -119,9 +120,30 @@
         )
         need = dispatcher_module.need(asked.prompt_tokens, expected, engine)
         return dispatcher_module.Job(
-            self._id, item, admitted.service, need, self._start, refuse
+            self._id,
+            item,
+            admitted.service,
+            need,
+            self._start,
+            refuse,
+            self._first_targets(),
         )
 
+    def _first_targets(self):
+        """Returns where a run must begin, once all attempts are taken.
+
+        An attempt is a target that began to run the request; one that has
+        ended doesn't count, and one that has run it may do so again.
+        """
+        alive = {
+            target.name
+            for target in self._began_at
+            if not self._context.targets.is_down(target)
+        }
+        if len(alive) < self._admitted.route.attempts:
+            return None
+        return frozenset(alive)
+
     def _start(self, choice):
         if self._over:
             self._dispatcher.withdraw(self._key)
@@ -269,6 +291,7 @@
                 self._move("encoded answer")
                 return
             self._runs += 1
+            self._began_at.append(self.path[0].target)
             self._is_streaming = True
             if not self._admitted.caller.is_started:
                 self._admitted.caller.start(status, headers)
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -230,3 +230,42 @@
     assert admitted.caller.ending == ""
     sent.answer(HEAD + chunk(event(1)) + END)
     assert admitted.caller.ending == "whole"
+
+
+def test_a_third_run_begins_where_an_earlier_one_did(
+    bench, model_service, stream_route
+):
+    bench.register(
+        *two_copies(),
+        *(
+            make_target(f"c{first}", first_layer=first, end_layer=first + 40)
+            for first in (0, 40)
+        ),
+    )
+    admitted = bench.admitted(model_service, stream_route)
+    bench.stream(admitted)
+    firsts = []
+    for number in (1, 2, 3):
+        sent = next_run(bench)
+        path = path_of(sent)
+        firsts.append(path[0])
+        sent.answer(HEAD + chunk(event(number)))
+        # A later stage goes dark; the first one lives on, but slowly.
+        bench.targets.heard_pace(path[0], 1, 9.0)
+        bench.targets.mark_down(bench.targets.by_name[path[1]], "no answer")
+    assert firsts[0] != firsts[1]
+    assert firsts[2] in firsts[:2]
+
+
+def test_a_target_that_has_ended_is_no_attempt(
+    bench, model_service, stream_route
+):
+    route = stream_route._replace(attempts=1)
+    bench.register(*two_copies())
+    admitted = bench.admitted(model_service, route)
+    bench.stream(admitted)
+    sent = bench.connect()
+    first = path_of(sent)[0]
+    sent.answer(HEAD + chunk(event(1)))
+    bench.targets.mark_down(bench.targets.by_name[first], "refused")
+    assert path_of(next_run(bench))[0] != first
