End connections with their answer at SIGTERM, and refuse large bodies soundly

Cause: an answer that had begun before SIGTERM left its connection open; the next request on it was taken seconds later and cut by the kill. Ruled out: new connections, the port was closed. Tests failed first; one of them showed that a refused body raised in the server, which is mended as well.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -163,6 +163,7 @@
         self._retries = {"budget_ratio": 0.0, "budget_min_per_s": 0.0}
         self._serving: set[Any] = set()
         self._stopping = False
+        self._is_closed = False
         self._watches: list[watch.Watch] = []
         self._ports: list[Any] = []
         self._done: defer.Deferred = defer.Deferred()
@@ -281,6 +282,9 @@
             self._early.hold(caller)
             return
         asked = self._wire.read_request(caller.requestHeaders)
+        if self._is_closed:
+            self._reject(caller, asked, 503, "stopping")
+            return
         catalog = self.catalog
         is_sound = upstream.may_be_sent(
             caller.method.decode("latin-1"),
@@ -497,9 +501,11 @@
         began_s = self._reactor.seconds()
         await self._lease.release()
         self._duty.stop()
-        self._callers.is_closing = True
+        self._callers.begin_closing()
         while self._reactor.seconds() < began_s + STOP_ACCEPTING_S:
             await task.deferLater(self._reactor, POLL_S)
+        # What comes later on a kept connection might not end in time.
+        self._is_closed = True
         await defer.maybeDeferred(self._ports[0].stopListening)
         while (
             self._serving
--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from typing import Any
+import weakref
 
 from twisted.web import http
 
@@ -25,6 +26,11 @@
 # Before a configuration is known, callers may send what is usual.
 DEFAULT_LIMITS = model.CallerLimits(16_384, 4_194_304, 3.0, 15.0)
 
+TOO_LARGE = (
+    b"HTTP/1.1 413 Content Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
 _REASONS = {421: b"Misdirected Request"}
 
 
@@ -116,8 +122,14 @@
         self.channel.loseConnection()
 
     def _refuse_body(self) -> None:
-        self.channel.persistent = False
-        self.answer(413, [])
+        """Answers before the body is in, and reads no more of it.
+
+        The channel still parses this request, so that it can't be finished
+        in the usual way.
+        """
+        self.is_over = True
+        self.channel.transport.write(TOO_LARGE)
+        self.channel.loseConnection()
 
     def _left(self, reason: Any) -> None:
         if not self.is_over:
@@ -131,7 +143,7 @@
     Attributes:
         limits: Limits on callers in force.
         is_closing: Whether answers ask callers to use another entry.
-        connections: Open connections.
+        connections: Connections that were not collected yet.
     """
 
     noisy = False
@@ -146,7 +158,7 @@
         self.on_request = on_request
         self.limits = DEFAULT_LIMITS
         self.is_closing = False
-        self.connections: set[Any] = set()
+        self.connections: weakref.WeakSet[Any] = weakref.WeakSet()
 
     def set_limits(self, limits: model.CallerLimits) -> None:
         """Puts limits in force for new connections and requests."""
@@ -165,13 +177,19 @@
     def log(self, request: Any) -> None:
         """Writes no access log; events tell more."""
 
+    def begin_closing(self) -> None:
+        """Lets each connection end with the answer that it is giving."""
+        self.is_closing = True
+        for channel in list(self.connections):
+            if channel.requests:
+                channel.persistent = False
+
     def close_idle(self) -> None:
         """Closes connections on which no request is in progress."""
         for channel in list(self.connections):
             transport = channel.transport
-            if transport is None or not transport.connected:
-                self.connections.discard(channel)
-            elif not channel.requests:
+            is_open = transport is not None and transport.connected
+            if is_open and not channel.requests:
                 channel.loseConnection()
 
 
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -221,3 +221,22 @@
         assert spent < 1_000
     settings = make_settings()
     assert spent * 31 <= settings.retry_extra
+
+
+def test_a_request_long_after_sigterm_is_told_that_it_did_not_run(
+    gateway, catalog
+):
+    gateway._take_config(catalog)
+    gateway._ports = [SimpleNamespace(stopListening=lambda: None)]
+    gateway._checker.start(1.0, now=False)
+    gateway._reloader.start(1.0, now=False)
+    gateway._poller.start(1.0, now=False)
+    gateway._lease.release = lambda: defer.succeed(None)
+    first = request(gateway)
+    gateway.stop()
+    for _ in range(60):
+        gateway._reactor.advance(0.05)
+    assert first.status == 504
+    late = request(gateway)
+    assert late.status == 503
+    assert float(late.header(b"Retry-After")) > 0
