--- a/src/hemlocktiller/_internal/observe/events.py
+++ b/src/hemlocktiller/_internal/observe/events.py
@@ -73,6 +73,7 @@
     """Writes lines to a descriptor and drops those that it can't take."""
 
     def __init__(self, stream: TextIO) -> None:
+        self._stream = stream  # Closes its descriptor when collected.
         self._descriptor = stream.fileno()
         self._rest = b""
         os.set_blocking(self._descriptor, False)
