Stop requests that crash targets at gateways

Cause: nothing held the losses of targets against the request that they began to run; a stream moved on to one copy of the model after another, and callers brought it back at any gateway. Change: policy/suspects and its feed between processes serve gateways too. Evidence is a run that had shown no event when a target of its path went down; a stream that shows one is cleared. A run that may be the second crash waits until its target has been asked. Gateways are linked to all, so evidence is not relayed.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -14,6 +14,7 @@
 
 from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.gateway import calls
+from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
 from hemlocktiller._internal.gateway import early
 from hemlocktiller._internal.gateway import ingress
@@ -179,6 +180,7 @@
             wire,
             self.targets,
             self._budget,
+            crashes.Crashes(reactor),
             settings.data_centre,
             settings.name,
         )
@@ -205,6 +207,7 @@
             peers_module.Parts(
                 self.targets,
                 self._dispatcher.occupancy,
+                self._context.crashes.feed,
                 lambda: self._stored_catalog,
                 self._offer_catalog,
             ),
@@ -464,8 +467,7 @@
             self._early.release()
 
     def _target_down(self, target, reason):
-        for work in list(self._serving):
-            work.lost(target, reason)
+        serving.target_down(self._context, self._serving, target, reason)
 
     def _on_lease(self, is_held):
         self._duty.on_lease(is_held)
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import upstream
@@ -58,7 +59,11 @@
 
 
 class Call:
-    """State of one request to a plain service."""
+    """State of one request to a plain service.
+
+    Attributes:
+        digest: What the request is known by when it comes again.
+    """
 
     def __init__(
         self,
@@ -73,6 +78,7 @@
         self._rng = rng
         self._admitted = admitted
         self._on_over = on_over
+        self.digest = serving.digest(admitted)
         self._id = admitted.asked.request_id
         self._running: dict[str, _Run] = {}
         self._tried: set[str] = set()
@@ -86,7 +92,14 @@
         self._timer = context.reactor.callLater(max(0.0, left_s), self._expire)
 
     def begin(self) -> None:
-        """Sends the call."""
+        """Sends the call, unless it is known to crash targets."""
+        state = self._context.crashes.state(self.digest)
+        if state == "condemned":
+            self._condemned()
+            return
+        if state == "undecided":
+            self._refuse(crashes.REASON_CONDEMNED, crashes.DECISION_S)
+            return
         if not self._send():
             self._refuse("no target has a free place")
             return
@@ -106,6 +119,10 @@
         if run is not None and self._admitted.route.may_repeat:
             self._broken(run, upstream.Failed(reason, was_sent=True))
 
+    def is_waiting_at(self, target: model.Target) -> bool:
+        """Tells whether a target has the call and has not answered."""
+        return target.name in self._running
+
     def _send(self):
         """Sends the call to one more target; tells whether it could."""
         context = self._context
@@ -191,6 +208,7 @@
         if answered.not_run:
             self._turned_down(run, answered)
             return
+        self._context.crashes.began(self.digest)
         self._ran += 1
         answer = _Answer(run.status, run.headers, b"".join(run.body))
         is_failure = run.status >= 500
@@ -217,6 +235,7 @@
         else:
             self._context.targets.failed(run.target, failed.reason)
         if failed.was_sent:
+            self._context.crashes.broke(self.digest, [run.target])
             self._ran += 1
             self._again_or_end(failed.reason)
             return
@@ -244,6 +263,14 @@
     def _again_or_end(self, reason):
         if self._running:
             return
+        state = self._context.crashes.state(self.digest)
+        if state == "condemned":
+            self._condemned()
+            return
+        if state == "undecided":
+            # A call has no time to wait for the decision.
+            self._give_up(reason)
+            return
         now_s = self._context.reactor.seconds()
         if (
             self._may_run_again()
@@ -277,14 +304,27 @@
             answer.status, answer.headers, answer.body
         )
 
-    def _refuse(self, reason):
+    def _refuse(self, reason, retry_after_s=RETRY_AFTER_S):
         self._close()
         serving.refuse(
             self._context,
             self._admitted,
             serving.STATUS_OVERLOADED,
             reason,
-            RETRY_AFTER_S,
+            retry_after_s,
+        )
+
+    def _condemned(self):
+        """Ends a call that crashes the targets that run it."""
+        if self._kept is not None:
+            self._deliver(self._kept)
+            return
+        self._close()
+        serving.refuse(
+            self._context,
+            self._admitted,
+            crashes.STATUS_CONDEMNED,
+            crashes.REASON_CONDEMNED,
         )
 
     def _expire(self):
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -21,6 +21,7 @@
 from hemlocktiller._internal.links import dialer
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
+from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import subsets
@@ -65,6 +66,7 @@
     Attributes:
         targets: The targets.
         occupancy: Loads of this process and of its peers.
+        suspects: Evidence against requests that crash targets.
         stored_catalog: Returns the newest configuration, or None.
         offer_catalog: Takes a configuration of a peer; tells whether it
             was put in force.
@@ -72,6 +74,7 @@
 
     targets: targets_module.Targets
     occupancy: occupancy_module.Occupancy
+    suspects: suspects_feed.SuspectsFeed
     stored_catalog: Callable[[], StoredCatalog | None]
     offer_catalog: Callable[[StoredCatalog], bool]
 
@@ -243,9 +246,11 @@
         events.emit("peer_linked", peer=link.peer["name"])
         self._heard_version(link, link.peer["config_version"])
         link.send(self._occupancy(self._parts.occupancy.own(), True))
+        self._parts.suspects.on_open(link)
 
     def _on_down(self, link, reason):
         self._links.discard(link)
+        self._parts.suspects.on_down(link)
         LINKED.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
@@ -273,6 +278,8 @@
             self._parts.targets.heard_registration(
                 message["target"], message["version"], value
             )
+        elif kind == "suspects":
+            self._parts.suspects.on_message(link, message)
         elif kind == "catalog_wanted":
             self._send_catalog(link)
         elif kind == "catalog":
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -1,11 +1,13 @@
 """What streams and calls share: a request in progress and its clocks."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Any
 from typing import NamedTuple
 
 import prometheus_client
 
+from hemlocktiller._internal.gateway import crashes as crashes_module
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
@@ -38,6 +40,7 @@
         wire: The platform's adapter.
         targets: The targets.
         budgets: Returns the retry budget of a service.
+        crashes: Evidence against requests that crash targets.
         data_centre: Where this process runs.
         node: Name of this process.
     """
@@ -46,6 +49,7 @@
     wire: wire_module.Wire
     targets: targets_module.Targets
     budgets: Callable[[str], budget.RetryBudget]
+    crashes: crashes_module.Crashes
     data_centre: str
     node: str
 
@@ -82,6 +86,29 @@
     return admitted.caller.arrived_s + longest_s
 
 
+def digest(admitted: Admitted) -> int:
+    """Returns the digest by which a request is known when it comes again."""
+    return crashes_module.digest(
+        admitted.workspace, admitted.caller.uri, admitted.body
+    )
+
+
+def target_down(
+    context: Context,
+    in_progress: Iterable[Any],
+    target: model.Target,
+    reason: str,
+) -> None:
+    """Takes the loss of a target; the evidence first, as moves need it."""
+    in_progress = list(in_progress)
+    waiting = [
+        work.digest for work in in_progress if work.is_waiting_at(target)
+    ]
+    context.crashes.target_down(target, waiting)
+    for work in in_progress:
+        work.lost(target, reason)
+
+
 def refuse(
     context: Context,
     admitted: Admitted,
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
@@ -36,6 +37,7 @@
 
     Attributes:
         path: Stages of the current run; empty while there is none.
+        digest: What the request is known by when it comes again.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self._dispatcher = dispatcher
         self._admitted = admitted
         self._on_over = on_over
+        self.digest = serving.digest(admitted)
         self._id = admitted.asked.request_id
         self._key = f"{id(self):x}/{self._id}"
         self._exchange: upstream.Exchange | None = None
@@ -76,7 +79,18 @@
         self._timer = context.reactor.callLater(max(0.0, left_s), self._expire)
 
     def begin(self) -> None:
-        """Looks for a path."""
+        """Looks for a path, unless the request is known to crash targets."""
+        if self._over:
+            return
+        state = self._context.crashes.state(self.digest)
+        if state == "condemned":
+            self._condemned()
+            return
+        if state == "undecided":
+            self._waiting = self._context.reactor.callLater(
+                crashes.DECISION_S, self.begin
+            )
+            return
         self._dispatcher.submit(self._job(LONGEST_QUEUE_WAIT_S, self._refuse))
 
     def check(self, now_s: float) -> None:
@@ -98,9 +112,20 @@
 
     def lost(self, target: Any, reason: str) -> None:
         """Moves away from a target that is down."""
-        if any(stage.target.name == target.name for stage in self.path):
+        if self._runs_at(target):
             self._move(f"{target.name} is down: {reason}")
 
+    def is_waiting_at(self, target: model.Target) -> bool:
+        """Tells whether no target has shown that it survives the request."""
+        return self._runs_at(target) and not self._is_proven()
+
+    def _runs_at(self, target):
+        return any(stage.target.name == target.name for stage in self.path)
+
+    def _is_proven(self):
+        """Tells whether a target has run a part of the request, and lived."""
+        return self._events > 0 or self._last_event_id != ""
+
     # Runs
 
     def _job(self, wait_s, refuse):
@@ -218,6 +243,13 @@
     def _move(self, reason, ran=True):
         """Gives the current run up and goes on at another path."""
         self._drop_run()
+        state = self._context.crashes.state(self.digest)
+        if state == "condemned":
+            self._condemned()
+            return
+        if state == "undecided":
+            self._move_later(crashes.DECISION_S, reason, ran)
+            return
         admitted = self._admitted
         now_s = self._context.reactor.seconds()
         can_repeat = admitted.route.may_repeat or not ran
@@ -263,8 +295,11 @@
         if not self._events or waited_s > RESUME_WINDOW_S:
             self._fail(f"{reason}; no repeats left", ran)
             return
+        self._move_later(BUDGET_WAIT_S, reason, ran)
+
+    def _move_later(self, wait_s, reason, ran):
         self._waiting = self._context.reactor.callLater(
-            BUDGET_WAIT_S, self._move, reason, ran
+            wait_s, self._move, reason, ran
         )
 
     def _drop_run(self):
@@ -321,6 +356,7 @@
             arrived_s = self._admitted.caller.arrived_s
             serving.FIRST_S.labels("streaming").observe(now_s - arrived_s)
             self._dispatcher.occupancy.began(self._key)
+            self._context.crashes.began(self.digest)
         self._heard_s = now_s
         self._suspected = False
         self._events += 1
@@ -368,8 +404,18 @@
             if self.path:
                 self._move(failed.reason, ran=False)
             return
-        for stage in self.path:
+        path = self.path
+        is_suspect = self._context.crashes.state(self.digest) == "suspect"
+        if not self._is_proven():
+            self._context.crashes.broke(
+                self.digest, [stage.target for stage in path]
+            )
+        for stage in path:
             self._context.targets.suspect(stage.target, failed.reason)
+        if is_suspect and not self._is_proven():
+            self._drop_run()
+            self._move_later(crashes.VERDICT_S, failed.reason, failed.was_sent)
+            return
         self._move(failed.reason, ran=failed.was_sent)
 
     def _turned_down(self, answered, status):
@@ -429,6 +475,18 @@
             retry_after_s,
         )
 
+    def _condemned(self):
+        """Ends a request that crashes the targets that run it."""
+        reason = crashes.REASON_CONDEMNED
+        if self._admitted.caller.is_started:
+            self._finish("cut", reason)
+            self._admitted.caller.cut()
+            return
+        self._close()
+        serving.refuse(
+            self._context, self._admitted, crashes.STATUS_CONDEMNED, reason
+        )
+
     def _expire(self):
         was_sent = bool(self.path) or self._runs > 0
         reason = "deadline passed"
--- a/src/hemlocktiller/_internal/links/suspects_feed.py
+++ b/src/hemlocktiller/_internal/links/suspects_feed.py
@@ -23,10 +23,20 @@
 
 
 class SuspectsFeed:
-    """The evidence of this process and the links that it goes to."""
+    """The evidence of this process and the links that it goes to.
 
-    def __init__(self, reactor: Any, settings: Any) -> None:
+    Args:
+        reactor: Reactor.
+        settings: Time that a suspect is remembered.
+        relays: Whether a peer's evidence goes on to the other links; not
+            needed where each process is linked to all.
+    """
+
+    def __init__(
+        self, reactor: Any, settings: Any, relays: bool = True
+    ) -> None:
         self.suspects = suspects.Suspects(settings)
+        self._relays = relays
         self._reactor = reactor
         self._links: set[link_module.Link] = set()
 
@@ -74,7 +84,8 @@
         """Takes a peer's evidence and passes on what is new."""
         now_s = self._reactor.seconds()
         fresh = self.suspects.merge(message["entries"], now_s)
-        self._send(fresh, link)
+        if self._relays:
+            self._send(fresh, link)
 
     def _send(
         self, entries: list[Any], source: link_module.Link | None
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -13,6 +13,7 @@
 from twisted.python import failure
 
 from hemlocktiller._internal.gateway import calls
+from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
@@ -136,7 +137,7 @@
             catalog=lambda value: value,
             target=lambda name, value: value,
             report_path="/report",
-            report=lambda body: None,
+            report=lambda body: SimpleNamespace(pace=1.0),
             order_path="/order",
             place_order=lambda *order: b"{}",
         )
@@ -151,6 +152,7 @@
             self.wire,
             self.targets,
             lambda service: self.budget,
+            crashes.Crashes(self.reactor),
             "dc-a",
             "gateway-1",
         )
@@ -158,6 +160,12 @@
             self.reactor, self.targets, "dc-a", random.Random(1)
         )
         self.over: list[Any] = []
+        self._in_progress: list[Any] = []
+        self.targets.on_down.append(
+            lambda target, reason: serving.target_down(
+                self.context, self._in_progress, target, reason
+            )
+        )
         self._seen = 0
 
     def register(self, *targets: model.Target) -> None:
@@ -201,6 +209,7 @@
             admitted,
             self.over.append,
         )
+        self._in_progress.append(made)
         made.begin()
         return made
 
@@ -209,7 +218,7 @@
         made = streams.Stream(
             self.context, self.dispatcher, admitted, self.over.append
         )
-        self.targets.on_down.append(made.lost)
+        self._in_progress.append(made)
         made.begin()
         return made
 
@@ -230,6 +239,10 @@
         factory.clientConnectionFailed(None, reason)
         return port
 
+    def next_port(self) -> int:
+        """Returns the port of the next connection that was opened."""
+        return self.reactor.tcpClients[self._seen][1]
+
     def opened(self) -> int:
         """Returns how many opened connections were not yet looked at."""
         return len(self.reactor.tcpClients) - self._seen
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -37,6 +37,7 @@
     def __init__(self, bench, stored):
         self.bench = bench
         self.occupancy = occupancy.Occupancy()
+        self.suspects = bench.context.crashes.feed
         self.offered = []
         self.stored = stored
         self.peers = peers_module.Peers(
@@ -44,7 +45,11 @@
             make_settings(),
             SilentStore(bench.reactor),
             peers_module.Parts(
-                bench.targets, self.occupancy, lambda: self.stored, self._offer
+                bench.targets,
+                self.occupancy,
+                self.suspects,
+                lambda: self.stored,
+                self._offer,
             ),
             random.Random(1),
         )
@@ -227,3 +232,14 @@
         network.peers._on_message(network.link(name), loads())
     now_s = network.bench.reactor.seconds()
     assert network.occupancy.crossing_mbps(now_s) == 200.0
+
+
+def test_evidence_against_a_request_goes_to_and_comes_from_peers(network):
+    link = network.link("gateway-2")
+    entry = {"digest": 7, "targets": ["a/1"], "expires_in_s": 60.0}
+    message = {"type": "suspects", "entries": [entry]}
+    network.peers._on_message(link, message)
+    assert network.suspects.state(7) == "suspect"
+    late = network.link("gateway-3")
+    assert late.sent[-1]["type"] == "suspects"
+    assert [one["digest"] for one in late.sent[-1]["entries"]] == [7]
