Wait longer on watches of the store, and ping it instead

Change: a watch waits for half of the store's history. What the short wait was for is done otherwise: connections are probed by the system while idle, the reading of gateways (stale, a tenth of the price) tells of an outage, and when the store is back the watches begin anew. Ruled out: stale watches, as draining must be known within two seconds.

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -154,7 +154,12 @@
     async def _step(self):
         """Bids or renews once; returns the wait in seconds."""
         if self._must_read:
-            self._observe(await self._store.read(KIND, self._name))
+            # An older version only delays a bid: it is taken by a condition.
+            # After a failure the own version may be newer than that.
+            stored = await self._store.read(
+                KIND, self._name, may_be_stale=self._failures == 0
+            )
+            self._observe(stored)
         if self._known is None:
             await self._put(_value(FREE, 0, 0))
         if self._is_own():
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -210,6 +210,7 @@
                 self._context.crashes.feed,
                 lambda: self._stored_catalog,
                 self._offer_catalog,
+                self._renew_watches,
             ),
             self._rng,
         )
@@ -459,6 +460,10 @@
         )
         return True
 
+    def _renew_watches(self):
+        for one in self._watches:
+            one.renew()
+
     def _knows_deployment(self):
         return self.catalog is not None and self.targets.known
 
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -15,7 +15,6 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import dialer
@@ -27,6 +26,7 @@
 from hemlocktiller._internal.policy import subsets
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
+from hemlocktiller._internal.store import watch
 
 KIND = "gateways"
 ROLE = "gateway"
@@ -70,6 +70,7 @@
         stored_catalog: Returns the newest configuration, or None.
         offer_catalog: Takes a configuration of a peer; tells whether it
             was put in force.
+        on_store_back: Called when the store answers after it did not.
     """
 
     targets: targets_module.Targets
@@ -77,6 +78,7 @@
     suspects: suspects_feed.SuspectsFeed
     stored_catalog: Callable[[], StoredCatalog | None]
     offer_catalog: Callable[[StoredCatalog], bool]
+    on_store_back: Callable[[], None]
 
 
 class Peers:
@@ -111,7 +113,9 @@
         self._dialers: dict[str, dialer.Dialer] = {}
         self._sent: dict[str, occupancy_module.Load] = {}
         self._rounds = 0
-        self._loops: list[task.LoopingCall] = []
+        self._discovery: watch.Watch | None = None
+        self._teller: task.LoopingCall | None = None
+        self._is_store_lost = False
 
     def factory(self) -> listener.Listener:
         """Returns the factory of accepted links."""
@@ -131,20 +135,17 @@
             )
         )
         registering.addErrback(_log_end)
-        for interval_s, step in (
-            (DISCOVERY_S, self._discover),
-            (OCCUPANCY_S, self._tell_occupancy),
-        ):
-            loop = task.LoopingCall(step)
-            loop.clock = self._reactor
-            loop.start(interval_s).addErrback(_log_end)
-            self._loops.append(loop)
+        self._discovery = watch.Watch(self._store, KIND, self._discover)
+        self._discovery.on_failure = self._store_lost
+        self._teller = task.LoopingCall(self._tell_occupancy)
+        self._teller.clock = self._reactor
+        self._teller.start(OCCUPANCY_S).addErrback(_log_end)
 
     def stop(self) -> None:
         """Closes the links."""
-        for loop in self._loops:
-            if loop.running:
-                loop.stop()
+        if self._discovery is not None:
+            self._discovery.stop()
+            self._teller.stop()
         for one in self._dialers.values():
             one.stop()
         for link in list(self._links):
@@ -197,11 +198,24 @@
             }
         )
 
-    def _discover(self):
-        reading = self._store.read_all(KIND, may_be_stale=True)
-        reading.addCallback(self._found)
-        reading.addErrback(_log_unread)
-        return reading
+    async def _discover(self):
+        """Reads the gateways, and so notices an outage of the store.
+
+        A watch waits too long to tell of one by itself.
+        """
+        listing = await self._store.read_all(KIND, may_be_stale=True)
+        if self._is_store_lost:
+            self._is_store_lost = False
+            events.emit("store_back")
+            self._parts.on_store_back()
+        self._found(listing)
+        return DISCOVERY_S
+
+    def _store_lost(self):
+        if not self._is_store_lost:
+            events.emit("store_lost")
+        self._is_store_lost = True
+        self._parts.targets.store_lost()
 
     def _found(self, listing):
         named = {
@@ -393,10 +407,5 @@
     )
 
 
-def _log_unread(reason):
-    reason.trap(exceptions.StoreError)
-    events.emit("peers_unread", reason=str(reason.value))
-
-
 def _log_end(reason):
     events.emit("loop_ended", reason=reason.getTraceback())
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -78,14 +78,22 @@
         return self._transport.close()
 
     def read(
-        self, kind: str, name: str
+        self, kind: str, name: str, may_be_stale: bool = False
     ) -> "defer.Deferred[StoredObject | None]":
         """Reads an object; None if it does not exist.
 
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            may_be_stale: Whether an object some seconds old will do, which
+                is cheaper on some platforms.
+
         Raises:
             StoreUnavailable: The object could not be read.
         """
-        return defer.Deferred.fromCoroutine(self._read(kind, name))
+        return defer.Deferred.fromCoroutine(
+            self._read(kind, name, may_be_stale)
+        )
 
     def read_all(
         self, kind: str, may_be_stale: bool = False
@@ -180,13 +188,14 @@
         write = writes.Write(kind, name, version)
         return defer.Deferred.fromCoroutine(self._write("DELETE", write))
 
-    async def _read(self, kind, name):
-        found = await self._find(kind, name)
+    async def _read(self, kind, name, may_be_stale):
+        found = await self._find(kind, name, may_be_stale)
         return found.stored if found else None
 
-    async def _find(self, kind, name):
+    async def _find(self, kind, name, may_be_stale=False):
         """Returns an object with the write that stored it, or None."""
-        reply = await self._get("read", kind, ("objects", kind, name))
+        query = {"stale": 1} if may_be_stale else None
+        reply = await self._get("read", kind, ("objects", kind, name), query)
         if reply.status == 404:
             return None
         body = _expected(reply)
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -18,6 +18,7 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.schemas import entry_settings
+from hemlocktiller._internal.store import endpoints
 
 CACHED_CONNECTIONS = 16
 CACHED_CONNECTION_TIMEOUT_S = 30.0
@@ -46,10 +47,11 @@
         self._pool = client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = CACHED_CONNECTIONS
         self._pool.cachedConnectionTimeout = CACHED_CONNECTION_TIMEOUT_S
-        self._agent = agent or client.Agent(
+        connect_timeout_s = self._timeout_s * CONNECT_TIMEOUT_RATIO
+        self._agent = agent or client.Agent.usingEndpointFactory(
             reactor,
-            connectTimeout=self._timeout_s * CONNECT_TIMEOUT_RATIO,
-            pool=self._pool,
+            endpoints.KeptAliveFactory(reactor, connect_timeout_s),
+            self._pool,
         )
         self._cooperator = task.Cooperator(
             scheduler=lambda step: reactor.callLater(0, step)
--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -73,6 +73,7 @@
         self._poll = poll
         self._stopped = False
         self._failures = 0
+        self._polling: defer.Deferred = defer.succeed(None)
         self.on_failure: Callable[[], None] = lambda: None
         self._running = defer.Deferred.fromCoroutine(self._run())
         self._running.addErrback(self._ended)
@@ -82,6 +83,11 @@
         self._stopped = True
         self._running.cancel()
 
+    def renew(self) -> None:
+        """Polls anew; the platform may have forgotten a waiting poll."""
+        if not self._stopped:
+            self._polling.cancel()
+
     async def _run(self):
         while not self._stopped:
             wait_s = await self._poll_once()
@@ -90,9 +96,12 @@
 
     async def _poll_once(self):
         try:
-            wait_s = await self._poll()
+            self._polling = defer.Deferred.fromCoroutine(self._poll())
+            wait_s = await self._polling
         except exceptions.StoreError as error:
             return self._failed(error)
+        except defer.CancelledError:
+            return 0.0
         if self._failures and not self._stopped:
             _LOG.info("watch of {} goes on", self._subject)
         self._failures = 0
--- a/tests/fakes/scripted_store.py
+++ b/tests/fakes/scripted_store.py
@@ -26,6 +26,7 @@
     value: object
     version: int
     answer: defer.Deferred
+    may_be_stale: bool = False
 
 
 class Objects:
@@ -35,6 +36,7 @@
         self.clock = task.Clock()
         self.version = 0
         self.stored = {}
+        self.replaced = {}
         self.calls = []
         self.late = []
         self.slow = []
@@ -45,6 +47,8 @@
         current = self.stored.get(place)
         if not call.is_write:
             return current
+        if current is not None:
+            self.replaced[place] = current
         if (current.version if current else 0) != call.version:
             if call.version:
                 raise exceptions.VersionConflict("changed", current)
@@ -55,11 +59,19 @@
         return stored
 
     def answer(self, call, how):
-        """Ends a waiting call as `ok`, `slow`, `refused`, `lost` or `late`.
+        """Ends a waiting call as the word says.
 
-        A slow call takes effect now and is answered by `reply`.
+        Args:
+            call: The call.
+            how: `ok`, `slow`, `refused`, `lost`, `late` or `old`. A slow
+                call takes effect now and is answered by `reply`; a read
+                that may be stale is answered `old` by the version before.
         """
         self.calls.remove(call)
+        if how == "old" and call.may_be_stale:
+            place = (call.kind, call.name)
+            self._fire(call, self.replaced.get(place))
+            return
         if how == "refused" or not call.is_write and how in ("lost", "late"):
             self._fire(call, exceptions.StoreUnavailable("refused"))
             return
@@ -109,9 +121,9 @@
         self.settings = SETTINGS
         self.dead = False
 
-    def read(self, kind, name):
+    def read(self, kind, name, may_be_stale=False):
         """Reads an object."""
-        return self._call(False, kind, name, None, 0)
+        return self._call(False, kind, name, None, 0, may_be_stale)
 
     def create(self, kind, name, value):
         """Creates an object."""
@@ -121,10 +133,19 @@
         """Replaces a version of an object."""
         return self._call(True, kind, name, value, version)
 
-    def _call(self, is_write, kind, name, value, version):
+    def _call(self, is_write, kind, name, value, version, may_be_stale=False):
         # A cancelled call may still take effect, so its answer is kept.
         answer = defer.Deferred(lambda cancelled: None)
         self.objects.calls.append(
-            Call(self, is_write, kind, name, value, version, answer)
+            Call(
+                self,
+                is_write,
+                kind,
+                name,
+                value,
+                version,
+                answer,
+                may_be_stale,
+            )
         )
         return answer
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -3,7 +3,9 @@
 import random
 
 import pytest
+from twisted.internet import defer
 
+from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.links import codec
@@ -36,6 +38,8 @@
 
     def __init__(self, bench, stored):
         self.bench = bench
+        self.store = SilentStore(bench.reactor)
+        self.store_back = []
         self.occupancy = occupancy.Occupancy()
         self.suspects = bench.context.crashes.feed
         self.offered = []
@@ -43,13 +47,14 @@
         self.peers = peers_module.Peers(
             bench.reactor,
             make_settings(),
-            SilentStore(bench.reactor),
+            self.store,
             peers_module.Parts(
                 bench.targets,
                 self.occupancy,
                 self.suspects,
                 lambda: self.stored,
                 self._offer,
+                lambda: self.store_back.append(bench.reactor.seconds()),
             ),
             random.Random(1),
         )
@@ -243,3 +248,31 @@
     late = network.link("gateway-3")
     assert late.sent[-1]["type"] == "suspects"
     assert [one["digest"] for one in late.sent[-1]["entries"]] == [7]
+
+
+@pytest.fixture
+def outage(network, monkeypatch):
+    """Starts the links; returns a list whose being filled is an outage."""
+    lasting = []
+
+    def read_all(kind, may_be_stale=False):
+        if lasting:
+            return defer.fail(exceptions.StoreUnavailable("down"))
+        return defer.succeed(client.Listing(1, []))
+
+    network.store.read_all = read_all
+    network.peers.start()
+    yield lasting
+    network.peers.stop()
+
+
+def test_an_outage_of_the_store_is_noticed_while_watches_wait(network, outage):
+    clock = network.bench.reactor
+    outage.append("down")
+    clock.pump([0.1] * 50)
+    assert clock.seconds() - network.bench.targets.outage_s < 1.0
+    outage.clear()
+    clock.pump([0.1] * 6)
+    assert len(network.store_back) == 1
+    clock.pump([0.1] * 50)
+    assert len(network.store_back) == 1
--- a/tests/unit/store_rules.py
+++ b/tests/unit/store_rules.py
@@ -4,7 +4,9 @@
 from hypothesis import strategies
 
 NUMBERS = strategies.integers(0, 1_000)
-ANSWERS = strategies.sampled_from(["ok", "slow", "refused", "lost", "late"])
+ANSWERS = strategies.sampled_from(
+    ["ok", "slow", "refused", "lost", "late", "old"]
+)
 
 
 class StoreRules(stateful.RuleBasedStateMachine):
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -98,6 +98,7 @@
 bounds.retry_budget_ratio=0.2
 bounds.retry_budget_extra=200
 provider.address=10.200.1.7:8223
+provider.history_s=20
 a.field.of.tomorrow=1
 """
 
@@ -317,6 +318,7 @@
     assert settings.callers == ("10.1.0.40", 8227)
     assert settings.store["url"] == "http://10.200.1.7:8223"
     assert settings.stop_grace_s == 8.0
+    assert settings.store["watch_timeout_s"] == 10.0
 
 
 def test_a_settings_file_without_a_field_names_it(adapter):
@@ -373,6 +375,15 @@
     assert calls[1][2] == {"after": "a"}
 
 
+def test_only_a_read_that_may_be_stale_is_asked_for_as_such(adapter):
+    found = transport.Reply(200, item("a", 1, 1))
+    one = ("GET", ("objects", "lease", "a"))
+    _, calls = carry(adapter, [found], *one, query={"stale": 1})
+    assert calls[0][2] == {"stale_ok": 1}
+    _, calls = carry(adapter, [found], *one)
+    assert calls[0][2] == {}
+
+
 def test_a_watch_reports_the_last_event_of_each_object(adapter):
     events = [
         {"deleted": False, "object": item("a", 5, 1)},
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -148,3 +148,17 @@
     platform.run(2.0)
     assert sorted(names) == sorted(f"n{number}" for number in range(20))
     assert platform.state.calls["GET"]["thing"] - before <= 5
+
+
+def test_a_renewed_watch_polls_at_once_and_misses_nothing(platform):
+    version = write(platform, "a", 1)
+    seen = []
+    watching = watch.follow(platform.store(), "thing", "a", seen.append)
+    platform.run(1.0)
+    before = platform.state.calls["GET"]["thing"]
+    watching.renew()
+    platform.run(1.0)
+    assert platform.state.calls["GET"]["thing"] == before + 1
+    write(platform, "a", 2, version)
+    assert [stored.value for stored in seen] == [1, 2]
+    watching.stop()
