Move what policies weigh beside the policies; drop unused report fields

Found on reading the gateway again: policy modules took their types from the gateway, reports were decoded into fields that nothing used, and mark_down repeated _tell_down. No change of behaviour.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -4,11 +4,11 @@
 from typing import NamedTuple
 
 from hemlocktiller._internal.gateway import crashes
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import plain
 
 # A repeatable call is sent a second time when the first has taken this
@@ -31,7 +31,7 @@
 class _Run:
     """One attempt at a target."""
 
-    def __init__(self, target: model.Target) -> None:
+    def __init__(self, target: fleet.Target) -> None:
         self.target = target
         self.exchange: upstream.Exchange | None = None
         self.status = 0
@@ -113,13 +113,13 @@
     def check(self, now_s: float) -> None:
         """Does nothing; a call's clocks are its own."""
 
-    def lost(self, target: model.Target, reason: str) -> None:
+    def lost(self, target: fleet.Target, reason: str) -> None:
         """Gives up an attempt at a target that is down, if it may repeat."""
         run = self._running.get(target.name)
         if run is not None and self._admitted.route.may_repeat:
             self._broken(run, upstream.Failed(reason, was_sent=True))
 
-    def is_waiting_at(self, target: model.Target) -> bool:
+    def is_waiting_at(self, target: fleet.Target) -> bool:
         """Tells whether a target has the call and has not answered."""
         return target.name in self._running
 
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 from hemlocktiller._internal import exceptions
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import suspects
 
 # A run breaks some milliseconds before its target is found to be down: a
@@ -44,7 +44,7 @@
         """Returns what is known of a request."""
         return self.feed.state(digest)
 
-    def broke(self, digest: int, targets: list[model.Target]) -> None:
+    def broke(self, digest: int, targets: list[fleet.Target]) -> None:
         """Notes a run that broke before it had shown anything."""
         now_s = self._reactor.seconds()
         self._drop_old(now_s)
@@ -57,7 +57,7 @@
         if len(self.feed.suspects):
             self.feed.succeeded(digest)
 
-    def target_down(self, target: model.Target, waiting: list[int]) -> None:
+    def target_down(self, target: fleet.Target, waiting: list[int]) -> None:
         """Takes the loss of a target.
 
         Args:
@@ -94,6 +94,6 @@
     return suspects.digest(workspace, uri + b"\0" + body)
 
 
-def _lifetime(target: model.Target) -> str:
+def _lifetime(target: fleet.Target) -> str:
     """Names one process of a target; it may start again under its name."""
     return f"{target.name}/{target.born_ms}"
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import paths
 
@@ -129,7 +130,7 @@
         self._note_waiting()
         self._pump_later()
 
-    def turned_down(self, target: model.Target) -> None:
+    def turned_down(self, target: fleet.Target) -> None:
         """Keeps requests away from a target that had no room."""
         until_s = self._reactor.seconds() + FULL_S
         self._full_until_s[target.name] = until_s
@@ -288,7 +289,7 @@
 
 
 def need(
-    prompt_tokens: float, output_tokens: float, engine: model.Engine
+    prompt_tokens: float, output_tokens: float, engine: fleet.Engine
 ) -> paths.Need:
     """Returns what a request takes, with the usual where it doesn't say."""
     prompt = prompt_tokens or engine.usual_prompt_tokens
--- a/src/hemlocktiller/_internal/gateway/layout_duty.py
+++ b/src/hemlocktiller/_internal/gateway/layout_duty.py
@@ -13,11 +13,11 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.control import lease as lease_module
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import layout
 from hemlocktiller._internal.store import client
 
@@ -128,7 +128,7 @@
         return [
             target
             for target in self._targets.live(service.name)
-            if target.state == model.READY
+            if target.state == fleet.READY
         ]
 
     async def _plan(self, service):
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -15,13 +15,13 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import dialer
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import subsets
 from hemlocktiller._internal.store import client
@@ -152,7 +152,7 @@
             link.close()
 
     def tell_health(
-        self, target: model.Target, is_down: bool, reason: str
+        self, target: fleet.Target, is_down: bool, reason: str
     ) -> None:
         """Tells peers what this process found of a target."""
         self._broadcast(
@@ -165,7 +165,7 @@
             }
         )
 
-    def tell_pace(self, target: model.Target, pace: float) -> None:
+    def tell_pace(self, target: fleet.Target, pace: float) -> None:
         """Tells peers how slow a target is."""
         self._broadcast(
             {
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import fleet
 
 OUTCOMES = prometheus_client.Counter(
     "hemlocktiller_gateway_answers",
@@ -96,7 +97,7 @@
 def target_down(
     context: Context,
     in_progress: Iterable[Any],
-    target: model.Target,
+    target: fleet.Target,
     reason: str,
 ) -> None:
     """Takes the loss of a target; the evidence first, as moves need it."""
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -4,7 +4,6 @@
 
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import sse
 from hemlocktiller._internal.gateway import upstream
@@ -12,6 +11,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import fleet
 
 # A stream that shows nothing for this long makes its targets suspect; it is
 # several events at the slowest accelerator under load.
@@ -47,7 +47,7 @@
         admitted: serving.Admitted,
         on_over: Any,
     ) -> None:
-        self.path: model.Path = ()
+        self.path: fleet.Path = ()
         self._context = context
         self._dispatcher = dispatcher
         self._admitted = admitted
@@ -61,7 +61,7 @@
         self._events = 0
         self._runs = 0
         self._offers = 0
-        self._began_at: list[model.Target] = []
+        self._began_at: list[fleet.Target] = []
         self._run = 0
         self._longest_gap_s = 0.0
         self._longest_gap_at = 0
@@ -115,7 +115,7 @@
         if self._runs_at(target):
             self._move(f"{target.name} is down: {reason}")
 
-    def is_waiting_at(self, target: model.Target) -> bool:
+    def is_waiting_at(self, target: fleet.Target) -> bool:
         """Tells whether no target has shown that it survives the request."""
         return self._runs_at(target) and not self._is_proven()
 
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -11,6 +11,7 @@
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import breaker
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import client
 
 # A live target of the region answers in a few ms, a loaded one in tens.
@@ -48,13 +49,13 @@
     def __init__(
         self, reactor: Any, wire: wire_module.Wire, health_path: Callable
     ) -> None:
-        self.by_name: dict[str, model.Target] = {}
-        self.on_down: list[Callable[[model.Target, str], None]] = []
+        self.by_name: dict[str, fleet.Target] = {}
+        self.on_down: list[Callable[[fleet.Target, str], None]] = []
         self.on_change: list[Callable[[], None]] = []
-        self.on_health: Callable[[model.Target, bool, str], None] = (
+        self.on_health: Callable[[fleet.Target, bool, str], None] = (
             lambda target, is_down, reason: None
         )
-        self.on_pace: Callable[[model.Target, float], None] = (
+        self.on_pace: Callable[[fleet.Target, float], None] = (
             lambda target, pace: None
         )
         self.on_registration: Callable[[str, int, Any], None] = (
@@ -66,7 +67,7 @@
         self._wire = wire
         self._health_path = health_path
         self._breaker = breaker.Breaker()
-        self._down: dict[str, model.Target] = {}
+        self._down: dict[str, fleet.Target] = {}
         self._probing: set[str] = set()
         self._lapsed: dict[str, Any] = {}
         self._versions: dict[str, int] = {}
@@ -94,20 +95,20 @@
         if changed or deleted:
             self._changed()
 
-    def of_service(self, service: str) -> list[model.Target]:
+    def of_service(self, service: str) -> list[fleet.Target]:
         """Returns the targets of a service that may take new requests."""
         now_s = self._reactor.seconds()
         return [
             target
             for target in self.by_name.values()
             if target.service == service
-            and target.state == model.READY
+            and target.state == fleet.READY
             and target.name not in self._down
             and target.name not in self._probing
             and self._breaker.allows(target.name, now_s)
         ]
 
-    def live(self, service: str) -> list[model.Target]:
+    def live(self, service: str) -> list[fleet.Target]:
         """Returns all targets of a service that are not known to be dead."""
         return [
             target
@@ -115,14 +116,14 @@
             if target.service == service and target.name not in self._down
         ]
 
-    def at(self, address: str) -> model.Target | None:
+    def at(self, address: str) -> fleet.Target | None:
         """Returns the target at an address."""
         for target in self.by_name.values():
             if target.address == address:
                 return target
         return None
 
-    def is_down(self, target: model.Target) -> bool:
+    def is_down(self, target: fleet.Target) -> bool:
         """Tells whether a target is believed to be down or is gone."""
         current = self.by_name.get(target.name)
         if current is None or target.name in self._down:
@@ -137,22 +138,22 @@
         """Returns the share of its recent answers that failed."""
         return self._failure_ratios.get(name, 0.0)
 
-    def sent(self, target: model.Target) -> None:
+    def sent(self, target: fleet.Target) -> None:
         """Notes that a request was sent."""
         self._breaker.sent(target.name, self._reactor.seconds())
 
-    def succeeded(self, target: model.Target) -> None:
+    def succeeded(self, target: fleet.Target) -> None:
         """Notes that a request was answered."""
         self._breaker.succeeded(target.name)
         self._rate(target.name, 0.0)
 
-    def failed(self, target: model.Target, reason: str) -> None:
+    def failed(self, target: fleet.Target, reason: str) -> None:
         """Notes a failure, and asks the target whether it lives."""
         self._breaker.failed(target.name, self._reactor.seconds())
         self._rate(target.name, 1.0)
         self.suspect(target, reason)
 
-    def suspect(self, target: model.Target, reason: str) -> None:
+    def suspect(self, target: fleet.Target, reason: str) -> None:
         """Asks a target whether it lives, unless that is under way."""
         name = target.name
         if name not in self.by_name or name in self._probing:
@@ -160,7 +161,7 @@
         events.emit("target_suspected", target=name, reason=reason)
         self._probe(target)
 
-    def mark_down(self, target: model.Target, reason: str) -> None:
+    def mark_down(self, target: fleet.Target, reason: str) -> None:
         """Believes that a target is down until it answers a probe."""
         name = target.name
         if name in self._down or name not in self.by_name:
@@ -169,8 +170,7 @@
         DOWN.set(len(self._down))
         events.emit("target_down", target=name, reason=reason)
         self.on_health(target, True, reason)
-        for callback in list(self.on_down):
-            callback(target, reason)
+        self._tell_down(target, reason)
         self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
         self._changed()
 
@@ -180,7 +180,7 @@
 
     def report(
         self,
-        target: model.Target,
+        target: fleet.Target,
         on_report: Callable[[model.Report], None],
         on_failed: Callable[[str], None],
     ) -> None:
@@ -315,7 +315,7 @@
         if name not in self.by_name or name in self._lapsed:
             return
         grace_s = self.outage_s + LAPSE_GRACE_S - self._reactor.seconds()
-        if grace_s <= 0 or self.by_name[name].state != model.READY:
+        if grace_s <= 0 or self.by_name[name].state != fleet.READY:
             self._remove(name)
             return
         self._lapsed[name] = self._reactor.callLater(
@@ -396,6 +396,6 @@
             callback()
 
 
-def names(targets: Iterable[model.Target]) -> list[str]:
+def names(targets: Iterable[fleet.Target]) -> list[str]:
     """Returns the names of targets, for logs."""
     return [target.name for target in targets]
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -15,8 +15,8 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import wire
+from hemlocktiller._internal.policy import fleet
 
 # A target of the same region accepts within milliseconds; a lost first
 # packet is sent again after a second, and another target is faster.
@@ -208,7 +208,7 @@
 
 def call(
     reactor: Any,
-    target: model.Target,
+    target: fleet.Target,
     request: tuple[str, str, bytes],
     timeout_s: float,
     on_done: Callable[[int, bytes], None],
--- a/src/hemlocktiller/_internal/gateway/wire.py
+++ b/src/hemlocktiller/_internal/gateway/wire.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -44,8 +45,8 @@
         last_event_id: Event after which a stream goes on.
     """
 
-    target: model.Target
-    path: model.Path
+    target: fleet.Target
+    path: fleet.Path
     time_left_s: float
     workspace: str
     last_event_id: str
@@ -90,7 +91,7 @@
     dispatch_headers: Callable[[Asked, Dispatch], Headers]
     read_answer: Callable[[int, Headers], Answered]
     catalog: Callable[[Any], model.Catalog]
-    target: Callable[[str, Any], model.Target | None]
+    target: Callable[[str, Any], fleet.Target | None]
     report_path: str
     report: Callable[[Any], model.Report]
     order_path: str
--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -12,7 +12,7 @@
 import itertools
 from typing import NamedTuple
 
-from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 
 # A chain below this many requests of usual size at once is not worth its
 # weights: the memory of one copy of the model is better spent elsewhere.
@@ -44,13 +44,13 @@
 class Placement(NamedTuple):
     """A target that should load a range of layers."""
 
-    target: model.Target
+    target: fleet.Target
     first_layer: int
     end_layer: int
 
 
 def plan(
-    targets: Iterable[model.Target], engine: model.Engine
+    targets: Iterable[fleet.Target], engine: fleet.Engine
 ) -> tuple[Slot, ...]:
     """Returns the slots that serve best, for empty targets.
 
@@ -73,8 +73,8 @@
 
 def assign(
     slots: Iterable[Slot],
-    targets: Iterable[model.Target],
-    engine: model.Engine,
+    targets: Iterable[fleet.Target],
+    engine: fleet.Engine,
 ) -> list[Placement]:
     """Returns the loads that fill the slots, moving as little as possible.
 
@@ -101,8 +101,8 @@
 
 def spares(
     slots: Iterable[Slot],
-    targets: Iterable[model.Target],
-    engine: model.Engine,
+    targets: Iterable[fleet.Target],
+    engine: fleet.Engine,
 ) -> list[Placement]:
     """Returns ranges for empty targets that no slot needs.
 
@@ -136,8 +136,8 @@
 
 def _match(slots, targets, engine):
     """Returns the slots without a holder, and targets without a slot."""
-    free: list[model.Target] = []
-    holders: dict[tuple[str, int, int], list[model.Target]] = {}
+    free: list[fleet.Target] = []
+    holders: dict[tuple[str, int, int], list[fleet.Target]] = {}
     for target in sorted(targets, key=lambda one: one.name):
         if target.accelerator not in engine.accelerators:
             continue
@@ -165,7 +165,7 @@
 
 
 def room_tokens(
-    accelerator: model.Accelerator, layers: int, engine: model.Engine
+    accelerator: fleet.Accelerator, layers: int, engine: fleet.Engine
 ) -> float:
     """Returns the tokens that fit beside a number of layers."""
     free_mb = accelerator.memory_mb - layers * engine.layer_mb
@@ -193,7 +193,7 @@
 
 
 def _best_chains(
-    counts: Mapping[str, int], engine: model.Engine
+    counts: Mapping[str, int], engine: fleet.Engine
 ) -> list[dict[str, int]]:
     """Returns the chains of one data centre with the most throughput."""
     kinds = sorted(counts, key=lambda kind: engine.accelerators[kind][2])
@@ -231,7 +231,7 @@
     return states
 
 
-def _throughput(chain: Mapping[str, int], engine: model.Engine) -> float:
+def _throughput(chain: Mapping[str, int], engine: fleet.Engine) -> float:
     """Estimates the requests per second of a chain; 0 if it is too tight.
 
     By Little's law: requests that fit at once over the time of an answer.
--- a/src/hemlocktiller/_internal/policy/occupancy.py
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -10,7 +10,7 @@
 import itertools
 from typing import NamedTuple
 
-from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 
 # A peer's sums count for this long: five missed reports at two a second.
 PEER_TTL_S = 2.5
@@ -46,7 +46,7 @@
 class Reserved(NamedTuple):
     """Memory promised to one request on its path."""
 
-    path: model.Path
+    path: fleet.Path
     tokens: float
     prompt_tokens: float
     reading: bool
@@ -73,7 +73,7 @@
     def reserve(
         self,
         request: str,
-        path: model.Path,
+        path: fleet.Path,
         tokens: float,
         prompt: float,
         now_s: float,
@@ -191,7 +191,7 @@
                 self._own.pop(name, None)
 
 
-def _stage_load(reserved: Reserved, stage: model.Stage) -> Load:
+def _stage_load(reserved: Reserved, stage: fleet.Stage) -> Load:
     """Returns what a request takes at one stage."""
     reading = reserved.prompt_tokens if reserved.reading else 0.0
     return Load(reserved.tokens * stage.layers, 1, reading * stage.layers)
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -12,7 +12,7 @@
 import math
 from typing import NamedTuple
 
-from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import layout
 from hemlocktiller._internal.policy import occupancy
 
@@ -32,7 +32,7 @@
 
 
 def crossing_megabits(
-    path: model.Path, prompt_tokens: float, engine: model.Engine
+    path: fleet.Path, prompt_tokens: float, engine: fleet.Engine
 ) -> float:
     """Returns what a prompt sends between data centres on a path."""
     crossings = sum(
@@ -69,7 +69,7 @@
             requests, so that gateways that know the same choose apart.
     """
 
-    engine: model.Engine
+    engine: fleet.Engine
     load: Callable[[str], occupancy.Load]
     pace: Callable[[str], float]
     is_full: Callable[[str], bool]
@@ -89,7 +89,7 @@
         stops: Layers at which a path may leave it.
     """
 
-    target: model.Target
+    target: fleet.Target
     max_layers: float
     read_ms: float
     step_ms: float
@@ -100,19 +100,19 @@
 class Choice(NamedTuple):
     """A path and the time that it should take."""
 
-    path: model.Path
+    path: fleet.Path
     first_event_ms: float
     total_ms: float
 
 
-def capacity(target: model.Target, engine: model.Engine) -> float:
+def capacity(target: fleet.Target, engine: fleet.Engine) -> float:
     """Returns the tokens times layers that a target has memory for."""
     kind = engine.accelerators[target.accelerator]
     return layout.room_tokens(kind, target.layers, engine) * target.layers
 
 
 def choose(
-    holders: Iterable[model.Target], need: Need, view: View
+    holders: Iterable[fleet.Target], need: Need, view: View
 ) -> Choice | None:
     """Returns the path that should answer soonest, or None if all is full.
 
@@ -169,7 +169,7 @@
                         end,
                         target,
                         first_ms + first,
-                        (*path, model.Stage(target, layer, end)),
+                        (*path, fleet.Stage(target, layer, end)),
                     ),
                 )
     return None
--- a/src/hemlocktiller/_internal/policy/plain.py
+++ b/src/hemlocktiller/_internal/policy/plain.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 import random
 
-from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 
 # A target queues a few requests beyond its slots; more are refused there.
 QUEUE_RATIO = 2.0
@@ -18,13 +18,13 @@
 
 
 def choose(
-    targets: Iterable[model.Target],
+    targets: Iterable[fleet.Target],
     outstanding: Callable[[str], int],
     failure_ratio: Callable[[str], float],
     data_centre: str,
     avoid: Collection[str],
     rng: random.Random,
-) -> model.Target | None:
+) -> fleet.Target | None:
     """Returns the target for a request; None if all are full.
 
     Args:
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -21,23 +21,24 @@
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.gateway import wire
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import client
 
 ACCELERATORS = {
     kind.name: kind
     for kind in (
-        model.Accelerator("fast", 72_000.0, 2.4, 3.2),
-        model.Accelerator("middle", 43_200.0, 5.6, 2.7),
-        model.Accelerator("slow", 21_600.0, 16.0, 8.2),
+        fleet.Accelerator("fast", 72_000.0, 2.4, 3.2),
+        fleet.Accelerator("middle", 43_200.0, 5.6, 2.7),
+        fleet.Accelerator("slow", 21_600.0, 16.0, 8.2),
     )
 }
 
 
-def make_target(name: str, **fields: Any) -> model.Target:
+def make_target(name: str, **fields: Any) -> fleet.Target:
     """Returns a target; its address follows from its name."""
     port = 1024 + sum(name.encode()) * 7 % 60_000
-    base = model.Target(
-        name, "model", "10.0.0.1", port, "dc-a", model.READY, 96, 1, "fast"
+    base = fleet.Target(
+        name, "model", "10.0.0.1", port, "dc-a", fleet.READY, 96, 1, "fast"
     )
     return base._replace(**fields)
 
@@ -137,7 +138,7 @@
             catalog=lambda value: value,
             target=lambda name, value: value,
             report_path="/report",
-            report=lambda body: SimpleNamespace(pace=1.0),
+            report=lambda body: model.Report(1, 0, False, 1.0, 0, 0),
             order_path="/order",
             place_order=lambda *order: b"{}",
         )
@@ -168,7 +169,7 @@
         )
         self._seen = 0
 
-    def register(self, *targets: model.Target) -> None:
+    def register(self, *targets: fleet.Target) -> None:
         """Registers targets."""
         self.targets.take(
             [client.StoredObject("t", one.name, 1, one) for one in targets],
@@ -280,9 +281,9 @@
 
 
 @pytest.fixture
-def engine() -> model.Engine:
+def engine() -> fleet.Engine:
     """An engine of 80 layers, as on the users' platform."""
-    return model.Engine(
+    return fleet.Engine(
         80, 1750.0, 1.836, 1.02, 0.01428, 0.01912, 105.0, 0.0918, 400_000.0,
         18_000.0, 3, 96, 14.0, 774.0, 203.0, ACCELERATORS,
     )  # fmt: skip
--- a/tests/unit/gateway/test_layout.py
+++ b/tests/unit/gateway/test_layout.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import layout
 from tests.unit.gateway.conftest import make_target
 
@@ -15,7 +15,7 @@
 }
 
 
-def fleet(zones=ZONES):
+def whole_fleet(zones=ZONES):
     """Returns empty targets."""
     return [
         make_target(f"{zone}-{kind}-{i}", data_centre=zone, accelerator=kind)
@@ -42,13 +42,13 @@
 @pytest.fixture
 def laid_out(engine):
     """The plan and the targets that hold it."""
-    targets = fleet()
+    targets = whole_fleet()
     plan = layout.plan(targets, engine)
     return plan, carried_out(targets, layout.assign(plan, targets, engine))
 
 
 def test_each_chain_holds_every_layer_once_and_in_order(engine):
-    plan = layout.plan(fleet(), engine)
+    plan = layout.plan(whole_fleet(), engine)
     chains = itertools.groupby(plan, key=lambda one: one[0] + str(one.chain))
     for _, slots in chains:
         ends = [0]
@@ -59,14 +59,14 @@
 
 
 def test_no_slot_is_larger_than_its_kind_holds(engine):
-    for slot in layout.plan(fleet(), engine):
+    for slot in layout.plan(whole_fleet(), engine):
         kind = engine.accelerators[slot.accelerator]
         layers = slot.end_layer - slot.first_layer
         assert layers * engine.layer_mb < kind.memory_mb
 
 
 def test_each_data_centre_has_a_whole_copy(engine):
-    plan = layout.plan(fleet(), engine)
+    plan = layout.plan(whole_fleet(), engine)
     assert {slot.data_centre for slot in plan} == set(ZONES)
 
 
@@ -130,13 +130,13 @@
 
 
 def test_unknown_kinds_are_left_alone(engine):
-    targets = [*fleet(), make_target("odd", accelerator="unknown")]
+    targets = [*whole_fleet(), make_target("odd", accelerator="unknown")]
     plan = layout.plan(targets, engine)
     names = {one.target.name for one in layout.assign(plan, targets, engine)}
     assert "odd" not in names
 
 
 def test_a_fleet_without_a_copy_has_no_plan(engine):
-    targets = fleet({"dc-a": {"slow": 3}})
+    targets = whole_fleet({"dc-a": {"slow": 3}})
     assert layout.plan(targets, engine) == ()
-    assert targets[0].state == model.READY
+    assert targets[0].state == fleet.READY
--- a/tests/unit/gateway/test_paths.py
+++ b/tests/unit/gateway/test_paths.py
@@ -8,6 +8,7 @@
 from hemlocktiller._internal.gateway import dispatcher
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy
 from hemlocktiller._internal.policy import paths
 from tests.unit.gateway.conftest import make_target
@@ -188,7 +189,7 @@
 def test_what_peers_sent_meanwhile_is_taken_into_account():
     loads = occupancy.Occupancy()
     loads.sharers = lambda: 5
-    path = (model.Stage(make_target("a"), 0, 40),)
+    path = (fleet.Stage(make_target("a"), 0, 40),)
     for name in ("r1", "r2", "r3"):
         loads.reserve(name, path, 100.0, 0.0, 0.0)
     peers = 4 * occupancy.UNHEARD_SHARE
@@ -200,6 +201,6 @@
 def test_one_request_says_nothing_of_what_peers_sent():
     loads = occupancy.Occupancy()
     loads.sharers = lambda: 100
-    path = (model.Stage(make_target("a"), 0, 40),)
+    path = (fleet.Stage(make_target("a"), 0, 40),)
     loads.reserve("r1", path, 100.0, 0.0, 0.0)
     assert loads.load("a", 0.0).sequences == 1
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -6,9 +6,9 @@
 from twisted.internet import defer
 
 from hemlocktiller._internal import exceptions
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.links import codec
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
@@ -149,7 +149,7 @@
 def test_draining_is_heard_from_a_peer(network):
     network.bench.register(make_target("a"))
     network.bench.targets.heard_registration(
-        "a", 9, make_target("a", state=model.DRAINING)
+        "a", 9, make_target("a", state=fleet.DRAINING)
     )
     assert network.bench.targets.of_service("model") == []
 
@@ -157,7 +157,7 @@
 def test_older_news_of_a_registration_change_nothing(network):
     network.bench.register(make_target("a"))
     network.bench.targets.heard_registration(
-        "a", 1, make_target("a", state=model.DRAINING)
+        "a", 1, make_target("a", state=fleet.DRAINING)
     )
     assert network.bench.targets.of_service("model")
 
@@ -225,7 +225,7 @@
 
 def test_the_loads_of_a_gateway_pass_the_links_checks(network):
     network.occupancy.reserve(
-        "r", (model.Stage(make_target("a"), 0, 40),), 100.4, 70.2, 0.0
+        "r", (fleet.Stage(make_target("a"), 0, 40),), 100.4, 70.2, 0.0
     )
     link = network.link("g1")
     assert codec.decode(codec.encode(link.sent[0])) == link.sent[0]
--- a/tests/unit/gateway/test_targets.py
+++ b/tests/unit/gateway/test_targets.py
@@ -1,7 +1,7 @@
 """Membership through outages, replacements and probes."""
 
-from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.policy import fleet
 from tests.unit.gateway.conftest import make_target
 
 
@@ -11,7 +11,7 @@
 
 def test_a_draining_target_gets_nothing_new(bench):
     bench.register(make_target("a"), make_target("b"))
-    bench.targets._take_one("a", 2, make_target("a", state=model.DRAINING))
+    bench.targets._take_one("a", 2, make_target("a", state=fleet.DRAINING))
     assert names(bench) == ["b"]
 
 
@@ -72,11 +72,6 @@
 
 def test_a_target_that_answers_is_used_again(bench):
     bench.register(make_target("a"))
-    bench.targets._wire = bench.wire._replace(
-        report=lambda body: model.Report(
-            1, 0, False, 1.0, 0, 0, 0.0, 0.0, 0, 0, frozenset()
-        )
-    )
     bench.targets.suspect(bench.targets.by_name["a"], "silent")
     bench.connect().answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     assert names(bench) == ["a"]
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import wire
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import transport
 
 ROOT = Path(__file__).parents[2]
@@ -221,16 +222,12 @@
             "busy": True,
             "pace": 3.5,
             "layers": {"from": 0, "target": 40, "version": 1},
-            "kv_used": 10,
-            "kv_total": 20,
             "waiting": 1,
-            "running": 2,
-            "stalled": [{"id": "r", "address": "10.0.0.2:80"}],
         }
     ).encode()
     report = adapter.decoders.report(body)
     assert (report.orders, report.is_busy, report.pace) == (2, True, 3.5)
-    assert report.stalled_on == {"10.0.0.2:80"}
+    assert (report.born_ms, report.first_layer, report.end_layer) == (5, 0, 40)
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"{", b'{"seq": "x"}'])
@@ -269,7 +266,7 @@
 def test_a_target_is_told_path_workspace_and_time(adapter):
     asked = wire.Asked("r", 20.0, "secret", 0, 0, 0, "", [])
     target = adapter.decoders.target("i-1", ENTRY)
-    path = (model.Stage(target, 20, 31),)
+    path = (fleet.Stage(target, 20, 31),)
     headers = dict(
         adapter.exchange_headers.dispatch_headers(
             asked, wire.Dispatch(target, path, 1.5, "t", "7")
