--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -63,6 +63,7 @@
 
     Attributes:
         digest: What the request is known by when it comes again.
+        request_id: Its id; each attempt of the caller has its own.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         self._admitted = admitted
         self._on_over = on_over
         self.digest = serving.digest(admitted)
-        self._id = admitted.asked.request_id
+        self.request_id = admitted.asked.request_id
         self._running: dict[str, _Run] = {}
         self._tried: set[str] = set()
         self._ran = 0
@@ -146,7 +147,7 @@
         )
         events.emit(
             "dispatch",
-            request=self._id,
+            request=self.request_id,
             target=target.name,
             offer=self._offers + 1,
             waited_ms=round((now_s - admitted.caller.arrived_s) * 1000),
@@ -201,7 +202,7 @@
             self._broken(run, failed)
             return
         answered = self._context.wire.read_answer(run.status, run.headers)
-        if answered.request_id not in ("", self._id):
+        if answered.request_id not in ("", self.request_id):
             self._broken(run, upstream.Failed("another's answer", True))
             return
         self._drop(run)
@@ -235,7 +236,9 @@
         else:
             self._context.targets.failed(run.target, failed.reason)
         if failed.was_sent:
-            self._context.crashes.broke(self.digest, [run.target])
+            self._context.crashes.broke(
+                self.digest, self.request_id, [run.target]
+            )
             self._ran += 1
             self._again_or_end(failed.reason)
             return
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -4,6 +4,7 @@
 runs that had shown nothing when a target went down count against theirs.
 """
 
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
@@ -29,6 +30,7 @@
     """A run that broke before it had shown anything."""
 
     digest: int
+    request_id: str
     broke_s: float
 
 
@@ -44,36 +46,43 @@
         """Returns what is known of a request."""
         return self.feed.state(digest)
 
-    def broke(self, digest: int, targets: list[fleet.Target]) -> None:
+    def broke(
+        self, digest: int, request_id: str, targets: list[fleet.Target]
+    ) -> None:
         """Notes a run that broke before it had shown anything."""
         now_s = self._reactor.seconds()
         self._drop_old(now_s)
         for target in targets:
             broken = self._broken.setdefault(_lifetime(target), [])
-            broken.append(_Broken(digest, now_s))
+            broken.append(_Broken(digest, request_id, now_s))
 
     def began(self, digest: int) -> None:
         """Clears a request that a target began to run, and survived."""
         if len(self.feed.suspects):
             self.feed.succeeded(digest)
 
-    def target_down(self, target: fleet.Target, waiting: list[int]) -> None:
+    def target_down(
+        self, target: fleet.Target, waiting: Mapping[int, str]
+    ) -> None:
         """Takes the loss of a target.
 
         Args:
             target: The target.
-            waiting: Digests of the runs there that have shown nothing yet.
+            waiting: Ids by digest of the requests whose runs there have
+                shown nothing yet.
         """
         now_s = self._reactor.seconds()
         self._drop_old(now_s)
         lifetime = _lifetime(target)
         broken = self._broken.pop(lifetime, [])
-        digests = {*waiting, *(one.digest for one in broken)}
+        requests = {one.digest: one.request_id for one in broken}
+        requests.update(waiting)
         # Such a run has not begun, so it has been running for no time.
-        self.feed.died(lifetime, dict.fromkeys(digests, 0.0))
-        for digest in digests:
+        self.feed.died(lifetime, dict.fromkeys(requests, 0.0))
+        for digest, request_id in requests.items():
             events.emit(
                 "request_suspected",
+                request=request_id,
                 digest=f"{digest:x}",
                 target=target.name,
                 born_ms=target.born_ms,
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -102,9 +102,11 @@
 ) -> None:
     """Takes the loss of a target; the evidence first, as moves need it."""
     in_progress = list(in_progress)
-    waiting = [
-        work.digest for work in in_progress if work.is_waiting_at(target)
-    ]
+    waiting = {
+        work.digest: work.request_id
+        for work in in_progress
+        if work.is_waiting_at(target)
+    }
     context.crashes.target_down(target, waiting)
     for work in in_progress:
         work.lost(target, reason)
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -38,6 +38,7 @@
     Attributes:
         path: Stages of the current run; empty while there is none.
         digest: What the request is known by when it comes again.
+        request_id: Its id; each attempt of the caller has its own.
     """
 
     def __init__(
@@ -53,8 +54,8 @@
         self._admitted = admitted
         self._on_over = on_over
         self.digest = serving.digest(admitted)
-        self._id = admitted.asked.request_id
-        self._key = f"{id(self):x}/{self._id}"
+        self.request_id = admitted.asked.request_id
+        self._key = f"{id(self):x}/{self.request_id}"
         self._exchange: upstream.Exchange | None = None
         self._splitter = sse.Splitter()
         self._last_event_id = admitted.asked.last_event_id
@@ -145,7 +146,7 @@
         )
         need = dispatcher_module.need(asked.prompt_tokens, expected, engine)
         return dispatcher_module.Job(
-            self._id,
+            self.request_id,
             item,
             admitted.service,
             need,
@@ -198,7 +199,7 @@
         )
         events.emit(
             "dispatch",
-            request=self._id,
+            request=self.request_id,
             run=self._run,
             path=[
                 [s.target.name, s.first_layer, s.end_layer]
@@ -263,7 +264,7 @@
             return
         events.emit(
             "resume",
-            request=self._id,
+            request=self.request_id,
             reason=reason,
             after_event=self._last_event_id,
             silent_ms=round((now_s - self._heard_s) * 1000),
@@ -320,7 +321,7 @@
             return
         answered = self._context.wire.read_answer(status, headers)
         self._heard_s = self._context.reactor.seconds()
-        is_own = answered.request_id in ("", self._id)
+        is_own = answered.request_id in ("", self.request_id)
         if status == 200 and answered.is_signed and is_own:
             if not answered.is_plain:
                 self._move("encoded answer")
@@ -408,7 +409,9 @@
         is_suspect = self._context.crashes.state(self.digest) == "suspect"
         if not self._is_proven():
             self._context.crashes.broke(
-                self.digest, [stage.target for stage in path]
+                self.digest,
+                self.request_id,
+                [stage.target for stage in path],
             )
         for stage in path:
             self._context.targets.suspect(stage.target, failed.reason)
