--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -8,6 +8,7 @@
 from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import plain
 
@@ -184,9 +185,9 @@
             self._send()
 
     def _may_run_again(self):
-        route = self._admitted.route
-        taken = self._ran + len(self._running)
-        return route.may_repeat and taken < route.attempts
+        return attempts.may_run_again(
+            self._admitted.route.allowance, self._ran + len(self._running)
+        )
 
     def _budget(self):
         return self._context.budgets(self._admitted.service.name)
--- a/src/hemlocktiller/_internal/gateway/model.py
+++ b/src/hemlocktiller/_internal/gateway/model.py
@@ -4,6 +4,7 @@
 from typing import Literal
 from typing import NamedTuple
 
+from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fleet
 
 IDEMPOTENT = "idempotent"
@@ -59,6 +60,11 @@
             return self.is_resumable
         return self.kind == IDEMPOTENT
 
+    @property
+    def allowance(self) -> attempts.Allowance:
+        """How often, and at how many targets, a request may run."""
+        return attempts.Allowance(self.may_repeat, self.attempts)
+
 
 class Workspace(NamedTuple):
     """A customer's workspace; without a priority the route's holds."""
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -10,6 +10,7 @@
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
+from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import fleet
 
@@ -156,19 +157,12 @@
         )
 
     def _first_targets(self):
-        """Returns where a run must begin, once all attempts are taken.
-
-        An attempt is a target that began to run the request; one that has
-        ended doesn't count, and one that has run it may do so again.
-        """
-        alive = {
-            target.name
-            for target in self._began_at
-            if not self._context.targets.is_down(target)
-        }
-        if len(alive) < self._admitted.route.attempts:
-            return None
-        return frozenset(alive)
+        """Returns where a run must begin, once all attempts are taken."""
+        return attempts.first_targets(
+            self._admitted.route.allowance,
+            self._began_at,
+            self._context.targets.is_down,
+        )
 
     def _start(self, choice):
         if self._over:
@@ -231,10 +225,8 @@
         )
 
     def _may_run_again(self):
-        admitted = self._admitted
-        if not admitted.route.may_repeat:
-            return False
-        if self._runs >= admitted.route.attempts:
+        allowance = self._admitted.route.allowance
+        if not attempts.may_run_again(allowance, self._runs):
             return False
         return self._budget().remaining(self._context.reactor.seconds()) >= 1
 
