Time by the steady clock; let five gateways ask the store often

Twisted's reactor times by the time of day: at the step ahead all streams looked silent and all peers lost, at the step back its 2.6 s of taking requests became 7 s. All programs now time by the steady clock. Now five gateways, chosen by rendezvous among those that are linked, wait 2 s again and the others hear of changes from them; at five gateways or fewer all do.

--- a/src/hemlocktiller/_internal/cli/operator.py
+++ b/src/hemlocktiller/_internal/cli/operator.py
@@ -14,6 +14,7 @@
 import hemlocktiller
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal import settings
+from hemlocktiller._internal import steady_clock
 from hemlocktiller._internal.cli.operators import apply
 from hemlocktiller._internal.cli.operators import check_file
 from hemlocktiller._internal.cli.operators import diff_file
@@ -90,6 +91,7 @@
     reactor: Any, command: Any, loaded: dict[str, Any]
 ) -> defer.Deferred[None]:
     """Runs a subcommand on the reactor."""
+    steady_clock.use(reactor)
     context = session.create(loaded, reactor)
     running = RUNNERS[type(command)](command, context)
     return defer.Deferred.fromCoroutine(_exit_with(running, context))
--- a/src/hemlocktiller/_internal/cli/program.py
+++ b/src/hemlocktiller/_internal/cli/program.py
@@ -13,6 +13,7 @@
 import hemlocktiller
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal import settings as settings_module
+from hemlocktiller._internal import steady_clock
 from hemlocktiller._internal.observe import logs
 from hemlocktiller._internal.observe import metrics
 
@@ -55,6 +56,7 @@
     logs.configure(settings["name"])
 
     def start(clock: Any) -> Any:
+        steady_clock.use(clock)
         metrics.probe_loop(clock)
         return build(process_module.create(clock, settings, role)).start()
 
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -95,6 +95,8 @@
         readiness_path: Path of that question.
         metrics: Where metrics are served.
         store: Settings of the object API.
+        follower_watch_s: Time that a watch waits at a gateway that peers
+            tell of changes.
         config_kind: Kind and name of the stored configuration.
         config_name: See `config_kind`.
         target_kind: Kind of the registrations.
@@ -113,6 +115,7 @@
     readiness_path: str
     metrics: Address | None
     store: Any
+    follower_watch_s: float
     config_kind: str
     config_name: str
     target_kind: str
@@ -211,6 +214,7 @@
                 lambda: self._stored_catalog,
                 self._offer_catalog,
                 self._renew_watches,
+                self._on_watcher,
             ),
             self._rng,
         )
@@ -461,6 +465,15 @@
         )
         return True
 
+    def _on_watcher(self, is_first):
+        """Sets how long watches wait: peers rely on those who hear first."""
+        settings = self._settings
+        if is_first:
+            self._store.watch_timeout_s = settings.store["watch_timeout_s"]
+            self._renew_watches()
+        else:
+            self._store.watch_timeout_s = settings.follower_watch_s
+
     def _renew_watches(self):
         for one in self._watches:
             one.renew()
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -35,6 +35,9 @@
 DISCOVERY_S = 2.0
 # Half of the engines' own lag, at a fifth of the bytes of 50 ms.
 OCCUPANCY_S = 0.25
+# Gateways that ask the store often and tell the others: a fault that takes a
+# third of them, the most of one kind, leaves some.
+WATCHERS = 5
 # The store tells all gateways of a new configuration within milliseconds;
 # one that has not heard of it by then asks a peer.
 ASK_AFTER_S = 0.2
@@ -71,6 +74,8 @@
         offer_catalog: Takes a configuration of a peer; tells whether it
             was put in force.
         on_store_back: Called when the store answers after it did not.
+        on_watcher: Called with whether this process is one of those that
+            ask the store often, when that changes.
     """
 
     targets: targets_module.Targets
@@ -79,6 +84,7 @@
     stored_catalog: Callable[[], StoredCatalog | None]
     offer_catalog: Callable[[StoredCatalog], bool]
     on_store_back: Callable[[], None]
+    on_watcher: Callable[[bool], None]
 
 
 class Peers:
@@ -116,6 +122,7 @@
         self._discovery: watch.Watch | None = None
         self._teller: task.LoopingCall | None = None
         self._is_store_lost = False
+        self._is_watcher = True
 
     def factory(self) -> listener.Listener:
         """Returns the factory of accepted links."""
@@ -258,6 +265,7 @@
         self._links.add(link)
         LINKED.set(len(self._links))
         events.emit("peer_linked", peer=link.peer["name"])
+        self._choose_watchers()
         self._heard_version(link, link.peer["config_version"])
         link.send(self._occupancy(self._parts.occupancy.own(), True))
         self._parts.suspects.on_open(link)
@@ -268,6 +276,19 @@
         LINKED.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
+        self._choose_watchers()
+
+    def _choose_watchers(self):
+        """Decides whether this process asks the store often."""
+        names = [link.peer["name"] for link in self._links]
+        is_watcher = subsets.is_chosen(
+            self._settings.name, names, KIND, WATCHERS
+        )
+        if is_watcher == self._is_watcher:
+            return
+        self._is_watcher = is_watcher
+        events.emit("watcher", is_watcher=is_watcher, peers=len(names))
+        self._parts.on_watcher(is_watcher)
 
     def _on_message(self, link, message):
         kind = message["type"]
--- a/src/hemlocktiller/_internal/policy/subsets.py
+++ b/src/hemlocktiller/_internal/policy/subsets.py
@@ -49,6 +49,19 @@
     return linked
 
 
+def is_chosen(name: str, others: Iterable[str], duty: str, count: int) -> bool:
+    """Returns whether a process is one of those that share a duty.
+
+    Args:
+        name: Name of the process.
+        others: Names of the others that it knows.
+        duty: Name of the duty.
+        count: Processes that share it.
+    """
+    own = score(name, duty)
+    return sum(score(other, duty) > own for other in others) < count
+
+
 def _best(
     name: str, others: Iterable[str], count: int, swapped: bool = False
 ) -> set[str]:
--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -28,7 +28,8 @@
         self.settings = settings
 
     def _command(self):
-        return [sys.executable, str(process.ROOT / "platform" / "main.py")]
+        program = process.ROOT / "platform" / "main.py"
+        return [sys.executable, "-m", "tests.fakes.stepping_clock", program]
 
     def _environment(self):
         environment = super()._environment()
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -39,9 +39,10 @@
 )  # fmt: skip
 
 
-LINK_FAULTS = (
+LATER_FAULTS = (
     "slow_link", "silent_link", "one_way_link",
     "slow_target", "silent_target", "one_way_target", "reset_target",
+    "step_clock",
 )  # fmt: skip
 ONE_WAY_MODES = ("no_requests", "no_answers")
 # What a link held back arrives right after it has healed.
@@ -73,7 +74,7 @@
     """Returns the faults of a seed."""
     rng = random.Random(seed)
     faults = [_draw(rng, FAULTS) for _ in range(rng.randint(3, 7))]
-    faults += [_draw(rng, LINK_FAULTS) for _ in range(rng.randint(0, 3))]
+    faults += [_draw(rng, LATER_FAULTS) for _ in range(rng.randint(0, 3))]
     return sorted(faults)
 
 
@@ -214,6 +215,12 @@
             gateway.kill()
         self._restart(gateway)
 
+    def _step_clock(self, fault):
+        gateway = self._gateway(fault)
+        gateway.signal(signal.SIGUSR1)
+        time.sleep(fault.for_s)
+        gateway.signal(signal.SIGUSR2)
+
     def _restart(self, gateway):
         with self._restarting:
             if not gateway.running():
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -1,7 +1,11 @@
 """A short seeded part of the gateways' fault soak, and its checks."""
 
+import signal
+import time
+
 import pytest
 
+from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
 
 # Chosen for what they hold: outages of the store with lost writes and a
@@ -10,6 +14,10 @@
 SEEDS = (3, 5, 102)
 
 
+# An idle gateway stops within its 8 s of grace.
+STOP_POLLS = 160
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_seeded_run_keeps_the_promises(seed, tmp_path):
     found, exchanges = gateway_soak.run(seed, tmp_path)
@@ -18,6 +26,26 @@
     assert kinds == {"draft", "booking", "lookup"}
 
 
+def test_steps_of_the_time_of_day_move_nothing(tmp_path):
+    deployment = gateway_deployment.Deployment(tmp_path)
+    try:
+        deployment.wait_until_serving()
+        gateway = deployment.gateways[0]
+        before = gateway.output()
+        gateway.signal(signal.SIGUSR1)
+        time.sleep(1.5)
+        gateway.signal(signal.SIGUSR2)
+        gateway.terminate()
+        gateway.wait(STOP_POLLS)
+        after = gateway.output().removeprefix(before)
+        assert '"event": "stopped"' in after
+        for belief in ("peer_lost", "target_down", "target_suspected"):
+            before_stop = after.partition('"event": "stop"')[0]
+            assert f'"event": "{belief}"' not in before_stop
+    finally:
+        deployment.stop()
+
+
 def test_a_schedule_follows_from_its_seed():
     assert gateway_soak.schedule(7) == gateway_soak.schedule(7)
     assert gateway_soak.schedule(7) != gateway_soak.schedule(8)
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -10,6 +10,7 @@
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy
+from hemlocktiller._internal.policy import subsets
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_app import make_settings
@@ -40,6 +41,7 @@
         self.bench = bench
         self.store = SilentStore(bench.reactor)
         self.store_back = []
+        self.watcher = []
         self.occupancy = occupancy.Occupancy()
         self.suspects = bench.context.crashes.feed
         self.offered = []
@@ -55,6 +57,7 @@
                 lambda: self.stored,
                 self._offer,
                 lambda: self.store_back.append(bench.reactor.seconds()),
+                self.watcher.append,
             ),
             random.Random(1),
         )
@@ -276,3 +279,34 @@
     assert len(network.store_back) == 1
     clock.pump([0.1] * 50)
     assert len(network.store_back) == 1
+
+
+def test_few_of_many_gateways_ask_the_store_often(network):
+    count = 30
+    names = [f"gateway-{n}" for n in range(count)]
+    chosen = [
+        name
+        for name in names
+        if subsets.is_chosen(
+            name,
+            [other for other in names if other != name],
+            peers_module.KIND,
+            peers_module.WATCHERS,
+        )
+    ]
+    assert len(chosen) == peers_module.WATCHERS
+
+
+def test_a_gateway_asks_often_again_when_those_who_did_are_lost(network):
+    links = [network.link(f"peer-{n}") for n in range(60)]
+    assert network.watcher == [False]
+    for link in links:
+        link.up = False
+        network.peers._on_down(link, "closed")
+    assert network.watcher == [False, True]
+
+
+def test_a_gateway_without_many_peers_asks_often(network):
+    for n in range(peers_module.WATCHERS - 1):
+        network.link(f"peer-{n}")
+    assert network.watcher == []
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -315,7 +315,7 @@
     assert settings.callers == ("10.1.0.40", 8227)
     assert settings.store["url"] == "http://10.200.1.7:8223"
     assert settings.stop_grace_s == 8.0
-    assert settings.store["watch_timeout_s"] == 10.0
+    assert settings.follower_watch_s == 10.0
 
 
 def test_a_settings_file_without_a_field_names_it(adapter):
