--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -95,8 +95,8 @@
         readiness_path: Path of that question.
         metrics: Where metrics are served.
         store: Settings of the object API.
-        follower_watch_s: Time that a watch waits at a gateway that peers
-            tell of changes.
+        follower_watch_s: Time that a watch waits where peers ask the store
+            often and tell of changes.
         config_kind: Kind and name of the stored configuration.
         config_name: See `config_kind`.
         target_kind: Kind of the registrations.
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -318,6 +318,13 @@
     assert settings.follower_watch_s == 10.0
 
 
+def test_a_watcher_asks_again_while_out_of_touch_after_a_compaction(adapter):
+    settings = adapter.node_file.settings(adapter.node_file.parse(NODE_FILE))
+    out_of_touch_s = 3.0
+    calls_s = settings.store["retry_max_s"]
+    assert settings.store["watch_timeout_s"] + calls_s < out_of_touch_s
+
+
 def test_a_settings_file_without_a_field_names_it(adapter):
     fields = adapter.node_file.parse(NODE_FILE)
     del fields["listen.front"]
