Watch registrations with short waits everywhere

A target that leaves without a word would have been used for up to 10 s. Only the watch of the configuration waits long now.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -95,8 +95,8 @@
         readiness_path: Path of that question.
         metrics: Where metrics are served.
         store: Settings of the object API.
-        follower_watch_s: Time that a watch waits where peers ask the store
-            often and tell of changes.
+        follower_watch_s: Time that the watch of the configuration waits
+            where peers ask the store often and tell of new ones.
         config_kind: Kind and name of the stored configuration.
         config_name: See `config_kind`.
         target_kind: Kind of the registrations.
@@ -466,13 +466,18 @@
         return True
 
     def _on_watcher(self, is_first):
-        """Sets how long watches wait: peers rely on those who hear first."""
+        """Sets how long the watch of the configuration waits.
+
+        That of registrations always asks often: a deletion has no version,
+        so what peers tell of one does not count.
+        """
         settings = self._settings
+        waits_s = self._store.watch_timeouts_s
         if is_first:
-            self._store.watch_timeout_s = settings.store["watch_timeout_s"]
+            waits_s.pop(settings.config_kind, None)
             self._renew_watches()
         else:
-            self._store.watch_timeout_s = settings.follower_watch_s
+            waits_s[settings.config_kind] = settings.follower_watch_s
 
     def _renew_watches(self):
         for one in self._watches:
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -44,7 +44,8 @@
 
     Attributes:
         settings: Settings of the object API, with defaults filled in.
-        watch_timeout_s: Time that a watch waits for a change.
+        watch_timeouts_s: Times that watches of a kind wait for a change,
+            where they differ from the settings.
         writer: Id of this process, new at each start.
         reactor: Reactor that times the calls.
     """
@@ -68,7 +69,7 @@
                 for platforms whose pages differ.
         """
         self.settings = settings
-        self.watch_timeout_s = settings["watch_timeout_s"]
+        self.watch_timeouts_s: dict[str, float] = {}
         self.reactor = reactor
         self.writer = writer
         self._transport = carrier or transport.Transport(
@@ -236,7 +237,8 @@
         return None if reply.status == 204 else _expected(reply)
 
     async def _wait(self, kind, segments, after):
-        wait_s = self.watch_timeout_s
+        usual_s = self.settings["watch_timeout_s"]
+        wait_s = self.watch_timeouts_s.get(kind, usual_s)
         query = {"after": after, "timeout_s": wait_s}
         return await self._get("watch", kind, segments, query, wait_s)
 
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -241,3 +241,11 @@
     late = request(gateway)
     assert late.status == 503
     assert float(late.header(b"Retry-After")) > 0
+
+
+def test_a_gateway_that_peers_tell_watches_registrations_as_often(gateway):
+    waits_s = gateway._store.watch_timeouts_s = {}
+    gateway._on_watcher(False)
+    assert waits_s == {"config": 10.0}
+    gateway._on_watcher(True)
+    assert waits_s == {}
