--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -233,9 +233,16 @@
     def _budget(self):
         return self._context.budgets(self._admitted.service.name)
 
-    def _move(self, reason, ran=True):
-        """Gives the current run up and goes on at another path."""
-        self._drop_run()
+    def _move(self, reason, ran=True, may_have_begun=True):
+        """Gives the current run up and goes on at another path.
+
+        Args:
+            reason: Why, for logs.
+            ran: Whether the request may have run by now.
+            may_have_begun: Whether this run may have begun; a target may
+                begin it in the moment in which it is given up.
+        """
+        self._give_up_run(ran and may_have_begun)
         state = self._context.crashes.state(self.digest)
         if state == "condemned":
             self._condemned()
@@ -295,6 +302,12 @@
             wait_s, self._move, reason, ran
         )
 
+    def _give_up_run(self, may_have_begun):
+        """Drops the current run; its first target counts as an attempt."""
+        if may_have_begun and self.path:
+            self._began_at.append(self.path[0].target)
+        self._drop_run()
+
     def _drop_run(self):
         self._run += 1
         self.path = ()
@@ -408,7 +421,7 @@
         for stage in path:
             self._context.targets.suspect(stage.target, failed.reason)
         if is_suspect and not self._is_proven():
-            self._drop_run()
+            self._give_up_run(failed.was_sent)
             self._move_later(crashes.VERDICT_S, failed.reason, failed.was_sent)
             return
         self._move(failed.reason, ran=failed.was_sent)
@@ -419,7 +432,11 @@
         fault = fault or self.path[0].target
         self._dispatcher.turned_down(fault)
         self._context.targets.suspect(fault, f"turned down with {status}")
-        self._move(f"turned down with {status}", ran=self._runs > 0)
+        self._move(
+            f"turned down with {status}",
+            ran=self._runs > 0,
+            may_have_begun=False,
+        )
 
     def _answered_failure(self, status, headers, answered):
         caller = self._admitted.caller
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -232,8 +232,9 @@
     assert admitted.caller.ending == "whole"
 
 
+@pytest.mark.parametrize("has_answered", [True, False])
 def test_a_third_run_begins_where_an_earlier_one_did(
-    bench, model_service, stream_route
+    bench, model_service, stream_route, has_answered
 ):
     bench.register(
         *two_copies(),
@@ -243,16 +244,19 @@
         ),
     )
     admitted = bench.admitted(model_service, stream_route)
-    bench.stream(admitted)
+    stream = bench.stream(admitted)
     firsts = []
     for number in (1, 2, 3):
         sent = next_run(bench)
         path = path_of(sent)
         firsts.append(path[0])
-        sent.answer(HEAD + chunk(event(number)))
+        if has_answered:
+            sent.answer(HEAD + chunk(event(number)))
         # A later stage goes dark; the first one lives on, but slowly.
         bench.targets.heard_pace(path[0], 1, 9.0)
         bench.targets.mark_down(bench.targets.by_name[path[1]], "no answer")
+        # It crashed none of them: the same request was served elsewhere.
+        bench.context.crashes.began(stream.digest)
     assert firsts[0] != firsts[1]
     assert firsts[2] in firsts[:2]
 
