--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -141,11 +141,6 @@
         if target is None:
             return False
         now_s = context.reactor.seconds()
-        left_s = serving.deadline_s(admitted) - now_s
-        headers = context.wire.dispatch_headers(
-            admitted.asked,
-            wire_module.Dispatch(target, (), left_s, admitted.workspace, ""),
-        )
         events.emit(
             "dispatch",
             request=self.request_id,
@@ -159,17 +154,10 @@
         self._tried.add(target.name)
         self._running[target.name] = run
         self._outstanding.add(target.name, 1)
-        context.targets.sent(target)
-        caller = admitted.caller
-        run.exchange = upstream.Exchange(
-            context.reactor,
-            (target.host, target.port),
-            (
-                caller.method.decode("latin-1"),
-                caller.uri.decode("latin-1"),
-                headers,
-                admitted.body,
-            ),
+        run.exchange = serving.send(
+            context,
+            admitted,
+            target,
             upstream.Events(
                 lambda status, answer: self._on_head(run, status, answer),
                 run.body.append,
@@ -288,13 +276,7 @@
         if self._kept is not None:
             self._deliver(self._kept)
         elif self._ran:
-            self._close()
-            serving.refuse(
-                self._context,
-                self._admitted,
-                serving.STATUS_BAD_GATEWAY,
-                reason,
-            )
+            self._end(serving.STATUS_BAD_GATEWAY, reason)
         else:
             self._refuse(reason)
 
@@ -309,13 +291,13 @@
         )
 
     def _refuse(self, reason, retry_after_s=RETRY_AFTER_S):
+        self._end(serving.STATUS_OVERLOADED, reason, retry_after_s)
+
+    def _end(self, status, reason, retry_after_s=0.0):
+        """Answers with a failure of our own."""
         self._close()
         serving.refuse(
-            self._context,
-            self._admitted,
-            serving.STATUS_OVERLOADED,
-            reason,
-            retry_after_s,
+            self._context, self._admitted, status, reason, retry_after_s
         )
 
     def _condemned(self):
@@ -323,26 +305,17 @@
         if self._kept is not None:
             self._deliver(self._kept)
             return
-        self._close()
-        serving.refuse(
-            self._context,
-            self._admitted,
-            crashes.STATUS_CONDEMNED,
-            crashes.REASON_CONDEMNED,
-        )
+        self._end(crashes.STATUS_CONDEMNED, crashes.REASON_CONDEMNED)
 
     def _expire(self):
         may_have_run = self._ran > 0 or bool(self._running)
-        self._close()
         if self._kept is not None:
             self._deliver(self._kept)
             return
         status = serving.STATUS_OVERLOADED
         if may_have_run:
             status = serving.STATUS_TIMEOUT
-        serving.refuse(
-            self._context, self._admitted, status, "deadline passed"
-        )
+        self._end(status, "deadline passed")
 
     def _gone(self):
         if not self._over:
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -189,9 +189,9 @@
 
     def is_own(self, target: str) -> bool:
         """Tells whether this process polls a target for all linked ones."""
-        names = [link.peer["name"] for link in self._links if link.up]
-        own = subsets.score(self._settings.name, target)
-        return all(subsets.score(name, target) <= own for name in names)
+        return subsets.is_chosen(
+            self._settings.name, self._linked(), target, 1
+        )
 
     def tell_registration(self, name: str, version: int, value: Any) -> None:
         """Tells peers what the store reported."""
@@ -278,9 +278,13 @@
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
         self._choose_watchers()
 
+    def _linked(self):
+        """Returns the names of the gateways that are linked."""
+        return [link.peer["name"] for link in self._links if link.up]
+
     def _choose_watchers(self):
         """Decides whether this process asks the store often."""
-        names = [link.peer["name"] for link in self._links]
+        names = self._linked()
         is_watcher = subsets.is_chosen(
             self._settings.name, names, KIND, WATCHERS
         )
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -11,6 +11,7 @@
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.gateway import wire as wire_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import budget
@@ -112,6 +113,44 @@
         work.lost(target, reason)
 
 
+def send(
+    context: Context,
+    admitted: Admitted,
+    target: fleet.Target,
+    upstream_events: upstream.Events,
+    path: fleet.Path = (),
+    last_event_id: str = "",
+) -> upstream.Exchange:
+    """Sends a request to a target.
+
+    Args:
+        context: What it is served with.
+        admitted: The request.
+        target: The target; the first of the path.
+        upstream_events: What to do with the answer.
+        path: Stages of a model request.
+        last_event_id: Event after which a stream goes on.
+    """
+    caller = admitted.caller
+    left_s = deadline_s(admitted) - context.reactor.seconds()
+    headers = context.wire.dispatch_headers(
+        admitted.asked,
+        wire_module.Dispatch(
+            target, path, left_s, admitted.workspace, last_event_id
+        ),
+    )
+    context.targets.sent(target)
+    request = (
+        caller.method.decode("latin-1"),
+        caller.uri.decode("latin-1"),
+        headers,
+        admitted.body,
+    )
+    return upstream.Exchange(
+        context.reactor, (target.host, target.port), request, upstream_events
+    )
+
+
 def refuse(
     context: Context,
     admitted: Admitted,
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -84,14 +84,7 @@
         """Looks for a path, unless the request is known to crash targets."""
         if self._over:
             return
-        state = self._context.crashes.state(self.digest)
-        if state == "condemned":
-            self._condemned()
-            return
-        if state == "undecided":
-            self._waiting = self._context.reactor.callLater(
-                crashes.DECISION_S, self.begin
-            )
+        if self._is_held_back(self.begin):
             return
         self._dispatcher.submit(self._job(LONGEST_QUEUE_WAIT_S, self._refuse))
 
@@ -128,6 +121,20 @@
         """Tells whether a target has run a part of the request, and lived."""
         return self._events > 0 or self._last_event_id != ""
 
+    def _is_held_back(self, proceed, *arguments):
+        """Ends a request that crashes targets; waits for open evidence."""
+        state = self._context.crashes.state(self.digest)
+        if state == "condemned":
+            self._condemned()
+        elif state == "undecided":
+            self._wait(crashes.DECISION_S, proceed, *arguments)
+        return state in ("condemned", "undecided")
+
+    def _wait(self, wait_s, proceed, *arguments):
+        self._waiting = self._context.reactor.callLater(
+            wait_s, proceed, *arguments
+        )
+
     # Runs
 
     def _job(self, wait_s, refuse):
@@ -179,18 +186,6 @@
         self._splitter = sse.Splitter()
         self._failure = None
         self._failure_body = []
-        target = choice.path[0].target
-        left_s = serving.deadline_s(admitted) - now_s
-        headers = context.wire.dispatch_headers(
-            admitted.asked,
-            wire_module.Dispatch(
-                target,
-                choice.path,
-                left_s,
-                admitted.workspace,
-                self._last_event_id,
-            ),
-        )
         events.emit(
             "dispatch",
             request=self.request_id,
@@ -204,24 +199,18 @@
             after_event=self._last_event_id,
             config=admitted.config_version,
         )
-        context.targets.sent(target)
         run = self._run
-        caller = admitted.caller
-        request = (
-            caller.method.decode("latin-1"),
-            caller.uri.decode("latin-1"),
-            headers,
-            admitted.body,
-        )
-        self._exchange = upstream.Exchange(
-            context.reactor,
-            (target.host, target.port),
-            request,
+        self._exchange = serving.send(
+            context,
+            admitted,
+            choice.path[0].target,
             upstream.Events(
                 lambda status, answer: self._on_head(run, status, answer),
                 lambda data: self._on_data(run, data),
                 lambda failed: self._on_end(run, failed),
             ),
+            choice.path,
+            self._last_event_id,
         )
 
     def _may_run_again(self):
@@ -243,12 +232,7 @@
                 begin it in the moment in which it is given up.
         """
         self._give_up_run(ran and may_have_begun)
-        state = self._context.crashes.state(self.digest)
-        if state == "condemned":
-            self._condemned()
-            return
-        if state == "undecided":
-            self._move_later(crashes.DECISION_S, reason, ran)
+        if self._is_held_back(self._move, reason, ran):
             return
         admitted = self._admitted
         now_s = self._context.reactor.seconds()
@@ -295,12 +279,7 @@
         if not self._events or waited_s > RESUME_WINDOW_S:
             self._fail(f"{reason}; no repeats left", ran)
             return
-        self._move_later(BUDGET_WAIT_S, reason, ran)
-
-    def _move_later(self, wait_s, reason, ran):
-        self._waiting = self._context.reactor.callLater(
-            wait_s, self._move, reason, ran
-        )
+        self._wait(BUDGET_WAIT_S, self._move, reason, ran)
 
     def _give_up_run(self, may_have_begun):
         """Drops the current run; its first target counts as an attempt."""
@@ -359,8 +338,7 @@
                 self._longest_gap_at = self._events
         else:
             self._first_s = now_s - self._admitted.caller.arrived_s
-            arrived_s = self._admitted.caller.arrived_s
-            serving.FIRST_S.labels("streaming").observe(now_s - arrived_s)
+            serving.FIRST_S.labels("streaming").observe(self._first_s)
             self._dispatcher.occupancy.began(self._key)
             self._context.crashes.began(self.digest)
         self._heard_s = now_s
@@ -422,7 +400,9 @@
             self._context.targets.suspect(stage.target, failed.reason)
         if is_suspect and not self._is_proven():
             self._give_up_run(failed.was_sent)
-            self._move_later(crashes.VERDICT_S, failed.reason, failed.was_sent)
+            self._wait(
+                crashes.VERDICT_S, self._move, failed.reason, failed.was_sent
+            )
             return
         self._move(failed.reason, ran=failed.was_sent)
 
@@ -454,13 +434,13 @@
     # Ends
 
     def _refuse(self, retry_after_s, reason):
+        self._end(serving.STATUS_OVERLOADED, reason, retry_after_s)
+
+    def _end(self, status, reason, retry_after_s=0.0):
+        """Answers with a failure of our own; no answer was begun."""
         self._close()
         serving.refuse(
-            self._context,
-            self._admitted,
-            serving.STATUS_OVERLOADED,
-            reason,
-            retry_after_s,
+            self._context, self._admitted, status, reason, retry_after_s
         )
 
     def _fail(self, reason, ran, retry_after_s=0.5):
@@ -470,22 +450,10 @@
             self._finish("cut", reason)
             caller.cut()
             return
-        self._close()
         if ran or self._runs:
-            serving.refuse(
-                self._context,
-                self._admitted,
-                serving.STATUS_BAD_GATEWAY,
-                reason,
-            )
-            return
-        serving.refuse(
-            self._context,
-            self._admitted,
-            serving.STATUS_OVERLOADED,
-            reason,
-            retry_after_s,
-        )
+            self._end(serving.STATUS_BAD_GATEWAY, reason)
+        else:
+            self._refuse(retry_after_s, reason)
 
     def _condemned(self):
         """Ends a request that crashes the targets that run it."""
@@ -494,10 +462,7 @@
             self._finish("cut", reason)
             self._admitted.caller.cut()
             return
-        self._close()
-        serving.refuse(
-            self._context, self._admitted, crashes.STATUS_CONDEMNED, reason
-        )
+        self._end(crashes.STATUS_CONDEMNED, reason)
 
     def _expire(self):
         was_sent = bool(self.path) or self._runs > 0
@@ -505,11 +470,10 @@
         if self._admitted.caller.is_started:
             self._fail(reason, ran=True)
             return
-        self._close()
         status = serving.STATUS_OVERLOADED
         if was_sent:
             status = serving.STATUS_TIMEOUT
-        serving.refuse(self._context, self._admitted, status, reason)
+        self._end(status, reason)
 
     def _gone(self):
         if not self._over:
--- a/src/hemlocktiller/_internal/policy/fleet.py
+++ b/src/hemlocktiller/_internal/policy/fleet.py
@@ -62,6 +62,11 @@
     usual_output_tokens: float
     accelerators: Mapping[str, Accelerator]
 
+    @property
+    def usual_tokens(self) -> float:
+        """Mean length of a prompt with its answer."""
+        return self.usual_prompt_tokens + self.usual_output_tokens
+
 
 class Target(NamedTuple):
     """A registered target.
--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -109,7 +109,6 @@
     Each takes the layers that fewest others of its data centre hold.
     """
     _, free = _match(slots, targets, engine)
-    usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens
     coverage: dict[str, list[int]] = {}
     for target in targets:
         counts = coverage.setdefault(
@@ -121,7 +120,7 @@
     for target in free:
         kind = engine.accelerators[target.accelerator]
         layers = _most_layers(
-            kind, engine, usual_tokens * SPARE_CHAIN_REQUESTS
+            kind, engine, engine.usual_tokens * SPARE_CHAIN_REQUESTS
         )
         if target.layers or not layers:
             continue
@@ -175,12 +174,14 @@
 
 def _best_fit(slot, free, engine):
     """Returns the free target that suits a slot best, or None."""
-    usual_tokens = engine.usual_prompt_tokens + engine.usual_output_tokens
 
     def badness(target):
         kind = engine.accelerators[target.accelerator]
         room = room_tokens(kind, slot.end_layer - slot.first_layer, engine)
-        if target.data_centre != slot.data_centre or room < usual_tokens:
+        if (
+            target.data_centre != slot.data_centre
+            or room < engine.usual_tokens
+        ):
             return None
         return (
             target.layers > 0,
@@ -196,7 +197,9 @@
     counts: Mapping[str, int], engine: fleet.Engine
 ) -> list[dict[str, int]]:
     """Returns the chains of one data centre with the most throughput."""
-    kinds = sorted(counts, key=lambda kind: engine.accelerators[kind][2])
+    kinds = sorted(
+        counts, key=lambda kind: engine.accelerators[kind].step_factor
+    )
     while _states(counts, kinds) > MAX_STATES:
         kinds.pop()
     full = tuple(counts[kind] for kind in kinds)
--- a/src/hemlocktiller/_internal/policy/subsets.py
+++ b/src/hemlocktiller/_internal/policy/subsets.py
@@ -58,8 +58,7 @@
         duty: Name of the duty.
         count: Processes that share it.
     """
-    own = score(name, duty)
-    return sum(score(other, duty) > own for other in others) < count
+    return name in _best(duty, {*others, name}, count, swapped=True)
 
 
 def _best(
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -197,7 +197,7 @@
 
     async def _find(self, kind, name, may_be_stale=False):
         """Returns an object with the write that stored it, or None."""
-        query = {"stale": 1} if may_be_stale else None
+        query = _staleness(may_be_stale)
         reply = await self._get("read", kind, ("objects", kind, name), query)
         if reply.status == 404:
             return None
@@ -205,7 +205,7 @@
         return writes.Found(objects.stored(kind, body), objects.origin(body))
 
     async def _read_all(self, kind, may_be_stale):
-        query = {"stale": 1} if may_be_stale else None
+        query = _staleness(may_be_stale)
         reply = await self._get("read_all", kind, ("objects", kind), query)
         body = _expected(reply)
         return Listing(
@@ -293,6 +293,11 @@
         return writes.judge(write, found, may_have_run=bool(lost))
 
 
+def _staleness(may_be_stale):
+    """Returns the query of a read."""
+    return {"stale": 1} if may_be_stale else None
+
+
 def _expected(reply):
     """Returns the body of a successful reply."""
     if reply.status != 200 or reply.body is None:
--- a/tests/fakes/objects_api.py
+++ b/tests/fakes/objects_api.py
@@ -18,7 +18,6 @@
 
 HISTORY_MAX = 2_000
 EXPIRY_BEATS = 3
-LISTED = ("metadata", "spec", "status")
 
 
 class Objects:
--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -35,13 +35,10 @@
         environment = super()._environment()
         return dict(environment, HEMLOCKTILLER_NODE_FILE=str(self.settings))
 
-    def _listening(self):
-        if not self.running():
-            raise process.ProcessFailed(f"{self.name}: {self.errors()}")
-        for line in self.output().splitlines():
-            if '"event": "start"' in line:
-                event = json.loads(line[line.index("{") :])
-                return {"": process.Address(*event["callers"])}
+    def _addresses_in(self, line):
+        if '"event": "start"' in line:
+            event = json.loads(line[line.index("{") :])
+            return {"": process.Address(*event["callers"])}
         return {}
 
     def page(self, path: str) -> tuple[int, str]:
--- a/tests/functional/process.py
+++ b/tests/functional/process.py
@@ -112,9 +112,8 @@
         has_ended = not self.running()
         addresses = {}
         for line in self._output.read_text().splitlines(keepends=True):
-            if line.startswith("listening ") and line.endswith("\n"):
-                addresses = parse_listening(line)
-                break
+            if line.endswith("\n"):
+                addresses = addresses or self._addresses_in(line)
         # One that has done its work between two polls did not fail.
         is_done = bool(addresses) and self._child.returncode == 0
         if has_ended and not is_done:
@@ -124,6 +123,12 @@
             )
         return addresses
 
+    def _addresses_in(self, line: str) -> dict[str, Address]:
+        """Returns the addresses that a line of output names, if any."""
+        if line.startswith("listening "):
+            return parse_listening(line)
+        return {}
+
     @property
     def address(self) -> Address:
         """The address of a process that listens at one only."""
