Name the only suspect on probation by a death

Cause: a request that crashes targets may join suspects which have run beyond their probation. When the target then died, `earlier` held several suspects and nobody was named, so the request went on to a third target.

Ruled out: naming all of them, which condemns those that a target has survived for a second; keeping suspects apart for longer, which costs requests on probation their place.

Before: test_a_death_names_the_only_suspect_on_probation failed (state 'suspect'). After: 52 tests of suspects pass.

--- a/src/hemlocktiller/_internal/policy/suspects.py
+++ b/src/hemlocktiller/_internal/policy/suspects.py
@@ -123,12 +123,17 @@
             for digest in running_s
             if self.state(digest, now_s) != "clear"
         ]
-        for digest, time_s in running_s.items():
+        on_probation = [
+            digest for digest in earlier if running_s[digest] < PROBATION_S
+        ]
+        for digest in running_s:
             if not earlier:
                 named = True
             elif earlier == [digest]:
-                doubted = self._doubted(digest, now_s)
-                named = doubted or time_s < PROBATION_S
+                named = bool(on_probation) or self._doubted(digest, now_s)
+            elif on_probation == [digest]:
+                # The others have shown that a target survives them.
+                named = True
             else:
                 named = False
             self._accuse(digest, target, named and not mass, now_s)
--- a/tests/unit/test_policy_suspects.py
+++ b/tests/unit/test_policy_suspects.py
@@ -55,6 +55,15 @@
     assert known.state(2, 21.0) == "suspect"
 
 
+def test_a_death_names_the_only_suspect_on_probation(known):
+    kill(known, "a", [POISON, 2, 3], 0.0)
+    running_s = {2: 1.1, 3: 1.04}
+    assert known.may_join(POISON, running_s, 1.2)
+    known.died("b", {**running_s, POISON: 0.05}, 1.3)
+    assert known.state(POISON, 2.0) == "condemned"
+    assert known.state(2, 2.0) == known.state(3, 2.0) == "suspect"
+
+
 def test_a_suspect_that_ran_for_long_is_not_named_by_a_death(known):
     kill(known, "a", [POISON, 2], 0.0)
     kill(known, "b", [2], 10.0, time_s=5.0)
