Take nothing for silent that this process has not read yet

Gateways that were held up took live targets for down: a timer that came in time was no sign that the loop had read the answer, and what a stream had not been sent on counted as its silence. Targets that are down do not count as attempts, so a third one was allowed.

Now a probe waits for three rounds of the loop, and silence is counted in checks, between which the socket is read.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -44,7 +44,6 @@
 # Gateways rest at different moments, and the first that hears of a change
 # tells the others.
 TARGETS_PAUSE_S = 0.6
-CHECK_INTERVAL_S = 0.1
 # A slow target makes every event on its paths late; one gateway asks each
 # target once a second, which costs a thousandth of a day.
 POLL_TARGETS_S = 1.0
@@ -270,7 +269,7 @@
         self._peers.start()
         self._lease.start()
         self._duty.start()
-        self._checker.start(CHECK_INTERVAL_S, now=False)
+        self._checker.start(serving.CHECK_INTERVAL_S, now=False)
         self._reloader.start(RELOAD_INTERVAL_S, now=False)
         self._poller.start(POLL_TARGETS_S, now=False)
         signal.signal(signal.SIGTERM, self._on_signal)
--- a/src/hemlocktiller/_internal/gateway/serving.py
+++ b/src/hemlocktiller/_internal/gateway/serving.py
@@ -29,6 +29,9 @@
     buckets=(0.05, 0.1, 0.2, 0.35, 0.5, 0.89, 1.5, 3.0, 10.0),
 )
 
+# How often requests in progress look at their clocks: a third of the shortest
+# silence that they act on.
+CHECK_INTERVAL_S = 0.1
 STATUS_OVERLOADED = 503
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -72,6 +72,7 @@
         self._failure: tuple[int, wire_module.Headers] | None = None
         self._failure_body: list[bytes] = []
         self._heard_s = 0.0
+        self._silent_checks = 0
         self._suspected = False
         self._over = False
         self._waiting: Any = None
@@ -89,10 +90,18 @@
         self._dispatcher.submit(self._job(LONGEST_QUEUE_WAIT_S, self._refuse))
 
     def check(self, now_s: float) -> None:
-        """Notices silence; called a few times a second."""
+        """Notices silence; called every `serving.CHECK_INTERVAL_S`.
+
+        The socket is read between two checks. In a process that is held up
+        checks come late, and what it has not read yet is no silence.
+        """
         if not self.path or self._over:
             return
-        silent_s = now_s - self._heard_s
+        self._silent_checks += 1
+        silent_s = min(
+            now_s - self._heard_s,
+            self._silent_checks * serving.CHECK_INTERVAL_S,
+        )
         limit_s = (
             SILENCE_TO_SUSPECT_S
             if self._is_streaming
@@ -181,7 +190,7 @@
         self.path = choice.path
         self._run += 1
         self._offers += 1
-        self._heard_s = now_s
+        self._hear(now_s)
         self._suspected = False
         self._splitter = sse.Splitter()
         self._failure = None
@@ -304,7 +313,7 @@
         if run != self._run or self._over:
             return
         answered = self._context.wire.read_answer(status, headers)
-        self._heard_s = self._context.reactor.seconds()
+        self._hear(self._context.reactor.seconds())
         is_own = answered.request_id in ("", self.request_id)
         if status == 200 and answered.is_signed and is_own:
             if not answered.is_plain:
@@ -341,13 +350,18 @@
             serving.FIRST_S.labels("streaming").observe(self._first_s)
             self._dispatcher.occupancy.began(self._key)
             self._context.crashes.began(self.digest)
-        self._heard_s = now_s
+        self._hear(now_s)
         self._suspected = False
         self._events += 1
         if event.event_id:
             self._last_event_id = event.event_id
         self._admitted.caller.write(event.raw)
 
+    def _hear(self, now_s):
+        """Begins to count silence anew."""
+        self._heard_s = now_s
+        self._silent_checks = 0
+
     def _is_next(self, event_id):
         """Tells whether an event was not yet passed on."""
         last = self._last_event_id
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -21,9 +21,10 @@
 # A target of the same region accepts within milliseconds; a lost first
 # packet is sent again after a second, and another target is faster.
 CONNECT_TIMEOUT_S = 0.6
-# A timer that fires later than this shows that this process was busy, and
-# an answer may be waiting to be read.
-LATE_TIMER_S = 0.05
+# Rounds of the loop in which an answer may be read: one for the connection,
+# one for the answer, and one to spare. A loop that is held up for longer than
+# a whole timeout has read nothing yet when the timeout is over.
+TIMEOUT_ROUNDS = 3
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 
@@ -220,7 +221,8 @@
         reactor: Reactor.
         target: The target.
         request: Method, path and JSON body.
-        timeout_s: Longest time for the whole answer.
+        timeout_s: Longest time for the whole answer; longer where this
+            process is held up, since the answer may wait to be read.
         on_done: Called with status and body.
         on_failed: Called if there is no whole answer in time.
     """
@@ -243,18 +245,17 @@
         else:
             on_failed(failed)
 
-    def expire():
-        nonlocal timer, due_s
-        late_s = reactor.seconds() - due_s
-        if late_s > LATE_TIMER_S:
-            due_s = reactor.seconds() + LATE_TIMER_S
-            timer = reactor.callLater(LATE_TIMER_S, expire)
+    def next_round():
+        nonlocal timer, rounds_left
+        rounds_left -= 1
+        if rounds_left > 0:
+            timer = reactor.callLater(timeout_s / TIMEOUT_ROUNDS, next_round)
             return
         exchange.cancel()
         on_failed(Failed("no answer in time", exchange.sent))
 
-    due_s = reactor.seconds() + timeout_s
-    timer = reactor.callLater(timeout_s, expire)
+    rounds_left = TIMEOUT_ROUNDS
+    timer = reactor.callLater(timeout_s / TIMEOUT_ROUNDS, next_round)
     exchange = Exchange(
         reactor,
         (target.host, target.port),
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -223,6 +223,13 @@
         made.begin()
         return made
 
+    def run(self, duration_s: float) -> None:
+        """Lets time pass as it does in a process that is not held up."""
+        for _ in range(round(duration_s / serving.CHECK_INTERVAL_S)):
+            self.reactor.advance(serving.CHECK_INTERVAL_S)
+            for work in self._in_progress:
+                work.check(self.reactor.seconds())
+
     def connect(self) -> Sent:
         """Accepts the next connection that was opened."""
         host, port, factory, *_ = self.reactor.tcpClients[self._seen]
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -11,6 +11,7 @@
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import HEAD
 from tests.unit.gateway.test_streams import is_probe
+from tests.unit.gateway.test_streams import REPORT
 
 BODY = b"body"
 URI = b"/drafts/1"
@@ -38,9 +39,6 @@
     return bench, bench.admitted(model_service, stream_route)
 
 
-REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
-
-
 def crash_all(bench, before_crash=lambda run: None):
     """Crashes each target that is sent a run; returns their ports."""
     crashed = []
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -37,6 +37,9 @@
     return [part.split("=")[0] for part in line[6:].decode().split(",")]
 
 
+REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
 def is_probe(sent):
     return sent.transport.value().startswith(b"GET /report")
 
@@ -142,11 +145,23 @@
     stream = bench.stream(admitted)
     sent = bench.connect()
     sent.answer(HEAD + chunk(event(1)))
-    bench.reactor.advance(0.4)
-    stream.check(bench.reactor.seconds())
+    bench.run(0.4)
     assert bench.opened() == len(stream.path)
 
 
+def test_a_stream_is_not_silent_while_the_process_is_held_up(streaming):
+    bench, admitted = streaming
+    stream = bench.stream(admitted)
+    sent = bench.connect()
+    sent.answer(HEAD + chunk(event(1)))
+    for _ in range(2):
+        bench.reactor.advance(0.8)
+        stream.check(bench.reactor.seconds())
+    assert bench.opened() == 0
+    sent.answer(chunk(event(2)) + END)
+    assert admitted.caller.ending == "whole"
+
+
 def test_a_stream_moves_from_a_target_that_is_down(streaming):
     bench, admitted = streaming
     bench.stream(admitted)
@@ -222,11 +237,13 @@
 
 def test_a_silent_run_goes_on_where_it_may_not_be_repeated(streaming):
     bench, admitted = streaming
-    stream = bench.stream(admitted)
+    bench.stream(admitted)
     sent = bench.connect()
     spend_repeats(bench, 2)
-    bench.reactor.advance(1.2)
-    stream.check(bench.reactor.seconds())
+    bench.run(0.7)
+    while bench.opened():
+        bench.connect().answer(REPORT)
+    bench.run(0.5)
     assert admitted.caller.ending == ""
     sent.answer(HEAD + chunk(event(1)) + END)
     assert admitted.caller.ending == "whole"
--- a/tests/unit/gateway/test_targets.py
+++ b/tests/unit/gateway/test_targets.py
@@ -1,5 +1,6 @@
 """Membership through outages, replacements and probes."""
 
+from hemlocktiller._internal.gateway import serving
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import fleet
 from tests.unit.gateway.conftest import make_target
@@ -81,9 +82,9 @@
     bench.register(make_target("a"))
     bench.targets.suspect(bench.targets.by_name["a"], "silent")
     bench.connect()
-    bench.reactor.advance(targets_module.PROBE_TIMEOUT_S)
+    bench.run(targets_module.PROBE_TIMEOUT_S + serving.CHECK_INTERVAL_S)
     assert bench.targets.is_down(make_target("a"))
-    bench.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    bench.run(targets_module.PROBE_INTERVAL_S)
     assert bench.opened() == 1
 
 
@@ -93,3 +94,14 @@
     bench.connect()
     bench.reactor.advance(targets_module.PROBE_TIMEOUT_S + 0.4)
     assert not bench.targets.is_down(make_target("a"))
+
+
+def test_a_probe_waits_for_rounds_of_a_loop_that_is_held_up(bench):
+    bench.register(make_target("a"))
+    bench.targets.suspect(bench.targets.by_name["a"], "silent")
+    sent = bench.connect()
+    # The timer comes in time, but nothing was read meanwhile.
+    bench.reactor.advance(targets_module.PROBE_TIMEOUT_S + 0.01)
+    bench.reactor.advance(targets_module.PROBE_TIMEOUT_S + 0.01)
+    sent.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert names(bench) == ["a"]
