--- a/src/hemlocktiller/_internal/gateway/layout_duty.py
+++ b/src/hemlocktiller/_internal/gateway/layout_duty.py
@@ -61,8 +61,7 @@
         self._wire = wire
         self._services = services
         self._plans: dict[str, tuple[layout.Slot, ...]] = {}
-        self._seen: tuple[str, ...] = ()
-        self._seen_s = 0.0
+        self._seen: dict[str, tuple[tuple[str, ...], float]] = {}
         self._quiet_until_s: dict[str, float] = {}
         self._first_seen_s: dict[str, float] = {}
         self._pending: dict[str, tuple[layout.Placement, float]] = {}
@@ -115,14 +114,14 @@
             self._order(service, plan)
 
     def _is_settled(self, service):
+        """Tells whether a service is planned, or its targets are all here."""
         names = tuple(sorted(targets_module.names(self._live(service))))
         now_s = self._reactor.seconds()
-        if names != self._seen:
-            self._seen = names
-            self._seen_s = now_s
+        if self._seen.get(service.name, ((), 0.0))[0] != names:
+            self._seen[service.name] = (names, now_s)
         if service.name in self._plans:
             return True
-        return bool(names) and now_s - self._seen_s >= SETTLE_S
+        return bool(names) and now_s - self._seen[service.name][1] >= SETTLE_S
 
     def _live(self, service):
         return [
