End connections whose request headers take too long

Before: test_headers_that_take_too_long_end_the_connection failed. After: 408 and close. Channels are subclasses of HTTPChannel now, without the wrapper that speaks HTTP/2 and without its private attributes.

Ruled out: to close at the time itself. A process that is held up would end requests whose headers lie in its socket; they get one more round.

--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -26,10 +26,17 @@
 # Before a configuration is known, callers may send what is usual.
 DEFAULT_LIMITS = model.CallerLimits(16_384, 4_194_304, 3.0, 15.0)
 
+# After a process was held up, headers in the socket are read within this.
+LATE_READ_S = 0.1
+
 TOO_LARGE = (
     b"HTTP/1.1 413 Content Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+TOO_SLOW = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 _REASONS = {421: b"Misdirected Request"}
 
@@ -137,6 +144,50 @@
             self.on_gone()
 
 
+class _CallerChannel(http.HTTPChannel):
+    """A caller's connection; bounds the time that headers may take."""
+
+    requestFactory = CallerRequest
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._headers_due: Any = None
+
+    def dataReceived(self, data: bytes) -> None:
+        """Takes bytes; the first of a request start its clock."""
+        if self.transport.disconnecting:
+            return
+        is_new = self._headers_due is None and not self.requests
+        if is_new and data.strip():
+            self._headers_due = self.callLater(
+                self.factory.limits.header_timeout_s, self._nearly_too_slow
+            )
+        super().dataReceived(data)
+
+    def allHeadersReceived(self) -> None:
+        """Stops the clock of the headers."""
+        self._stop_headers_clock()
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: Any) -> None:
+        """Stops all clocks."""
+        self._stop_headers_clock()
+        super().connectionLost(reason)
+
+    def _nearly_too_slow(self) -> None:
+        self._headers_due = self.callLater(LATE_READ_S, self._too_slow)
+
+    def _too_slow(self) -> None:
+        self._headers_due = None
+        self.transport.write(TOO_SLOW)
+        self.loseConnection()
+
+    def _stop_headers_clock(self) -> None:
+        if self._headers_due is not None:
+            self._headers_due.cancel()
+            self._headers_due = None
+
+
 class CallerFactory(http.HTTPFactory):
     """Connections of callers.
 
@@ -147,6 +198,7 @@
     """
 
     noisy = False
+    protocol = _CallerChannel
 
     def __init__(
         self, reactor: Any, on_request: Callable[[CallerRequest], None]
@@ -167,12 +219,10 @@
 
     def buildProtocol(self, addr: Any) -> Any:
         """Returns the channel of a new connection."""
-        wrapper = super().buildProtocol(addr)
-        channel = wrapper._channel
-        channel.requestFactory = CallerRequest
+        channel = super().buildProtocol(addr)
         channel.totalHeadersSize = self.limits.header_bytes
         self.connections.add(channel)
-        return wrapper
+        return channel
 
     def log(self, request: Any) -> None:
         """Writes no access log; events tell more."""
@@ -208,10 +258,17 @@
         self.finish()
 
 
+class _PageChannel(http.HTTPChannel):
+    """A connection that asks for pages."""
+
+    requestFactory = _PageRequest
+
+
 class PageFactory(http.HTTPFactory):
     """Connections that ask for pages such as readiness and metrics."""
 
     noisy = False
+    protocol = _PageChannel
 
     def __init__(
         self, reactor: Any, page: Callable[[str], tuple[int, str, bytes]]
@@ -219,11 +276,5 @@
         super().__init__(timeout=15, reactor=reactor)
         self.page = page
 
-    def buildProtocol(self, addr: Any) -> Any:
-        """Returns the channel of a new connection."""
-        wrapper = super().buildProtocol(addr)
-        wrapper._channel.requestFactory = _PageRequest
-        return wrapper
-
     def log(self, request: Any) -> None:
         """Writes no access log."""
--- a/tests/unit/gateway/test_ingress.py
+++ b/tests/unit/gateway/test_ingress.py
@@ -97,3 +97,30 @@
     server.requests[0].answer(200, headers, b"ok")
     assert b"Keep-Alive" not in server.transport.value()
     assert b"chunked" not in server.transport.value()
+
+
+def test_headers_that_take_too_long_end_the_connection(server):
+    limits = ingress.DEFAULT_LIMITS._replace(header_timeout_s=3.0)
+    server.factory.set_limits(limits)
+    for _ in range(8):
+        server.protocol.dataReceived(b"X")
+        server.factory.clock.advance(0.5)
+    assert server.transport.value() == ingress.TOO_SLOW
+    assert server.transport.disconnecting
+    assert server.requests == []
+
+
+def test_a_slow_body_is_not_bound_by_the_time_for_headers(server):
+    head, body = ASK[:-1], ASK[-1:]
+    server.ask(head)
+    server.factory.clock.advance(ingress.DEFAULT_LIMITS.header_timeout_s + 1.0)
+    server.ask(body)
+    assert len(server.requests) == 1
+
+
+def test_headers_that_wait_to_be_read_are_not_late(server):
+    server.ask(ASK[:20])
+    # The process is held up; the rest lies in the socket when it goes on.
+    server.factory.clock.advance(ingress.DEFAULT_LIMITS.header_timeout_s + 1.0)
+    server.ask(ASK[20:])
+    assert len(server.requests) == 1
