Take waits from the platform's bounds; measure the loop's delay in gateways

Cause: watches, rests between them and the silence of links were constants that fit bounds of 2 and 3 s (drain_ms, config_apply_ms, contact_ms). A deployment with shorter bounds would break DRAIN and CONFIG by them. They are now at most a share of the bound; with the bounds of the four deployments they are what they were.

hemlocktiller_loop_delay_seconds stood in docs/OPERATIONS.md, but gateways never measured it. A request after SIGTERM is told to come back at once, as another gateway can serve it; it was told a second.

Test: test_a_watcher_asks_again_while_out_of_touch_after_a_compaction with 2 s (failed first: waits 2 s of 2 s).

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -40,10 +40,13 @@
 }
 # Loads of a deployment that starts end together; what drains, and a new
 # configuration, must be known within two seconds.
-CONFIG_PAUSE_S = 0.25
+CONFIG_PAUSE_MAX_S = 0.25
 # Gateways rest at different moments, and the first that hears of a change
 # tells the others.
-TARGETS_PAUSE_S = 0.6
+TARGETS_PAUSE_MAX_S = 0.6
+# Neither rests for longer than this share of the bound that its changes must
+# be in force within; the rest is for calls and for requests on their way.
+PAUSE_SHARE = 0.3
 # A slow target makes every event on its paths late; one gateway asks each
 # target once a second, which costs a thousandth of a day.
 POLL_TARGETS_S = 1.0
@@ -54,6 +57,11 @@
 # What is left of the grace period when the last streams are cut.
 STOP_MARGIN_S = 0.4
 POLL_S = 0.05
+# A gateway without a configuration has one when the store answers again; it is
+# asked at least twice a second.
+RETRY_S = 1.0
+# The balancer sends a caller that comes back to another gateway.
+ELSEWHERE_RETRY_S = 0.05
 # Part of the platform's bound on repeats that is spent; the rest covers
 # windows that lie otherwise and gateways that were just started.
 BUDGET_PART = 0.8
@@ -103,6 +111,9 @@
         retry_extra: Repeats allowed in a window beside these, by all.
         retry_window_s: Length of that window.
         stop_grace_s: Time from SIGTERM to the kill.
+        drain_bound_s: Time within which a target that drains gets no more
+            requests.
+        config_bound_s: Time within which a configuration is in force.
         links: Settings of the links between gateways.
         links_address: Where this process accepts them.
     """
@@ -122,6 +133,8 @@
     retry_extra: float
     retry_window_s: float
     stop_grace_s: float
+    drain_bound_s: float
+    config_bound_s: float
     links: Any
     links_address: Address
 
@@ -255,13 +268,13 @@
                 self._store,
                 settings.config_kind,
                 self._take_configs,
-                CONFIG_PAUSE_S,
+                min(CONFIG_PAUSE_MAX_S, settings.config_bound_s * PAUSE_SHARE),
             ),
             watch.follow_kind(
                 self._store,
                 settings.target_kind,
                 self.targets.take,
-                TARGETS_PAUSE_S,
+                min(TARGETS_PAUSE_MAX_S, settings.drain_bound_s * PAUSE_SHARE),
             ),
         ]
         for one in self._watches:
@@ -272,6 +285,7 @@
         self._checker.start(serving.CHECK_INTERVAL_S, now=False)
         self._reloader.start(RELOAD_INTERVAL_S, now=False)
         self._poller.start(POLL_TARGETS_S, now=False)
+        metrics.probe_loop(self._reactor)
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGHUP, self._on_hangup)
         events.emit(
@@ -291,7 +305,7 @@
             return
         asked = self._wire.read_request(caller.requestHeaders)
         if self._is_closed:
-            self._reject(caller, asked, 503, "stopping")
+            self._reject(caller, asked, 503, "stopping", ELSEWHERE_RETRY_S)
             return
         catalog = self.catalog
         is_sound = upstream.may_be_sent(
@@ -392,7 +406,7 @@
         self._serving.discard(work)
         IN_PROGRESS.set(len(self._serving))
 
-    def _reject(self, caller, asked, status, reason):
+    def _reject(self, caller, asked, status, reason, retry_s=RETRY_S):
         events.emit(
             "rejected",
             request=asked.request_id,
@@ -402,7 +416,7 @@
         )
         headers = []
         if status == 503:
-            headers.append((b"Retry-After", b"1.0"))
+            headers.append((b"Retry-After", f"{retry_s:.2f}".encode()))
         caller.answer(status, headers, reason.encode() + b"\n")
 
     def _pick_service(self, route):
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -47,6 +47,8 @@
         retry_extra=200.0,
         retry_window_s=10.0,
         stop_grace_s=8.0,
+        drain_bound_s=2.0,
+        config_bound_s=2.0,
         links={"secret": "s"},
         links_address=address,
     )
@@ -240,7 +242,8 @@
     assert first.status == 504
     late = request(gateway)
     assert late.status == 503
-    assert float(late.header(b"Retry-After")) > 0
+    # Another gateway can serve it at once.
+    assert 0 < float(late.header(b"Retry-After")) <= 0.1
 
 
 def test_a_gateway_that_peers_tell_watches_registrations_as_often(gateway):
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -94,6 +94,9 @@
 listen.front=10.1.0.40:8227
 listen.ready=10.1.0.40:8220
 port_range=7340,7355
+bounds.contact_ms=3000
+bounds.drain_ms=2000
+bounds.config_apply_ms=2000
 bounds.grace_s=8
 bounds.budget_window_s=10
 bounds.retry_budget_ratio=0.2
@@ -318,11 +321,17 @@
     assert settings.follower_watch_s == 10.0
 
 
-def test_a_watcher_asks_again_while_out_of_touch_after_a_compaction(adapter):
-    settings = adapter.node_file.settings(adapter.node_file.parse(NODE_FILE))
-    out_of_touch_s = 3.0
+@pytest.mark.parametrize("out_of_touch_ms", [2000, 3000, 4000])
+def test_a_watcher_asks_again_while_out_of_touch_after_a_compaction(
+    adapter, out_of_touch_ms
+):
+    fields = adapter.node_file.parse(NODE_FILE)
+    fields["bounds.contact_ms"] = str(out_of_touch_ms)
+    settings = adapter.node_file.settings(fields)
     calls_s = settings.store["retry_max_s"]
+    out_of_touch_s = out_of_touch_ms / 1000
     assert settings.store["watch_timeout_s"] + calls_s < out_of_touch_s
+    assert settings.links["silence_timeout_s"] <= out_of_touch_s
 
 
 def test_a_settings_file_without_a_field_names_it(adapter):
