--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -396,7 +396,7 @@
     def _tell_round(self):
         self._tell_occupancy()
         self._teller = self._reactor.callLater(
-            self._parts.occupancy.told_s(), self._tell_round
+            self._parts.occupancy.report_interval_s(), self._tell_round
         )
 
     def _tell_occupancy(self):
--- a/src/hemlocktiller/_internal/policy/occupancy.py
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -14,10 +14,10 @@
 
 # How often sums are told: half of the engines' own lag, at a fifth of the
 # bytes of 50 ms.
-TOLD_S = 0.25
+REPORT_INTERVAL_S = 0.25
 # With many peers each tells more rarely, so that what a process hears grows
 # with the requests and not with the square of the processes.
-TOLD_S_PER_PEER = 0.01
+REPORT_INTERVAL_PER_PEER_S = 0.01
 # All rows are told this often, in case a peer has expired some of them.
 WHOLE_EVERY = 4
 # A peer's sums count for this many times that they should have come.
@@ -77,9 +77,12 @@
         )
         self._peer_crossings_mbps: dict[str, tuple[float, float]] = {}
 
-    def told_s(self) -> float:
-        """Returns how often a process tells its sums."""
-        return max(TOLD_S, TOLD_S_PER_PEER * (self.sharers() - 1))
+    def report_interval_s(self) -> float:
+        """Returns how often a process tells its peers its sums."""
+        return max(
+            REPORT_INTERVAL_S,
+            REPORT_INTERVAL_PER_PEER_S * (self.sharers() - 1),
+        )
 
     def reserve(
         self,
@@ -198,7 +201,7 @@
             self._peer_totals.pop(target, None)
 
     def _peer_ttl_s(self) -> float:
-        return self.told_s() * PEER_TTL_ROUNDS
+        return self.report_interval_s() * PEER_TTL_ROUNDS
 
     def _unheard(self, target: str, now_s: float) -> Load:
         """Returns what peers are assumed to have sent of late.
@@ -207,7 +210,7 @@
         more are a sign of a herd, of which each gets its share.
         """
         sent = self._recent.get(target)
-        while sent and sent[0][0] <= now_s - self.told_s():
+        while sent and sent[0][0] <= now_s - self.report_interval_s():
             sent.popleft()
         if not sent:
             self._recent.pop(target, None)
--- a/tests/unit/gateway/test_paths.py
+++ b/tests/unit/gateway/test_paths.py
@@ -126,7 +126,7 @@
     loads = occupancy.Occupancy()
     loads.heard("peer", {"a": occupancy.Load(10.0, 2, 0.0)}, 100.0)
     assert loads.load("a", 101.0).sequences == 2
-    ttl_s = loads.told_s() * occupancy.PEER_TTL_ROUNDS
+    ttl_s = loads.report_interval_s() * occupancy.PEER_TTL_ROUNDS
     assert loads.load("a", 100.0 + ttl_s).sequences == 0
 
 
@@ -196,7 +196,7 @@
     peers = 4 * occupancy.UNHEARD_SHARE
     assert loads.load("a", 0.1).sequences == 3 + 2 * peers
     assert loads.load("a", 0.1).token_layers == 100.0 * 40 * (3 + 2 * peers)
-    assert loads.load("a", loads.told_s()).sequences == 3
+    assert loads.load("a", loads.report_interval_s()).sequences == 3
 
 
 def test_one_request_says_nothing_of_what_peers_sent():
@@ -221,7 +221,7 @@
     rates = []
     for sharers in (5, 30, 100, 300):
         loads.sharers = lambda sharers=sharers: sharers
-        rates.append((sharers - 1) / loads.told_s())
+        rates.append((sharers - 1) / loads.report_interval_s())
     # Messages that each hears in a second, not growing with the fleet.
     assert max(rates) <= 100.0
     assert rates[0] == 16.0
