--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -161,6 +161,10 @@
     return Exchange(kind, request_id, gateway, at_s, status, body, is_whole)
 
 
+# Exit codes of a gateway that the soak itself has ended.
+ENDED_BY_FAULTS = (-signal.SIGKILL, -signal.SIGTERM)
+
+
 class Harmed(NamedTuple):
     """A target's link, and when it was harmed."""
 
@@ -174,10 +178,12 @@
 
     Attributes:
         harmed: Links to targets that were harmed.
+        errors: Faults that could not be carried out.
     """
 
     def __init__(self, deployment):
         self.harmed: list[Harmed] = []
+        self.errors: list[str] = []
         self._deployment = deployment
         self._count = 0
         self.threads: list[threading.Thread] = []
@@ -186,11 +192,17 @@
     def start(self, fault: Fault) -> None:
         """Starts a fault; it ends in a thread of its own."""
         thread = threading.Thread(
-            target=getattr(self, f"_{fault.kind}"), args=(fault,), daemon=True
+            target=self._carry_out, args=(fault,), daemon=True
         )
         thread.start()
         self.threads.append(thread)
 
+    def _carry_out(self, fault):
+        try:
+            getattr(self, f"_{fault.kind}")(fault)
+        except Exception as error:
+            self.errors.append(f"{fault.kind} failed: {error!r}")
+
     def _gateway(self, fault):
         gateways = self._deployment.gateways
         return gateways[fault.number % len(gateways)]
@@ -223,8 +235,13 @@
 
     def _restart(self, gateway):
         with self._restarting:
-            if not gateway.running():
-                gateway.start()
+            while not gateway.running():
+                try:
+                    gateway.start()
+                except process.ProcessFailed:
+                    # Another fault may have ended it as it started.
+                    if gateway.wait() not in ENDED_BY_FAULTS:
+                        raise
 
     def _pause_gateway(self, fault):
         gateway = self._gateway(fault)
@@ -463,6 +480,7 @@
         found = findings(
             callers.exchanges, journal, sampler.samples, injector.harmed
         )
+        found.extend(injector.errors)
         found.extend(_recovery_findings(deployment))
         return found, callers.exchanges
     finally:
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -7,11 +7,14 @@
 
 from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
+from tests.functional import process
 
 # Chosen for what they hold: outages of the store with lost writes and a
 # restart; kills and drains of targets with a frozen gateway. Seed 102 failed:
-# the soak took a configuration whose answer was lost for one not stored.
-SEEDS = (3, 5, 102)
+# the soak took a configuration whose answer was lost for one not stored. One of
+# 416 and 417 failed, played side by side: a gateway was killed as it started
+# after another kill, and nobody noticed that the soak's thread had ended.
+SEEDS = (3, 5, 102, 416, 417)
 
 
 # An idle gateway stops within its 8 s of grace.
@@ -46,6 +49,46 @@
         deployment.stop()
 
 
+class StartedGateway:
+    """A gateway whose first starts end with given codes."""
+
+    def __init__(self, *codes):
+        self.codes = list(codes)
+        self.is_running = False
+
+    def running(self):
+        """Tells whether a start has succeeded."""
+        return self.is_running
+
+    def start(self):
+        """Starts, or fails as long as codes are left."""
+        if self.codes:
+            raise process.ProcessFailed("ended")
+        self.is_running = True
+
+    def wait(self):
+        """Returns the code of the start that failed."""
+        return self.codes.pop(0)
+
+
+def test_a_gateway_killed_as_it_starts_is_started_again():
+    gateway = StartedGateway(-signal.SIGKILL, -signal.SIGTERM)
+    gateway_soak.Injector(None)._restart(gateway)
+    assert gateway.is_running
+
+
+def test_a_gateway_that_fails_to_start_is_a_finding(monkeypatch):
+    injector = gateway_soak.Injector(None)
+    gateway = StartedGateway(1)
+    monkeypatch.setattr(
+        injector, "_kill_target", lambda fault: injector._restart(gateway)
+    )
+    fault = gateway_soak.schedule(1)[0]._replace(kind="kill_target")
+    injector.start(fault)
+    injector.threads[0].join(5.0)
+    assert len(injector.errors) == 1
+
+
 def test_a_schedule_follows_from_its_seed():
     assert gateway_soak.schedule(7) == gateway_soak.schedule(7)
     assert gateway_soak.schedule(7) != gateway_soak.schedule(8)
