--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -11,12 +11,11 @@
 
 # Chosen for what they hold: outages of the store with lost writes and a
 # restart; kills and drains of targets with a frozen gateway. Seed 102 failed:
-# the soak took a configuration whose answer was lost for one not stored. One of
-# 416 and 417 failed, played side by side: a gateway was killed as it started
-# after another kill, and nobody noticed that the soak's thread had ended.
+# the soak took a configuration whose answer was lost for one not stored. One
+# of 416 and 417 failed, played side by side: a gateway was killed as it
+# started after another kill, and nobody noticed that the soak's thread ended.
 SEEDS = (3, 5, 102, 416, 417)
 
-
 # An idle gateway stops within its 8 s of grace.
 STOP_POLLS = 160
 
