End the dealing of parts in data centres of many kinds

Found on reading the change again: with eight kinds of accelerators or more in a data centre, one target of each kind is over 250 combinations, and the dealing of its targets into parts never ended.

--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -221,7 +221,14 @@
         a plan does not grow with the data centre.
     """
     parts = 1
-    while _states({k: -(-n // parts) for k, n in counts.items()}) > MAX_STATES:
+    # Parts of one target of each kind can't be made smaller.
+    while (
+        parts < max(counts.values())
+        and _states(
+            {kind: -(-count // parts) for kind, count in counts.items()}
+        )
+        > MAX_STATES
+    ):
         parts += 1
     dealt: dict[tuple[tuple[str, int], ...], int] = {}
     for part in range(parts):
--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -47,7 +47,6 @@
         self.took_s = []
         self.refused = 0
         self.asked = 0
-        self._choose = choose
         empty = [
             make_target(
                 f"{data_centre}-{kind}-{number}",
