Mend relayed targets, service timeouts and the times of claims

- `TargetQueryRelay.on_targets` was called with link and message but took the message alone: TypeError, so no answer was ever relayed.
Its tests called nothing through the dispatcher.
- A call of a service that timed out counted as a death of the service: a request that is cancelled after it was sent fails with `ResponseNeverReceived`, which is also what a closed connection gives.
The HTTP client now says which it was, by `ResponseTimedOut`.
The outcome stays "unknown", as the service may still run the call.
- Times in claims came from the reactor's monotonic clock, whose origin differs between VMs: a call in progress was reported as unknown, or the other way round, for as long as the difference.
They are the wall clock's now.
At most once did not depend on them: a claim is never taken over by time.

Ruled out for the second: an idle timeout of the connection pool, which doesn't cancel requests.

--- a/src/hemlocktiller/_internal/agent/claims.py
+++ b/src/hemlocktiller/_internal/agent/claims.py
@@ -8,9 +8,11 @@
 """
 
 import base64
+from collections.abc import Callable
 import hashlib
 import json
 import secrets
+import time
 from typing import NamedTuple
 
 import prometheus_client
@@ -100,6 +102,8 @@
         store: Client of the object API.
         process_id: Process id, new at each start.
         ttl_s: Retention time of a claim in seconds.
+        wall_clock_s: Clock of the times in claims. They are compared by
+            other VMs, whose monotonic clocks have another origin.
     """
 
     def __init__(
@@ -107,8 +111,9 @@
         store: client.ObjectStore,
         process_id: str,
         ttl_s: float = CLAIM_TTL_S,
+        wall_clock_s: Callable[[], float] = time.time,
     ):
-        self._reactor = store.reactor
+        self._wall_clock_s = wall_clock_s
         self._writer = claim_writer.ClaimWriter(store)
         self._process_id = process_id
         self._ttl_s = ttl_s
@@ -124,7 +129,7 @@
         fingerprint: str,
         request_id: str,
         attempt_number: int,
-        ends_at_s: float,
+        expires_in_s: float,
     ) -> "defer.Deferred[Acquired | claim_rules.Verdict]":
         """Acquires the claim of a call, directly before its dispatch.
 
@@ -136,15 +141,18 @@
             fingerprint: Digest of the call; see `call_fingerprint`.
             request_id: Request id.
             attempt_number: Attempt number within the request.
-            ends_at_s: Latest end of the dispatch, in seconds since the
-                epoch.
+            expires_in_s: Time until the latest end of the dispatch.
 
         Raises:
             StoreDown: The claim could not be written, so nothing ran.
         """
         dispatch_id = secrets.token_hex(DISPATCH_ID_BYTES)
         attempt = self._new_attempt(
-            request_id, attempt_number, fingerprint, dispatch_id, ends_at_s
+            request_id,
+            attempt_number,
+            fingerprint,
+            dispatch_id,
+            self._wall_clock_s() + expires_in_s,
         )
         return defer.Deferred.fromCoroutine(self._acquire(name, attempt))
 
@@ -185,7 +193,7 @@
             WriteOutcomeUnknown: The attempt may have run or may still run.
         """
         attempt = self._new_attempt(
-            request_id, attempt_number, "", "", self._now_s()
+            request_id, attempt_number, "", "", self._wall_clock_s()
         )
         return defer.Deferred.fromCoroutine(self._void_attempt(name, attempt))
 
@@ -193,9 +201,6 @@
         """Cancels the writes that are still being retried."""
         self._writer.stop()
 
-    def _now_s(self):
-        return self._reactor.seconds()
-
     def _new_attempt(
         self, request_id, attempt_number, fingerprint, dispatch_id, ends_at_s
     ):
@@ -206,7 +211,7 @@
             dispatch_id,
             self._process_id,
             ends_at_s,
-            self._now_s() + self._ttl_s,
+            self._wall_clock_s() + self._ttl_s,
         )
 
     async def _acquire(self, name, attempt):
@@ -217,7 +222,9 @@
         """
 
         def decide(value):
-            return claim_rules.decide_acquire(value, attempt, self._now_s())
+            return claim_rules.decide_acquire(
+                value, attempt, self._wall_clock_s()
+            )
 
         try:
             verdict, stored = await self._writer.apply_change(
@@ -250,7 +257,9 @@
         """Returns the function that decides how to void an attempt."""
 
         def decide(value):
-            return claim_rules.decide_void(value, attempt, self._now_s())
+            return claim_rules.decide_void(
+                value, attempt, self._wall_clock_s()
+            )
 
         return decide
 
--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -141,7 +141,7 @@
         """Sends a call if its claim is acquired and records the outcome."""
         expires_at_s = self._reactor.seconds() + call["expires_in_s"]
         try:
-            acquired = yield self._acquire_claim(call, expires_at_s)
+            acquired = yield self._acquire_claim(call)
         except exceptions.StoreDown as error:
             return CallOutcome(
                 "no", error.code, retry_after_s=error.retry_after_s
@@ -164,9 +164,7 @@
             yield self._claims.record_unknown(acquired.claim)
         return outcome
 
-    def _acquire_claim(
-        self, call: Any, expires_at_s: float
-    ) -> defer.Deferred[Any]:
+    def _acquire_claim(self, call: Any) -> defer.Deferred[Any]:
         name = claims_module.claim_name(
             call["workspace"],
             call["service"],
@@ -177,15 +175,19 @@
             call["method"], call["path"], call["body"]
         )
         return self._claims.acquire(
-            name, fingerprint, call["request"], call["attempt"], expires_at_s
+            name,
+            fingerprint,
+            call["request"],
+            call["attempt"],
+            call["expires_in_s"],
         )
 
     @defer.inlineCallbacks
     def _dispatch(self, call: Any) -> defer.Deferred[CallOutcome]:
         """Sends a call to the service and waits for its response.
 
-        A lost connection counts as a death of the service. So does a
-        timeout, as it closes the connection.
+        A connection that the service closes counts as its death. A timeout
+        doesn't: a service that is slow or silent may still run the call.
         """
         settings = self._settings["service"]
         headers = {"Content-Type": call["content_type"]}
--- a/src/hemlocktiller/_internal/agent/target_queries.py
+++ b/src/hemlocktiller/_internal/agent/target_queries.py
@@ -51,8 +51,13 @@
         for other_link in other_entries:
             other_link.send({"type": "targets_wanted"})
 
-    def on_targets(self, message: Any) -> None:
-        """Relays an answer to all entries that wait for one."""
+    def on_targets(self, link: link_module.Link, message: Any) -> None:
+        """Relays an answer to all entries that wait for one.
+
+        Args:
+            link: Link to the entry that answers.
+            message: The answer.
+        """
         waiting_links = list(self._waiting_links)
         self._waiting_links.clear()
         for link in waiting_links:
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -11,6 +11,8 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
+from hemlocktiller._internal import exceptions
+
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
 NOT_SENT_ERRORS = (
@@ -25,6 +27,13 @@
 )
 
 
+class ResponseTimedOut(exceptions.HemlocktillerError):
+    """The whole response was not received in time.
+
+    The request may have been sent and may still run.
+    """
+
+
 class Reply(NamedTuple):
     """An HTTP response, with its whole body."""
 
@@ -102,9 +111,10 @@
         request: The request.
 
     Raises:
-        Exception: An exception of Twisted, if the whole response was not
-            received within `timeout_s`. `was_not_sent` tells whether the
-            request was certainly not sent.
+        ResponseTimedOut: The whole response was not received within
+            `timeout_s`.
+        Exception: An exception of Twisted, if the exchange failed before.
+            `was_not_sent` tells whether the request was certainly not sent.
     """
     headers = http_headers.Headers(
         {name: [value] for name, value in request.headers.items()}
@@ -113,14 +123,23 @@
     pending = http_agent.request(
         request.method.encode(), request.url.encode(), headers, producer
     )
-    state = {"pending": pending}
-    timer = reactor.callLater(
-        request.timeout_s, lambda: state["pending"].cancel()
-    )
+    state = {"pending": pending, "timed_out": False}
+
+    def cancel_after_timeout() -> None:
+        state["timed_out"] = True
+        state["pending"].cancel()
+
+    timer = reactor.callLater(request.timeout_s, cancel_after_timeout)
     try:
         response = yield pending
         state["pending"] = client.readBody(response)
         body = yield state["pending"]
+    except Exception as error:
+        if state["timed_out"]:
+            raise ResponseTimedOut(
+                f"no response within {request.timeout_s} s"
+            ) from error
+        raise
     finally:
         if timer.active():
             timer.cancel()
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -11,21 +11,43 @@
 ANSWER = claims.encode_outcome(201, "application/json", b'{"booking": 1}')
 
 
+class OffsetClock:
+    """A reactor's clock that is ahead of another one by its uptime."""
+
+    def __init__(self, clock, uptime_s):
+        self._clock = clock
+        self._uptime_s = uptime_s
+
+    def seconds(self):
+        """Returns the time since this VM has started."""
+        return self._clock.seconds() + self._uptime_s
+
+    def callLater(self, delay_s, function, *arguments):
+        """Schedules a call."""
+        return self._clock.callLater(delay_s, function, *arguments)
+
+
+def create_claims(platform, name, uptime_s=0.0):
+    """Returns the claims of a process on a VM that was up for some time."""
+    store = platform.store(name)
+    store.reactor = OffsetClock(platform.clock, uptime_s)
+    return claims.Claims(store, name, wall_clock_s=platform.clock.seconds)
+
+
 @pytest.fixture
 def agent(platform):
-    return claims.Claims(platform.store("agent"), "agent")
+    return create_claims(platform, "agent")
 
 
 @pytest.fixture
 def router(platform):
-    return claims.Claims(platform.store("entry"), "entry")
+    return create_claims(platform, "entry")
 
 
 def acquire_claim(platform, agent, attempt=1, request="r1", fingerprint=PRINT):
     """Acquires the claim of a call that must end within 30 s."""
-    ends_at_s = platform.clock.seconds() + 30.0
     return platform.result(
-        agent.acquire(NAME, fingerprint, request, attempt, ends_at_s)
+        agent.acquire(NAME, fingerprint, request, attempt, 30.0)
     )
 
 
@@ -39,7 +61,7 @@
 def test_retry_gets_the_recorded_answer(platform, agent):
     acquired = acquire_claim(platform, agent)
     platform.result(agent.record_answer(acquired.claim, ANSWER))
-    other_agent = claims.Claims(platform.store("other"), "other")
+    other_agent = create_claims(platform, "other")
     claim_result = acquire_claim(platform, other_agent, request="r2")
     assert claim_result == claims.Recorded(ANSWER)
     assert claims.decode_body(claim_result.outcome) == b'{"booking": 1}'
@@ -163,7 +185,7 @@
     assert agent.pending_write_count == 0
     platform.faults()
     platform.run(60.0)
-    other_agent = claims.Claims(platform.store("other"), "other")
+    other_agent = create_claims(platform, "other")
     claim_result = acquire_claim(platform, other_agent, request="r2")
     assert isinstance(claim_result, claims.OutcomeUnknown)
 
@@ -196,3 +218,32 @@
         decision = claim_rules.decide_void(stored_value, attempt, 0.0)
         stored_value = getattr(decision, "value", stored_value)
     assert isinstance(decision, claim_rules.OutcomeUnknown)
+
+
+def test_the_times_of_a_claim_are_those_of_the_wall_clock(platform):
+    epoch_s = 1_700_000_000.0
+
+    def wall_clock_s():
+        return epoch_s + platform.clock.seconds()
+
+    # The monotonic clock of a VM that was up for a day is ahead of the other.
+    platform.clock.advance(86_400.0)
+    agent = claims.Claims(
+        platform.store("agent"), "agent", 60.0, wall_clock_s=wall_clock_s
+    )
+    acquired = acquire_claim(platform, agent)
+    value = acquired.claim.stored.value
+    assert value["ends_at_s"] == pytest.approx(epoch_s + 86_430.0, abs=1.0)
+    assert value["expires_at_s"] == pytest.approx(epoch_s + 86_460.0, abs=1.0)
+
+
+def test_a_call_in_progress_on_another_vm_is_judged_by_the_wall_clock(
+    platform,
+):
+    acquire_claim(platform, create_claims(platform, "long-up", 1_000_000.0))
+    other = create_claims(platform, "just-started")
+    result = acquire_claim(platform, other, request="r2")
+    assert result == claims.InProgress(claim_rules.IN_PROGRESS_RETRY_S)
+    platform.run(31.0)
+    result = acquire_claim(platform, other, request="r3")
+    assert result == claims.OutcomeUnknown(claim_rules.UNKNOWN_RETRY_S)
--- a/tests/unit/test_claims_history.py
+++ b/tests/unit/test_claims_history.py
@@ -57,7 +57,9 @@
         store = scripted_store.ScriptedStore(
             self.objects, f"process-{self.starts}"
         )
-        return store, claims.Claims(store, store.writer)
+        return store, claims.Claims(
+            store, store.writer, wall_clock_s=self.objects.clock.seconds
+        )
 
     @stateful.rule(number=PROCESS_NUMBERS)
     def _send(self, number):
@@ -126,9 +128,8 @@
 
     def _deliver(self, number, attempt):
         process = self.processes[number]
-        ends_at_s = self.objects.clock.seconds() + 30.0
         begun = process[1].acquire(
-            test_claims.NAME, test_claims.PRINT, REQUEST, attempt, ends_at_s
+            test_claims.NAME, test_claims.PRINT, REQUEST, attempt, 30.0
         )
         begun.addErrback(lambda error: error.trap(exceptions.StoreDown))
         begun.addCallback(self._begin_result, process, attempt)
