Recognize a store that was restored from an older copy

Answers of an earlier era are dropped with a line, conditions of one are not sent, watches list anew, leases end and get higher numbers. Gateways keep targets, links and plan until they had time to be written again, and don't take back targets that had left or drained.

Ruled out: a separate field for the era (each comparison would have to remember it), and dropping all state on a new era (nobody served for seconds).

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -16,6 +16,13 @@
 not deleted but stored without a holder. If an operator deletes it, it is
 first created again without a holder; as versions are counted for the whole
 store, fencing numbers keep increasing.
+
+They also increase when the store is restored from an older copy, as versions
+do (see `store.versions`). A lease of an earlier era permits nothing from the
+moment at which its holder learns of the restore. The copy may not know of that
+holder, so no process acquires a lease that looks free until a whole duration
+after it has first seen the era. A holder that is still recorded acquires the
+lease anew, with a new number.
 """
 
 from collections.abc import Callable
@@ -31,6 +38,7 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import watch
 
 KIND = "lease"
@@ -103,7 +111,9 @@
         self._held_until_s = 0.0
         self._reported_held = False
         self._consecutive_failures = 0
+        self._era_seen_at_s: dict[int, float] = {}
         self._stopped = False
+        store.on_new_era.append(self._on_new_era)
         self._loop: defer.Deferred = defer.succeed(None)
 
     def start(self) -> None:
@@ -131,6 +141,16 @@
         self._update_held()
         return defer.Deferred.fromCoroutine(self._release_if_held())
 
+    def _on_new_era(self, era):
+        """Gives up a lease of the store's state before a restore."""
+        self._needs_read = True
+        self._note_era(era)
+        self._update_held()
+
+    def _note_era(self, era):
+        """Returns since when this process knows an era of the store."""
+        return self._era_seen_at_s.setdefault(era, self._monotonic_s())
+
     async def _release_if_held(self):
         try:
             for _ in range(RELEASE_ATTEMPTS):
@@ -173,9 +193,9 @@
             self._observe(stored)
         if self._observed is None:
             await self._compare_and_swap(_lease_value(NO_HOLDER, 0, 0))
-        if self._is_recorded_holder():
+        if self._is_recorded_holder() and self._has_current_number():
             await self._write_as_holder(_renewed_value(self._observed.value))
-        elif self._can_acquire():
+        elif self._is_recorded_holder() or self._can_acquire():
             await self._write_as_holder(
                 _lease_value(self._store.writer, self._observed.version + 1, 0)
             )
@@ -215,6 +235,7 @@
         observed_version = self._observed.version if self._observed else 0
         if stored is not None and stored.version != observed_version:
             self._observed_at_s = self._monotonic_s()
+            self._note_era(versions.era_of(stored.version))
         self._observed = stored
         if not self._is_recorded_holder():
             self._held_until_s = 0.0
@@ -226,18 +247,32 @@
             and self._observed.value["holder"] == self._store.writer
         )
 
+    def _has_current_number(self):
+        """Returns whether the fencing number is of the store's era."""
+        return self._store.is_current(self._observed.value["fencing_number"])
+
     def _can_acquire(self):
         """Returns whether the lease is free or was not renewed in time."""
         if self._observed is None:
             return False
+        free_since_s = self._observed_at_s
         if self._observed.value["holder"] == NO_HOLDER:
-            return True
-        unchanged_s = self._monotonic_s() - self._observed_at_s
+            era = versions.era_of(self._observed.version)
+            if era == 0:
+                return True
+            # A holder that the restored copy doesn't know may still trust
+            # its lease.
+            free_since_s = self._note_era(era)
+        unchanged_s = self._monotonic_s() - free_since_s
         return unchanged_s >= self._settings["duration_s"]
 
     def _update_held(self):
         """Returns whether the lease is held; calls `on_change` on a change."""
-        held = self._monotonic_s() < self._held_until_s
+        held = (
+            self._monotonic_s() < self._held_until_s
+            and self._observed is not None
+            and self._store.is_current(self._observed.version)
+        )
         if held != self._reported_held:
             self._reported_held = held
             _HELD.inc(1 if held else -1)
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -73,6 +73,7 @@
         self._adapter = adapter
         self._services = services
         self._plans: dict[str, tuple[layout.PlannedRange, ...]] = {}
+        self._known_plans: dict[str, tuple[layout.PlannedRange, ...]] = {}
         self._names_and_stable_since_s: dict[
             str, tuple[tuple[str, ...], float]
         ] = {}
@@ -168,15 +169,26 @@
         if stored is not None:
             plan = tuple(layout.PlannedRange(*row) for row in stored.value)
         else:
-            plan = layout.plan_ranges(
+            plan = self._recover_plan(service) or layout.plan_ranges(
                 self._ready_targets(service), service.engine
             )
             rows = [list(planned_range) for planned_range in plan]
             await self._store.create(PLAN_KIND, service.name, rows)
             events.emit("layout_planned", slots=len(plan))
         self._plans[service.name] = plan
+        self._known_plans[service.name] = plan
         return plan
 
+    def _recover_plan(self, service):
+        """Returns the plan that a restored store has lost, if there was one.
+
+        A process that has not read it takes what the targets hold for it, so
+        that they don't load other layers.
+        """
+        if service.name in self._known_plans:
+            return self._known_plans[service.name]
+        return layout.held_ranges(self._ready_targets(service), service.engine)
+
     def _order_missing_layers(self, service, plan):
         """Orders layers for ranges without a holder, or else for spares."""
         now_s = self._reactor.seconds()
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -27,6 +27,7 @@
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
+from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import watch
 
 GATEWAY_KIND = "gateways"
@@ -128,6 +129,7 @@
         self._is_poller_by_target: dict[str, bool] = {}
         self._is_store_lost = False
         self._is_watcher = True
+        self._keep_dialers_until_s = 0.0
 
     def listener_factory(self) -> listener.Listener:
         """Returns the protocol factory of accepted links."""
@@ -137,6 +139,16 @@
 
     def start(self) -> None:
         """Registers this process, and starts to link to the other gateways."""
+        self._register()
+        self._store.on_new_era.append(self._on_store_restored)
+        self._discovery = watch.Watch(
+            self._store, GATEWAY_KIND, self._discover
+        )
+        self._discovery.on_failure = self._on_store_lost
+        self._report_periodically()
+
+    def _register(self):
+        """Writes the address of this process, unless it is stored already."""
         address = self._settings.links_address
         writing = defer.Deferred.fromCoroutine(
             registration.register(
@@ -147,11 +159,17 @@
             )
         )
         writing.addErrback(_log_failure)
-        self._discovery = watch.Watch(
-            self._store, GATEWAY_KIND, self._discover
+
+    def _on_store_restored(self, era):
+        """Registers again, and gives the other gateways time to do so."""
+        events.emit("store_restored", era=era)
+        self._hooks.targets.record_store_outage()
+        self._keep_dialers_until_s = (
+            self._reactor.seconds()
+            + targets_module.EXPIRED_REGISTRATION_GRACE_S
         )
-        self._discovery.on_failure = self._on_store_lost
-        self._report_periodically()
+        self._reactor.callLater(0, self._hooks.on_store_recovered)
+        self._reactor.callLater(0, self._register)
 
     def stop(self) -> None:
         """Stops discovery and reports, and closes the links."""
@@ -259,6 +277,8 @@
                 existing = None
             if existing is None:
                 self._start_dialer(name, address)
+        if self._reactor.seconds() < self._keep_dialers_until_s:
+            return
         for name in set(self._dialers) - set(addresses):
             self._dialers.pop(name).stop()
 
@@ -333,6 +353,7 @@
                 message["target"], message["born_ms"], message["pace"]
             )
         elif message_type == "registration":
+            self._store.learn_era(versions.era_of(message["version"]))
             value = json.loads(message["value"]) if message["value"] else None
             self._hooks.targets.apply_peer_registration(
                 message["target"], message["version"], value
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -16,6 +16,7 @@
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 
 # A healthy target of the same region answers within a few milliseconds, a
 # loaded one within tens of milliseconds.
@@ -109,11 +110,18 @@
         is_first = not self.is_loaded
         self.is_loaded = True
         for stored in changed:
+            before = self.by_name.get(stored.name)
+            if is_full_listing and self._is_known_gone(stored):
+                events.emit("registration_outdated", target=stored.name)
+                self._version_by_name[stored.name] = stored.version
+                continue
             is_newer = self._apply_registration(
                 stored.name, stored.version, stored.value
             )
-            # Peers already have what was stored before this process started.
-            if is_newer and not is_first:
+            # Peers already have what was stored before this process started,
+            # and what a restored store lists without a change.
+            is_changed = self.by_name.get(stored.name) != before
+            if is_newer and is_changed and not is_first:
                 self.on_registration(stored.name, stored.version, stored.value)
         if is_full_listing:
             listed_names = {stored.name for stored in changed}
@@ -217,6 +225,20 @@
         self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
         self._notify_changed()
 
+    def _is_known_gone(self, stored):
+        """Returns whether a restored store lists a target that has left.
+
+        A target that is there after all renews its registration, which gives
+        it a higher version.
+        """
+        known_version = self._version_by_name.get(stored.name)
+        return (
+            known_version is not None
+            and stored.name not in self.by_name
+            and versions.era_of(stored.version)
+            > versions.era_of(known_version)
+        )
+
     def record_store_outage(self) -> None:
         """Records that the platform's object store does not answer."""
         self.last_outage_s = self._reactor.seconds()
@@ -344,6 +366,10 @@
             events.emit("registration_ignored", target=name)
             return
         previous = self.by_name.get(name)
+        if _has_begun_to_drain(previous, target):
+            # Only an outdated copy of the store says that it is ready.
+            events.emit("registration_outdated", target=name)
+            target = target._replace(state=previous.state)
         removal = self._removal_timers.pop(name, None)
         if removal is not None:
             removal.cancel()
@@ -472,6 +498,18 @@
             callback()
 
 
+def _has_begun_to_drain(
+    previous: fleet.Target | None, target: fleet.Target
+) -> bool:
+    """Returns whether a ready target was draining before: it never returns."""
+    return (
+        previous is not None
+        and previous.born_ms == target.born_ms
+        and previous.state == fleet.DRAINING
+        and target.state == fleet.READY
+    )
+
+
 def target_names(targets: Iterable[fleet.Target]) -> list[str]:
     """Returns the names of targets."""
     return [target.name for target in targets]
--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import functools
 import itertools
 import math
@@ -85,6 +86,38 @@
     return tuple(planned_ranges)
 
 
+def held_ranges(
+    targets: Sequence[fleet.Target], engine: fleet.Engine
+) -> tuple[PlannedRange, ...]:
+    """Returns the ranges that targets hold, as a plan that needs no load.
+
+    Answers the loss of a plan while its targets serve. Without a data centre
+    that holds all layers nothing is returned, as a new plan serves more.
+
+    Args:
+        targets: Ready targets of one service.
+        engine: Engine of the service.
+    """
+    holders = [target for target in targets if target.layers > 0]
+    held_layers: dict[str, set[int]] = {}
+    for target in holders:
+        held_layers.setdefault(target.data_centre, set()).update(
+            range(target.first_layer, target.end_layer)
+        )
+    if all(len(held) < engine.layer_count for held in held_layers.values()):
+        return ()
+    return tuple(
+        PlannedRange(
+            target.data_centre,
+            target.accelerator,
+            target.first_layer,
+            target.end_layer,
+            0,
+        )
+        for target in sorted(holders, key=lambda one: one.name)
+    )
+
+
 def fill_ranges(
     planned_ranges: Iterable[PlannedRange],
     targets: Iterable[fleet.Target],
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -2,11 +2,16 @@
 
 When the reply of a write is lost, the client reads the object back and
 determines the outcome from the envelope of its value; see `writes`.
+
+The platform's revisions are joined with the era of the store to versions, see
+`versions`. An answer of an earlier era than the newest one known is dropped.
 """
 
+from collections.abc import Callable
 import secrets
 from typing import Any
 
+import logbook
 import prometheus_client
 from twisted.internet import defer
 
@@ -14,11 +19,14 @@
 from hemlocktiller._internal.schemas import entry_settings
 from hemlocktiller._internal.store import objects
 from hemlocktiller._internal.store import transport
+from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import writes
 
 MAX_WRITE_ATTEMPTS = 3
 NONCE_BYTES = 12
 
+_LOG = logbook.Logger(__name__)
+
 StoredObject = objects.StoredObject
 Listing = objects.Listing
 Changes = objects.Changes
@@ -28,6 +36,15 @@
     "Calls to the platform's store",
     ["method", "kind"],
 )
+_ERA = prometheus_client.Gauge(
+    "hemlocktiller_store_era",
+    "Number of times that the platform's store was restored from a copy",
+)
+_OUTDATED_ANSWERS = prometheus_client.Counter(
+    "hemlocktiller_store_outdated_answers",
+    "Answers dropped because the store was restored after them",
+    ["kind"],
+)
 _LOST_REPLIES = prometheus_client.Counter(
     "hemlocktiller_store_lost_replies",
     "Writes whose reply was lost",
@@ -50,6 +67,9 @@
         watch_timeouts_s: Timeouts of watch requests by kind, for kinds
             whose timeout differs from `watch_timeout_s` of the settings.
         writer: Id of this process, new at each start.
+        era: Newest era of the store that is known; None before the first
+            answer.
+        on_new_era: Called with the era after the store was restored.
         reactor: Reactor that schedules the calls and their timeouts.
     """
 
@@ -75,10 +95,33 @@
         self.watch_timeouts_s: dict[str, float] = {}
         self.reactor = reactor
         self.writer = writer
+        self.era: int | None = None
+        self.on_new_era: list[Callable[[int], None]] = []
         self._transport = custom_transport or transport.Transport(
             settings, reactor, agent
         )
 
+    def learn_era(self, era: int) -> None:
+        """Takes note of the era of an answer, or of a peer's version.
+
+        The callbacks are called before the answer is used. They must not
+        cancel calls, as its own may be among them.
+        """
+        if self.era is not None and era <= self.era:
+            return
+        is_first = self.era is None
+        self.era = era
+        _ERA.set(era)
+        if is_first:
+            return
+        _LOG.warning("the store was restored from a copy: era {}", era)
+        for callback in list(self.on_new_era):
+            callback(era)
+
+    def is_current(self, version: int) -> bool:
+        """Returns whether a version is of the newest era known."""
+        return versions.era_of(version) == (self.era or 0)
+
     def close(self) -> defer.Deferred:
         """Closes the idle connections."""
         return self._transport.close()
@@ -216,7 +259,8 @@
             return None
         body = _successful_body(reply)
         return writes.ObjectWithOrigin(
-            objects.parse_object(kind, body), objects.parse_origin(body)
+            objects.parse_object(kind, body, reply.era),
+            objects.parse_origin(body),
         )
 
     async def _read_all(self, kind, may_be_stale):
@@ -224,7 +268,8 @@
         reply = await self._get("read_all", kind, ("objects", kind), query)
         body = _successful_body(reply)
         return Listing(
-            body["version"], objects.parse_objects(kind, body["objects"])
+            versions.join(reply.era, body["version"]),
+            objects.parse_objects(kind, body["objects"], reply.era),
         )
 
     async def _wait_for_object(self, kind, name, after):
@@ -232,20 +277,26 @@
         if reply.status == 204:
             return None
         if reply.status == 404:
-            version = (reply.body or {}).get("version", 0)
-            return version, None
-        stored = objects.parse_object(kind, _successful_body(reply))
+            revision = (reply.body or {}).get("version", 0)
+            return versions.join(reply.era, revision), None
+        stored = objects.parse_object(kind, _successful_body(reply), reply.era)
         return stored.version, stored
 
     async def _wait_for_changes(self, kind, after):
+        if not self.is_current(after):
+            raise VersionTooOld(f"the store was restored after {after}")
         reply = await self._long_poll(kind, ("objects", kind), after)
+        if reply.era != versions.era_of(after):
+            # The revision was given out again, or the answer is an empty one.
+            raise VersionTooOld(f"the store was restored after {after}")
         if reply.status == 204:
             return None
         if reply.status == 410:
             raise VersionTooOld(f"changes after {after} are not known")
         body = _successful_body(reply)
-        changed = objects.parse_objects(kind, body["changed"])
-        return Changes(body["version"], changed, body["deleted"])
+        changed = objects.parse_objects(kind, body["changed"], reply.era)
+        version = versions.join(reply.era, body["version"])
+        return Changes(version, changed, body["deleted"])
 
     async def _wait_for_vms(self, after):
         reply = await self._long_poll("vms", ("vms",), after)
@@ -254,17 +305,43 @@
     async def _long_poll(self, kind, segments, after):
         default_wait_s = self.settings["watch_timeout_s"]
         wait_s = self.watch_timeouts_s.get(kind, default_wait_s)
-        query = {"after": after, "timeout_s": wait_s}
+        # Below 0 for "any version", also for one of an earlier era.
+        revision = -1
+        if after >= 0 and self.is_current(after):
+            revision = versions.revision_of(after)
+        query = {"after": revision, "timeout_s": wait_s}
         return await self._get("watch", kind, segments, query, wait_s)
 
     async def _get(self, method, kind, segments, query=None, wait_s=0.0):
         _CALLS.labels(method, kind).inc()
         try:
-            return await self._transport.call(
+            reply = await self._transport.call(
                 "GET", segments, query, wait_s=wait_s
             )
+            self._check_era(reply, kind)
         except exceptions.WriteOutcomeUnknown as lost_reply:
             raise exceptions.StoreUnavailable(str(lost_reply)) from lost_reply
+        return reply
+
+    def _check_era(self, reply, kind):
+        """Learns the era of a reply.
+
+        Raises:
+            WriteOutcomeUnknown: The reply is of an earlier era, in which what
+                it says has happened may be gone.
+        """
+        self.learn_era(reply.era)
+        if reply.era < self.era:
+            _OUTDATED_ANSWERS.labels(kind).inc()
+            _LOG.warning(
+                "dropped an answer of the store on {}: era {}, now {}",
+                kind,
+                reply.era,
+                self.era,
+            )
+            raise exceptions.WriteOutcomeUnknown(
+                f"an answer of era {reply.era}, now it is {self.era}"
+            )
 
     async def _write(self, method, write):
         """Sends a write until its outcome is known.
@@ -284,23 +361,28 @@
                 lost_reply = unknown_outcome
             else:
                 if reply.status != 412:
-                    return _written_object(write, _successful_body(reply))
+                    return _written_object(write, reply)
             outcome = await self._read_back(write, lost_reply)
             if outcome is not None:
                 return _unwrap_outcome(outcome)
         raise lost_reply or writes.conflict_error(write, None)
 
     async def _send(self, method, write):
+        if write.base_version and not self.is_current(write.base_version):
+            return transport.Reply(412, None, self.era or 0)
         _CALLS.labels(method.lower(), write.kind).inc()
         headers = {"If-None-Match": "*"}
         if write.base_version:
-            headers = {"If-Match": f'"{write.base_version}"'}
+            revision = versions.revision_of(write.base_version)
+            headers = {"If-Match": f'"{revision}"'}
         if write.body is not None:
             headers["Content-Type"] = "application/json"
         segments = ("objects", write.kind, write.name)
-        return await self._transport.call(
+        reply = await self._transport.call(
             method, segments, headers=headers, body=write.body
         )
+        self._check_era(reply, write.kind)
+        return reply
 
     async def _read_back(self, write, lost_reply):
         """Reads the object back and returns the outcome of the write.
@@ -331,10 +413,23 @@
     return reply.body
 
 
-def _written_object(write, body):
+def _written_object(write, reply):
+    """Returns the object that a write has stored; None for a delete.
+
+    Raises:
+        WriteOutcomeUnknown: The store was restored meanwhile, so the write
+            may have replaced another one that got the same revision.
+    """
+    body = _successful_body(reply)
+    version = versions.join(reply.era, body["version"])
+    if writes.is_of_another_era(write, version):
+        raise exceptions.WriteOutcomeUnknown(
+            f"the store was restored before {write.kind} {write.name} was"
+            " written"
+        )
     if write.body is None:
         return None
-    return StoredObject(write.kind, write.name, body["version"], write.value)
+    return StoredObject(write.kind, write.name, version, write.value)
 
 
 def _unwrap_outcome(outcome):
--- a/src/hemlocktiller/_internal/store/objects.py
+++ b/src/hemlocktiller/_internal/store/objects.py
@@ -10,6 +10,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from hemlocktiller._internal.store import versions
+
 _ENVELOPE_FIELDS = {"writer", "nonce", "base_version", "data"}
 
 
@@ -19,7 +21,8 @@
     Attributes:
         kind: Kind of the object.
         name: Name within the kind.
-        version: Version of the store at which the object was last written.
+        version: Version of the store at which the object was last written;
+            see `versions`.
         value: Value without its envelope.
     """
 
@@ -83,22 +86,26 @@
     return json.dumps(envelope, separators=(",", ":")).encode()
 
 
-def parse_object(kind: str, body: dict) -> StoredObject:
+def parse_object(kind: str, body: dict, era: int = 0) -> StoredObject:
     """Converts an object of a reply, removing the envelope of its value.
 
     Args:
         kind: Kind of the object.
         body: JSON object that the platform sent.
+        era: Era of the reply.
     """
     value = body["value"]
     if _has_envelope(value):
         value = value["data"]
-    return StoredObject(kind, body["name"], body["version"], value)
+    version = versions.join(era, body["version"])
+    return StoredObject(kind, body["name"], version, value)
 
 
-def parse_objects(kind: str, bodies: list[dict]) -> list[StoredObject]:
+def parse_objects(
+    kind: str, bodies: list[dict], era: int = 0
+) -> list[StoredObject]:
     """Converts the objects of a reply; see `parse_object`."""
-    return [parse_object(kind, body) for body in bodies]
+    return [parse_object(kind, body, era) for body in bodies]
 
 
 def parse_origin(body: dict) -> WriteOrigin:
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -25,6 +25,8 @@
 # Part of the call timeout. Below 1, so that a connection attempt times out
 # before the call does and is not mistaken for a lost reply.
 CONNECT_TIMEOUT_RATIO = 0.5
+# Response header with the number of restores from a backup.
+DEFAULT_ERA_HEADER = "Object-Era"
 HTTP_SERVICE_UNAVAILABLE = 503
 HTTP_SERVER_ERROR_MIN = 500
 
@@ -36,16 +38,31 @@
 
 
 class Reply(NamedTuple):
-    """A response of the platform; the body is None if it is not JSON."""
+    """A response of the platform.
+
+    Attributes:
+        status: HTTP status.
+        body: JSON body; None if it is not JSON.
+        era: Number of times that the store was restored from a backup; 0 if
+            the platform does not tell it.
+    """
 
     status: int
     body: dict | None
+    era: int = 0
 
 
 class Transport:
     """Sends calls to the platform over a pool of persistent connections."""
 
-    def __init__(self, settings: entry_settings.Store, reactor, agent=None):
+    def __init__(
+        self,
+        settings: entry_settings.Store,
+        reactor,
+        agent=None,
+        era_header: str = DEFAULT_ERA_HEADER,
+    ):
+        self._era_header = era_header
         self._base_url = settings["url"].rstrip("/")
         self._timeout_s = settings["timeout_s"]
         self._reactor = reactor
@@ -125,7 +142,22 @@
             raise exceptions.WriteOutcomeUnknown(
                 f"the object API answered {response.code}"
             )
-        return Reply(response.code, _parse_json(content))
+        era = self._parse_era(response.headers)
+        return Reply(response.code, _parse_json(content), era)
+
+    def _parse_era(self, headers):
+        """Returns the era that a response names.
+
+        Raises:
+            WriteOutcomeUnknown: The header is not a number, so the version
+                of what the response holds is not known.
+        """
+        value = headers.getRawHeaders(self._era_header, ["0"])[-1]
+        if not (value.isascii() and value.isdigit()):
+            raise exceptions.WriteOutcomeUnknown(
+                f"the object API sent a bad {self._era_header}: {value!r}"
+            )
+        return int(value)
 
 
 def _build_headers(headers):
--- a/src/hemlocktiller/_internal/store/writes.py
+++ b/src/hemlocktiller/_internal/store/writes.py
@@ -5,6 +5,9 @@
   the condition of this write can no longer hold, so it failed.
 - The object was written by another write that replaced a later version: that
   version may have come from this write, so the outcome is unknown.
+- The object carries the nonce, but the store was restored from a copy since
+  the expected version: the write may have replaced another one that got the
+  same revision, so the outcome is unknown.
 - The object is unchanged: the write may still be in transit. Sending it
   again is safe, since at most one of two writes with the same condition
   takes effect.
@@ -17,6 +20,7 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.store import objects
+from hemlocktiller._internal.store import versions
 
 
 class Write(NamedTuple):
@@ -84,6 +88,9 @@
     if write.body is None:
         return _resolve_delete(write, current)
     if read_back and read_back.origin.nonce == write.nonce:
+        if is_of_another_era(write, version):
+            message = f"the store was restored before {write.kind} was read"
+            return expression.Error(exceptions.WriteOutcomeUnknown(message))
         return expression.Ok(current)
     if reply_was_lost and not _replaced_base_version(write, read_back):
         message = f"{write.kind} {write.name} was written again since"
@@ -91,6 +98,13 @@
     return expression.Error(conflict_error(write, current))
 
 
+def is_of_another_era(write: Write, version: int) -> bool:
+    """Returns whether a version is of another era than the expected one."""
+    return bool(write.base_version) and versions.era_of(
+        version
+    ) != versions.era_of(write.base_version)
+
+
 def _resolve_delete(write, current):
     if current is None:
         return expression.Ok(None)
--- a/tests/fakes/objects_api.py
+++ b/tests/fakes/objects_api.py
@@ -3,10 +3,13 @@
 Runs as a process. `POST /control` injects faults: `mode` is `up`, `busy`
 (503), `silent` (no response) or `lose` (writes take effect, but their
 connection is closed without a response), and `delay_s` delays every response.
+`copy` keeps a copy of all objects, and `restore` restores it: what was written
+since is gone, and `Store-Era` rises.
 Registrations of kind `servers` expire after three missed heartbeats.
 """
 
 import argparse
+import copy
 import json
 import sys
 
@@ -16,6 +19,7 @@
 
 from tests.fakes import web
 
+ERA_HEADER = "Store-Era"
 MAX_HISTORY_EVENTS = 2_000
 EXPIRY_HEARTBEATS = 3
 
@@ -25,6 +29,7 @@
 
     Attributes:
         revision: Revision of the last change.
+        era: Number of restores.
         mode: Current fault, as set by `POST /control`.
         delay_s: Delay of each response.
     """
@@ -35,7 +40,9 @@
         self._heartbeat_times_s: dict[str, float] = {}
         self._events: list[tuple[int, str, dict, bool]] = []
         self._change_waiters: list[defer.Deferred] = []
+        self._copy: tuple | None = None
         self.revision = 1
+        self.era = 0
         self.mode = "up"
         self.delay_s = 0.0
 
@@ -93,17 +100,36 @@
     def events_after(self, kind, revision):
         """Returns the events of a kind after a revision.
 
-        Returns None if the history no longer reaches back to the revision.
+        Returns None if the history does not reach back to the revision, or
+        the revision does not exist.
         """
         is_truncated = len(self._events) == MAX_HISTORY_EVENTS
         if is_truncated and revision < self._events[0][0]:
             return None
+        if revision > self.revision or (
+            self._copy and self.era and revision < self._copy[0]
+        ):
+            return None
         return [
             {"object": item, "deleted": deleted}
             for at, of_kind, item, deleted in self._events
             if of_kind == kind and at > revision
         ]
 
+    def make_copy(self):
+        """Keeps a copy of all objects and their revision."""
+        self._copy = (self.revision, copy.deepcopy(self._objects))
+
+    def restore(self):
+        """Restores the copy; waiting watches are cut off."""
+        self.revision, objects = self._copy
+        self._objects = copy.deepcopy(objects)
+        self._events.clear()
+        self.era += 1
+        waiters, self._change_waiters = self._change_waiters, []
+        for waiter in waiters:
+            waiter.errback(ConnectionAbortedError("the store was restored"))
+
     def next_change(self):
         """Returns a Deferred that fires at the next change of any object."""
         change = defer.Deferred()
@@ -142,6 +168,10 @@
         if segments == ["control"]:
             objects.mode = value.get("mode", objects.mode)
             objects.delay_s = value.get("delay_s", objects.delay_s)
+            if value.get("copy"):
+                objects.make_copy()
+            if value.get("restore"):
+                objects.restore()
             return web.json_response({})
         if segments[:1] == ["beat"]:
             return web.json_response(
@@ -155,9 +185,13 @@
         if mode == "silent":
             await defer.Deferred()
         method = request.method.decode()
-        response = await self._handle_call(
-            method, segments[2:], request, value
-        )
+        try:
+            response = await self._handle_call(
+                method, segments[2:], request, value
+            )
+        except ConnectionAbortedError:
+            return web.DROP_CONNECTION
+        request.setHeader(ERA_HEADER, str(objects.era))
         if mode == "lose" and method != "GET":
             return web.DROP_CONNECTION
         return response
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -5,6 +5,7 @@
 
 import argparse
 import collections
+import copy
 import json
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_CHANGES = 10_000
+ERA_HEADER = "Object-Era"
 NO_FAULTS = {"outage": "none", "delay_s": 0.0, "lose_replies": 0}
 
 
@@ -59,6 +61,7 @@
         changes: The newest writes.
         dropped_version: Version of the newest write that is no longer in
             `changes`.
+        era: Number of restores.
         vms: The VM list, by name.
         vms_version: Version of the VM list.
         faults: Active faults, as set by `PUT /faults`.
@@ -72,6 +75,7 @@
         self.objects = collections.defaultdict(dict)
         self.changes = []
         self.dropped_version = 0
+        self.era = 0
         self.vms = {}
         self.vms_version = 0
         self.faults = dict(NO_FAULTS)
@@ -89,6 +93,24 @@
         self.calls[method][kind] += 1
         return self._handle_with_faults(kind, method, request, segments)
 
+    def copy(self):
+        """Returns a copy of the objects, to restore later."""
+        return self.version, copy.deepcopy(self.objects), list(self.changes)
+
+    def restore(self, copied):
+        """Restores a copy: all later writes are gone.
+
+        The history starts anew, and waiting reads are cut off.
+        """
+        self.version, objects, changes = copied
+        self.objects = copy.deepcopy(objects)
+        self.changes = list(changes)
+        self.dropped_version = self.version
+        self.era += 1
+        waiting, self.waiting = self.waiting, set()
+        for waiter in waiting:
+            waiter.errback(ConnectionAbortedError("the store was restored"))
+
     def set_faults(self, faults):
         """Replaces all faults by the given ones."""
         self.faults = {**NO_FAULTS, **faults}
@@ -135,7 +157,13 @@
             return web.json_response({}, 503)
         await self._apply_delay(kind)
         if method == "GET":
-            return await self._read(kind, request, segments)
+            try:
+                response = await self._read(kind, request, segments)
+            except ConnectionAbortedError:
+                return web.DROP_CONNECTION
+            request.setHeader(ERA_HEADER, str(self.era))
+            return response
+        request.setHeader(ERA_HEADER, str(self.era))
         name = segments[2]
         if method == "DELETE":
             response = self._delete(kind, name, expected_etag)
@@ -204,7 +232,7 @@
             return web.json_response(
                 {"version": self.version, "objects": live_objects}
             )
-        if after < self.dropped_version:
+        if after < self.dropped_version or after > self.version:
             return web.json_response({}, 410)
         names = {
             change.name
--- a/tests/fakes/scripted_store.py
+++ b/tests/fakes/scripted_store.py
@@ -143,6 +143,11 @@
         self.reactor = objects.clock
         self.settings = SETTINGS
         self.dead = False
+        self.on_new_era = []
+
+    def is_current(self, version):
+        """Returns that no version is outdated, as the store has no eras."""
+        return True
 
     def read(self, kind, name, may_be_stale=False):
         """Reads an object."""
--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -170,6 +170,10 @@
     def put_config(self) -> None:
         """Writes the next version of the configuration."""
         self.last_config_version += 1
+        self.rewrite_config()
+
+    def rewrite_config(self) -> None:
+        """Writes the newest version of the configuration once more."""
         spec = configuration(self.last_config_version)
         path = "/api/objects/config"
         metadata = {"name": "main"}
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -45,7 +45,11 @@
     "slow_target", "silent_target", "one_way_target", "reset_target",
     "step_clock",
 )  # fmt: skip
+# Drawn only on demand, last of all, which keeps the draws of each seed.
+RESTORE_FAULT = "restore_store"
 ONE_WAY_MODES = ("no_requests", "no_answers")
+# How long the store is away before it comes back from a copy.
+RESTORE_OUTAGE_S = 0.3
 # Time in which bytes that a relay held back arrive after its fault ends.
 RELAY_FLUSH_S = 1.0
 
@@ -78,13 +82,19 @@
     is_whole: bool
 
 
-def schedule(seed: int) -> list[Fault]:
-    """Returns the faults drawn from a seed, in the order of their start."""
+def schedule(seed: int, restores: int = 0) -> list[Fault]:
+    """Returns the faults drawn from a seed, in the order of their start.
+
+    Args:
+        seed: Seed.
+        restores: Number of restores of the store among them.
+    """
     rng = random.Random(seed)
     faults = [_draw_fault(rng, FAULTS) for _ in range(rng.randint(3, 7))]
     faults += [
         _draw_fault(rng, ADDITIONAL_FAULTS) for _ in range(rng.randint(0, 3))
     ]
+    faults += [_draw_fault(rng, (RESTORE_FAULT,)) for _ in range(restores)]
     return sorted(faults)
 
 
@@ -307,6 +317,16 @@
     def _store_lose(self, fault):
         self._with_store_state(fault, mode="lose")
 
+    def _restore_store(self, fault):
+        """Restores the store from a copy, after a moment without it."""
+        store_call = self._deployment.call_store
+        store_call("POST", "/control", {"copy": True})
+        time.sleep(fault.duration_s)
+        store_call("POST", "/control", {"mode": "busy"})
+        time.sleep(RESTORE_OUTAGE_S)
+        store_call("POST", "/control", {"mode": "up", "restore": True})
+        self._deployment.rewrite_config()
+
     def _store_slow(self, fault):
         self._with_store_state(fault, delay_s=0.25)
 
@@ -489,8 +509,16 @@
     )
 
 
-def run(seed: int, directory: Path) -> tuple[list[str], list[Exchange]]:
-    """Runs the soak with one seed; returns violations and exchanges."""
+def run(
+    seed: int, directory: Path, restores: int = 0
+) -> tuple[list[str], list[Exchange]]:
+    """Runs the soak with one seed; returns violations and exchanges.
+
+    Args:
+        seed: Seed of faults and requests.
+        directory: Directory for settings and logs.
+        restores: Number of restores of the store, beside the other faults.
+    """
     deployment = gateway_deployment.Deployment(directory)
     try:
         deployment.wait_until_serving()
@@ -498,7 +526,7 @@
         callers = LoadCallers(deployment, seed)
         injector = Injector(deployment)
         start_s = time.monotonic()
-        for fault in schedule(seed):
+        for fault in schedule(seed, restores):
             time.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
             injector.start(fault)
         time.sleep(max(0.0, start_s + LOAD_DURATION_S - time.monotonic()))
@@ -548,11 +576,14 @@
     return problems
 
 
-def run_and_report(seed: int, kept_logs: Path | None) -> bool:
+def run_and_report(
+    seed: int, kept_logs: Path | None, restores: int = 0
+) -> bool:
     """Runs one seed and prints its result.
 
     Args:
         seed: Seed of faults and requests.
+        restores: Number of restores of the store.
         kept_logs: Directory for the logs of a failed run; None to drop them.
 
     Returns:
@@ -560,7 +591,7 @@
     """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     try:
-        problems, exchanges = run(seed, directory)
+        problems, exchanges = run(seed, directory, restores)
     except process.ProcessFailed as error:
         print(f"NOT RUN seed {seed}: {error}", flush=True)
         shutil.rmtree(directory)
@@ -568,7 +599,8 @@
     whole = sum(
         exchange.is_whole and exchange.status == 200 for exchange in exchanges
     )
-    kinds = "+".join(fault.kind for fault in schedule(seed))
+    faults = schedule(seed, restores)
+    kinds = "+".join(fault.kind for fault in faults)
     verdict = "FAILED" if problems else "holds"
     print(
         f"{verdict} seed {seed} {kinds}: {whole} of {len(exchanges)} complete",
@@ -589,6 +621,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="0:10", help="FIRST:END")
     parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument(
+        "--restores", type=int, default=0, help="restores of the store a seed"
+    )
     parser.add_argument(
         "--keep", type=Path, help="directory for the logs of failed seeds"
     )
@@ -597,7 +632,12 @@
     seeds = range(int(first), int(end))
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
-            pool.map(lambda seed: run_and_report(seed, options.keep), seeds)
+            pool.map(
+                lambda seed: run_and_report(
+                    seed, options.keep, options.restores
+                ),
+                seeds,
+            )
         )
     print(f"runs {len(results)}, failed {results.count(False)}")
     return 0 if all(results) else 1
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -17,6 +17,9 @@
 # injecting thread went unnoticed.
 SEEDS = (3, 5, 102, 416, 417)
 
+# Each plays a restore of the store from an older copy beside other faults.
+RESTORE_SEEDS = (601, 602)
+
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
 
@@ -29,6 +32,14 @@
     assert kinds == {"draft", "booking", "lookup"}
 
 
+@pytest.mark.parametrize("seed", RESTORE_SEEDS)
+def test_restores_of_the_store_break_no_guarantee(seed, tmp_path):
+    problems, exchanges = gateway_soak.run(seed, tmp_path, restores=1)
+    assert problems == []
+    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
+    assert kinds == {"draft", "booking", "lookup"}
+
+
 def test_wall_clock_steps_have_no_effect(tmp_path):
     deployment = gateway_deployment.Deployment(tmp_path)
     try:
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -24,6 +24,16 @@
 
     def __init__(self, reactor):
         self.reactor = reactor
+        self.on_new_era = []
+        self.learned_eras = []
+
+    def learn_era(self, era):
+        """Records an era that a peer's message has told."""
+        self.learned_eras.append(era)
+
+    def is_current(self, version):
+        """Returns that no version is outdated."""
+        return True
 
     def __getattr__(self, name):
         return lambda *args, **options: defer.Deferred()
--- a/tests/unit/gateway/test_layout_controller.py
+++ b/tests/unit/gateway/test_layout_controller.py
@@ -168,3 +168,33 @@
     )
     assert controller_harness.advance_clock(3.0)
     assert set(controller_harness.stored_plans) == {"model", "second"}
+
+
+def test_a_plan_that_a_restored_store_lacks_is_written_again(
+    controller_harness,
+):
+    controller_harness.advance_clock(3.0)
+    plan = controller_harness.stored_plans.pop("model")
+    controller_harness.controller.on_lease(False)
+    controller_harness.controller.on_lease(True)
+    assert controller_harness.advance_clock(1.0) == []
+    assert controller_harness.stored_plans["model"] == plan
+
+
+def test_a_lost_plan_is_taken_from_what_the_targets_hold(
+    harness, model_service
+):
+    """A holder that has never read the plan moves no layers."""
+    ranges = {"a": (0, 25), "b": (25, 60), "c": (60, 80)}
+    harness.register(
+        *(
+            make_target(
+                name, accelerator="fast", first_layer=first, end_layer=end
+            )
+            for name, (first, end) in ranges.items()
+        )
+    )
+    controller_harness = ControllerHarness(harness, [model_service])
+    assert controller_harness.advance_clock(5.0) == []
+    stored = controller_harness.stored_plans["model"]
+    assert [tuple(row[2:4]) for row in stored] == list(ranges.values())
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -12,6 +12,7 @@
 from hemlocktiller._internal.policy import occupancy
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_app import make_settings
 from tests.unit.gateway.test_app import UnresponsiveStore
@@ -355,3 +356,19 @@
         one.peers.broadcast_registration("a", 2, {"state": "draining"})
         broadcaster_count += "registration" in links[0].sent_types()
     assert broadcaster_count == peers_module.WATCHER_COUNT
+
+
+def test_a_registration_of_a_later_era_tells_that_the_store_was_restored(
+    gateway,
+):
+    link = gateway.open_link("peer")
+    gateway.peers._on_message(
+        link,
+        {
+            "type": "registration",
+            "target": "a",
+            "version": versions.join(2, 5),
+            "value": "",
+        },
+    )
+    assert gateway.store.learned_eras == [2]
--- a/tests/unit/gateway/test_targets.py
+++ b/tests/unit/gateway/test_targets.py
@@ -3,6 +3,8 @@
 from hemlocktiller._internal.gateway import request_context
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
 
 
@@ -116,3 +118,60 @@
     harness.reactor.advance(targets_module.PROBE_TIMEOUT_S + 0.01)
     connection.respond(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
     assert available_names(harness) == ["a"]
+
+
+def list_restored(harness, *listed):
+    """Applies the listing of a store that was restored from a copy."""
+    harness.targets.record_store_outage()
+    harness.targets.apply_registrations(
+        [
+            client.StoredObject("t", target.name, versions.join(1, 1), target)
+            for target in listed
+        ],
+        [],
+        True,
+    )
+
+
+def test_a_target_that_a_restored_store_lacks_gets_time_to_register(harness):
+    harness.register(make_target("a"), make_target("b"))
+    harness.reactor.advance(10.0)
+    list_restored(harness, make_target("a"))
+    assert available_names(harness) == ["a", "b"]
+    harness.reactor.advance(targets_module.EXPIRED_REGISTRATION_GRACE_S + 0.1)
+    assert available_names(harness) == ["a"]
+
+
+def test_a_draining_target_is_not_ready_in_a_restored_store(harness):
+    harness.register(make_target("a"), make_target("b"))
+    harness.targets._apply_registration(
+        "a", 2, make_target("a", state=fleet.DRAINING)
+    )
+    list_restored(harness, make_target("a"), make_target("b"))
+    assert available_names(harness) == ["b"]
+    harness.targets._apply_registration(
+        "a", versions.join(1, 9), make_target("a", born_ms=9)
+    )
+    assert "a" in available_names(harness)
+
+
+def test_a_target_that_left_is_not_taken_from_a_restored_store(harness):
+    harness.register(make_target("a"), make_target("b"))
+    harness.reactor.advance(10.0)
+    harness.targets.apply_registrations([], ["a"], False)
+    list_restored(harness, make_target("a"), make_target("b"))
+    assert available_names(harness) == ["b"]
+    harness.targets.apply_registrations(
+        [client.StoredObject("t", "a", versions.join(1, 2), make_target("a"))],
+        [],
+        False,
+    )
+    assert sorted(available_names(harness)) == ["a", "b"]
+
+
+def test_a_listing_of_a_restored_store_is_not_sent_to_peers(harness):
+    sent = []
+    harness.register(make_target("a"), make_target("b"))
+    harness.targets.on_registration = lambda *message: sent.append(message)
+    list_restored(harness, make_target("a"), make_target("b"))
+    assert sent == []
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -497,3 +497,56 @@
         ("objects", "config", "m"),
     )
     assert failure.check(exceptions.StoreUnavailable)
+
+
+@pytest.mark.parametrize(
+    ("replies", "call", "options"),
+    [
+        (
+            [transport.Reply(200, object_body("a", 1, 1), 3)],
+            ("GET", ("objects", "lease", "a")),
+            {},
+        ),
+        (
+            [transport.Reply(200, {"items": [], "as_of": 4}, 3)],
+            ("GET", ("objects", "lease")),
+            {},
+        ),
+        (
+            [transport.Reply(200, {"events": [], "as_of": 4}, 3)],
+            ("GET", ("objects", "lease")),
+            {"query": {"after": 4, "timeout_s": 2.0}},
+        ),
+        (
+            [transport.Reply(200, {"metadata": {"revision": 12}}, 3)],
+            ("PUT", ("objects", "lease", "x")),
+            {"headers": {"If-Match": '"11"'}, "body": b"1"},
+        ),
+        (
+            [transport.Reply(409, None, 3)],
+            ("PUT", ("objects", "lease", "x")),
+            {"headers": {"If-Match": '"11"'}, "body": b"1"},
+        ),
+        (
+            [transport.Reply(404, None, 3)],
+            ("DELETE", ("objects", "lease", "x")),
+            {"headers": {"If-Match": '"11"'}},
+        ),
+    ],
+)
+def test_the_era_of_the_store_is_kept(adapter, replies, call, options):
+    reply, _ = call_store(adapter, replies, *call, **options)
+    assert reply.era == 3
+
+
+def test_a_listing_with_pages_of_two_eras_is_read_again(adapter):
+    replies = [
+        transport.Reply(
+            200,
+            {"items": [object_body("a", 1, 1)], "has_more": True, "as_of": 8},
+            era,
+        )
+        for era in (0, 1)
+    ]
+    failure, _ = call_store(adapter, replies, "GET", ("objects", "servers"))
+    assert failure.check(exceptions.StoreUnavailable)
