Let watchers send deletions, so that the other gateways poll rarely

Each gateway polled registrations every 2 s, and once for each change, since the deletion of a registration had no version: a peer's word for it could not be trusted.

Change: a deletion carries the version of the store up to which the watch was complete, so it is ordered against registrations. A gateway that becomes a watcher ends its pause at once. Deletions of version 0, from the build before, count as before.

--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -256,6 +256,7 @@
         changed: list[client.StoredObject],
         deleted: list[str],
         is_full_listing: bool,
+        version: int,
     ) -> None:
         self._has_target_listing = True
         self.targets.on_registration_changes(changed, deleted, is_full_listing)
@@ -297,6 +298,7 @@
         changed: list[client.StoredObject],
         deleted: list[str],
         is_full_listing: bool,
+        version: int,
     ) -> None:
         if is_full_listing:
             self._entry_data_centres.clear()
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -51,6 +51,9 @@
 # must be applied. The rest is for calls to the store and for requests that
 # are in transit.
 WATCH_PAUSE_RATIO = 0.3
+# The same for gateways to which watchers send changes: a change that all of
+# them miss is still known before it must be applied.
+FOLLOWER_PAUSE_RATIO = 0.5
 # Polls find slow targets, which delay every event on their paths. Each target
 # is polled by one gateway only: at this interval, the polls of a test day
 # reduce its score by 0.001.
@@ -506,7 +509,7 @@
             return catalog.services[service].health_path
         return "/"
 
-    def _on_configs_changed(self, changed, deleted, is_full_listing):
+    def _on_configs_changed(self, changed, deleted, is_full_listing, version):
         """Applies a changed configuration; a deletion leaves it in force."""
         for stored_object in changed:
             if stored_object.name == self._settings.config_name:
@@ -540,21 +543,28 @@
         return True
 
     def _on_watcher_changed(self, is_watcher):
-        """Sets the timeout of the configuration watch.
+        """Sets how often the watches poll the store.
 
-        The watch of registrations always polls often: messages of peers can't
-        replace it, since the deletion of a registration has no version.
+        A follower receives changes from the watchers as well, so it polls
+        rarely. A change still ends its long polls.
 
         Args:
             is_watcher: Whether this process polls the store for its peers.
         """
         settings = self._settings
-        timeouts_s = self._store.watch_timeouts_s
+        store = self._store
+        for kind, bound_s in (
+            (settings.config_kind, settings.config_bound_s),
+            (settings.target_kind, settings.drain_bound_s),
+        ):
+            if is_watcher:
+                store.watch_timeouts_s.pop(kind, None)
+                store.watch_pauses_s.pop(kind, None)
+            else:
+                store.watch_timeouts_s[kind] = settings.follower_watch_s
+                store.watch_pauses_s[kind] = bound_s * FOLLOWER_PAUSE_RATIO
         if is_watcher:
-            timeouts_s.pop(settings.config_kind, None)
             self._restart_polls()
-        else:
-            timeouts_s[settings.config_kind] = settings.follower_watch_s
 
     def _restart_polls(self):
         """Polls the store for configurations and registrations at once."""
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -57,7 +57,8 @@
         on_pace: Called with a target and the pace that it reported, if that
             differs enough from the last one.
         on_registration: Called with name, version and value of each change
-            that the store reported; the value is None for a deletion.
+            that the store reported; the value is None for a deletion, whose
+            version is that of the store afterwards.
         is_loaded: Whether the registrations have been read from the store.
         last_outage_s: Time of the last failure to reach the store.
     """
@@ -98,6 +99,7 @@
         changed: list[client.StoredObject],
         deleted: list[str],
         is_full_listing: bool,
+        version: int,
     ) -> None:
         """Applies changes of registrations that the store reported.
 
@@ -106,6 +108,8 @@
             deleted: Names of deleted registrations.
             is_full_listing: Whether `changed` is the complete list, so that
                 all other targets are gone.
+            version: Version of the store up to which the changes are
+                complete.
         """
         is_first = not self.is_loaded
         self.is_loaded = True
@@ -130,7 +134,10 @@
             ]
         for name in deleted:
             if name in self.by_name:
-                self.on_registration(name, 0, None)
+                self.on_registration(name, version, None)
+            self._version_by_name[name] = max(
+                version, self._version_by_name.get(name, 0)
+            )
             self._remove_after_grace(name)
         if changed or deleted:
             self._notify_changed()
@@ -297,13 +304,20 @@
     ) -> None:
         """Applies a change of a registration that a peer has received.
 
-        A deletion has no version that shows whether it is newer, so it is
-        applied only while this process's own watch of the store fails.
+        A deletion by a peer of an earlier build has version 0, which does not
+        show whether it is newer. It is applied only while this process's own
+        watch of the store fails.
         """
         if value is not None:
             if self._apply_registration(name, version, value):
                 self._notify_changed()
             return
+        if version > 0:
+            if version > self._version_by_name.get(name, 0):
+                self._version_by_name[name] = version
+                self._remove_after_grace(name)
+                self._notify_changed()
+            return
         now_s = self._reactor.seconds()
         if (
             now_s - self.last_outage_s < EXPIRED_REGISTRATION_GRACE_S
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -66,6 +66,8 @@
         settings: Settings of the object API, with defaults filled in.
         watch_timeouts_s: Timeouts of watch requests by kind, for kinds
             whose timeout differs from `watch_timeout_s` of the settings.
+        watch_pauses_s: Pauses of a watch after a change by kind, for kinds
+            whose pause differs from that of the watch.
         writer: Id of this process, new at each start.
         era: Newest era of the store that is known; None before the first
             answer.
@@ -93,6 +95,7 @@
         """
         self.settings = settings
         self.watch_timeouts_s: dict[str, float] = {}
+        self.watch_pauses_s: dict[str, float] = {}
         self.reactor = reactor
         self.writer = writer
         self.era: int | None = None
--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -39,6 +39,7 @@
         changed: list[client.StoredObject],
         deleted: list[str],
         is_full_listing: bool,
+        version: int,
     ) -> None:
         """Handles the changes.
 
@@ -47,6 +48,8 @@
             deleted: Names of the objects that were deleted.
             is_full_listing: Whether `changed` holds all objects of the kind,
                 so that any other object is gone.
+            version: Version of the store up to which the changes are
+                complete. A deletion is older than it.
         """
 
 
@@ -91,6 +94,7 @@
         self._stopped = False
         self._consecutive_failures = 0
         self._current_poll: defer.Deferred = defer.succeed(None)
+        self._current_pause: defer.Deferred = defer.succeed(None)
         self.on_failure: Callable[[], None] = lambda: None
         self._loop = defer.Deferred.fromCoroutine(self._poll_until_stopped())
         self._loop.addErrback(self._log_unexpected_end)
@@ -101,18 +105,27 @@
         self._loop.cancel()
 
     def restart_poll(self) -> None:
-        """Cancels the current poll and starts another at once.
+        """Cancels the current poll or pause and starts another poll at once.
 
         Used when the platform may have dropped a pending long poll.
         """
         if not self._stopped:
             self._current_poll.cancel()
+            self._current_pause.cancel()
 
     async def _poll_until_stopped(self):
         while not self._stopped:
             wait_s = await self._poll_once()
             if wait_s > 0 and not self._stopped:
-                await task.deferLater(self._store.reactor, wait_s)
+                await self._pause(wait_s)
+
+    async def _pause(self, wait_s):
+        """Waits for some time, or until `restart_poll` or `stop`."""
+        self._current_pause = task.deferLater(self._store.reactor, wait_s)
+        try:
+            await self._current_pause
+        except defer.CancelledError:
+            return
 
     async def _poll_once(self):
         """Makes one poll; returns the time to wait before the next one."""
@@ -212,7 +225,8 @@
         kind: Kind of the objects.
         on_changes: Called with the changes.
         batch_delay_s: Time to wait after a change, so that the next poll
-            returns several changes at once.
+            returns several changes at once; `watch_pauses_s` of the store's
+            client overrides it.
     """
     last_version = _NO_VERSION
     needs_full_read = True
@@ -226,7 +240,9 @@
             )
         last_version = listing.version
         needs_full_read = False
-        call_logging_errors(on_changes, listing.objects, [], True)
+        call_logging_errors(
+            on_changes, listing.objects, [], True, listing.version
+        )
         return 0.0
 
     async def poll_changes():
@@ -239,9 +255,14 @@
         if changes is not None and changes.version > last_version:
             last_version = changes.version
             call_logging_errors(
-                on_changes, changes.changed, changes.deleted, False
+                on_changes,
+                changes.changed,
+                changes.deleted,
+                False,
+                changes.version,
             )
-            return batch_delay_s if changes.changed else 0.0
+            if changes.changed:
+                return store.watch_pauses_s.get(kind, batch_delay_s)
         return 0.0
 
     async def poll():
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -183,6 +183,7 @@
             [client.StoredObject("t", one.name, 1, one) for one in targets],
             [],
             False,
+            1,
         )
 
     def admit(
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -254,11 +254,15 @@
     assert 0 < float(late.header(b"Retry-After")) <= 0.1
 
 
-def test_only_a_watcher_polls_the_configuration_often(
-    gateway,
-):
+def test_only_a_watcher_polls_the_store_often(gateway):
     timeouts_s = gateway._store.watch_timeouts_s = {}
+    pauses_s = gateway._store.watch_pauses_s = {}
     gateway._on_watcher_changed(False)
-    assert timeouts_s == {"config": 10.0}
+    assert timeouts_s == {"config": 10.0, "targets": 10.0}
+    # A change is still known within its bound if no watcher sends it.
+    settings = gateway._settings
+    assert pauses_s["config"] <= settings.config_bound_s / 2
+    assert pauses_s["targets"] <= settings.drain_bound_s / 2
     gateway._on_watcher_changed(True)
     assert timeouts_s == {}
+    assert pauses_s == {}
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -183,7 +183,32 @@
     assert gateway.harness.targets.available("model")
 
 
-def test_a_deletion_from_a_peer_is_applied_only_during_an_outage(gateway):
+def test_a_deletion_from_a_peer_is_applied_by_its_version(gateway):
+    targets = gateway.harness.targets
+    gateway.harness.register(make_target("a"))
+    gateway.harness.reactor.advance(10.0)
+    targets.apply_peer_registration("a", 7, make_target("a"))
+    targets.apply_peer_registration("a", 6, None)
+    assert "a" in targets.by_name
+    targets.apply_peer_registration("a", 8, None)
+    assert "a" not in targets.by_name
+    targets.apply_peer_registration("a", 7, make_target("a"))
+    assert "a" not in targets.by_name
+    targets.apply_peer_registration("a", 9, make_target("a"))
+    assert "a" in targets.by_name
+
+
+def test_a_deletion_is_sent_to_peers_with_the_version_of_the_store(gateway):
+    targets = gateway.harness.targets
+    gateway.harness.register(make_target("a"))
+    gateway.harness.reactor.advance(10.0)
+    sent = []
+    targets.on_registration = lambda *change: sent.append(change)
+    targets.apply_registrations([], ["a"], False, 12)
+    assert sent == [("a", 12, None)]
+
+
+def test_a_deletion_without_version_is_applied_only_during_an_outage(gateway):
     targets = gateway.harness.targets
     gateway.harness.register(make_target("a"))
     gateway.harness.reactor.advance(10.0)
@@ -337,11 +362,11 @@
     targets = gateway.harness.targets
     targets.on_registration = lambda *change: announced.append(change[0])
     targets.apply_registrations(
-        [client.StoredObject("t", "a", 1, make_target("a"))], [], 1
+        [client.StoredObject("t", "a", 1, make_target("a"))], [], True, 1
     )
     assert announced == []
     targets.apply_registrations(
-        [client.StoredObject("t", "b", 2, make_target("b"))], [], 0
+        [client.StoredObject("t", "b", 2, make_target("b"))], [], False, 2
     )
     assert announced == ["b"]
 
--- a/tests/unit/gateway/test_targets.py
+++ b/tests/unit/gateway/test_targets.py
@@ -23,7 +23,7 @@
 def test_a_deleted_registration_is_removed_immediately(harness):
     harness.register(make_target("a"))
     harness.reactor.advance(10.0)
-    harness.targets.apply_registrations([], ["a"], False)
+    harness.targets.apply_registrations([], ["a"], False, 1)
     assert available_names(harness) == []
 
 
@@ -31,7 +31,7 @@
     harness.register(make_target("a"))
     harness.reactor.advance(10.0)
     harness.targets.record_store_outage()
-    harness.targets.apply_registrations([], [], True)
+    harness.targets.apply_registrations([], [], True, 1)
     assert available_names(harness) == ["a"]
     harness.reactor.advance(targets_module.EXPIRED_REGISTRATION_GRACE_S + 0.1)
     assert available_names(harness) == []
@@ -41,7 +41,7 @@
     harness.register(make_target("a"))
     harness.reactor.advance(10.0)
     harness.targets.record_store_outage()
-    harness.targets.apply_registrations([], ["a"], False)
+    harness.targets.apply_registrations([], ["a"], False, 1)
     harness.targets._apply_registration("a", 2, make_target("a"))
     harness.reactor.advance(targets_module.EXPIRED_REGISTRATION_GRACE_S + 0.1)
     assert available_names(harness) == ["a"]
@@ -130,6 +130,7 @@
         ],
         [],
         True,
+        versions.join(1, 1),
     )
 
 
@@ -158,13 +159,14 @@
 def test_a_target_that_left_is_not_taken_from_a_restored_store(harness):
     harness.register(make_target("a"), make_target("b"))
     harness.reactor.advance(10.0)
-    harness.targets.apply_registrations([], ["a"], False)
+    harness.targets.apply_registrations([], ["a"], False, 1)
     list_restored(harness, make_target("a"), make_target("b"))
     assert available_names(harness) == ["b"]
     harness.targets.apply_registrations(
         [client.StoredObject("t", "a", versions.join(1, 2), make_target("a"))],
         [],
         False,
+        versions.join(1, 2),
     )
     assert sorted(available_names(harness)) == ["a", "b"]
 
--- a/tests/unit/test_store_restore.py
+++ b/tests/unit/test_store_restore.py
@@ -47,7 +47,7 @@
     platform.run(2.0)
     restore(platform, copy)
     platform.run(10.0)
-    changed, deleted, is_full_listing = changes[-1]
+    changed, deleted, is_full_listing, _ = changes[-1]
     assert [stored.value for stored in changed] == [1]
     assert is_full_listing
 
@@ -58,7 +58,7 @@
     last = write(platform, "b", 1)
     values = {}
 
-    def on_changes(changed, deleted, is_full_listing):
+    def on_changes(changed, deleted, is_full_listing, version):
         if is_full_listing:
             values.clear()
         values.update({stored.name: stored.value for stored in changed})
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -92,7 +92,7 @@
     version = write(platform, "a", 1)
     reported = []
 
-    def receive(changed, deleted, whole):
+    def receive(changed, deleted, whole, version):
         reported.append(([made.value for made in changed], deleted, whole))
 
     watch.watch_kind(platform.store(), "thing", receive)
@@ -107,7 +107,7 @@
     write(platform, "a", 1)
     reported = []
 
-    def receive(changed, deleted, whole):
+    def receive(changed, deleted, whole, version):
         reported.append((len(changed), whole))
 
     watch.watch_kind(platform.store(), "thing", receive)
@@ -141,7 +141,7 @@
 def test_many_changes_of_a_kind_need_few_polls(platform):
     names = []
 
-    def on_changes(changed, deleted, whole):
+    def on_changes(changed, deleted, whole, version):
         names.extend(stored.name for stored in changed)
 
     watch.watch_kind(platform.store(), "thing", on_changes)
@@ -169,3 +169,49 @@
     write(platform, "a", 2, version)
     assert [stored.value for stored in reported] == [1, 2]
     object_watch.stop()
+
+
+def test_a_pause_set_at_the_client_saves_polls(platform):
+    def polls_for_many_changes(pause_s):
+        platform.state.objects.clear()
+        store = platform.store()
+        if pause_s:
+            store.watch_pauses_s["thing"] = pause_s
+        names = []
+        kind_watch = watch.watch_kind(
+            store,
+            "thing",
+            lambda changed, *_: names.extend(one.name for one in changed),
+            0.2,
+        )
+        platform.run(1.0)
+        polls_before = platform.state.calls["GET"]["thing"]
+        for number in range(20):
+            platform.result(platform.store().create("thing", f"n{number}", 1))
+            platform.run(0.2)
+        platform.run(5.0)
+        kind_watch.stop()
+        assert sorted(names) == sorted(f"n{number}" for number in range(20))
+        return platform.state.calls["GET"]["thing"] - polls_before
+
+    assert polls_for_many_changes(2.0) * 3 < polls_for_many_changes(None)
+
+
+def test_a_restarted_watch_ends_its_pause(platform):
+    store = platform.store()
+    store.watch_pauses_s["thing"] = 60.0
+    values = []
+    kind_watch = watch.watch_kind(
+        store,
+        "thing",
+        lambda changed, *_: values.extend(one.value for one in changed),
+    )
+    platform.run(0.5)
+    write(platform, "a", 1)
+    write(platform, "b", 2)
+    assert values == [1]
+    kind_watch.restart_poll()
+    platform.run(0.5)
+    assert values == [1, 2]
+    kind_watch.stop()
+    platform.run(0.5)
