Keep the queue short in an overload that lasts

Load answered: more model requests than the targets can run, for longer than a burst.

Cause: the queue admitted waits of 1.2 s. Once it was full, each request started about 1.2 s after it came, later than its latency objective, while the targets started no more of them than with a short queue.

Ruled out: a limit by pace (no path whose predicted time for a token exceeds the intended pause between events).

Change: once the queue has not been empty for 0.6 s, a request may wait for 0.35 of its latency objective; what would wait longer is rejected at once.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -1,6 +1,7 @@
 """Finds paths with free memory for model requests; queues the others."""
 
 from collections.abc import Callable
+import math
 import random
 from typing import Any
 from typing import NamedTuple
@@ -69,6 +70,7 @@
             the reason.
         allowed_first_targets: Targets that the path may begin at; None for
             any.
+        latency_objective_s: Time in which the first event should come.
     """
 
     request_id: str
@@ -78,6 +80,7 @@
     on_path_found: Callable[[paths.PathChoice], None]
     on_rejected: Callable[[float, str], None]
     allowed_first_targets: frozenset[str] | None = None
+    latency_objective_s: float = math.inf
 
 
 class Dispatcher:
@@ -109,6 +112,8 @@
         self._targets = targets
         self._start_rate = admission.RateWindow()
         self._queues: dict[str, fair_queue.FairQueue] = {}
+        # When the queue of a service was last found empty.
+        self._nonempty_since_s: dict[str, float] = {}
         self._waiting: dict[str, PathRequest] = {}
         self._resuming: dict[str, PathRequest] = {}
         self._full_until_s: dict[str, float] = {}
@@ -123,13 +128,18 @@
         self._arrival_rate.record(now_s)
         queue = self._queue_for(path_request.service.name)
         if not len(queue):
+            self._nonempty_since_s[path_request.service.name] = now_s
             choice = self.choose_path(path_request)
             if choice is not None:
                 self._start_request(path_request, choice)
                 return
         decision = admission.decide_wait(
-            self._measure_queue(queue),
+            self._measure_queue(queue)._replace(
+                standing_s=now_s
+                - self._nonempty_since_s[path_request.service.name]
+            ),
             path_request.queue_item.deadline_s - now_s,
+            path_request.latency_objective_s,
         )
         if not decision.may_wait:
             self._reject(
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -212,6 +212,7 @@
             self._start_attempt,
             on_rejected,
             self._allowed_first_targets(),
+            admitted.route.target_latency_s,
         )
 
     def _allowed_first_targets(self):
--- a/src/hemlocktiller/_internal/policy/admission.py
+++ b/src/hemlocktiller/_internal/policy/admission.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 # Sliding window of measured rates; short enough to follow the loss of an
@@ -14,6 +15,13 @@
 # Callers abandon a stream that has no event for 2 s; a request that waits
 # longer than this has no time left to prefill its prompt.
 MAX_WAIT_S = 1.2
+# A queue that has not been empty for this long is a lasting overload and no
+# burst.
+STANDING_QUEUE_S = 0.6
+# Share of the latency objective that a request may wait in a lasting overload.
+# The rest is for its prompt: longer waits would start every request late
+# without starting more of them.
+STANDING_WAIT_RATIO = 0.35
 # Assumed while no request started within the window, so no rate is known.
 DEFAULT_START_RATE_PER_S = 4.0
 RETRY_AFTER_MIN_S = 0.3
@@ -39,11 +47,13 @@
         waiting: Requests ahead in the queue.
         starts_per_s: Recent rate at which requests started.
         arrivals_per_s: Recent rate at which requests arrived.
+        standing_s: How long the queue has not been empty.
     """
 
     waiting: int
     starts_per_s: float
     arrivals_per_s: float
+    standing_s: float = 0.0
 
 
 class RateWindow:
@@ -65,15 +75,27 @@
         return len(self._times_s) / RATE_WINDOW_S
 
 
-def decide_wait(queue_state: QueueState, time_left_s: float) -> WaitDecision:
+def decide_wait(
+    queue_state: QueueState,
+    time_left_s: float,
+    latency_objective_s: float = math.inf,
+) -> WaitDecision:
     """Decides whether a request that can't start now may wait.
 
+    A burst is absorbed by the queue. In an overload that lasts, a full queue
+    would make each request late, so it is kept as short as answers in time
+    allow, and the rest is rejected at once.
+
     Args:
         queue_state: State of the queue that it would join.
         time_left_s: Time until the deadline of the caller or the route.
+        latency_objective_s: Time in which the first event should come.
     """
+    max_wait_s = min(MAX_WAIT_S, time_left_s)
+    if queue_state.standing_s > STANDING_QUEUE_S:
+        max_wait_s = min(max_wait_s, latency_objective_s * STANDING_WAIT_RATIO)
     wait_s = _expected_wait_s(queue_state)
-    if wait_s <= min(MAX_WAIT_S, time_left_s):
+    if wait_s <= max_wait_s:
         return WaitDecision(True, 0.0)
     return WaitDecision(False, retry_after_s(queue_state))
 
--- a/tests/unit/gateway/test_admission.py
+++ b/tests/unit/gateway/test_admission.py
@@ -38,3 +38,16 @@
         rate.record(10.0)
     assert rate.per_s(10.0) == 6 / admission.RATE_WINDOW_S
     assert rate.per_s(20.0) == 0.0
+
+
+def test_a_burst_may_wait_longer_than_a_lasting_overload():
+    burst = queue_state(19, 20.0, 30.0)
+    lasting = burst._replace(standing_s=admission.STANDING_QUEUE_S + 0.1)
+    assert admission.decide_wait(burst, 20.0, 0.5).may_wait
+    assert not admission.decide_wait(lasting, 20.0, 0.5).may_wait
+
+
+def test_in_a_lasting_overload_the_wait_leaves_time_for_the_prompt():
+    lasting = queue_state(1, 20.0, 30.0)._replace(standing_s=9.0)
+    assert admission.decide_wait(lasting, 20.0, 0.5).may_wait
+    assert not admission.decide_wait(lasting, 20.0, 0.1).may_wait
--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -6,6 +6,7 @@
 preemptions, and no rejection of requests that fit.
 """
 
+import math
 import random
 
 import pytest
@@ -25,6 +26,8 @@
 # Requests per second of the users on a quiet day, and in a burst of 1.25 times
 # the rate of a busy day.
 QUIET_PER_S = 33.0
+# More than the targets can run, for longer than a burst.
+OVERLOAD_PER_S = 100.0
 BURST_PER_S = 59.0
 PROMPT_TOKENS, OUTPUT_TOKENS = 734.0, 195.0
 
@@ -39,12 +42,19 @@
         submitted: Number of submitted requests.
     """
 
-    def __init__(self, harness, service, choose_path_factory=None):
+    def __init__(
+        self,
+        harness,
+        service,
+        choose_path_factory=None,
+        latency_objective_s=math.inf,
+    ):
         self.harness = harness
         self.service = service
         self.targets = simulated_targets.Targets(service.engine)
         self.first_event_times_s = []
         self.response_times_s = []
+        self._latency_objective_s = latency_objective_s
         self.rejected = 0
         self.submitted = 0
         empty = [
@@ -152,8 +162,14 @@
 
         gateway.submit(
             dispatcher_module.PathRequest(
-                key, item, self.service, demand, start, refuse
-            )
+                key,
+                item,
+                self.service,
+                demand,
+                start,
+                refuse,
+                latency_objective_s=self._latency_objective_s,
+            )  # fmt: skip
         )
 
     def _broadcast_loads(self, gateway_index):
@@ -237,3 +253,20 @@
     )
     assert simulation.rejected < round_robin.rejected
     assert simulation.targets.preempted < round_robin.targets.preempted
+
+
+def test_more_answers_are_in_time_in_an_overload_that_lasts(model_service):
+    """A long queue would start every request late."""
+    short_queue = LoadSimulation(
+        GatewayHarness(),
+        model_service,
+        latency_objective_s=FIRST_EVENT_LIMIT_S,
+    )
+    short_queue.run(OVERLOAD_PER_S, 1)
+    long_queue = LoadSimulation(GatewayHarness(), model_service)
+    long_queue.run(OVERLOAD_PER_S, 1)
+    assert short_queue.in_time_ratio() > 1.1 * long_queue.in_time_ratio()
+    # It starts as many: the queue never runs empty.
+    assert len(short_queue.first_event_times_s) > 0.95 * len(
+        long_queue.first_event_times_s
+    )
