Measure rates over the time for which they were recorded

A process that has just started divided its few starts by the whole window of 3 s, so it predicted waits up to ten times too long.

Ruled out: lack of memory on the paths (starts went on at the usual rate), and the default rate, which only counts before the first start.

Change: until a window has been recorded, the rate is over the time since the first record, but over 0.3 s at least.

--- a/src/hemlocktiller/_internal/policy/admission.py
+++ b/src/hemlocktiller/_internal/policy/admission.py
@@ -12,6 +12,9 @@
 # Sliding window of measured rates; short enough to follow the loss of an
 # accelerator.
 RATE_WINDOW_S = 3.0
+# Until a process has recorded for a whole window, its rate is over the time
+# since its first record, but over no less than this.
+MIN_RATE_WINDOW_S = 0.3
 # Callers abandon a stream that has no event for 2 s; a request that waits
 # longer than this has no time left to prefill its prompt.
 MAX_WAIT_S = 1.2
@@ -61,9 +64,12 @@
 
     def __init__(self) -> None:
         self._times_s: collections.deque[float] = collections.deque()
+        self._first_s: float | None = None
 
     def record(self, now_s: float) -> None:
         """Records a request."""
+        if self._first_s is None:
+            self._first_s = now_s
         self._times_s.append(now_s)
 
     def per_s(self, now_s: float) -> float:
@@ -72,7 +78,10 @@
             self._times_s.popleft()
         if not self._times_s:
             return 0.0
-        return len(self._times_s) / RATE_WINDOW_S
+        window_s = min(
+            RATE_WINDOW_S, max(MIN_RATE_WINDOW_S, now_s - self._first_s)
+        )
+        return len(self._times_s) / window_s
 
 
 def decide_wait(
