--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -20,9 +20,8 @@
 They also increase when the store is restored from an older copy, as versions
 do (see `store.versions`). A lease of an earlier era permits nothing from the
 moment at which its holder learns of the restore. The copy may not know of that
-holder, so no process acquires a lease that looks free until a whole duration
-after it has first seen the era. A holder that is still recorded acquires the
-lease anew, with a new number.
+holder, so no process acquires a lease that looks free, or its own, until a
+whole duration after it has first seen the era. The number is a new one.
 """
 
 from collections.abc import Callable
@@ -195,7 +194,7 @@
             await self._compare_and_swap(_lease_value(NO_HOLDER, 0, 0))
         if self._is_recorded_holder() and self._has_current_number():
             await self._write_as_holder(_renewed_value(self._observed.value))
-        elif self._is_recorded_holder() or self._can_acquire():
+        elif self._can_acquire():
             await self._write_as_holder(
                 _lease_value(self._store.writer, self._observed.version + 1, 0)
             )
@@ -248,20 +247,26 @@
         )
 
     def _has_current_number(self):
-        """Returns whether the fencing number is of the store's era."""
-        return self._store.is_current(self._observed.value["fencing_number"])
+        """Returns whether the fencing number is of the lease's own era."""
+        number = self._observed.value["fencing_number"]
+        return versions.era_of(number) == versions.era_of(
+            self._observed.version
+        )
 
     def _can_acquire(self):
         """Returns whether the lease is free or was not renewed in time."""
         if self._observed is None:
             return False
         free_since_s = self._observed_at_s
-        if self._observed.value["holder"] == NO_HOLDER:
+        if (
+            self._is_recorded_holder()
+            or self._observed.value["holder"] == NO_HOLDER
+        ):
             era = versions.era_of(self._observed.version)
             if era == 0:
                 return True
-            # A holder that the restored copy doesn't know may still trust
-            # its lease.
+            # A later holder, which the restored copy doesn't know, may still
+            # trust its lease.
             free_since_s = self._note_era(era)
         unchanged_s = self._monotonic_s() - free_since_s
         return unchanged_s >= self._settings["duration_s"]
--- a/tests/unit/test_store_restore.py
+++ b/tests/unit/test_store_restore.py
@@ -176,6 +176,25 @@
     assert numbers.count(None) == 2
 
 
+def test_a_former_holder_named_by_the_copy_waits_for_the_later_one(platform):
+    """The later holder may not know of the restore yet."""
+    former = test_lease.Holder(platform, "former")
+    test_lease.advance_time(platform, 1.0, former)
+    copy = platform.state.copy()
+    later = test_lease.Holder(platform, "later")
+    for _ in range(250):
+        test_lease.advance_time(platform, 0.1, later)
+    assert later.current_number()
+    platform.state.restore(copy)
+    # The later holder's calls fail, so that it learns of no restore.
+    for _ in range(round(lease.DEFAULT_SETTINGS["duration_s"] * 10)):
+        platform.run(0.1)
+        former.clock.advance(0.1)
+        assert not (later.current_number() and former.current_number())
+    test_lease.advance_time(platform, 30.0, former)
+    assert former.current_number()
+
+
 def test_a_free_lease_of_a_restored_store_is_not_acquired_at_once(platform):
     """Its holder, unknown to the copy, may not know of the restore yet."""
     free = test_lease.Holder(platform, "earlier")
