Read the store again after a pause before new work starts

Looked for, as operators of similar systems met it: a process that was paused acts on a permission that has run out. It could happen here: after a pause the reactor hands out requests and news of the store in the order of their sockets, so a request could go to a target that had drained for longer than its bound, or pass with a key revoked meanwhile. The lease of the layout was safe already: it is judged by the clock that also runs while the VM is suspended.

Change: a guard compares the boot time clock between ticks of the check loop, and at each use.

Ruled out: a timer alone (sockets are read before timers run), and waiting for the watches (a long poll without news does not answer).

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -19,6 +19,7 @@
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import layout_controller
 from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import pause_guard
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import request_context
@@ -200,9 +201,16 @@
             reactor, adapter, self._health_path
         )
         self.targets.on_down.append(self._on_target_down)
+        self._pause_guard = pause_guard.PauseGuard(
+            reactor,
+            self._read_store_again,
+            self._serve_after_refresh,
+            lease_module.boot_time_s,
+        )
         self._dispatcher = dispatcher_module.Dispatcher(
             reactor, self.targets, settings.data_centre, self._rng
         )
+        self._dispatcher.is_outdated = self._pause_guard.is_outdated
         self._outstanding = calls.OutstandingRequests()
         self._caller_factory = ingress.CallerHTTPFactory(reactor, self.serve)
         self._context = request_context.RequestContext(
@@ -327,7 +335,7 @@
 
     def serve(self, caller_request: ingress.CallerRequest) -> None:
         """Starts to serve a request, or rejects or queues it."""
-        if not self._is_deployment_known():
+        if not self._is_deployment_known() or self._pause_guard.is_outdated():
             self._startup_queue.add(caller_request)
             return
         parsed_headers = self._adapter.decode_request(
@@ -571,12 +579,40 @@
         for store_watch in self._watches:
             store_watch.restart_poll()
 
+    def _read_store_again(self):
+        """Reads targets and configuration, after a pause of this process."""
+        reading = defer.Deferred.fromCoroutine(self._read_targets_and_config())
+        return reading.addErrback(
+            lambda reason: events.emit("refresh_failed", reason=str(reason))
+        )
+
+    async def _read_targets_and_config(self):
+        settings = self._settings
+        store = self._store
+        stored, listing = await defer.gatherResults(
+            [
+                store.read(settings.config_kind, settings.config_name),
+                store.read_all(settings.target_kind),
+            ],
+            consumeErrors=True,
+        )
+        self.targets.apply_registrations(
+            listing.objects, [], True, listing.version
+        )
+        if stored is not None:
+            self._apply_config(stored.value)
+
+    def _serve_after_refresh(self):
+        """Starts the work that has waited for news from the store."""
+        self._serve_queued_requests()
+        self._dispatcher.process_queues()
+
     def _is_deployment_known(self):
         """Returns whether configuration and registrations are loaded."""
         return self.catalog is not None and self.targets.is_loaded
 
     def _serve_queued_requests(self):
-        if self._is_deployment_known():
+        if self._is_deployment_known() and not self._pause_guard.is_outdated():
             self._startup_queue.serve_all()
 
     def _on_target_down(self, target, reason):
@@ -589,6 +625,7 @@
 
     def _check_requests(self):
         """Updates the retry limits and lets all handlers detect silence."""
+        self._pause_guard.tick()
         now_s = self._reactor.seconds()
         self._update_retry_limits()
         for handler in list(self._in_progress):
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -88,6 +88,8 @@
 
     Attributes:
         occupancy: Load of the targets, including the reserved memory.
+        is_outdated: Returns whether no path may be chosen yet, as this
+            process was paused and its list of targets is outdated.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self.occupancy = occupancy_module.Occupancy()
+        self.is_outdated: Callable[[], bool] = lambda: False
         self._reactor = reactor
         self._targets = targets
         self._start_rate = admission.RateWindow()
@@ -179,6 +182,8 @@
         self, path_request: PathRequest
     ) -> paths.PathChoice | None:
         """Returns the fastest path with room for a request, or None."""
+        if self.is_outdated():
+            return None
         now_s = self._reactor.seconds()
         targets_state = paths.TargetsState(
             path_request.service.engine,
