Acquire no lease of a restored store before it was unchanged for a duration

A write of unknown outcome, sent before the restore, may land after it where its revision was given out again, and so replace another holder's lease.

Change: in an era above 0 any process acquires only after it has seen the lease unchanged for a whole duration.

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -20,8 +20,9 @@
 They also increase when the store is restored from an older copy, as versions
 do (see `store.versions`). A lease of an earlier era permits nothing from the
 moment at which its holder learns of the restore. The copy may not know of that
-holder, so no process acquires a lease that looks free, or its own, until a
-whole duration after it has first seen the era. The number is a new one.
+holder, so any process acquires a lease, also a free one or its own, only after
+it has seen it unchanged for a whole duration in the new era. The number is a
+new one.
 """
 
 from collections.abc import Callable
@@ -257,18 +258,14 @@
         """Returns whether the lease is free or was not renewed in time."""
         if self._observed is None:
             return False
-        free_since_s = self._observed_at_s
-        if (
-            self._is_recorded_holder()
-            or self._observed.value["holder"] == NO_HOLDER
-        ):
-            era = versions.era_of(self._observed.version)
-            if era == 0:
-                return True
-            # A later holder, which the restored copy doesn't know, may still
-            # trust its lease.
-            free_since_s = self._note_era(era)
-        unchanged_s = self._monotonic_s() - free_since_s
+        era = versions.era_of(self._observed.version)
+        if era == 0 and self._observed.value["holder"] == NO_HOLDER:
+            return True
+        # After a restore, also a holder that the stored lease doesn't name
+        # may still trust its own: the copy may not know it, or a late write
+        # may have landed under a revision that was given out again.
+        known_since_s = max(self._observed_at_s, self._note_era(era))
+        unchanged_s = self._monotonic_s() - known_since_s
         return unchanged_s >= self._settings["duration_s"]
 
     def _update_held(self):
--- a/tests/fakes/scripted_store.py
+++ b/tests/fakes/scripted_store.py
@@ -5,6 +5,7 @@
 effect, takes effect later, or never does.
 """
 
+import copy
 from typing import NamedTuple
 
 from twisted.internet import defer
@@ -12,6 +13,7 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 
 SETTINGS = {"retry_min_s": 0.1, "retry_max_s": 1.0}
 
@@ -45,7 +47,8 @@
 
     Attributes:
         clock: Virtual clock of the clients.
-        version: Version of the last write.
+        version: Revision of the last write.
+        era: Number of restores.
         stored: Objects by kind and name.
         previous: Their previous versions, by kind and name.
         calls: Pending calls.
@@ -56,6 +59,7 @@
     def __init__(self):
         self.clock = task.Clock()
         self.version = 0
+        self.era = 0
         self.stored = {}
         self.previous = {}
         self.calls = []
@@ -70,15 +74,38 @@
             return current
         if current is not None:
             self.previous[key] = current
-        if (current.version if current else 0) != call.version:
+        # The store compares revisions, whatever era they are of.
+        current_revision = versions.revision_of(
+            current.version if current else 0
+        )
+        if current_revision != versions.revision_of(call.version):
             if call.version:
                 raise exceptions.VersionConflict("changed", current)
             raise exceptions.ObjectExists("exists", current)
         self.version += 1
-        stored = client.StoredObject(*key, self.version, call.value)
+        version = versions.join(self.era, self.version)
+        stored = client.StoredObject(*key, version, call.value)
         self.stored[key] = stored
         return stored
 
+    def copy(self):
+        """Returns a copy of the objects, to restore later."""
+        return self.version, copy.copy(self.stored)
+
+    def restore(self, copied):
+        """Restores a copy: what was written since is gone."""
+        self.version, stored = copied
+        self.era += 1
+        self.stored = {
+            key: one._replace(
+                version=versions.join(
+                    self.era, versions.revision_of(one.version)
+                )
+            )
+            for key, one in stored.items()
+        }
+        self.previous.clear()
+
     def answer(self, call, how):
         """Completes a pending call.
 
@@ -102,20 +129,43 @@
             self.late.append(call)
             self._fire(call, exceptions.WriteOutcomeUnknown("late"))
             return
-        try:
-            result = self.apply(call)
-        except exceptions.StoreError as error:
-            result = error
+        result = self._execute(call)
         if how == "lost":
-            result = exceptions.WriteOutcomeUnknown("lost")
-        if how == "slow":
-            self.slow.append((call, result))
+            self._fire(call, exceptions.WriteOutcomeUnknown("lost"))
+        elif how == "slow":
+            self.slow.append((call, result, self.era))
         else:
-            self._fire(call, result)
+            self._fire_of_era(call, result, self.era)
 
     def reply(self, number):
         """Returns the result of a slow call."""
-        self._fire(*self.slow.pop(number))
+        self._fire_of_era(*self.slow.pop(number))
+
+    def _execute(self, call):
+        """Returns the result or error of a call, as its client gets it."""
+        if call.version and not call.store.is_current(call.version):
+            # The client reads the object instead of writing it.
+            current = self.stored.get((call.kind, call.name))
+            return exceptions.VersionConflict("outdated", current)
+        try:
+            result = self.apply(call)
+        except exceptions.StoreError as error:
+            return error
+        if call.version and versions.era_of(call.version) != self.era:
+            return exceptions.WriteOutcomeUnknown("restored meanwhile")
+        return result
+
+    def _fire_of_era(self, call, result, era):
+        """Completes a call with an answer of an era, unless it is outdated."""
+        if era < (call.store.era or 0):
+            error = exceptions.StoreUnavailable
+            if call.is_write:
+                error = exceptions.WriteOutcomeUnknown
+            self._fire(call, error("outdated"))
+            return
+        if not call.store.dead:
+            call.store.learn_era(era)
+        self._fire(call, result)
 
     def land(self, call):
         """Executes a late write, if its version condition still holds."""
@@ -143,11 +193,19 @@
         self.reactor = objects.clock
         self.settings = SETTINGS
         self.dead = False
+        self.era = None
         self.on_new_era = []
 
+    def learn_era(self, era):
+        """Takes note of the era of an answer."""
+        previous, self.era = self.era, era
+        if previous is not None and era > previous:
+            for callback in self.on_new_era:
+                callback(era)
+
     def is_current(self, version):
-        """Returns that no version is outdated, as the store has no eras."""
-        return True
+        """Returns whether a version is of the newest era known."""
+        return versions.era_of(version) == (self.era or 0)
 
     def read(self, kind, name, may_be_stale=False):
         """Reads an object."""
--- a/tests/unit/test_lease_history.py
+++ b/tests/unit/test_lease_history.py
@@ -11,10 +11,12 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.control import lease
+from hemlocktiller._internal.store import versions
 from tests.fakes import scripted_store
 from tests.unit import store_rules
 
 HOLDERS = 3
+RESTORES_MAX = 3
 # Rounds of 1 s after the last step, until a process must hold the lease.
 SETTLE_ROUNDS = 100
 DURATIONS_S = strategies.sampled_from([0.5, 3.0, 9.5, 11.0])
@@ -99,6 +101,36 @@
 test_lease_history = LeaseHistory.TestCase
 
 
+class RestoreHistory(LeaseHistory):
+    """The same with a store that is restored from copies of its past.
+
+    Writes of unknown outcome may land in a later era, where the revision that
+    they name was given out again.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.copies = [self.objects.copy()]
+
+    @stateful.rule()
+    def _copy(self):
+        self.copies.append(self.objects.copy())
+
+    @stateful.precondition(lambda self: self.objects.era < RESTORES_MAX)
+    @stateful.rule(number=store_rules.NUMBERS)
+    def _restore(self, number):
+        self.objects.restore(self.copies[number % len(self.copies)])
+
+
+RestoreHistory.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=400,
+    stateful_step_count=60,
+)
+test_restore_history = RestoreHistory.TestCase
+
+
 def test_late_reply_does_not_grant_an_expired_lease():
     """The acquisition takes effect, but its reply comes after the expiry."""
     history = LeaseHistory()
@@ -114,3 +146,53 @@
     objects.reply(0)
     assert 0 not in [number for _, number in history._held()]
     assert len(history._held()) == 1
+
+
+def test_a_late_write_of_an_earlier_era_makes_no_second_holder():
+    """It lands where its revision was given out again, to another holder."""
+    history = LeaseHistory()
+    objects = history.objects
+
+    def answer_holder(number, outcome="ok"):
+        while calls := [
+            call for call in objects.calls if call.store.writer == str(number)
+        ]:
+            objects.answer(calls[0], outcome)
+            if outcome != "ok":
+                return
+
+    def pass_time(duration_s, *numbers):
+        history._pass_time(duration_s, numbers)
+        for number in numbers:
+            answer_holder(number)
+
+    # Holder 0 reads the lease and creates it without a holder.
+    for _ in range(2):
+        calls = [call for call in objects.calls if call.store.writer == "0"]
+        objects.answer(calls[0], "ok")
+    copied = objects.copy()
+    answer_holder(0)
+    for _ in range(30):
+        pass_time(3.0, 0)
+    history._pass_time(3.0, {0})
+    answer_holder(0, "late")
+    assert [number for _, number in history._held()] == [0]
+    objects.restore(copied)
+    # Holder 0 learns of the restore, and is paused while 1 gets the lease.
+    pass_time(11.0, 0)
+    while objects.stored["lease", "dc1"].value["holder"] != "1":
+        pass_time(11.0, 1)
+    # Holder 0 asks for the lease, and is answered after the late write.
+    while not any(call.store.writer == "0" for call in objects.calls):
+        history._pass_time(1.0, {0, 1})
+        answer_holder(1)
+    (late_write,) = objects.late
+    while versions.revision_of(objects.stored["lease", "dc1"].version) < (
+        versions.revision_of(late_write.version)
+    ):
+        pass_time(3.0, 1)
+    objects.land(late_write)
+    assert objects.stored["lease", "dc1"].value["holder"] == "0"
+    assert [number for _, number in history._held()] == [1]
+    answer_holder(0)
+    assert [number for _, number in history._held()] == [1]
