--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -111,7 +111,7 @@
         self._held_until_s = 0.0
         self._reported_held = False
         self._consecutive_failures = 0
-        self._era_seen_at_s: dict[int, float] = {}
+        self._era_first_seen_s: dict[int, float] = {}
         self._stopped = False
         store.on_new_era.append(self._on_new_era)
         self._loop: defer.Deferred = defer.succeed(None)
@@ -144,12 +144,12 @@
     def _on_new_era(self, era):
         """Gives up a lease of the store's state before a restore."""
         self._needs_read = True
-        self._note_era(era)
+        self._era_known_since_s(era)
         self._update_held()
 
-    def _note_era(self, era):
-        """Returns since when this process knows an era of the store."""
-        return self._era_seen_at_s.setdefault(era, self._monotonic_s())
+    def _era_known_since_s(self, era):
+        """Returns since when this process has known an era of the store."""
+        return self._era_first_seen_s.setdefault(era, self._monotonic_s())
 
     async def _release_if_held(self):
         try:
@@ -235,7 +235,7 @@
         observed_version = self._observed.version if self._observed else 0
         if stored is not None and stored.version != observed_version:
             self._observed_at_s = self._monotonic_s()
-            self._note_era(versions.era_of(stored.version))
+            self._era_known_since_s(versions.era_of(stored.version))
         self._observed = stored
         if not self._is_recorded_holder():
             self._held_until_s = 0.0
@@ -264,7 +264,7 @@
         # After a restore, also a holder that the stored lease doesn't name
         # may still trust its own: the copy may not know it, or a late write
         # may have landed under a revision that was given out again.
-        known_since_s = max(self._observed_at_s, self._note_era(era))
+        known_since_s = max(self._observed_at_s, self._era_known_since_s(era))
         unchanged_s = self._monotonic_s() - known_since_s
         return unchanged_s >= self._settings["duration_s"]
 
