Log and count the framing of targets' responses and how they ended

`request_end` and `resume` now have `framing` and `unfinished_bytes`, and `hemlocktiller_target_response_ends` counts ends by framing.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -66,6 +66,8 @@
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
         self._exchange: upstream.Exchange | None = None
         self._splitter = sse.EventSplitter()
+        # What delimits the current response; see `upstream.Exchange`.
+        self._framing = "none"
         self._last_event_id = admitted.parsed_headers.last_event_id
         self._event_count = 0
         # Attempts that a target is known to have started.
@@ -241,6 +243,7 @@
         self._record_activity(now_s)
         self._is_suspected = False
         self._splitter = sse.EventSplitter()
+        self._framing = "none"
         self._error_head = None
         self._error_body = []
         events.emit(
@@ -323,6 +326,8 @@
             reason=reason,
             after_event=self._last_event_id,
             silent_ms=round((now_s - self._last_activity_s) * 1000),
+            framing=self._framing,
+            unfinished_bytes=len(self._splitter.buffer),
         )
         self._dispatcher.submit_resumed(
             self._build_path_request(
@@ -392,6 +397,7 @@
         """Starts the response to the caller; keeps the head of an error."""
         if attempt_number != self._attempt_number or self._is_finished:
             return
+        self._framing = self._exchange.framing
         response_head = self._context.adapter.decode_response_head(
             status, headers
         )
@@ -618,6 +624,8 @@
             longest_gap_at=self._longest_gap_after_event,
             events=self._event_count,
             runs=self._started_attempts,
+            framing=self._framing,
+            unfinished_bytes=len(self._splitter.buffer),
             path=[stage.target.name for stage in path],
         )
 
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 import h11
+import prometheus_client
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.python import failure
@@ -29,6 +30,12 @@
 TIMEOUT_TIMERS = 3
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
+RESPONSE_ENDS = prometheus_client.Counter(
+    "hemlocktiller_target_response_ends",
+    "Responses of targets by framing (none before the head) and end",
+    ["framing", "end"],
+)
+
 
 class ExchangeCallbacks(NamedTuple):
     """Callbacks for the events of an exchange.
@@ -60,7 +67,12 @@
 
 
 class _Connection(protocol.Protocol):
-    """Sends a request, and parses its response into callbacks."""
+    """Sends a request, and parses its response into callbacks.
+
+    Attributes:
+        framing: What delimits the body of the response: `length`, `chunked`
+            or `close`; `none` before the head was received.
+    """
 
     def __init__(
         self, head: h11.Request, body: bytes, callbacks: ExchangeCallbacks
@@ -70,6 +82,7 @@
         self._body = body
         self._callbacks = callbacks
         self._is_finished = False
+        self.framing = "none"
 
     def connectionMade(self) -> None:
         """Sends the request with its body."""
@@ -115,6 +128,7 @@
             headers = [
                 (name, value) for name, value in event.headers.raw_items()
             ]
+            self.framing = _body_framing(event.headers)
             self._callbacks.on_head(event.status_code, headers)
         elif isinstance(event, h11.Data):
             self._callbacks.on_data(bytes(event.data))
@@ -126,6 +140,8 @@
             return
         self._is_finished = True
         self.transport.loseConnection()
+        end = "complete" if exchange_failure is None else "broken off"
+        RESPONSE_ENDS.labels(self.framing, end).inc()
         self._callbacks.on_end(exchange_failure)
 
     def cancel(self) -> None:
@@ -166,6 +182,11 @@
             *address, factory, timeout=CONNECT_TIMEOUT_S
         )
 
+    @property
+    def framing(self) -> str:
+        """What delimits the body of the response; see `_Connection`."""
+        return self._connection.framing
+
     def cancel(self) -> None:
         """Cancels the exchange by closing its connection."""
         if self._is_cancelled:
@@ -206,6 +227,14 @@
         self._exchange._on_connect_failed(reason)
 
 
+def _body_framing(headers: Any) -> str:
+    """Returns what delimits the body of a response with these headers."""
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return "chunked"
+    return "length" if b"content-length" in names else "close"
+
+
 def is_valid_request_head(
     method: str, path: str, headers: platform_adapter.Headers
 ) -> bool:
