Show streams whose target closes them inside an event, and pass on as whole

Four tests fail: a stream without length or chunks that is closed inside an event, or before its first one, reaches the caller as a whole answer, and so does one that ends inside an event although its framing is complete. On a route without resumption it must be aborted, so that the caller sees it is short. A stream that is closed between two events, as its target does at the end, passes.

--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -9,6 +9,8 @@
     b"Transfer-Encoding: chunked\r\n\r\n"
 )
 RESPONSE_END = b"0\r\n\r\n"
+# Without length or chunks, the body ends with the connection.
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r1\r\n\r\n"
 
 
 def chunk(data):
@@ -131,6 +133,66 @@
     assert harness.pending_connection_count()
 
 
+def test_a_stream_without_length_ends_with_its_connection(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1) + event(2))
+    connection.close()
+    assert admitted.caller_request.body == event(1) + event(2)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_stream_closed_inside_an_event_is_not_complete(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1) + event(2)[:-1])
+    connection.close()
+    assert admitted.caller_request.ending == ""
+    second_attempt = accept_attempt(harness)
+    assert b"Last-Event-Id: 1\r\n" in second_attempt.transport.value()
+    second_attempt.respond(RESPONSE_HEAD + chunk(event(2)) + RESPONSE_END)
+    assert admitted.caller_request.body == event(1) + event(2)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_framed_stream_that_ends_inside_an_event_is_not_complete(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(
+        RESPONSE_HEAD + chunk(event(1) + event(2)[:4]) + RESPONSE_END
+    )
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == ""
+    assert harness.pending_connection_count()
+
+
+def test_a_stream_closed_inside_an_event_is_aborted_if_not_resumable(
+    harness, model_service, stream_route
+):
+    harness.register(*make_two_chains())
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1) + event(2)[:4])
+    connection.close()
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == "cut"
+
+
+def test_a_stream_closed_before_its_first_event_is_not_complete(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD)
+    connection.close()
+    assert admitted.caller_request.ending == ""
+    assert harness.pending_connection_count()
+
+
 def test_a_stage_without_memory_is_avoided_by_the_next_attempt(streaming):
     harness, admitted = streaming
     harness.start_stream(admitted)
