Take a stream that ends inside an event for broken off

Cause: the end of the transport was taken for the end of the answer. A body without length or chunks ends with its connection, so h11 reports EndOfMessage at a clean close, whether the target had finished or stopped midway. The stream then wrote what the splitter held of an event and ended its own chunked answer, which made the truncation invisible. Resets were told apart already.

Why this works: the events themselves show the truncation whatever the framing says. A stream that ends inside an event is a failed attempt like one that was reset: the event is dropped, the stream resumed after the last whole one, or its answer aborted. The same holds for an answer that ends with its connection before any event. Blank lines after the last event are still passed on.

--- a/src/hemlocktiller/_internal/gateway/sse.py
+++ b/src/hemlocktiller/_internal/gateway/sse.py
@@ -27,6 +27,11 @@
     def __init__(self) -> None:
         self.buffer = b""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun that is not complete yet."""
+        return bool(self.buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[Event]:
         """Returns the events that the data completes."""
         self.buffer += data
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -468,8 +468,10 @@
             return
         target = self.path[0].target
         if failure is None and self._error_head is None:
-            self._complete(target)
-            return
+            failure = self._find_truncation()
+            if failure is None:
+                self._complete(target)
+                return
         if failure is not None:
             self._on_upstream_failure(target, failure)
             return
@@ -482,14 +484,29 @@
             return
         self._on_error_response(status, headers, response_head)
 
+    def _find_truncation(self):
+        """Returns the failure of a stream that ended early, or None.
+
+        The end of a connection shows only that no more data follows: a target
+        that stops midway closes it as one that has sent everything.
+        """
+        reason = ""
+        if self._splitter.is_inside_event:
+            reason = "ended inside an event"
+        elif self._framing == "close" and not self._has_produced_output():
+            reason = "closed without an event"
+        if not reason:
+            return None
+        return upstream.ExchangeFailure(reason, was_sent=True)
+
     def _complete(self, target):
         """Ends the response after a stream that the target has completed."""
         self._context.targets.record_request_success(target)
         self._retry_budget().record_success(self._context.reactor.seconds())
         caller_request = self._admitted.caller_request
-        incomplete_event = self._splitter.buffer
-        if incomplete_event:
-            caller_request.write(incomplete_event)
+        trailing_blank_lines = self._splitter.buffer
+        if trailing_blank_lines:
+            caller_request.write(trailing_blank_lines)
         self._finish("ok")
         caller_request.finish_response()
 
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -360,3 +360,13 @@
     connection.respond(RESPONSE_HEAD + chunk(event(1)))
     harness.targets.mark_down(harness.targets.by_name[first_name], "refused")
     assert path_target_names(accept_attempt(harness))[0] != first_name
+
+
+def test_blank_lines_after_the_last_event_are_no_event(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1) + b"\n")
+    connection.close()
+    assert admitted.caller_request.body == event(1) + b"\n"
+    assert admitted.caller_request.ending == "whole"
