Tell whole answers of the store without length from broken-off ones

Twisted reports an answer that ends with its connection alike after a clean close and a reset. All of them failed, so nothing short was believed, but a whole answer was taken for a lost reply: a read failed and a write was made again, and a 503 without length did not count as refused.

The content decides: a part of an encoded JSON object is never an object. A body that is JSON but no object, which callers index by field names, is no document either.

--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -42,7 +42,7 @@
 
     Attributes:
         status: HTTP status.
-        body: JSON body; None if it is not JSON.
+        body: JSON object in the body; None if there is none.
         era: Number of times that the store was restored from a backup; 0 if
             the platform does not tell it.
     """
@@ -135,7 +135,7 @@
         response = await self._agent.request(
             method, url, headers, self._body_producer(body)
         )
-        content = await client.readBody(response)
+        content, is_delimited = await _read_body(response)
         if response.code == HTTP_SERVICE_UNAVAILABLE:
             raise exceptions.StoreUnavailable("the object API answered 503")
         if response.code >= HTTP_SERVER_ERROR_MIN:
@@ -143,7 +143,12 @@
                 f"the object API answered {response.code}"
             )
         era = self._parse_era(response.headers)
-        return Reply(response.code, _parse_json(content), era)
+        body = _parse_object(content)
+        if body is None and not is_delimited:
+            raise exceptions.WriteOutcomeUnknown(
+                "the object API closed the connection inside its answer"
+            )
+        return Reply(response.code, body, era)
 
     def _parse_era(self, headers):
         """Returns the era that a response names.
@@ -165,11 +170,24 @@
     return http_headers.Headers(raw)
 
 
-def _parse_json(content):
+async def _read_body(response):
+    """Returns the body, and whether its framing shows that it is whole."""
+    try:
+        return await client.readBody(response), True
+    except client.PartialDownloadError as undelimited:
+        return undelimited.response, False
+
+
+def _parse_object(content):
+    """Returns the JSON object in a body, or None.
+
+    A part of an encoded object is never an object.
+    """
     try:
-        return json.loads(content)
+        document = json.loads(content)
     except ValueError:
         return None
+    return document if isinstance(document, dict) else None
 
 
 def _raise_store_error(failure):
--- /dev/null
+++ b/tests/unit/test_store_transport.py
@@ -0,0 +1,91 @@
+"""Replies of the store whose end is that of their connection."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http
+from twisted.web import http_headers
+
+from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.store import transport
+from tests.fakes import memory
+
+DOCUMENT = b'{"version": 7}'
+
+
+class UnframedAgent:
+    """An HTTP agent whose responses have neither length nor chunks."""
+
+    def __init__(self, status, body):
+        self._status = status
+        self._body = body
+
+    def request(self, method, url, headers, producer):
+        """Returns a Deferred that has fired with the response."""
+        return defer.succeed(
+            SimpleNamespace(
+                code=self._status,
+                phrase=b"",
+                headers=http_headers.Headers(),
+                deliverBody=self._deliver,
+            )
+        )
+
+    def _deliver(self, protocol):
+        protocol.makeConnection(None)
+        protocol.dataReceived(self._body)
+        # Twisted says the same of a clean close and of a reset.
+        protocol.connectionLost(failure.Failure(http.PotentialDataLoss()))
+
+
+def call(status, body, method="GET"):
+    """Makes a call; returns its reply or raises its error."""
+    store_transport = transport.Transport(
+        memory.STORE_SETTINGS, task.Clock(), UnframedAgent(status, body)
+    )
+    results = []
+    store_transport.call(method, ("objects", "thing")).addBoth(results.append)
+    (result,) = results
+    if isinstance(result, failure.Failure):
+        result.raiseException()
+    return result
+
+
+def test_a_whole_document_without_length_is_a_reply():
+    assert call(200, DOCUMENT).body == {"version": 7}
+
+
+@pytest.mark.parametrize("length", range(len(DOCUMENT)))
+def test_a_document_broken_off_without_length_is_no_reply(length):
+    with pytest.raises(exceptions.WriteOutcomeUnknown):
+        call(200, DOCUMENT[:length])
+
+
+def test_a_refusal_without_length_has_no_effect():
+    with pytest.raises(exceptions.StoreUnavailable):
+        call(503, b"", "PUT")
+
+
+def test_a_number_that_may_be_a_part_is_no_reply():
+    with pytest.raises(exceptions.WriteOutcomeUnknown):
+        call(200, b"12")
+
+
+@pytest.mark.parametrize("body", [b"[]", b"7", b'"x"', b"<html>", b""])
+def test_a_body_that_is_no_object_is_no_document(body):
+    agent = UnframedAgent(200, body)
+    agent._deliver = lambda protocol: (
+        protocol.makeConnection(None),
+        protocol.dataReceived(body),
+        protocol.connectionLost(failure.Failure(client.ResponseDone())),
+    )
+    store_transport = transport.Transport(
+        memory.STORE_SETTINGS, task.Clock(), agent
+    )
+    results = []
+    store_transport.call("GET", ("objects",)).addBoth(results.append)
+    assert results[0].body is None
