Treat an answer of the store of another structure as a failed call

Where a field was missing or of another type, the error left the client as KeyError or TypeError, and a watch, which retries errors of the store, ended for good: the process got no configuration and no registrations any more.

Such an answer is now StoreUnavailable to a read and WriteOutcomeUnknown to a write, so watches try again. The four tests failed before, the watch with no report at all.

--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -25,6 +25,9 @@
 MAX_WRITE_ATTEMPTS = 3
 NONCE_BYTES = 12
 
+# Raised where an answer lacks a field, or where a field has another type.
+_STRUCTURE_ERRORS = (KeyError, TypeError, AttributeError, ValueError)
+
 _LOG = logbook.Logger(__name__)
 
 StoredObject = objects.StoredObject
@@ -143,8 +146,8 @@
         Raises:
             StoreUnavailable: The object could not be read.
         """
-        return defer.Deferred.fromCoroutine(
-            self._read(kind, name, may_be_stale)
+        return _start(
+            self._read(kind, name, may_be_stale), exceptions.StoreUnavailable
         )
 
     def read_all(
@@ -160,7 +163,9 @@
         Raises:
             StoreUnavailable: The kind could not be read.
         """
-        return defer.Deferred.fromCoroutine(self._read_all(kind, may_be_stale))
+        return _start(
+            self._read_all(kind, may_be_stale), exceptions.StoreUnavailable
+        )
 
     def wait_for_object(
         self, kind: str, name: str, after: int
@@ -175,8 +180,9 @@
         Raises:
             StoreUnavailable: The platform did not answer.
         """
-        return defer.Deferred.fromCoroutine(
-            self._wait_for_object(kind, name, after)
+        return _start(
+            self._wait_for_object(kind, name, after),
+            exceptions.StoreUnavailable,
         )
 
     def wait_for_changes(
@@ -192,8 +198,8 @@
             VersionTooOld: The store no longer has the changes since `after`.
             StoreUnavailable: The platform did not answer.
         """
-        return defer.Deferred.fromCoroutine(
-            self._wait_for_changes(kind, after)
+        return _start(
+            self._wait_for_changes(kind, after), exceptions.StoreUnavailable
         )
 
     def wait_for_vms(self, after: int) -> "defer.Deferred[dict | None]":
@@ -206,7 +212,7 @@
         Raises:
             StoreUnavailable: The platform did not answer.
         """
-        return defer.Deferred.fromCoroutine(self._wait_for_vms(after))
+        return _start(self._wait_for_vms(after), exceptions.StoreUnavailable)
 
     def create(
         self, kind: str, name: str, value: Any
@@ -233,7 +239,9 @@
         nonce = secrets.token_hex(NONCE_BYTES)
         body = objects.encode_envelope(value, self.writer, nonce, version)
         write = writes.Write(kind, name, version, nonce, value, body)
-        return defer.Deferred.fromCoroutine(self._write("PUT", write))
+        return _start(
+            self._write("PUT", write), exceptions.WriteOutcomeUnknown
+        )
 
     def delete(
         self, kind: str, name: str, version: int
@@ -248,7 +256,9 @@
             WriteOutcomeUnknown: Whether the object was deleted is unknown.
         """
         write = writes.Write(kind, name, version)
-        return defer.Deferred.fromCoroutine(self._write("DELETE", write))
+        return _start(
+            self._write("DELETE", write), exceptions.WriteOutcomeUnknown
+        )
 
     async def _read(self, kind, name, may_be_stale):
         with_origin = await self._read_with_origin(kind, name, may_be_stale)
@@ -404,6 +414,25 @@
         )
 
 
+def _start(call, error_type):
+    """Starts a call; returns a Deferred that fires with its result.
+
+    Args:
+        call: Coroutine of the call.
+        error_type: Store error for an answer of another structure.
+    """
+    return defer.Deferred.fromCoroutine(_check_structure(call, error_type))
+
+
+async def _check_structure(call, error_type):
+    try:
+        return await call
+    except _STRUCTURE_ERRORS as error:
+        raise error_type(
+            f"the store's answer has another structure: {error!r}"
+        ) from error
+
+
 def _staleness_query(may_be_stale):
     """Returns the query arguments of a read."""
     return {"stale": 1} if may_be_stale else None
--- a/tests/unit/test_store_client.py
+++ b/tests/unit/test_store_client.py
@@ -1,9 +1,14 @@
 import pytest
+from twisted.internet import defer
+from twisted.internet import task
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import objects
+from hemlocktiller._internal.store import transport
+from hemlocktiller._internal.store import watch
 from hemlocktiller._internal.store import writes
+from tests.fakes import memory
 
 
 def test_objects_are_created_read_updated_and_deleted(platform):
@@ -130,3 +135,52 @@
     with pytest.raises(exceptions.StoreError):
         platform.result(store.create("thing", "a", "x" * 1_100_000))
     assert not platform.state.changes
+
+
+class MalformedTransport:
+    """Answers each call with 200 and a document of another structure."""
+
+    def __init__(self, document):
+        self._document = document
+
+    def call(self, *arguments, **options):
+        """Returns a Deferred that has fired with the reply."""
+        return defer.succeed(transport.Reply(200, self._document))
+
+
+@pytest.mark.parametrize(
+    "document",
+    [{}, {"version": 1}, {"version": "x", "objects": 5, "name": 1}],
+)
+def test_an_answer_of_another_structure_fails_as_a_store_error(document):
+    store = client.ObjectStore(
+        memory.STORE_SETTINGS,
+        "test",
+        task.Clock(),
+        custom_transport=MalformedTransport(document),
+    )
+    for call in (
+        store.read("thing", "a"),
+        store.read_all("thing"),
+        store.wait_for_object("thing", "a", 0),
+        store.wait_for_changes("thing", 0),
+        store.update("thing", "a", 1, 0),
+    ):
+        failures = []
+        call.addErrback(failures.append)
+        if failures:
+            assert failures[0].check(exceptions.StoreError)
+
+
+def test_a_watch_outlives_an_answer_of_another_structure():
+    malformed = MalformedTransport({})
+    clock = task.Clock()
+    store = client.ObjectStore(
+        memory.STORE_SETTINGS, "test", clock, custom_transport=malformed
+    )
+    reported = []
+    watch.watch_kind(store, "thing", lambda *change: reported.append(change))
+    clock.advance(1.0)
+    malformed._document = {"version": 1, "objects": []}
+    clock.pump([0.5] * 20)
+    assert reported[0] == ([], [], True, 1)
