--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -1,7 +1,8 @@
 """Fake of a target of the users' platform, which runs as a process.
 
 A model target holds a range of layers and streams deterministic events;
-before each event it calls every other stage of the path. A plain target
+before each event it calls every other stage of the path. Its streams can be
+made to end with their connection, some of them inside an event. A plain target
 handles single calls. Each run is appended to a journal file, which outlives a
 kill of the process. On SIGTERM the target registers as draining and stops
 after a delay.
@@ -10,6 +11,7 @@
 import argparse
 import io
 import json
+import random
 import secrets
 import signal
 import sys
@@ -59,6 +61,8 @@
         self._layers = (0, 0)
         self._is_draining = False
         self._heartbeat_count = 0
+        # Share of streams that are broken off; None while streams have chunks.
+        self._break_off_ratio = None
         self._agent = client.Agent(reactor, connectTimeout=0.5)
 
     def send_heartbeat(self):
@@ -106,6 +110,10 @@
             return _json_body(request, self._report_body())
         if path == "/api/order":
             return self._apply_order(request)
+        if path == "/faults":
+            faults = json.loads(request.content.read())
+            self._break_off_ratio = faults["break_off_ratio"]
+            return b""
         if path == "/health":
             request.setHeader("Instance-Id", self.id)
             return b""
@@ -188,6 +196,11 @@
         request.notifyFinish().addErrback(disconnected.append)
         last_event_id = int(request.getHeader("Last-Event-Id") or 0)
         count = int(request.getHeader("Token-Usage").split(",")[1])
+        last_number = 0
+        if self._break_off_ratio is not None:
+            _remove_framing(request)
+            if random.random() < self._break_off_ratio:
+                last_number = random.randint(last_event_id + 1, count)
         for number in range(last_event_id + 1, count + 1):
             failed_address = await self._find_failed_stage(hops[1:])
             if disconnected:
@@ -203,7 +216,12 @@
                 signature = f"{self.id}.{request_id}"
                 request.setHeader("Response-Signature", signature)
                 request.setHeader("Content-Type", "text/event-stream")
-            request.write(event_of(request_id, number))
+            event = event_of(request_id, number)
+            if number == last_number:
+                request.write(event[: random.randrange(1, len(event))])
+                request.loseConnection()
+                return
+            request.write(event)
             await task.deferLater(reactor, EVENT_INTERVAL_S)
         if not disconnected:
             request.finish()
@@ -253,6 +271,12 @@
         )
 
 
+def _remove_framing(request):
+    """Lets the response end with its connection."""
+    request.clientproto = b"HTTP/1.0"
+    request.channel.persistent = False
+
+
 def _json_body(request, value):
     request.setHeader("content-type", "application/json")
     return json.dumps(value).encode()
