Reset connections whose responses without chunks are not complete

A stream that was aborted, or whose gateway stopped or was killed, ended with a clean close and looked whole.

Until such a response is finished, SO_LINGER makes any close a reset, also the one by the kernel at the end of the process.

--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -1,6 +1,8 @@
 """Receives callers' requests with the HTTP server of `twisted.web`."""
 
 from collections.abc import Callable
+import socket
+import struct
 from typing import Any
 import weakref
 
@@ -39,6 +41,10 @@
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
+# Values of SO_LINGER: a close resets the connection, or ends it cleanly.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_CLEAN_CLOSE = struct.pack("ii", 0, 0)
+
 _REASON_PHRASES = {421: b"Misdirected Request"}
 
 
@@ -103,11 +109,13 @@
         if self.channel.factory.is_draining:
             self.responseHeaders.setRawHeaders(b"connection", [b"close"])
             self.channel.persistent = False
+        self._set_close_mode(_RESET_ON_CLOSE)
 
     def finish_response(self) -> None:
         """Finishes a complete response."""
         if not self.is_closed:
             self.is_closed = True
+            self._set_close_mode(_CLEAN_CLOSE)
             self.finish()
 
     def respond(
@@ -131,6 +139,17 @@
         self.channel.persistent = False
         self.channel.loseConnection()
 
+    def _set_close_mode(self, linger: bytes) -> None:
+        """Sets how a close ends a connection that delimits its response.
+
+        A caller of HTTP/1.0 gets no chunks, so a clean close would complete
+        a truncated response, also one by the kernel when this process ends.
+        """
+        if self.clientproto == b"HTTP/1.0":
+            self.channel.transport.getHandle().setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+
     def _reject_body(self) -> None:
         """Responds with 413 and reads no more of the body.
 
--- a/tests/functional/test_undelimited_answers.py
+++ b/tests/functional/test_undelimited_answers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import socket
 
 import pytest
 
@@ -61,3 +62,53 @@
                 for event_number in range(1, gateway_soak.EVENT_COUNT + 1)
             )
     assert whole_count > STREAM_COUNT / 2
+
+
+def start_stream_without_chunks(gateway, request_id):
+    """Returns the connection of a caller of HTTP/1.0, and its first event."""
+    connection = socket.create_connection(
+        (gateway.address.host, gateway.address.port), CALLER_TIMEOUT_S
+    )
+    connection.sendall(
+        (
+            "POST /draft/1 HTTP/1.0\r\n"
+            f"Host: {gateway_deployment.HOSTNAME}\r\n"
+            f"Request-Id: {request_id}\r\n"
+            "Deadline-Ms: 8000\r\n"
+            f"Key: {gateway_deployment.API_KEY}\r\n"
+            f"Token-Usage: 100,{gateway_soak.EVENT_COUNT}\r\n"
+            "Content-Length: 2\r\n\r\n{}"
+        ).encode()
+    )
+    received = b""
+    while b"\n\n" not in received:
+        data = connection.recv(65536)
+        assert data
+        received += data
+    return connection, received
+
+
+def test_a_caller_without_chunks_gets_a_clean_close_after_the_answer(
+    deployment,
+):
+    break_off(deployment, 0.0)
+    connection, received = start_stream_without_chunks(
+        deployment.gateways[1], "without-chunks-1"
+    )
+    with connection:
+        while data := connection.recv(65536):
+            received += data
+    last_event = platform_target.event_of(
+        "without-chunks-1", gateway_soak.EVENT_COUNT
+    )
+    assert received.endswith(last_event)
+
+
+def test_a_killed_gateway_completes_no_answer_without_chunks(deployment):
+    break_off(deployment, 0.0)
+    gateway = deployment.gateways[2]
+    connection, _ = start_stream_without_chunks(gateway, "without-chunks-2")
+    gateway.kill()
+    with connection, pytest.raises(ConnectionResetError):
+        while connection.recv(65536):
+            pass
