Move the exchange with a target out of the gateway's package

Behaviour is unchanged. The agent will send the calls of its service by it: it tells a clean end of a connection from a reset, which twisted.web's client does not.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.control import lease as lease_module
 from hemlocktiller._internal.gateway import calls
 from hemlocktiller._internal.gateway import crashes
@@ -26,7 +27,6 @@
 from hemlocktiller._internal.gateway import startup_queue
 from hemlocktiller._internal.gateway import streams
 from hemlocktiller._internal.gateway import targets as targets_module
-from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
@@ -351,7 +351,7 @@
             )
             return
         catalog = self.catalog
-        is_well_formed = upstream.is_valid_request_head(
+        is_well_formed = http_exchange.is_valid_request_head(
             caller_request.method.decode("latin-1"),
             caller_request.uri.decode("latin-1"),
             parsed_headers.forwarded,
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -3,10 +3,10 @@
 from typing import Any
 from typing import NamedTuple
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import request_context
-from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fleet
@@ -35,7 +35,7 @@
 
     def __init__(self, target: fleet.Target) -> None:
         self.target = target
-        self.exchange: upstream.Exchange | None = None
+        self.exchange: http_exchange.Exchange | None = None
         self.status = 0
         self.headers: platform_adapter.Headers = []
         self.body: list[bytes] = []
@@ -130,7 +130,7 @@
         attempt = self._active_attempts.get(target.name)
         if attempt is not None and self._admitted.route.may_repeat:
             self._on_upstream_failure(
-                attempt, upstream.ExchangeFailure(reason, was_sent=True)
+                attempt, http_exchange.ExchangeFailure(reason, was_sent=True)
             )
 
     def awaits_output_from(self, target: fleet.Target) -> bool:
@@ -172,7 +172,7 @@
             context,
             admitted,
             target,
-            upstream.ExchangeCallbacks(
+            http_exchange.ExchangeCallbacks(
                 lambda status, headers: self._on_head(
                     attempt, status, headers
                 ),
@@ -218,7 +218,8 @@
         )
         if response_head.request_id not in ("", self.request_id):
             self._on_upstream_failure(
-                attempt, upstream.ExchangeFailure("another's answer", True)
+                attempt,
+                http_exchange.ExchangeFailure("another's answer", True),
             )
             return
         self._cancel_attempt(attempt)
--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -4,10 +4,11 @@
 from typing import Any
 from typing import NamedTuple
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.policy import fleet
 
-Headers = list[tuple[bytes, bytes]]
+Headers = http_exchange.Headers
 
 
 class RequestHeaders(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -10,12 +10,12 @@
 
 import prometheus_client
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import crashes as crashes_module
 from hemlocktiller._internal.gateway import ingress
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import targets as targets_module
-from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
@@ -133,10 +133,10 @@
     context: RequestContext,
     admitted: AdmittedRequest,
     target: fleet.Target,
-    callbacks: upstream.ExchangeCallbacks,
+    callbacks: http_exchange.ExchangeCallbacks,
     path: fleet.Path = (),
     last_event_id: str = "",
-) -> upstream.Exchange:
+) -> http_exchange.Exchange:
     """Sends a request to a target.
 
     Args:
@@ -162,7 +162,7 @@
         headers,
         admitted.body,
     )
-    return upstream.Exchange(
+    return http_exchange.Exchange(
         context.reactor,
         (target.host, target.port),
         request_parts,
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import request_context
 from hemlocktiller._internal.gateway import sse
-from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import attempts
@@ -64,9 +64,9 @@
         self.digest = request_context.request_digest(admitted)
         self.request_id = admitted.parsed_headers.request_id
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
-        self._exchange: upstream.Exchange | None = None
+        self._exchange: http_exchange.Exchange | None = None
         self._splitter = sse.EventSplitter()
-        # What delimits the current response; see `upstream.Exchange`.
+        # What delimits the current response; see `http_exchange.Exchange`.
         self._framing = "none"
         self._last_event_id = admitted.parsed_headers.last_event_id
         self._event_count = 0
@@ -266,7 +266,7 @@
             context,
             admitted,
             choice.path[0].target,
-            upstream.ExchangeCallbacks(
+            http_exchange.ExchangeCallbacks(
                 lambda status, headers: self._on_head(
                     attempt_number, status, headers
                 ),
@@ -497,7 +497,7 @@
             reason = "closed without an event"
         if not reason:
             return None
-        return upstream.ExchangeFailure(reason, was_sent=True)
+        return http_exchange.ExchangeFailure(reason, was_sent=True)
 
     def _complete(self, target):
         """Ends the response after a stream that the target has completed."""
