--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -4,12 +4,10 @@
 import random
 from types import SimpleNamespace
 from typing import Any
-from typing import NamedTuple
 
 import pytest
 from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock
-from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
 from hemlocktiller._internal.gateway import calls
@@ -23,6 +21,7 @@
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import client
+from tests.fakes import connections
 
 ACCELERATORS = {
     kind.name: kind
@@ -95,38 +94,6 @@
         return dict(self.headers).get(name, b"")
 
 
-class Transport(StringTransport):
-    """An in-memory transport with the methods of a TCP transport."""
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        """Ignores the option."""
-
-    def abortConnection(self) -> None:
-        """Closes the connection immediately."""
-        self.loseConnection()
-
-
-class TargetConnection(NamedTuple):
-    """A connection from the gateway to a target."""
-
-    port: int
-    protocol: Any
-    transport: StringTransport
-
-    def respond(self, data: bytes) -> None:
-        """Delivers response bytes to the gateway."""
-        self.protocol.dataReceived(data)
-
-    def reset(self) -> None:
-        """Resets the connection."""
-        reason = failure.Failure(error.ConnectionLost())
-        self.protocol.connectionLost(reason)
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
-
-
 class GatewayHarness:
     """The gateway's request handling on a virtual clock, without a network.
 
@@ -256,14 +223,11 @@
             for call_or_stream in self._in_progress:
                 call_or_stream.check_progress(self.reactor.seconds())
 
-    def accept_connection(self) -> TargetConnection:
+    def accept_connection(self) -> connections.TargetConnection:
         """Accepts the oldest pending connection."""
-        host, port, factory, *_ = self.reactor.tcpClients[self._handled_count]
+        connection = connections.accept(self.reactor, self._handled_count)
         self._handled_count += 1
-        protocol = factory.buildProtocol(None)
-        transport = Transport()
-        protocol.makeConnection(transport)
-        return TargetConnection(port, protocol, transport)
+        return connection
 
     def refuse_connection(self) -> int:
         """Refuses the oldest pending connection; returns its port."""
