Send calls of services by exchanges that tell how their connection ended

Calls now use the exchange that gateways use: a clean close ends an answer without length, a reset does not. Each has a connection of its own, so bytes that a service sends after an answer reach no other call; calls shared connections before. Three tests failed before: an answer without length, its reset, and the connection of a second call. The tests on time-outs and deaths check the same as before, on in-memory connections in place of a fake agent.

Not changed: calls of the engine, whose protocol is our own and framed.

--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -102,7 +102,6 @@
         self._claims = claims
         self._tracer = tracer
         self._callbacks = callbacks
-        self._http = http_client.create_agent(reactor)
 
     def start_call(self, call: Any, link: link_module.Link) -> None:
         """Starts a dequeued call; its result is sent on `link`."""
@@ -205,11 +204,11 @@
             min(settings["timeout_s"], max(call["expires_in_s"], 0.001)),
         )
         try:
-            reply = yield http_client.send(self._reactor, self._http, request)
+            reply = yield http_client.send_once(self._reactor, request)
         except Exception:
             cause = failure.Failure()
             span.end()
-            if cause.check(*http_client.CONNECTION_LOST_ERRORS):
+            if cause.check(http_client.ResponseBrokenOff):
                 self._callbacks.on_died()
             return _http_failure_outcome(cause)
         span.end()
@@ -246,7 +245,7 @@
 
 def _http_failure_outcome(cause: failure.Failure) -> CallOutcome:
     """Returns the outcome of a call that got no complete response."""
-    if http_client.was_not_sent(cause):
+    if cause.check(http_client.RequestNotSent):
         return CallOutcome(
             "no", "service_down", retry_after_s=DEFAULT_RETRY_AFTER_S
         )
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -2,29 +2,32 @@
 
 from typing import Any
 from typing import NamedTuple
+from urllib import parse
 
+import h11
 from twisted.internet import defer
-from twisted.internet import error
-from twisted.python import failure
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import http_exchange
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
-NOT_SENT_ERRORS = (
-    error.ConnectionRefusedError,
-    error.ConnectError,
-    error.TimeoutError,
-)
-CONNECTION_LOST_ERRORS = (
-    client.ResponseNeverReceived,
-    client.ResponseFailed,
-    error.ConnectionLost,
-)
+HTTP_PORT = 80
+
+
+class RequestNotSent(exceptions.HemlocktillerError):
+    """No connection was made, so the request certainly did not run."""
+
+
+class ResponseBrokenOff(exceptions.HemlocktillerError):
+    """The service ended the connection without a complete response.
+
+    The request may have run.
+    """
 
 
 class ResponseTimedOut(exceptions.HemlocktillerError):
@@ -94,11 +97,6 @@
     return client.Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
 
 
-def was_not_sent(reason: failure.Failure) -> bool:
-    """Returns whether a failed request certainly did not reach the service."""
-    return reason.check(*NOT_SENT_ERRORS) is not None
-
-
 @defer.inlineCallbacks
 def send(
     reactor: Any, http_agent: client.Agent, request: Request
@@ -114,7 +112,6 @@
         ResponseTimedOut: The whole response was not received within
             `timeout_s`.
         Exception: An exception of Twisted, if the exchange failed before.
-            `was_not_sent` tells whether the request was certainly not sent.
     """
     headers = http_headers.Headers(
         {name: [value] for name, value in request.headers.items()}
@@ -145,3 +142,96 @@
             timer.cancel()
     content_types = response.headers.getRawHeaders("content-type", [""])
     return Reply(response.code, content_types[0], body)
+
+
+def send_once(reactor: Any, request: Request) -> defer.Deferred[Reply]:
+    """Sends a request over a connection of its own; returns the response.
+
+    Unlike `send`, it accepts a response without length if its connection was
+    closed cleanly, and bytes that follow a response reach no other request.
+
+    Args:
+        reactor: Reactor that makes the connection and schedules the timeout.
+        request: The request.
+
+    Returns:
+        A Deferred that fires with the whole response. It fails with
+        `RequestNotSent`, `ResponseBrokenOff` or `ResponseTimedOut`.
+    """
+    done: defer.Deferred[Reply] = defer.Deferred()
+    collected = _CollectedResponse()
+
+    def on_end(exchange_failure: http_exchange.ExchangeFailure | None) -> None:
+        if timer.active():
+            timer.cancel()
+        if exchange_failure is None:
+            done.callback(collected.reply())
+            return
+        error_type = (
+            ResponseBrokenOff if exchange_failure.was_sent else RequestNotSent
+        )
+        done.errback(error_type(exchange_failure.reason))
+
+    def on_timeout() -> None:
+        exchange.cancel()
+        done.errback(
+            ResponseTimedOut(f"no response within {request.timeout_s} s")
+        )
+
+    try:
+        exchange = http_exchange.Exchange(
+            reactor,
+            *_parse_request(request),
+            http_exchange.ExchangeCallbacks(
+                collected.on_head, collected.chunks.append, on_end
+            ),
+        )
+    except (ValueError, h11.LocalProtocolError) as invalid:
+        return defer.fail(RequestNotSent(f"the request is invalid: {invalid}"))
+    timer = reactor.callLater(request.timeout_s, on_timeout)
+    return done
+
+
+class _CollectedResponse:
+    """The response of an exchange so far.
+
+    Attributes:
+        chunks: Parts of the body.
+    """
+
+    def __init__(self) -> None:
+        self.chunks: list[bytes] = []
+        self._status = 0
+        self._content_type = ""
+
+    def on_head(self, status: int, headers: http_exchange.Headers) -> None:
+        """Records status and headers."""
+        self._status = status
+        for name, value in headers:
+            if name.lower() == b"content-type":
+                self._content_type = value.decode("latin-1")
+
+    def reply(self) -> Reply:
+        """Returns the response, which must be complete."""
+        return Reply(self._status, self._content_type, b"".join(self.chunks))
+
+
+def _parse_request(
+    request: Request,
+) -> tuple[tuple[str, int], tuple[str, str, http_exchange.Headers, bytes]]:
+    """Returns address and contents of a request.
+
+    Raises:
+        ValueError: The URL is not an absolute one of HTTP without TLS.
+    """
+    url = parse.urlsplit(request.url)
+    if url.scheme != "http" or not url.hostname:
+        raise ValueError(f"{request.url!r} is not a URL of http://")
+    path = parse.urlunsplit(("", "", url.path or "/", url.query, ""))
+    headers = [(b"Host", url.netloc.encode())]
+    headers += [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in request.headers.items()
+    ]
+    address = (url.hostname, url.port or HTTP_PORT)
+    return address, (request.method, path, headers, request.body)
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -1,15 +1,16 @@
 """Calls of a plain service: what the agent concludes from their failures."""
 
 import pytest
-from twisted.internet import defer
-from twisted.internet import task
-from twisted.python import failure
-from twisted.web import client
+from twisted.internet.testing import MemoryReactorClock
 
 from hemlocktiller._internal.agent import services
 from hemlocktiller._internal.observe import traces
+from tests.fakes import connections
 
 SERVICE_TIMEOUT_S = 2.0
+FRAMED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+# Without length or chunks, the body ends with the connection.
+UNFRAMED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbooked"
 CALL = {
     "request": "r1",
     "attempt": 1,
@@ -24,30 +25,6 @@
 }
 
 
-class FakeHttpAgent:
-    """An HTTP agent whose requests stay without a response.
-
-    As in Twisted, a request that is cancelled after it was sent fails with
-    `ResponseNeverReceived`.
-    """
-
-    def __init__(self):
-        self.pending = None
-
-    def request(self, method, url, headers, producer):
-        """Returns a Deferred that fires when the test says so."""
-        self.pending = defer.Deferred(
-            lambda pending: self.lose_connection(defer.CancelledError())
-        )
-        return self.pending
-
-    def lose_connection(self, cause):
-        """Ends the request as a lost connection does."""
-        self.pending.errback(
-            client.ResponseNeverReceived([failure.Failure(cause)])
-        )
-
-
 class FakeLink:
     """An open link that records what is sent on it."""
 
@@ -65,14 +42,13 @@
 
     Attributes:
         clock: Virtual clock.
-        http: HTTP agent of the service.
+        connection: Connection of the call to the service.
         link: Link on which the result is sent.
         deaths: Deaths of the service that were reported.
     """
 
     def __init__(self):
-        self.clock = task.Clock()
-        self.http = FakeHttpAgent()
+        self.clock = MemoryReactorClock()
         self.link = FakeLink()
         self.deaths = []
         settings = {
@@ -86,11 +62,19 @@
             lambda ended: None, lambda: self.deaths.append(True)
         )
         tracer = traces.create("test", 0.0)
-        calls = services.ServiceCalls(
+        self._calls = services.ServiceCalls(
             self.clock, settings, None, tracer, callbacks
         )
-        calls._http = self.http
-        calls.start_call(CALL, self.link)
+        self._connection_count = 0
+        self.start_call()
+
+    def start_call(self):
+        """Starts a call, and accepts its connection."""
+        self._calls.start_call(CALL, self.link)
+        self.connection = connections.accept(
+            self.clock, self._connection_count
+        )
+        self._connection_count += 1
 
 
 @pytest.fixture
@@ -106,7 +90,47 @@
 
 
 def test_a_connection_that_the_service_closes_is_a_death(service_run):
-    service_run.http.lose_connection(ConnectionResetError())
+    service_run.connection.reset()
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
+    assert service_run.deaths == [True]
+
+
+def test_an_answer_without_length_ends_with_its_connection(service_run):
+    service_run.connection.respond(UNFRAMED_ANSWER)
+    assert service_run.link.sent == []
+    service_run.connection.close()
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("yes", "")
+    assert (result["status"], result["body"]) == (200, b"booked")
+    assert result["content_type"] == "text/plain"
+    assert service_run.deaths == []
+
+
+def test_an_answer_without_length_is_incomplete_after_a_reset(service_run):
+    service_run.connection.respond(UNFRAMED_ANSWER)
+    service_run.connection.reset()
     (result,) = service_run.link.sent
     assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
     assert service_run.deaths == [True]
+
+
+@pytest.mark.parametrize("length", range(1, len(FRAMED_ANSWER)))
+def test_a_framed_answer_closed_early_is_incomplete(service_run, length):
+    service_run.connection.respond(FRAMED_ANSWER[:length])
+    service_run.connection.close()
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
+
+
+def test_a_late_second_answer_reaches_no_other_call(service_run):
+    first_connection = service_run.connection
+    first_connection.respond(FRAMED_ANSWER)
+    service_run.start_call()
+    first_connection.respond(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert len(service_run.link.sent) == 1
+    service_run.connection.respond(FRAMED_ANSWER)
+    assert [result["body"] for result in service_run.link.sent] == [
+        b"done",
+        b"done",
+    ]
