Report admin pages that the operator's program gets in part

An answer is whole if it is a JSON object. One that is not is a problem of its own, and a process counts as gone only if it sent no response at all.

--- a/src/hemlocktiller/_internal/cli/subcommands/admin_client.py
+++ b/src/hemlocktiller/_internal/cli/subcommands/admin_client.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal.store import objects
 
 MAX_CONCURRENT_REQUESTS = 64
+FIRST_NON_SUCCESS_STATUS = 300
 ROLES_BY_KIND = {"entry": "entry", "target": "agent"}
 REQUEST_ERRORS = (
     error.ConnectError,
@@ -47,7 +48,8 @@
         process: The process that was asked.
         status: HTTP status; 0 if there was no response.
         body: JSON object in the response; empty if there is none.
-        problem: Why there was no response; empty if there was one.
+        problem: Why there was no response, or no whole one; empty if there
+            was one.
     """
 
     process: Process
@@ -55,6 +57,11 @@
     body: dict[str, Any]
     problem: str
 
+    @property
+    def was_received(self) -> bool:
+        """Whether the process answered, if only with a part of a response."""
+        return self.status > 0
+
 
 async def find_processes(
     context: command_context.CommandContext,
@@ -123,21 +130,34 @@
         status, content = await request
     except REQUEST_ERRORS as request_error:
         return AdminResponse(process, 0, {}, str(request_error) or "no answer")
-    return AdminResponse(process, status, _json_object(content), "")
+    body = _json_object(content)
+    if body is None and status < FIRST_NON_SUCCESS_STATUS:
+        return AdminResponse(
+            process, status, {}, "the answer is no whole JSON object"
+        )
+    return AdminResponse(process, status, body or {}, "")
 
 
 async def _send_request(
     context: command_context.CommandContext, url: str, method: str
 ) -> tuple[int, bytes]:
-    """Sends a request; returns the HTTP status and the content."""
+    """Sends a request; returns the HTTP status and the content.
+
+    The content may be incomplete: treq reports one without length as complete
+    if its connection was reset.
+    """
     response = await treq.request(method, url, agent=context.http_agent)
-    return response.code, await treq.content(response)
+    try:
+        content = await treq.content(response)
+    except (client.ResponseFailed, error.ConnectionClosed):
+        content = b""
+    return response.code, content
 
 
-def _json_object(content: bytes) -> dict[str, Any]:
-    """Parses the JSON object in a response; empty if there is none."""
+def _json_object(content: bytes) -> dict[str, Any] | None:
+    """Parses the JSON object in a response; None if there is no whole one."""
     try:
         value = json.loads(content)
     except ValueError:
-        return {}
-    return value if isinstance(value, dict) else {}
+        return None
+    return value if isinstance(value, dict) else None
--- a/src/hemlocktiller/_internal/cli/subcommands/drain.py
+++ b/src/hemlocktiller/_internal/cli/subcommands/drain.py
@@ -15,7 +15,6 @@
 DRAIN_PATH = "/drain"
 DEFAULT_WAIT_TIMEOUT_S = 150.0
 POLL_INTERVAL_S = 0.25
-FIRST_NON_SUCCESS_STATUS = 300
 
 
 @cappa.command(
@@ -49,7 +48,10 @@
     response = await admin_client.request_page(
         context, process, DRAIN_PATH, "POST"
     )
-    if response.problem or response.status >= FIRST_NON_SUCCESS_STATUS:
+    if (
+        response.problem
+        or response.status >= admin_client.FIRST_NON_SUCCESS_STATUS
+    ):
         problem = response.problem or f"HTTP status {response.status}"
         output.print_to_stderr(f"{command.name}: {problem}")
         return exit_codes.ExitCode.INCOMPLETE
@@ -91,7 +93,7 @@
         response = await admin_client.request_page(
             context, process, rollout.STATUS_PATH
         )
-        if response.problem:
+        if not response.was_received:
             print(f"{command.name}: ended")
             return exit_codes.ExitCode.DONE
         if context.reactor.seconds() >= deadline_s:
--- a/src/hemlocktiller/_internal/cli/subcommands/forget.py
+++ b/src/hemlocktiller/_internal/cli/subcommands/forget.py
@@ -37,7 +37,7 @@
         response = await admin_client.request_page(
             context, process, rollout.STATUS_PATH
         )
-        if not response.problem:
+        if response.was_received:
             output.print_to_stderr(
                 f"{command.name} still answers; use `drain`"
             )
