Fail the steps of an engine's answer with too few or too many results

An answer that lacked results raised outside the handling of failures, so the steps without one never ended and the engine did not count as failed. With too many, the surplus was dropped.

--- a/src/hemlocktiller/_internal/agent/engine_client.py
+++ b/src/hemlocktiller/_internal/agent/engine_client.py
@@ -214,6 +214,10 @@
         try:
             response = yield self._post("step", {"steps": steps})
             results = response["results"]
+            if len(results) != len(batch):
+                raise EngineFailed(
+                    f"{len(results)} results for {len(batch)} steps"
+                )
         except Exception as error:
             self._fail_batch(batch, str(error))
             return
