Pass on no stream and no error that belongs to another request

An error of another request was taken for this one's, and its Not-Executed as the proof that this one had not run.

Such a response is now a failed attempt that may have run, as it is for calls. The three tests failed before.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -401,9 +401,14 @@
         response_head = self._context.adapter.decode_response_head(
             status, headers
         )
+        if response_head.request_id not in ("", self.request_id):
+            self._on_upstream_failure(
+                self.path[0].target,
+                http_exchange.ExchangeFailure("another's answer", True),
+            )
+            return
         self._record_activity(self._context.reactor.seconds())
-        matches_request = response_head.request_id in ("", self.request_id)
-        if status == 200 and response_head.is_signed and matches_request:
+        if status == 200 and response_head.is_signed:
             if not response_head.is_unencoded:
                 self._reroute("encoded answer")
                 return
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -370,3 +370,35 @@
     connection.close()
     assert admitted.caller_request.body == event(1) + b"\n"
     assert admitted.caller_request.ending == "whole"
+
+
+def test_a_stream_of_another_request_is_not_forwarded(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(
+        RESPONSE_HEAD.replace(b"r1", b"r2") + chunk(event(1)) + RESPONSE_END
+    )
+    assert admitted.caller_request.body == b""
+    assert admitted.caller_request.status == 0
+    second_attempt = accept_attempt(harness)
+    second_attempt.respond(RESPONSE_HEAD + chunk(event(1)) + RESPONSE_END)
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == "whole"
+
+
+@pytest.mark.parametrize("status", [b"500 Failed", b"503 Full"])
+def test_an_error_for_another_request_is_not_forwarded(
+    harness, model_service, stream_route, status
+):
+    harness.register(*make_two_chains())
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(
+        b"HTTP/1.1 %s\r\nSignature: s\r\nRequest-Id: r2\r\nNot-Run: 1\r\n"
+        b"Content-Length: 0\r\n\r\n" % status
+    )
+    assert admitted.caller_request.status == 502
+    assert b"Signature" not in dict(admitted.caller_request.headers)
