Confirm the end of a stream without framing by the targets of its path

A stream that ends with its connection is now complete only if all targets of its path answer for a report after it, as the same processes. Otherwise it is resumed after its last event, or aborted. Callers have all events by then, so only the end of the response waits. Framed streams are not affected.

Five tests failed before; the one on a stream that is complete now answers the reports and checks that nothing is complete without them.

--- /dev/null
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -0,0 +1,52 @@
+"""Confirms the end of a stream that its framing does not delimit.
+
+A body without length or chunks ends with its connection. The kernel closes
+the connections of a process that crashes as cleanly as a target that has sent
+everything, and a first stage closes them when a later one is lost.
+"""
+
+from collections.abc import Callable
+
+from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.policy import fleet
+
+
+def confirm(
+    targets: targets_module.Targets,
+    path: fleet.Path,
+    on_result: Callable[[fleet.Target | None, str], None],
+) -> None:
+    """Asks the targets of a path whether they outlived a stream.
+
+    Args:
+        targets: Registry of the targets.
+        path: Path of the stream.
+        on_result: Called once: with None after all targets have answered,
+            else with the first one that was lost, and the reason.
+    """
+    unconfirmed = {stage.target.name for stage in path}
+    is_decided = False
+
+    def decide(lost_target: fleet.Target | None, reason: str = "") -> None:
+        nonlocal is_decided
+        if not is_decided:
+            is_decided = True
+            on_result(lost_target, reason)
+
+    def on_report(target: fleet.Target, born_ms: int) -> None:
+        if born_ms != target.born_ms:
+            decide(target, "started again")
+            return
+        unconfirmed.discard(target.name)
+        if not unconfirmed:
+            decide(None)
+
+    for target in [stage.target for stage in path]:
+        if targets.is_down(target):
+            decide(target, "is down")
+            return
+        targets.request_report(
+            target,
+            lambda report, target=target: on_report(target, report.born_ms),
+            lambda reason, target=target: decide(target, reason),
+        )
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -8,6 +8,7 @@
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import request_context
 from hemlocktiller._internal.gateway import sse
+from hemlocktiller._internal.gateway import stream_end
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import attempts
@@ -474,6 +475,9 @@
         target = self.path[0].target
         if failure is None and self._error_head is None:
             failure = self._find_truncation()
+            if failure is None and self._framing == "close":
+                self._confirm_end(attempt_number, target)
+                return
             if failure is None:
                 self._complete(target)
                 return
@@ -504,6 +508,24 @@
             return None
         return http_exchange.ExchangeFailure(reason, was_sent=True)
 
+    def _confirm_end(self, attempt_number, first_target):
+        """Completes a stream that no framing delimits, or resumes it."""
+
+        def on_result(lost_target, reason):
+            if attempt_number != self._attempt_number or self._is_finished:
+                return
+            if lost_target is None:
+                self._complete(first_target)
+                return
+            self._on_upstream_failure(
+                first_target,
+                http_exchange.ExchangeFailure(
+                    f"closed as {lost_target.name} was lost: {reason}", True
+                ),
+            )
+
+        stream_end.confirm(self._context.targets, self.path, on_result)
+
     def _complete(self, target):
         """Ends the response after a stream that the target has completed."""
         self._context.targets.record_request_success(target)
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -133,14 +133,74 @@
     assert harness.pending_connection_count()
 
 
-def test_a_stream_without_length_ends_with_its_connection(streaming):
-    harness, admitted = streaming
+def close_undelimited_stream(harness, admitted, *numbers):
+    """Sends events and closes; returns the reports that are then requested."""
     harness.start_stream(admitted)
     connection = harness.accept_connection()
-    connection.respond(UNFRAMED_HEAD + event(1) + event(2))
+    events = b"".join(event(number) for number in numbers)
+    connection.respond(UNFRAMED_HEAD + events)
     connection.close()
+    assert admitted.caller_request.ending == ""
+    reports = [
+        harness.accept_connection()
+        for _ in range(harness.pending_connection_count())
+    ]
+    assert all(is_probe(report) for report in reports)
+    return path_target_names(connection), reports
+
+
+def test_a_stream_without_length_ends_with_its_connection(streaming):
+    harness, admitted = streaming
+    path, reports = close_undelimited_stream(harness, admitted, 1, 2)
+    assert len(reports) == len(path)
+    for report in reports:
+        assert admitted.caller_request.ending == ""
+        report.respond(REPORT_RESPONSE)
     assert admitted.caller_request.body == event(1) + event(2)
     assert admitted.caller_request.ending == "whole"
+    assert harness.pending_connection_count() == 0
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_stream_closed_by_the_loss_of_a_target_is_not_complete(
+    streaming, stage
+):
+    harness, admitted = streaming
+    path, reports = close_undelimited_stream(harness, admitted, 1, 2)
+    reports[1 - stage].respond(REPORT_RESPONSE)
+    reports[stage].reset()
+    assert admitted.caller_request.ending == ""
+    second_attempt = accept_attempt(harness)
+    assert path[stage] not in path_target_names(second_attempt)
+    assert b"Last-Event-Id: 2\r\n" in second_attempt.transport.value()
+    second_attempt.respond(RESPONSE_HEAD + chunk(event(3)) + RESPONSE_END)
+    assert admitted.caller_request.body == event(1) + event(2) + event(3)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_stream_closed_by_a_restart_of_a_target_is_not_complete(
+    harness, model_service, stream_route
+):
+    harness.register(
+        *(
+            target._replace(born_ms=7) if target.name == "a40" else target
+            for target in make_two_chains()[:2]
+        )
+    )
+    admitted = harness.admit(model_service, stream_route)
+    _, reports = close_undelimited_stream(harness, admitted, 1)
+    for report in reports:
+        report.respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == ""
+
+
+def test_a_stream_closed_as_a_target_is_silent_is_not_complete(streaming):
+    harness, admitted = streaming
+    _, reports = close_undelimited_stream(harness, admitted, 1)
+    reports[0].respond(REPORT_RESPONSE)
+    harness.advance_clock(0.5)
+    assert admitted.caller_request.ending == ""
+    accept_attempt(harness)
 
 
 def test_a_stream_closed_inside_an_event_is_not_complete(streaming):
@@ -368,6 +428,8 @@
     connection = harness.accept_connection()
     connection.respond(UNFRAMED_HEAD + event(1) + b"\n")
     connection.close()
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
     assert admitted.caller_request.body == event(1) + b"\n"
     assert admitted.caller_request.ending == "whole"
 
