Withdraw the evidence of targets that were only silent

One of the two targets was killed; the other was cut off for a moment, its probe had no answer in time, and it answered again as the same process. The fault does not need streams without framing: two targets cut off at once condemn a request that many callers send.

A model target that answers a probe as the process that was registered did not crash, so its death is withdrawn, and peers' reports on it are ignored. One that was started again still counts.

Targets of plain services are not covered: their health page does not tell the start of the process.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -222,6 +222,9 @@
             settings.data_centre,
             settings.name,
         )
+        self.targets.on_survival.append(
+            self._context.crash_evidence.record_survival
+        )
         self._lease = lease_module.Lease(
             store,
             LAYOUT_LEASE_NAME,
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -104,6 +104,10 @@
                 state=self.state(digest),
             )
 
+    def record_survival(self, target: fleet.Target) -> None:
+        """Withdraws the evidence of a target that was only silent."""
+        self.feed.suspects.record_survival(_process_id(target))
+
     def _drop_expired(self, now_s):
         """Drops early failures that are too old to be due to a crash."""
         for process_id, early_failures in list(
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -51,6 +51,8 @@
         by_name: Registered targets by name.
         on_down: Called with a target that was marked as down, or whose
             process was replaced, and with the reason.
+        on_survival: Called with a target that has answered a probe as the
+            process that was registered.
         on_change: Called after any change of registrations or health.
         on_health: Called when this process marks a target as down or up,
             with the target, whether it is down, and the reason.
@@ -71,6 +73,7 @@
     ) -> None:
         self.by_name: dict[str, fleet.Target] = {}
         self.on_down: list[Callable[[fleet.Target, str], None]] = []
+        self.on_survival: list[Callable[[fleet.Target], None]] = []
         self.on_change: list[Callable[[], None]] = []
         self.on_health: Callable[[fleet.Target, bool, str], None] = (
             lambda target, is_down, reason: None
@@ -477,7 +480,7 @@
         if target.accelerator:
             self.request_report(
                 target,
-                lambda report: self._on_probe_answered(target),
+                lambda report: self._on_report_probe_answered(target, report),
                 lambda reason: self._on_probe_failed(target, reason),
             )
             return
@@ -490,6 +493,12 @@
             lambda failure: self._on_probe_failed(target, failure.reason),
         )
 
+    def _on_report_probe_answered(self, target, report):
+        if report.born_ms == target.born_ms:
+            for callback in list(self.on_survival):
+                callback(target)
+        self._on_probe_answered(target)
+
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
         self._probing.discard(target.name)
--- a/src/hemlocktiller/_internal/policy/suspects.py
+++ b/src/hemlocktiller/_internal/policy/suspects.py
@@ -170,6 +170,18 @@
             record.targets = set()
             record.ambiguous_targets = set()
 
+    def record_survival(self, target: str) -> None:
+        """Withdraws the death of a target that answers again.
+
+        It was silent or unreachable, so no request has crashed it. Reports of
+        peers on its death are ignored from now on.
+        """
+        for record in self._records.values():
+            if target in record.targets | record.ambiguous_targets:
+                record.targets.discard(target)
+                record.ambiguous_targets.discard(target)
+                record.cleared_targets.add(target)
+
     def export(self, now_s: float) -> list[messages.Suspect]:
         """Returns the evidence to send to a peer."""
         return [
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -142,6 +142,9 @@
                 self.context, self._in_progress, target, reason
             )
         )
+        self.targets.on_survival.append(
+            self.context.crash_evidence.record_survival
+        )
         self._handled_count = 0
 
     def register(self, *targets: fleet.Target) -> None:
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -5,6 +5,8 @@
 import pytest
 
 from hemlocktiller._internal.gateway import crashes
+from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import targets as targets_module
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_peers import FakeLink
 from tests.unit.gateway.test_streams import chunk
@@ -219,3 +221,47 @@
     assert event == "request_suspected"
     assert (fields["request"], fields["target"]) == ("r1", "a0")
     assert fields["state"] == "suspect"
+
+
+def answer_probes(harness, born_ms):
+    """Lets targets that are down answer a probe as a process of that start."""
+    harness.adapter = harness.adapter._replace(
+        decode_report=lambda body: model.TargetReport(
+            born_ms, 0, False, 1.0, 0, 0
+        )
+    )
+    harness.targets._adapter = harness.adapter
+    harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+
+
+def silence_two_targets(harness):
+    """Marks two targets as down while both run the request."""
+    record_crash(harness, "a0")
+    record_crash(harness, "b0")
+    for name in ("a0", "b0"):
+        target = harness.targets.by_name[name]
+        harness.targets.mark_down(target, "no answer in time")
+    harness.reactor.advance(crashes.CONDEMNATION_DELAY_S / 2)
+
+
+def test_targets_that_were_only_silent_condemn_no_request(streaming):
+    harness, admitted = streaming
+    silence_two_targets(harness)
+    answer_probes(harness, harness.targets.by_name["a0"].born_ms)
+    harness.reactor.advance(crashes.CONDEMNATION_DELAY_S)
+    assert harness.context.crash_evidence.state(DIGEST) == "clear"
+    harness.start_stream(admitted)
+    (attempt,) = accept_attempts(harness)
+    attempt.respond(RESPONSE_HEAD + chunk(event(1)))
+    assert admitted.caller_request.status == 200
+
+
+def test_targets_that_were_started_again_still_condemn_a_request(streaming):
+    harness, admitted = streaming
+    silence_two_targets(harness)
+    answer_probes(harness, harness.targets.by_name["a0"].born_ms + 1)
+    harness.reactor.advance(crashes.CONDEMNATION_DELAY_S)
+    harness.start_stream(admitted)
+    assert admitted.caller_request.status == 422
--- a/tests/unit/test_policy_suspects.py
+++ b/tests/unit/test_policy_suspects.py
@@ -212,3 +212,16 @@
         )
     assert entries[0].state(CRASHING_DIGEST, now_s) == "condemned"
     assert len(dead_targets) <= 3
+
+
+def test_the_death_of_a_target_that_answers_again_is_withdrawn(tracker):
+    record_target_death(tracker, "a", [CRASHING_DIGEST], 0.0)
+    record_target_death(tracker, "b", [CRASHING_DIGEST], 0.1)
+    assert tracker.state(CRASHING_DIGEST, 1.0) == "condemned"
+    reported = tracker.export(1.0)
+    tracker.record_survival("a")
+    assert tracker.state(CRASHING_DIGEST, 1.0) == "suspect"
+    tracker.merge(reported, 1.0)
+    assert tracker.state(CRASHING_DIGEST, 1.0) == "suspect"
+    tracker.record_survival("b")
+    assert tracker.state(CRASHING_DIGEST, 1.0) == "clear"
