--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -47,6 +47,9 @@
 )  # fmt: skip
 # Drawn only on demand, last of all, which keeps the draws of each seed.
 RESTORE_FAULT = "restore_store"
+UNDELIMITED_FAULT = "undelimited_targets"
+# Share of the streams that targets then break off inside an event.
+BREAK_OFF_RATIO = 0.3
 ONE_WAY_MODES = ("no_requests", "no_answers")
 # How long the store is away before it comes back from a copy.
 RESTORE_OUTAGE_S = 0.3
@@ -82,19 +85,37 @@
     is_whole: bool
 
 
-def schedule(seed: int, restores: int = 0) -> list[Fault]:
-    """Returns the faults drawn from a seed, in the order of their start.
+class ExtraFaults(NamedTuple):
+    """Numbers of the faults that are drawn only on demand.
 
-    Args:
-        seed: Seed.
-        restores: Number of restores of the store among them.
+    Attributes:
+        restores: Restores of the store.
+        undelimited: Times at which the streams of targets have no framing,
+            and some are broken off.
     """
+
+    restores: int = 0
+    undelimited: int = 0
+
+
+NO_EXTRA_FAULTS = ExtraFaults()
+
+
+def schedule(seed: int, extra: ExtraFaults = NO_EXTRA_FAULTS) -> list[Fault]:
+    """Returns the faults drawn from a seed, in the order of their start."""
     rng = random.Random(seed)
     faults = [_draw_fault(rng, FAULTS) for _ in range(rng.randint(3, 7))]
     faults += [
         _draw_fault(rng, ADDITIONAL_FAULTS) for _ in range(rng.randint(0, 3))
     ]
-    faults += [_draw_fault(rng, (RESTORE_FAULT,)) for _ in range(restores)]
+    faults += [
+        _draw_fault(rng, (kind,))
+        for kind, count in (
+            (RESTORE_FAULT, extra.restores),
+            (UNDELIMITED_FAULT, extra.undelimited),
+        )
+        for _ in range(count)
+    ]
     return sorted(faults)
 
 
@@ -386,6 +407,18 @@
             lambda relay: relay.signal(signal.SIGUSR2),
         )
 
+    def _undelimited_targets(self, fault):
+        """Lets streams end with their connection, some inside an event."""
+        models = [
+            target
+            for name, target in sorted(self._deployment.targets.items())
+            if name.startswith("model")
+        ]
+        for ratio in (BREAK_OFF_RATIO, None):
+            for target in models:
+                _set_break_off_ratio(target, ratio)
+            time.sleep(fault.duration_s)
+
     def _config(self, fault):
         try:
             self._deployment.put_config()
@@ -395,6 +428,21 @@
             return
 
 
+def _set_break_off_ratio(target, ratio):
+    """Sets the faults of a target, unless another fault has stopped it."""
+    connection = http.client.HTTPConnection(
+        target.address.host, target.address.port, timeout=CALLER_TIMEOUT_S
+    )
+    try:
+        body = json.dumps({"break_off_ratio": ratio})
+        connection.request("POST", "/faults", body)
+        connection.getresponse().read()
+    except (OSError, http.client.HTTPException):
+        return
+    finally:
+        connection.close()
+
+
 class ConfigVersionSampler:
     """Samples the configuration version in force at each gateway.
 
@@ -510,14 +558,16 @@
 
 
 def run(
-    seed: int, directory: Path, restores: int = 0
+    seed: int,
+    directory: Path,
+    extra: ExtraFaults = NO_EXTRA_FAULTS,
 ) -> tuple[list[str], list[Exchange]]:
     """Runs the soak with one seed; returns violations and exchanges.
 
     Args:
         seed: Seed of faults and requests.
         directory: Directory for settings and logs.
-        restores: Number of restores of the store, beside the other faults.
+        extra: Faults on demand, beside the others.
     """
     deployment = gateway_deployment.Deployment(directory)
     try:
@@ -526,7 +576,7 @@
         callers = LoadCallers(deployment, seed)
         injector = Injector(deployment)
         start_s = time.monotonic()
-        for fault in schedule(seed, restores):
+        for fault in schedule(seed, extra):
             time.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
             injector.start(fault)
         time.sleep(max(0.0, start_s + LOAD_DURATION_S - time.monotonic()))
@@ -577,13 +627,13 @@
 
 
 def run_and_report(
-    seed: int, kept_logs: Path | None, restores: int = 0
+    seed: int, kept_logs: Path | None, extra: ExtraFaults
 ) -> bool:
     """Runs one seed and prints its result.
 
     Args:
         seed: Seed of faults and requests.
-        restores: Number of restores of the store.
+        extra: Faults on demand.
         kept_logs: Directory for the logs of a failed run; None to drop them.
 
     Returns:
@@ -591,7 +641,7 @@
     """
     directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     try:
-        problems, exchanges = run(seed, directory, restores)
+        problems, exchanges = run(seed, directory, extra)
     except process.ProcessFailed as error:
         print(f"NOT RUN seed {seed}: {error}", flush=True)
         shutil.rmtree(directory)
@@ -599,7 +649,7 @@
     whole = sum(
         exchange.is_whole and exchange.status == 200 for exchange in exchanges
     )
-    faults = schedule(seed, restores)
+    faults = schedule(seed, extra)
     kinds = "+".join(fault.kind for fault in faults)
     verdict = "FAILED" if problems else "holds"
     print(
@@ -624,18 +674,23 @@
     parser.add_argument(
         "--restores", type=int, default=0, help="restores of the store a seed"
     )
+    parser.add_argument(
+        "--undelimited",
+        type=int,
+        default=0,
+        help="times a seed at which streams have no framing",
+    )
     parser.add_argument(
         "--keep", type=Path, help="directory for the logs of failed seeds"
     )
     options = parser.parse_args(arguments)
     first, _, end = options.seeds.partition(":")
     seeds = range(int(first), int(end))
+    extra = ExtraFaults(options.restores, options.undelimited)
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
             pool.map(
-                lambda seed: run_and_report(
-                    seed, options.keep, options.restores
-                ),
+                lambda seed: run_and_report(seed, options.keep, extra),
                 seeds,
             )
         )
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -20,6 +20,12 @@
 # Each plays a restore of the store from an older copy beside other faults.
 RESTORE_SEEDS = (601, 602)
 
+# Each plays streams without framing, some broken off, beside other faults. In
+# 701 a killed stage ended one between two events, which was taken for its end.
+# In 704 a target that was only silent counted as crashed, and all drafts were
+# rejected.
+UNDELIMITED_SEEDS = (701, 704)
+
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
 
@@ -34,7 +40,19 @@
 
 @pytest.mark.parametrize("seed", RESTORE_SEEDS)
 def test_restores_of_the_store_break_no_guarantee(seed, tmp_path):
-    problems, exchanges = gateway_soak.run(seed, tmp_path, restores=1)
+    problems, exchanges = gateway_soak.run(
+        seed, tmp_path, gateway_soak.ExtraFaults(restores=1)
+    )
+    assert problems == []
+    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
+    assert kinds == {"draft", "booking", "lookup"}
+
+
+@pytest.mark.parametrize("seed", UNDELIMITED_SEEDS)
+def test_streams_without_framing_break_no_guarantee(seed, tmp_path):
+    problems, exchanges = gateway_soak.run(
+        seed, tmp_path, gateway_soak.ExtraFaults(undelimited=3)
+    )
     assert problems == []
     kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
     assert kinds == {"draft", "booking", "lookup"}
