Limit what a gateway reads of a response without end

A gateway held all of a plain body, of an error and of one event in memory until the deadline of the request, and informational heads without end kept it busy. On a VM of 200 MB the process would be killed with all its requests.

At the limit the connection is aborted and the exchange has failed: the target counts as failing, a call is made again or answered 502, a stream is resumed or aborted. Bytes outside events, which are comments and blank lines, no longer count as progress, so a stalled stream is recognized; slow streams whose targets answer are kept.

--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -139,6 +139,8 @@
 ) -> http_exchange.Exchange:
     """Sends a request to a target.
 
+    The body of a stream is not limited: its handler limits each event.
+
     Args:
         context: Shared services.
         admitted: The request.
@@ -167,6 +169,7 @@
         (target.host, target.port),
         request_parts,
         callbacks,
+        None if path else http_exchange.MAX_BODY_BYTES,
     )
 
 
--- a/src/hemlocktiller/_internal/gateway/sse.py
+++ b/src/hemlocktiller/_internal/gateway/sse.py
@@ -11,10 +11,13 @@
     Attributes:
         event_id: Its id; empty if it has none.
         raw: Its bytes, including the blank line that ends it.
+        has_fields: Whether it has any field; comments and blank lines alone
+            are sent to keep a connection open.
     """
 
     event_id: str
     raw: bytes
+    has_fields: bool
 
 
 class EventSplitter:
@@ -41,7 +44,7 @@
             if end < 0:
                 return events
             raw, self.buffer = self.buffer[:end], self.buffer[end:]
-            events.append(Event(_parse_event_id(raw), raw))
+            events.append(Event(_parse_event_id(raw), raw, _has_fields(raw)))
 
 
 def _find_event_end(data):
@@ -54,6 +57,10 @@
     return min(ends, default=-1)
 
 
+def _has_fields(raw):
+    return any(line and line[:1] != b":" for line in raw.splitlines())
+
+
 def _parse_event_id(raw):
     for line in raw.splitlines():
         if line.startswith(b"id:"):
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -39,6 +39,9 @@
 # refill it several times a second.
 RETRY_BUDGET_POLL_INTERVAL_S = 0.15
 MAX_QUEUE_WAIT_S = admission.MAX_WAIT_S
+# An event holds a few tokens; one that grows beyond this has no end.
+MAX_EVENT_BYTES = 262_144
+MAX_ERROR_BODY_BYTES = 65_536
 
 
 class Stream:
@@ -403,10 +406,7 @@
             status, headers
         )
         if response_head.request_id not in ("", self.request_id):
-            self._on_upstream_failure(
-                self.path[0].target,
-                http_exchange.ExchangeFailure("another's answer", True),
-            )
+            self._fail_attempt("another's answer")
             return
         self._record_activity(self._context.reactor.seconds())
         if status == 200 and response_head.is_signed:
@@ -426,9 +426,23 @@
             return
         if self._error_head is not None:
             self._error_body.append(data)
+            if sum(map(len, self._error_body)) > MAX_ERROR_BODY_BYTES:
+                self._fail_attempt("error body too long")
             return
         for event in self._splitter.feed(data):
-            self._forward(event)
+            if event.has_fields:
+                self._forward(event)
+            else:
+                self._admitted.caller_request.write(event.raw)
+        if len(self._splitter.buffer) > MAX_EVENT_BYTES:
+            self._fail_attempt("event too long")
+
+    def _fail_attempt(self, reason):
+        """Ends an attempt whose response cannot be used."""
+        self._on_upstream_failure(
+            self.path[0].target,
+            http_exchange.ExchangeFailure(reason, was_sent=True),
+        )
 
     def _forward(self, event):
         """Forwards an event that the caller has not received yet."""
@@ -517,11 +531,8 @@
             if lost_target is None:
                 self._complete(first_target)
                 return
-            self._on_upstream_failure(
-                first_target,
-                http_exchange.ExchangeFailure(
-                    f"closed as {lost_target.name} was lost: {reason}", True
-                ),
+            self._fail_attempt(
+                f"closed as {lost_target.name} was lost: {reason}"
             )
 
         stream_end.confirm(self._context.targets, self.path, on_result)
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -11,6 +11,8 @@
 # reserve. If the reactor was blocked for longer than the timeout, a single
 # timer would fire before a response that has already arrived is read.
 TIMEOUT_TIMERS = 3
+# A status report has some hundred bytes.
+MAX_REPORT_BYTES = 65_536
 
 
 def request_once(
@@ -71,4 +73,5 @@
         (target.host, target.port),
         (method, path, headers, body),
         http_exchange.ExchangeCallbacks(on_head, chunks.append, on_end),
+        MAX_REPORT_BYTES,
     )
--- a/src/hemlocktiller/_internal/http_exchange.py
+++ b/src/hemlocktiller/_internal/http_exchange.py
@@ -20,6 +20,10 @@
 # A target of the same region accepts within milliseconds. TCP retransmits
 # a lost SYN after a second; trying another target is faster.
 CONNECT_TIMEOUT_S = 0.6
+# Bytes of a response up to its final head, informational responses included.
+MAX_HEAD_BYTES = 32_768
+# Default limit on the body of a response, which is held in memory.
+MAX_BODY_BYTES = 1_048_576
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 
 RESPONSE_ENDS = prometheus_client.Counter(
@@ -70,9 +74,18 @@
     """
 
     def __init__(
-        self, head: h11.Request, body: bytes, callbacks: ExchangeCallbacks
+        self,
+        head: h11.Request,
+        body: bytes,
+        callbacks: ExchangeCallbacks,
+        max_body_bytes: int | None,
     ):
-        self._parser = h11.Connection(h11.CLIENT)
+        self._parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._max_body_bytes = max_body_bytes
+        self._head_bytes = 0
+        self._body_bytes = 0
         self._request_head = head
         self._body = body
         self._callbacks = callbacks
@@ -109,10 +122,11 @@
             while not self._is_finished:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
+                    break
                 if isinstance(event, h11.ConnectionClosed):
                     return
                 self._handle_event(event)
+            self._check_head_length(len(data))
         except h11.RemoteProtocolError as violation:
             self._finish(
                 ExchangeFailure(f"not an answer: {violation}", was_sent=True)
@@ -126,15 +140,38 @@
             self.framing = _body_framing(event.headers)
             self._callbacks.on_head(event.status_code, headers)
         elif isinstance(event, h11.Data):
+            self._body_bytes += len(event.data)
+            if (
+                self._max_body_bytes is not None
+                and self._body_bytes > self._max_body_bytes
+            ):
+                self._finish(ExchangeFailure("body too long", was_sent=True))
+                return
             self._callbacks.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish(None)
 
+    def _check_head_length(self, received_bytes: int) -> None:
+        """Fails an exchange whose head does not end.
+
+        The parser limits each head, but not the informational responses
+        before the final one.
+        """
+        if self._is_finished or self.framing != "none":
+            return
+        self._head_bytes += received_bytes
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._finish(ExchangeFailure("head too long", was_sent=True))
+
     def _finish(self, exchange_failure: ExchangeFailure | None) -> None:
         if self._is_finished:
             return
         self._is_finished = True
-        self.transport.loseConnection()
+        if exchange_failure is None:
+            # A target may answer before it has read the whole request.
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
         end = "complete" if exchange_failure is None else "broken off"
         RESPONSE_ENDS.labels(self.framing, end).inc()
         self._callbacks.on_end(exchange_failure)
@@ -149,6 +186,14 @@
 class Exchange:
     """A request to a target, until its response ends or it is cancelled.
 
+    Args:
+        reactor: Reactor.
+        address: Host and port of the target.
+        request: Method, path, headers and body.
+        callbacks: Callbacks for the response.
+        max_body_bytes: Size of the body at which the exchange fails; None if
+            the callbacks limit what they hold.
+
     Attributes:
         is_sent: Whether the connection was made and the request written to it.
     """
@@ -159,6 +204,7 @@
         address: tuple[str, int],
         request: tuple[str, str, Headers, bytes],
         callbacks: ExchangeCallbacks,
+        max_body_bytes: int | None = MAX_BODY_BYTES,
     ) -> None:
         method, path, headers, body = request
         if body or method in METHODS_WITH_BODY:
@@ -171,6 +217,7 @@
             h11.Request(method=method, target=path, headers=headers),
             body,
             callbacks,
+            max_body_bytes,
         )
         factory = _ConnectionFactory(self)
         self._connector = reactor.connectTCP(
