Limit the answers that agents, the store's client and the operator read

An answer longer than a frame also ended the agent's link to the entry, with all its requests.

Answers of services are limited to what fits into a frame, replies of the store to 32 MiB, pages to 16 MiB, other responses to 64 MiB; the connection is closed at the limit. Calls fail as if broken off, so they are not said not to have run. Links have had a limit on frames. `read_body` also replaces readBody, whose errors had to be told apart by their type.

--- a/src/hemlocktiller/_internal/agent/services.py
+++ b/src/hemlocktiller/_internal/agent/services.py
@@ -25,6 +25,8 @@
 from hemlocktiller._internal.observe import traces
 
 DEFAULT_RETRY_AFTER_S = 1.0
+# What a frame with the response of a call holds beside its body.
+MAX_RESULT_FIELD_BYTES = 65_536
 
 log = logbook.Logger(__name__)
 
@@ -202,6 +204,7 @@
             call["body"],
             headers,
             min(settings["timeout_s"], max(call["expires_in_s"], 0.001)),
+            self._settings["links"]["frame_bytes"] - MAX_RESULT_FIELD_BYTES,
         )
         try:
             reply = yield http_client.send_once(self._reactor, request)
--- a/src/hemlocktiller/_internal/cli/subcommands/admin_client.py
+++ b/src/hemlocktiller/_internal/cli/subcommands/admin_client.py
@@ -10,11 +10,13 @@
 from twisted.web import client
 from twisted.web import error as web_error
 
+from hemlocktiller._internal import http_client
 from hemlocktiller._internal.cli.subcommands import command_context
 from hemlocktiller._internal.store import objects
 
 MAX_CONCURRENT_REQUESTS = 64
 FIRST_NON_SUCCESS_STATUS = 300
+MAX_PAGE_BYTES = 16_777_216
 ROLES_BY_KIND = {"entry": "entry", "target": "agent"}
 REQUEST_ERRORS = (
     error.ConnectError,
@@ -25,6 +27,11 @@
     OSError,
     ValueError,
 )
+BROKEN_OFF_ERRORS = (
+    client.ResponseFailed,
+    error.ConnectionClosed,
+    http_client.ResponseTooLong,
+)
 
 
 class Process(NamedTuple):
@@ -143,15 +150,14 @@
 ) -> tuple[int, bytes]:
     """Sends a request; returns the HTTP status and the content.
 
-    The content may be incomplete: treq reports one without length as complete
-    if its connection was reset.
+    The content may be incomplete.
     """
     response = await treq.request(method, url, agent=context.http_agent)
     try:
-        content = await treq.content(response)
-    except (client.ResponseFailed, error.ConnectionClosed):
-        content = b""
-    return response.code, content
+        body = await http_client.read_body(response, MAX_PAGE_BYTES)
+    except BROKEN_OFF_ERRORS:
+        return response.code, b""
+    return response.code, body.content
 
 
 def _json_object(content: bytes) -> dict[str, Any] | None:
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -6,7 +6,10 @@
 
 import h11
 from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.python import failure
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
@@ -16,6 +19,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 64
+# Default limit on a response, which is held in memory.
+MAX_RESPONSE_BYTES = 67_108_864
 HTTP_PORT = 80
 
 
@@ -30,6 +35,10 @@
     """
 
 
+class ResponseTooLong(exceptions.HemlocktillerError):
+    """The body of a response exceeds the limit; its service is at fault."""
+
+
 class ResponseTimedOut(exceptions.HemlocktillerError):
     """The whole response was not received in time.
 
@@ -54,6 +63,7 @@
         body: Request body; empty for none.
         headers: Request headers by name.
         timeout_s: Time until the whole response must have been received.
+        max_response_bytes: Limit on the body of the response.
     """
 
     method: str
@@ -61,6 +71,79 @@
     body: bytes = b""
     headers: dict[str, str] = {}
     timeout_s: float = 10.0
+    max_response_bytes: int = MAX_RESPONSE_BYTES
+
+
+class Body(NamedTuple):
+    """The body of a response.
+
+    Attributes:
+        content: Its bytes.
+        is_delimited: Whether its framing shows that it is whole. Otherwise it
+            ended with its connection, which may have been reset.
+    """
+
+    content: bytes
+    is_delimited: bool
+
+
+class _BodyReader(protocol.Protocol):
+    """Collects the body of a response, up to a limit.
+
+    Attributes:
+        done: Fires with the body, or fails with the reason that it is not
+            complete.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.done: defer.Deferred[Body] = defer.Deferred(
+            lambda _: self.transport.loseConnection()
+        )
+        self._max_bytes = max_bytes
+        self._received_bytes = 0
+        self._chunks: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:
+        """Stores a part of the body, or closes the connection."""
+        self._received_bytes += len(data)
+        if self._received_bytes <= self._max_bytes:
+            self._chunks.append(data)
+            return
+        self._chunks.clear()
+        self.transport.loseConnection()
+        if not self.done.called:
+            self.done.errback(
+                ResponseTooLong(f"more than {self._max_bytes} bytes")
+            )
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends the body."""
+        if self.done.called:
+            return
+        is_delimited = reason.check(client.ResponseDone) is not None
+        if is_delimited or reason.check(http.PotentialDataLoss):
+            self.done.callback(Body(b"".join(self._chunks), is_delimited))
+        else:
+            self.done.errback(reason)
+
+
+def read_body(response: Any, max_bytes: int) -> defer.Deferred[Body]:
+    """Reads the body of a response of `twisted.web`.
+
+    Args:
+        response: The response.
+        max_bytes: Limit on the body.
+
+    Returns:
+        A Deferred that fires with the body. It fails with `ResponseTooLong`,
+        or with an exception of Twisted if the framing shows that the body is
+        incomplete.
+    """
+    reader = _BodyReader(max_bytes)
+    response.deliverBody(reader)
+    return reader.done
 
 
 @implementer(iweb.IBodyProducer)
@@ -111,6 +194,9 @@
     Raises:
         ResponseTimedOut: The whole response was not received within
             `timeout_s`.
+        ResponseTooLong: The body exceeds the limit.
+        ResponseBrokenOff: The response had no length, so that its end may be
+            that of a reset.
         Exception: An exception of Twisted, if the exchange failed before.
     """
     headers = http_headers.Headers(
@@ -129,8 +215,10 @@
     timer = reactor.callLater(request.timeout_s, cancel_after_timeout)
     try:
         response = yield pending
-        state["pending"] = client.readBody(response)
+        state["pending"] = read_body(response, request.max_response_bytes)
         body = yield state["pending"]
+        if not body.is_delimited:
+            raise ResponseBrokenOff("the end of the response is not shown")
     except Exception as error:
         if state["timed_out"]:
             raise ResponseTimedOut(
@@ -141,7 +229,7 @@
         if timer.active():
             timer.cancel()
     content_types = response.headers.getRawHeaders("content-type", [""])
-    return Reply(response.code, content_types[0], body)
+    return Reply(response.code, content_types[0], body.content)
 
 
 def send_once(reactor: Any, request: Request) -> defer.Deferred[Reply]:
@@ -185,6 +273,7 @@
             http_exchange.ExchangeCallbacks(
                 collected.on_head, collected.chunks.append, on_end
             ),
+            request.max_response_bytes,
         )
     except (ValueError, h11.LocalProtocolError) as invalid:
         return defer.fail(RequestNotSent(f"the request is invalid: {invalid}"))
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -17,10 +17,13 @@
 from twisted.web import http_headers
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import http_client
 from hemlocktiller._internal.schemas import entry_settings
 from hemlocktiller._internal.store import endpoints
 
 MAX_IDLE_CONNECTIONS = 16
+# A listing of some thousand objects; a longer reply has no end.
+MAX_REPLY_BYTES = 33_554_432
 IDLE_CONNECTION_TIMEOUT_S = 30.0
 # Part of the call timeout. Below 1, so that a connection attempt times out
 # before the call does and is not mistaken for a lost reply.
@@ -135,7 +138,9 @@
         response = await self._agent.request(
             method, url, headers, self._body_producer(body)
         )
-        content, is_delimited = await _read_body(response)
+        content, is_delimited = await http_client.read_body(
+            response, MAX_REPLY_BYTES
+        )
         if response.code == HTTP_SERVICE_UNAVAILABLE:
             raise exceptions.StoreUnavailable("the object API answered 503")
         if response.code >= HTTP_SERVER_ERROR_MIN:
@@ -170,14 +175,6 @@
     return http_headers.Headers(raw)
 
 
-async def _read_body(response):
-    """Returns the body, and whether its framing shows that it is whole."""
-    try:
-        return await client.readBody(response), True
-    except client.PartialDownloadError as undelimited:
-        return undelimited.response, False
-
-
 def _parse_object(content):
     """Returns the JSON object in a body, or None.
 
--- a/tests/unit/test_admin_client.py
+++ b/tests/unit/test_admin_client.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import task
+from twisted.internet.testing import StringTransport
 from twisted.python import failure
 from twisted.web import client
 from twisted.web import http
@@ -46,7 +47,7 @@
         )
 
     def _deliver(self, protocol):
-        protocol.makeConnection(None)
+        protocol.makeConnection(StringTransport())
         protocol.dataReceived(self._body)
         protocol.connectionLost(failure.Failure(self._end))
 
@@ -123,3 +124,13 @@
     waiting.addBoth(results.append)
     clock.pump([0.5] * 10)
     assert results == [exit_codes.ExitCode.INCOMPLETE]
+
+
+def test_a_page_beyond_the_limit_is_a_problem():
+    body = STATUS + b" " * admin_client.MAX_PAGE_BYTES
+    context = make_context(body, UNDELIMITED)
+    response = result_of(
+        admin_client.request_page(context, PROCESS, "/status")
+    )
+    assert (response.status, response.body) == (200, {})
+    assert response.problem
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -4,10 +4,12 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from hemlocktiller._internal.agent import services
+from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.observe import traces
 from tests.fakes import connections
 
 SERVICE_TIMEOUT_S = 2.0
+FRAME_BYTES = 524_288
 FRAMED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 # Without length or chunks, the body ends with the connection.
 UNFRAMED_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbooked"
@@ -56,7 +58,8 @@
                 "url": "http://127.0.0.1:1",
                 "timeout_s": SERVICE_TIMEOUT_S,
                 "repeatable_methods": ["GET"],
-            }
+            },
+            "links": {"frame_bytes": FRAME_BYTES},
         }
         callbacks = services.Callbacks(
             lambda ended: None, lambda: self.deaths.append(True)
@@ -134,3 +137,26 @@
         b"done",
         b"done",
     ]
+
+
+def test_an_answer_without_end_fails_before_it_exceeds_a_frame(service_run):
+    service_run.connection.respond(UNFRAMED_ANSWER)
+    sent_bytes = 0
+    while not service_run.connection.transport.disconnecting:
+        assert sent_bytes < FRAME_BYTES
+        service_run.connection.respond(b"x" * 4096)
+        sent_bytes += 4096
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
+    assert len(codec.encode(result)) < FRAME_BYTES
+
+
+def test_the_longest_answer_fits_into_a_frame(service_run):
+    length = FRAME_BYTES - services.MAX_RESULT_FIELD_BYTES
+    service_run.connection.respond(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+        + b"x" * length
+    )
+    (result,) = service_run.link.sent
+    assert result["ran"] == "yes"
+    assert len(codec.encode(result)) <= FRAME_BYTES
--- a/tests/unit/test_store_transport.py
+++ b/tests/unit/test_store_transport.py
@@ -5,6 +5,7 @@
 import pytest
 from twisted.internet import defer
 from twisted.internet import task
+from twisted.internet.testing import StringTransport
 from twisted.python import failure
 from twisted.web import client
 from twisted.web import http
@@ -36,7 +37,7 @@
         )
 
     def _deliver(self, protocol):
-        protocol.makeConnection(None)
+        protocol.makeConnection(StringTransport())
         protocol.dataReceived(self._body)
         # Twisted says the same of a clean close and of a reset.
         protocol.connectionLost(failure.Failure(http.PotentialDataLoss()))
@@ -79,7 +80,7 @@
 def test_a_body_that_is_no_object_is_no_document(body):
     agent = UnframedAgent(200, body)
     agent._deliver = lambda protocol: (
-        protocol.makeConnection(None),
+        protocol.makeConnection(StringTransport()),
         protocol.dataReceived(body),
         protocol.connectionLost(failure.Failure(client.ResponseDone())),
     )
@@ -89,3 +90,51 @@
     results = []
     store_transport.call("GET", ("objects",)).addBoth(results.append)
     assert results[0].body is None
+
+
+class OpenCall:
+    """A call whose reply has begun.
+
+    Attributes:
+        clock: Virtual clock.
+        connection: Connection of the call.
+        reader: Protocol that reads the body of the reply.
+        results: Result or failure of the call, once there is one.
+    """
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.connection = StringTransport()
+        self.results = []
+        readers = []
+        agent = UnframedAgent(200, b"")
+        agent._deliver = readers.append
+        store_transport = transport.Transport(
+            memory.STORE_SETTINGS, self.clock, agent
+        )
+        call = store_transport.call("GET", ("objects",))
+        call.addBoth(self.results.append)
+        (self.reader,) = readers
+        self.reader.makeConnection(self.connection)
+
+
+@pytest.fixture
+def open_call():
+    return OpenCall()
+
+
+def test_a_reply_without_end_fails_and_closes_its_connection(open_call):
+    part = b"x" * 1_048_576
+    for _ in range(transport.MAX_REPLY_BYTES // len(part)):
+        open_call.reader.dataReceived(part)
+        assert open_call.results == []
+    open_call.reader.dataReceived(b"x")
+    assert open_call.results[0].check(exceptions.WriteOutcomeUnknown)
+    assert open_call.connection.disconnecting
+
+
+def test_a_reply_that_times_out_closes_its_connection(open_call):
+    open_call.reader.dataReceived(DOCUMENT[:5])
+    open_call.clock.advance(memory.STORE_SETTINGS["timeout_s"])
+    assert open_call.results[0].check(exceptions.WriteOutcomeUnknown)
+    assert open_call.connection.disconnecting
