Send no new requests to targets whose answers say that they leave

Gateways knew only of the store's registrations.

The header is decoded in the adapter and applied to any answer, of calls, streams, probes, reports and orders, whatever its status. It belongs to one process: a registration of a later start ends it; a newer one of the same start, a listing, a peer's word or a restored store does not. Streams in progress go on. An answer of another process at the address (421) and a late one of an earlier process change nothing.

--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -6,6 +6,7 @@
 so that the target rejects an order that is out of date.
 """
 
+import functools
 from typing import Any
 
 import prometheus_client
@@ -295,4 +296,5 @@
             ORDER_TIMEOUT_S,
             lambda status, _: on_result(status),
             lambda failure: on_result(failure.reason),
+            functools.partial(self._targets.record_response_head, target),
         )
--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -68,6 +68,8 @@
         failed_stage_address: Address of the failed pipeline stage; empty if
             not given.
         is_unencoded: Whether the body has no content encoding.
+        is_leaving: Whether the target says that it is leaving, so that it must
+            get no new requests.
     """
 
     request_id: str
@@ -76,6 +78,7 @@
     is_wrong_target: bool
     failed_stage_address: str
     is_unencoded: bool
+    is_leaving: bool = False
 
 
 class PlatformAdapter(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -158,6 +158,11 @@
         ),
     )
     context.targets.record_request_sent(target)
+
+    def on_head(status: int, response_headers: http_exchange.Headers) -> None:
+        context.targets.record_response_head(target, status, response_headers)
+        callbacks.on_head(status, response_headers)
+
     request_parts = (
         caller_request.method.decode("latin-1"),
         caller_request.uri.decode("latin-1"),
@@ -168,7 +173,7 @@
         context.reactor,
         (target.host, target.port),
         request_parts,
-        callbacks,
+        callbacks._replace(on_head=on_head),
         None if path else http_exchange.MAX_BODY_BYTES,
     )
 
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 from typing import Any
 
 import prometheus_client
@@ -28,6 +29,8 @@
 EXPIRED_REGISTRATION_GRACE_S = 2.4
 # Smaller relative changes of a target's pace are not sent to peers.
 PACE_CHANGE_MIN_RATIO = 0.2
+# Processes that have said that they leave; the oldest are forgotten first.
+MAX_LEAVING_PROCESSES = 10_000
 # Weight of the newest result in the moving average of failed requests.
 FAILURE_AVERAGE_WEIGHT = 0.2
 
@@ -96,6 +99,8 @@
         self._version_by_name: dict[str, int] = {}
         self._paces: dict[str, float] = {}
         self._failure_ratios: dict[str, float] = {}
+        # Start of the processes that have said that they leave, by name.
+        self._leaving_born_ms: dict[str, int] = {}
 
     def apply_registrations(
         self,
@@ -199,6 +204,42 @@
             target.name, self._reactor.seconds()
         )
 
+    def record_response_head(
+        self, target: fleet.Target, status: int, headers: Any
+    ) -> None:
+        """Applies what a target says of itself in a response.
+
+        Args:
+            target: The target that the request was sent to.
+            status: HTTP status.
+            headers: Headers of the response.
+        """
+        response_head = self._adapter.decode_response_head(status, headers)
+        if response_head.is_leaving and not response_head.is_wrong_target:
+            self._record_leaving(target)
+
+    def _record_leaving(self, target):
+        """Sends no new requests to a process that has said that it leaves.
+
+        What it says goes before its registration, which may be older.
+        """
+        if self._leaving_born_ms.get(target.name) == target.born_ms:
+            return
+        self._leaving_born_ms[target.name] = target.born_ms
+        if len(self._leaving_born_ms) > MAX_LEAVING_PROCESSES:
+            del self._leaving_born_ms[next(iter(self._leaving_born_ms))]
+        registered = self.by_name.get(target.name)
+        events.emit(
+            "target_leaving",
+            target=target.name,
+            registered_state=registered.state if registered else None,
+        )
+        if registered is not None and registered.born_ms == target.born_ms:
+            self.by_name[target.name] = registered._replace(
+                state=fleet.DRAINING
+            )
+            self._notify_changed()
+
     def record_request_success(self, target: fleet.Target) -> None:
         """Records that a target answered a request."""
         self._circuit_breakers.record_success(target.name)
@@ -285,6 +326,7 @@
             PROBE_TIMEOUT_S,
             on_done,
             lambda failure: on_failed(failure.reason),
+            functools.partial(self.record_response_head, target),
         )
 
     def verify_peer_health(
@@ -387,6 +429,8 @@
             # Only an outdated copy of the store says that it is ready.
             events.emit("registration_outdated", target=name)
             target = target._replace(state=previous.state)
+        if self._leaving_born_ms.get(name) == target.born_ms:
+            target = target._replace(state=fleet.DRAINING)
         removal = self._removal_timers.pop(name, None)
         if removal is not None:
             removal.cancel()
@@ -491,6 +535,7 @@
             PROBE_TIMEOUT_S,
             lambda status, body: self._on_probe_answered(target),
             lambda failure: self._on_probe_failed(target, failure.reason),
+            functools.partial(self.record_response_head, target),
         )
 
     def _on_report_probe_answered(self, target, report):
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -22,6 +22,7 @@
     timeout_s: float,
     on_done: Callable[[int, bytes], None],
     on_failed: Callable[[http_exchange.ExchangeFailure], None],
+    on_response_head: Callable[[int, http_exchange.Headers], None],
 ) -> None:
     """Sends a request and collects its response, such as a status report.
 
@@ -33,6 +34,7 @@
             the reactor is blocked, since the response may wait to be read.
         on_done: Called with status and body.
         on_failed: Called if there is no complete response in time.
+        on_response_head: Called with status and headers, before the others.
     """
     method, path, body = request
     headers = [(b"Host", target.address.encode())]
@@ -41,9 +43,10 @@
     status = 0
     chunks: list[bytes] = []
 
-    def on_head(response_status, _):
+    def on_head(response_status, response_headers):
         nonlocal status
         status = response_status
+        on_response_head(response_status, response_headers)
 
     def on_end(exchange_failure):
         if timer.active():
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -271,6 +271,7 @@
         status == 421,
         by_name.get(b"Fault-At", b"").decode(),
         True,
+        b"Leaving" in by_name,
     )
 
 
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -321,6 +321,20 @@
     assert response_head.was_not_executed == is_not_executed
 
 
+@pytest.mark.parametrize(
+    ("headers", "is_leaving"),
+    [
+        ([(b"Server-Leaving", b"1")], True),
+        ([(b"server-leaving", b" 1 ")], True),
+        ([(b"Server-Leaving", b"0")], False),
+        ([], False),
+    ],
+)
+def test_a_header_tells_that_a_target_leaves(adapter, headers, is_leaving):
+    response_head = adapter.exchange_headers.decode_response_head(200, headers)
+    assert response_head.is_leaving == is_leaving
+
+
 def test_an_order_carries_the_fencing_token_and_order_count(adapter):
     body = json.loads(adapter.exchange_headers.encode_order(20, 31, 9, 2))
     assert body == {
