Send nothing to a target for the time that it asks for with a 503

Gateways took such an answer for any other rejection: after 0.1 s or one probe the target was chosen again.

A target in such a pause is chosen for no call, path, repeat or hedge and is not polled; one probe may be sent, as streams in progress need to know whether it was lost. It is no failure: no breaker, no suspicion. If all targets that a request could begin at are paused for longer than it may wait, its caller is rejected at once with the time at which the first is free again.

Layout orders are not held back: they are few, and keep the layers of the service whole.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -235,9 +235,10 @@
         if not response_head.is_signed or not response_head.is_unencoded:
             self._on_unusable_response(attempt)
         elif is_server_error:
-            self._context.targets.record_request_failure(
-                attempt.target, f"answered {attempt.status}"
-            )
+            if response_head.pause_s is None:
+                self._context.targets.record_request_failure(
+                    attempt.target, f"answered {attempt.status}"
+                )
             self._error_response = response
             self._retry_or_finish(f"answered {attempt.status}")
         else:
@@ -339,7 +340,14 @@
         )
 
     def _reject(self, reason, retry_after_s=RETRY_AFTER_S):
-        """Responds that the caller may retry, as the call has not run."""
+        """Responds that the caller may retry, as the call has not run.
+
+        Not before a target takes requests again, if all asked for a pause.
+        """
+        retry_after_s = max(
+            retry_after_s,
+            self._context.targets.service_pause_s(self._admitted.service.name),
+        )
         self._respond_with_error(
             request_context.STATUS_SERVICE_UNAVAILABLE, reason, retry_after_s
         )
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -65,7 +65,7 @@
         self._drop_expired(now_s)
         for target in targets:
             failures = self._failures_by_process.setdefault(
-                _process_id(target), []
+                target.process_id, []
             )
             failures.append(_EarlyFailure(digest, request_id, now_s))
 
@@ -86,7 +86,7 @@
         """
         now_s = self._reactor.seconds()
         self._drop_expired(now_s)
-        process_id = _process_id(target)
+        process_id = target.process_id
         early_failures = self._failures_by_process.pop(process_id, [])
         requests = {
             attempt.digest: attempt.request_id for attempt in early_failures
@@ -106,7 +106,7 @@
 
     def record_survival(self, target: fleet.Target) -> None:
         """Withdraws the evidence of a target that was only silent."""
-        self.feed.suspects.record_survival(_process_id(target))
+        self.feed.suspects.record_survival(target.process_id)
 
     def _drop_expired(self, now_s):
         """Drops early failures that are too old to be due to a crash."""
@@ -127,8 +127,3 @@
 def digest(workspace: str, uri: bytes, body: bytes) -> int:
     """Returns the digest that identifies repeats of the same request."""
     return suspects.digest(workspace, uri + b"\0" + body)
-
-
-def _process_id(target: fleet.Target) -> str:
-    """Returns an id of a target's process, which differs after a restart."""
-    return f"{target.name}/{target.born_ms}"
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -136,6 +136,8 @@
             if choice is not None:
                 self._start_request(path_request, choice)
                 return
+        if self._reject_until_pause_ends(path_request, now_s):
+            return
         decision = admission.decide_wait(
             self._measure_queue(queue)._replace(
                 standing_s=now_s
@@ -165,9 +167,24 @@
         if choice is not None:
             self._start_request(path_request, choice)
             return
+        now_s = self._reactor.seconds()
+        if self._reject_until_pause_ends(path_request, now_s):
+            return
         self._resuming[path_request.queue_item.request_id] = path_request
         self._schedule_processing()
 
+    def _reject_until_pause_ends(self, path_request, now_s):
+        """Rejects a request that no target takes before its deadline.
+
+        Returns:
+            Whether all first targets have asked for a pause that is longer.
+        """
+        pause_s = self._targets.service_pause_s(path_request.service.name)
+        if pause_s <= max(0.0, path_request.queue_item.deadline_s - now_s):
+            return False
+        self._reject(path_request, pause_s, "targets asked for a pause")
+        return True
+
     def discard(self, request_key: str) -> None:
         """Dequeues a request or releases the memory reserved for it."""
         self._resuming.pop(request_key, None)
--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -70,6 +70,8 @@
         is_unencoded: Whether the body has no content encoding.
         is_leaving: Whether the target says that it is leaving, so that it must
             get no new requests.
+        pause_s: Time for which the target wants no requests; None if it does
+            not say so.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     failed_stage_address: str
     is_unencoded: bool
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class PlatformAdapter(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -45,6 +45,10 @@
         if targets.is_down(target):
             decide(target, "is down")
             return
+        if targets.pause_left_s(target) > 0:
+            # It has answered this process after the start of the stream.
+            on_report(target, target.born_ms)
+            continue
         targets.request_report(
             target,
             lambda report, target=target: on_report(target, report.born_ms),
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
+import random
 from typing import Any
 
 import prometheus_client
@@ -16,6 +17,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import target_pauses
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 
@@ -37,6 +39,10 @@
 TARGETS_DOWN = prometheus_client.Gauge(
     "hemlocktiller_targets_down", "Targets believed to be down"
 )
+PAUSES = prometheus_client.Counter(
+    "hemlocktiller_target_pauses",
+    "Answers of targets that ask for a pause without requests",
+)
 PROBES = prometheus_client.Counter(
     "hemlocktiller_target_probes", "Probes of targets by result", ["result"]
 )
@@ -99,6 +105,7 @@
         self._version_by_name: dict[str, int] = {}
         self._paces: dict[str, float] = {}
         self._failure_ratios: dict[str, float] = {}
+        self._pauses = target_pauses.TargetPauses()
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
 
@@ -153,8 +160,8 @@
     def available(self, service: str) -> list[fleet.Target]:
         """Returns the targets of a service that may get new requests.
 
-        Draining targets, those that are down or being probed, and those
-        with an open circuit breaker are left out.
+        Draining targets, those that are down, being probed or in a pause that
+        they asked for, and those with an open circuit breaker are left out.
         """
         now_s = self._reactor.seconds()
         return [
@@ -164,6 +171,7 @@
             and target.state == fleet.READY
             and target.name not in self._down_by_name
             and target.name not in self._probing
+            and self.pause_left_s(target) <= 0
             and self._circuit_breakers.allows(target.name, now_s)
         ]
 
@@ -215,8 +223,44 @@
             headers: Headers of the response.
         """
         response_head = self._adapter.decode_response_head(status, headers)
-        if response_head.is_leaving and not response_head.is_wrong_target:
+        if response_head.is_wrong_target:
+            return
+        if response_head.is_leaving:
             self._record_leaving(target)
+        if response_head.pause_s is not None:
+            self._record_pause(target, response_head.pause_s)
+
+    def pause_left_s(self, target: fleet.Target) -> float:
+        """Returns how long a target still wants no requests; 0 if not."""
+        if not self._pauses:
+            return 0.0
+        return self._pauses.left_s(target.process_id, self._reactor.seconds())
+
+    def service_pause_s(self, service: str) -> float:
+        """Returns how long no target of a service wants requests.
+
+        Only the first targets of paths are asked, so it is 0 if one of them
+        takes requests, or if there is none.
+        """
+        pauses_s = [
+            self.pause_left_s(target)
+            for target in self.live(service)
+            if target.state == fleet.READY
+            and target.first_layer == 0
+            and (target.layers > 0 or not target.accelerator)
+        ]
+        return min(pauses_s, default=0.0)
+
+    def _record_pause(self, target, pause_s):
+        """Sends no requests to a target for the time that it asked for."""
+        self._pauses.record(
+            target.process_id,
+            pause_s,
+            self._reactor.seconds(),
+            random.random(),
+        )
+        PAUSES.inc()
+        events.emit("target_pause", target=target.name, pause_s=pause_s)
 
     def _record_leaving(self, target):
         """Sends no new requests to a process that has said that it leaves.
@@ -385,7 +429,9 @@
         """
         for target in list(self.by_name.values()):
             should_poll = (
-                target.layers > 0 and target.name not in self._down_by_name
+                target.layers > 0
+                and target.name not in self._down_by_name
+                and self.pause_left_s(target) <= 0
             )
             if should_poll and is_poller(target.name):
                 self.request_report(
@@ -520,6 +566,13 @@
             return
         if name in self._probing:
             return
+        now_s = self._reactor.seconds()
+        if not self._pauses.try_probe(target.process_id, now_s):
+            if name in self._down_by_name:
+                self._reactor.callLater(
+                    self.pause_left_s(target), self._probe, target
+                )
+            return
         self._probing.add(name)
         if target.accelerator:
             self.request_report(
--- a/src/hemlocktiller/_internal/policy/fleet.py
+++ b/src/hemlocktiller/_internal/policy/fleet.py
@@ -104,6 +104,11 @@
         """Address in the form host:port."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def process_id(self) -> str:
+        """Id of its process, which differs after a restart."""
+        return f"{self.name}/{self.born_ms}"
+
     @property
     def layers(self) -> int:
         """Number of layers held."""
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -272,6 +272,7 @@
         by_name.get(b"Fault-At", b"").decode(),
         True,
         b"Leaving" in by_name,
+        float(by_name[b"Pause"]) if b"Pause" in by_name else None,
     )
 
 
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -335,6 +335,29 @@
     assert response_head.is_leaving == is_leaving
 
 
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"2", 2.0),
+        (503, b" 0.25 ", 0.25),
+        (503, b"0", 0.0),
+        (503, b"-1", None),
+        (503, b"1e3", None),
+        (503, b"nan", None),
+        (503, b"1_0", None),
+        (503, b"Fri, 04 Dec 2026 11:00:00 GMT", None),
+        (503, b"", None),
+        (500, b"2", None),
+        (200, b"2", None),
+    ],
+)
+def test_a_rejection_may_ask_for_a_pause(adapter, status, value, pause_s):
+    response_head = adapter.exchange_headers.decode_response_head(
+        status, [(b"Retry-After", value)]
+    )
+    assert response_head.pause_s == pause_s
+
+
 def test_an_order_carries_the_fencing_token_and_order_count(adapter):
     body = json.loads(adapter.exchange_headers.encode_order(20, 31, 9, 2))
     assert body == {
