Confirm no end of a stream without framing by a target that leaves

A later stage had begun to drain 24 to 48 ms before; the first stage closed the streams, and both answered for their reports. The store's news of the drain came 0.6 s later.

A path with a target that leaves confirms nothing: the stream is resumed after its last event, and a run that has no more to add ends it.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -37,6 +37,10 @@
         if born_ms != target.born_ms:
             decide(target, "started again")
             return
+        if targets.is_leaving(target):
+            # It may have stopped at the end of its drain, in mid-stream.
+            decide(target, "is leaving")
+            return
         unconfirmed.discard(target.name)
         if not unconfirmed:
             decide(None)
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -198,6 +198,11 @@
             return True
         return registered.born_ms != target.born_ms
 
+    def is_leaving(self, target: fleet.Target) -> bool:
+        """Returns whether a registered target drains or is about to."""
+        registered = self.by_name.get(target.name)
+        return registered is not None and registered.state == fleet.DRAINING
+
     def pace(self, name: str) -> float:
         """Returns the relative step time of a target; 1 is nominal."""
         return self._paces.get(name, 1.0)
--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -105,6 +105,8 @@
 
     def render(self, request):
         """Handles a request of any method."""
+        if self._is_draining:
+            request.setHeader("Server-Leaving", "1")
         path = parse.urlsplit(request.uri.decode()).path
         if path == "/api/report":
             return _json_body(request, self._report_body())
@@ -211,11 +213,7 @@
                 )
                 return
             if number == last_event_id + 1:
-                self._append_journal("run", request_id, last_event_id)
-                request.setHeader("Request-Id", request_id)
-                signature = f"{self.id}.{request_id}"
-                request.setHeader("Response-Signature", signature)
-                request.setHeader("Content-Type", "text/event-stream")
+                self._start_stream(request, request_id, last_event_id)
             event = event_of(request_id, number)
             if number == last_number:
                 request.write(event[: random.randrange(1, len(event))])
@@ -224,8 +222,18 @@
             request.write(event)
             await task.deferLater(reactor, EVENT_INTERVAL_S)
         if not disconnected:
+            if last_event_id >= count:
+                self._start_stream(request, request_id, last_event_id)
             request.finish()
 
+    def _start_stream(self, request, request_id, last_event_id):
+        """Records a run, and sets the headers of its response."""
+        self._append_journal("run", request_id, last_event_id)
+        request.setHeader("Request-Id", request_id)
+        signature = f"{self.id}.{request_id}"
+        request.setHeader("Response-Signature", signature)
+        request.setHeader("Content-Type", "text/event-stream")
+
     def _end_failed_stream(self, request, failed_address, is_unstarted):
         """Ends a stream of which a stage failed.
 
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -23,8 +23,8 @@
 # Each plays streams without framing, some broken off, beside other faults. In
 # 701 a killed stage ended one between two events, which was taken for its end.
 # In 704 a target that was only silent counted as crashed, and all drafts were
-# rejected.
-UNDELIMITED_SEEDS = (701, 704)
+# rejected. In 713 and 714 a stage that had begun to drain ended streams.
+UNDELIMITED_SEEDS = (701, 704, 713, 714)
 
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -194,6 +194,21 @@
     assert admitted.caller_request.ending == ""
 
 
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_stream_closed_as_a_target_leaves_is_not_complete(streaming, stage):
+    harness, admitted = streaming
+    path, reports = close_undelimited_stream(harness, admitted, 1)
+    for number, report in enumerate(reports):
+        head = b"\r\nLeaving: 1\r\n" if number == stage else b"\r\n"
+        report.respond(REPORT_RESPONSE.replace(b"\r\n", head, 1))
+    assert admitted.caller_request.ending == ""
+    second_attempt = accept_attempt(harness)
+    assert path[stage] not in path_target_names(second_attempt)
+    second_attempt.respond(RESPONSE_HEAD + RESPONSE_END)
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == "whole"
+
+
 def test_a_stream_closed_as_a_target_is_silent_is_not_complete(streaming):
     harness, admitted = streaming
     _, reports = close_undelimited_stream(harness, admitted, 1)
