Send few heartbeats on the links between gateways

The watch for silence, which lets an entry notice within 0.75 s that an agent has stopped, starts with any message that is not listed as control, and the loads that gateways exchange were not.

No request waits for an answer on these links. Loads, health, paces, registrations and configurations now keep a link active, with a heartbeat a second, and do not start the watch.

Heartbeats also told peers of a newer configuration. A watcher now announces it at once, by the message that carries its loads, so followers have it earlier than before.

The two tests of links failed before, one by 90 frames instead of 60 and one by an aborted link.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -551,6 +551,7 @@
         self._stored_catalog = peers_module.StoredCatalog(
             catalog.version, value
         )
+        self._peers.announce_config()
         return True
 
     def _on_watcher_changed(self, is_watcher):
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -219,6 +219,15 @@
             )
         return self._is_poller_by_target[target]
 
+    def announce_config(self) -> None:
+        """Tells peers the version of a configuration that was applied.
+
+        Only watchers do, as they are the first to have it. A peer that the
+        store does not tell in time requests it.
+        """
+        if self._is_watcher:
+            self._broadcast(self._occupancy_message({}, False))
+
     def broadcast_registration(
         self, name: str, version: int, value: Any
     ) -> None:
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -41,6 +41,18 @@
         "vm_leaving",
     )
 )
+# State that gateways exchange. It keeps a link active, but no request waits
+# for an answer on it, so silence need not be noticed at once.
+STATE_MESSAGE_TYPES = frozenset(
+    (
+        "catalog",
+        "catalog_wanted",
+        "occupancy",
+        "registration",
+        "target_health",
+        "target_pace",
+    )
+)
 RTT_SMOOTHING_FACTOR = 0.2  # Share of a new sample in the moving average.
 WATCH_INTERVAL_S = 0.15
 MAX_SILENT_INTERVALS = 5  # 0.6 to 0.75 s of silence while there is work.
@@ -97,11 +109,12 @@
     The dialling end sends heartbeats and the accepting end echoes them. On
     a link without recent work, heartbeat interval and silence timeout are
     longer. No heartbeats are sent while other messages flow both ways.
-    While there is work, the dialling end watches for silence at a short
-    interval. The accepting end does not, since an entry that is briefly
+    While there is work for requests, the dialling end watches for silence at a
+    short interval. The accepting end does not, since an entry that is briefly
     delayed must not lose its streams.
 
-    Work is any message of a type that is not in `CONTROL_MESSAGE_TYPES`.
+    Work is any message of a type that is not in `CONTROL_MESSAGE_TYPES`, and
+    work for requests any that is not in `STATE_MESSAGE_TYPES` either.
 
     Attributes:
         sends_heartbeats: Whether this end sends heartbeats.
@@ -287,6 +300,7 @@
             self.sends_heartbeats
             and self.is_open
             and self._watch_timer is None
+            and message["type"] not in STATE_MESSAGE_TYPES
         ):
             self._silent_intervals = 0
             self._schedule_watch()
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -357,6 +357,24 @@
     assert gateway.watcher_changes == []
 
 
+def test_few_of_many_gateways_announce_a_configuration_at_once(harness):
+    names = [f"gateway-{number}" for number in range(30)]
+    announcer_count = 0
+    for name in names:
+        one = LinkedGateway(harness, peers_module.StoredCatalog(5, {}))
+        one.peers._settings = make_settings(name=name)
+        links = [one.open_link(other) for other in names if other != name]
+        one.stored = peers_module.StoredCatalog(6, {})
+        one.peers.announce_config()
+        versions_sent = {
+            message["config_version"]
+            for link in links
+            for message in link.sent[1:]
+        }
+        announcer_count += versions_sent == {6}
+    assert announcer_count == peers_module.WATCHER_COUNT
+
+
 def test_registrations_of_the_first_listing_are_not_announced(gateway):
     announced = []
     targets = gateway.harness.targets
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -102,6 +102,50 @@
     assert link_pair.accepted.transport.aborted
 
 
+LOADS = {
+    "type": "occupancy",
+    "targets": ["i-1"],
+    "token_layers": [800],
+    "sequences": [1],
+    "prefill_tokens": [0],
+    "whole": False,
+    "config_version": 1,
+    "crossing_mbps": 0.0,
+}
+
+
+def exchange_loads(link_pair, duration_s, interval_s=0.75):
+    """Lets both ends send their loads; returns the frames sent beside them."""
+    sent_count = link_module.FRAMES.labels("out")._value.get()
+    load_count = 0
+    for _ in range(round(duration_s / interval_s)):
+        for end in (link_pair.dialled, link_pair.accepted):
+            end.link.send(LOADS)
+            load_count += 1
+        link_pair.advance(interval_s, step_s=0.05)
+    total = link_module.FRAMES.labels("out")._value.get() - sent_count
+    return total - load_count
+
+
+def test_loads_of_peers_need_no_watch_of_their_link(link_pair):
+    duration_s = 15.0
+    heartbeat_s = memory_links.SETTINGS["heartbeat_interval_s"]
+    # A heartbeat and its echo in each interval.
+    limit = 2 * duration_s / heartbeat_s
+    assert exchange_loads(link_pair, duration_s) <= limit
+
+
+def test_a_link_that_carries_loads_keeps_its_silence_timeout(link_pair):
+    exchange_loads(link_pair, 30.0)
+    link_pair.is_partitioned = True
+    link_pair.dialled.link.send(LOADS)
+    link_pair.advance(1.0, step_s=0.05)
+    assert not link_pair.dialled.transport.aborted
+    link_pair.advance(2.0, step_s=0.05)
+    assert link_pair.dialled.transport.aborted
+    assert link_pair.accepted.transport.aborted
+
+
 def test_an_idle_link_is_aborted_after_a_longer_silence(link_pair):
     link_pair.advance(link_module.ACTIVE_WINDOW_S)
     link_pair.is_partitioned = True
