--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -28,6 +28,10 @@
     """No connection was made, so the request certainly did not run."""
 
 
+class RequestInvalid(exceptions.HemlocktillerError):
+    """The request can't be sent as HTTP; it must be corrected."""
+
+
 class ResponseBrokenOff(exceptions.HemlocktillerError):
     """The service ended the connection without a complete response.
 
@@ -244,7 +248,8 @@
 
     Returns:
         A Deferred that fires with the whole response. It fails with
-        `RequestNotSent`, `ResponseBrokenOff` or `ResponseTimedOut`.
+        `RequestNotSent`, `RequestInvalid`, `ResponseBrokenOff` or
+        `ResponseTimedOut`.
     """
     done: defer.Deferred[Reply] = defer.Deferred()
     collected = _CollectedResponse()
@@ -276,7 +281,7 @@
             request.max_response_bytes,
         )
     except (ValueError, h11.LocalProtocolError) as invalid:
-        return defer.fail(RequestNotSent(f"the request is invalid: {invalid}"))
+        return defer.fail(RequestInvalid(str(invalid)))
     timer = reactor.callLater(request.timeout_s, on_timeout)
     return done
 
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -73,12 +73,16 @@
 
     def start_call(self):
         """Starts a call, and accepts its connection."""
-        self._calls.start_call(CALL, self.link)
+        self.start(CALL)
         self.connection = connections.accept(
             self.clock, self._connection_count
         )
         self._connection_count += 1
 
+    def start(self, call):
+        """Starts a call."""
+        self._calls.start_call(call, self.link)
+
 
 @pytest.fixture
 def service_run():
@@ -160,3 +164,13 @@
     (result,) = service_run.link.sent
     assert result["ran"] == "yes"
     assert len(codec.encode(result)) <= FRAME_BYTES
+
+
+@pytest.mark.parametrize("path", ["/caf\u00e9", "/a b"])
+def test_a_path_that_cannot_be_sent_is_no_fault_of_the_service(
+    service_run, path
+):
+    service_run.start({**CALL, "path": path})
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
+    assert service_run.deaths == []
