--- a/tests/unit/gateway/test_endless_answers.py
+++ b/tests/unit/gateway/test_endless_answers.py
@@ -10,6 +10,7 @@
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import make_two_chains
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
+from tests.unit.gateway.test_streams import start_unresumable_stream
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 
 PART = b"x" * 65_536
@@ -127,11 +128,9 @@
 def test_an_event_without_end_aborts_a_stream_that_is_not_resumable(
     harness, model_service, stream_route
 ):
-    harness.register(*make_two_chains())
-    route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
     connection.respond(UNFRAMED_HEAD + event(1))
     send_endlessly(connection, PART, streams.MAX_EVENT_BYTES)
     assert admitted.caller_request.ending == "cut"
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -30,6 +30,15 @@
     ]
 
 
+def start_unresumable_stream(harness, service, route):
+    """Returns a request on a route without resumption, and its attempt."""
+    harness.register(*make_two_chains())
+    route = route._replace(is_resumable=False)
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    return admitted, harness.accept_connection()
+
+
 def path_target_names(connection):
     line = next(
         line
@@ -113,11 +122,9 @@
 def test_a_stream_that_cannot_be_resumed_is_aborted(
     harness, model_service, stream_route
 ):
-    harness.register(*make_two_chains())
-    route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
     connection.respond(RESPONSE_HEAD + chunk(event(1)))
     connection.reset()
     assert admitted.caller_request.ending == "cut"
@@ -247,11 +254,9 @@
 def test_a_stream_closed_inside_an_event_is_aborted_if_not_resumable(
     harness, model_service, stream_route
 ):
-    harness.register(*make_two_chains())
-    route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
     connection.respond(UNFRAMED_HEAD + event(1) + event(2)[:4])
     connection.close()
     assert admitted.caller_request.body == event(1)
@@ -468,11 +473,9 @@
 def test_an_error_for_another_request_is_not_forwarded(
     harness, model_service, stream_route, status
 ):
-    harness.register(*make_two_chains())
-    route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
     connection.respond(
         b"HTTP/1.1 %s\r\nSignature: s\r\nRequest-Id: r2\r\nNot-Run: 1\r\n"
         b"Content-Length: 0\r\n\r\n" % status
