Reproduce silent targets whose work is started again or given up

Ten tests on the virtual clock show it on the code as it is: a stream whose targets stay silent for 1.2 s each begins at four first targets where two are allowed; streams without another path, without retries, and ones that must not be repeated are cut; a lookup at a silent target is answered 502 and, after a second one, condemned with 422.

--- /dev/null
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -0,0 +1,231 @@
+"""A sound target may fall silent for a second or so and then go on."""
+
+import pytest
+
+from hemlocktiller._internal.gateway import targets as targets_module
+from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_streams import chunk
+from tests.unit.gateway.test_streams import event
+from tests.unit.gateway.test_streams import is_probe
+from tests.unit.gateway.test_streams import path_target_names
+from tests.unit.gateway.test_streams import RESPONSE_END
+from tests.unit.gateway.test_streams import RESPONSE_HEAD
+from tests.unit.gateway.test_streams import spend_retries
+
+SILENCE_S = 1.2
+OK_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r1\r\n"
+    b"Content-Length: 4\r\n\r\ndone"
+)
+
+
+def register_chains(harness, names):
+    """Registers complete chains of two targets each."""
+    harness.register(
+        *(
+            make_target(
+                f"{chain}{first}",
+                first_layer=first,
+                end_layer=first + 40,
+                port=4000 + 100 * index + first,
+            )
+            for index, chain in enumerate(names)
+            for first in (0, 40)
+        )
+    )
+
+
+def stay_silent(harness, duration_s=SILENCE_S):
+    """Accepts all connections and answers none; returns those of attempts."""
+    attempts = []
+    for _ in range(round(duration_s / 0.1)):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            connection = harness.accept_connection()
+            if not is_probe(connection):
+                attempts.append(connection)
+    return attempts
+
+
+def go_on(harness, admitted, connection, number):
+    """Ends the stream of a target that was silent after event `number`."""
+    connection.respond(chunk(event(number + 1)) + RESPONSE_END)
+    assert admitted.caller_request.ending == "whole"
+    assert admitted.caller_request.body == b"".join(
+        event(one) for one in range(1, number + 2)
+    )
+
+
+@pytest.mark.parametrize("has_answered", [True, False])
+def test_silent_targets_count_against_the_attempts_of_a_route(
+    harness, model_service, stream_route, has_answered
+):
+    register_chains(harness, "abcd")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    attempts = [harness.accept_connection()]
+    for number in (1, 2, 3):
+        if has_answered:
+            attempts[-1].respond(RESPONSE_HEAD + chunk(event(number)))
+        attempts += stay_silent(harness)
+    first_targets = {path_target_names(attempt)[0] for attempt in attempts}
+    assert len(first_targets) <= stream_route.max_targets
+    assert admitted.caller_request.ending == ""
+
+
+def test_a_stream_without_another_path_outlives_the_silence_of_its_target(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    assert stay_silent(harness, 2.8) == []
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_stream_without_retries_outlives_the_silence_of_its_target(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    for _ in range(24):
+        spend_retries(harness, 0)
+        assert stay_silent(harness, 0.1) == []
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_stream_that_must_not_be_repeated_outlives_the_silence_of_its_target(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    assert stay_silent(harness) == []
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_silent_run_is_kept_until_its_replacement_has_a_path(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    stay_silent(harness)
+    assert not connection.transport.disconnecting
+    register_chains(harness, "ab")
+    (second,) = stay_silent(harness, 0.2)
+    assert connection.transport.disconnecting
+    assert path_target_names(second) == ["b0", "b40"]
+    second.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, second, 1)
+
+
+def test_a_run_that_goes_on_cancels_the_search_for_its_replacement(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    stay_silent(harness)
+    connection.respond(chunk(event(2)))
+    register_chains(harness, "ab")
+    assert stay_silent(harness, 0.2) == []
+    go_on(harness, admitted, connection, 2)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_a_stream_is_resumed_once_its_silent_target_is_known_to_have_ended(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    route = stream_route._replace(max_targets=1)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    silent_name = path_target_names(connection)[0]
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    stay_silent(harness, 0.9)
+    for _ in range(20):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            target = harness.targets.by_name[silent_name]
+            if harness.next_port() == target.port:
+                harness.refuse_connection()
+                continue
+            attempt = harness.accept_connection()
+            if not is_probe(attempt):
+                assert path_target_names(attempt)[0] != silent_name
+                attempt.respond(RESPONSE_HEAD)
+                go_on(harness, admitted, attempt, 1)
+                return
+    pytest.fail("the stream was not resumed")
+
+
+def make_silent(harness, name):
+    """Lets a probe of a target go without an answer."""
+    harness.targets.probe_suspect(harness.targets.by_name[name], "test")
+    connection = harness.accept_connection()
+    harness.reactor.pump([targets_module.PROBE_TIMEOUT_S / 3] * 3)
+    assert harness.targets.is_down(harness.targets.by_name[name])
+    return connection
+
+
+def test_an_idempotent_call_outlives_the_silence_of_its_only_target(
+    harness, plain_service, lookup_route
+):
+    harness.register(make_target("a", service="plain", accelerator=""))
+    admitted = harness.admit(plain_service, lookup_route)
+    harness.start_call(admitted)
+    connection = harness.accept_connection()
+    make_silent(harness, "a")
+    assert admitted.caller_request.ending == ""
+    connection.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+
+
+def test_an_idempotent_call_at_a_silent_target_is_hedged(
+    harness, plain_service, lookup_route
+):
+    route = lookup_route._replace(target_latency_s=5.0, timeout_s=10.0)
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001),
+        make_target("b", service="plain", accelerator="", port=4002),
+    )
+    admitted = harness.admit(plain_service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, {4001: "a", 4002: "b"}[first.port])
+    second = harness.accept_connection()
+    assert second.port != first.port
+    assert not first.transport.disconnecting
+    first.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+
+
+def test_a_call_at_silent_targets_is_not_condemned(
+    harness, plain_service, lookup_route
+):
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001),
+        make_target("b", service="plain", accelerator="", port=4002),
+    )
+    admitted = harness.admit(plain_service, lookup_route)
+    call = harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, {4001: "a", 4002: "b"}[first.port])
+    second = harness.accept_connection()
+    make_silent(harness, {4001: "a", 4002: "b"}[second.port])
+    harness.reactor.advance(0.6)
+    assert harness.context.crash_evidence.state(call.digest) == "clear"
