Count a run at a silent target against the attempts of its route

Callers' requests ran on more targets than their route allows (BUDGET). The allowance counted only runs at targets that are not down, and a target is down as soon as a probe goes unanswered for 0.3 s. One that is only silent may still run the request and goes on with it, so a request that met two of them began at a third: on the virtual clock, with targets that stay silent for 1.2 s each, at four first targets where two are allowed.

The registry now tells the end of a process from silence. It has ended if its port refuses connections, if another process has its name or address, if its registration went while it was down, or if it closes connections after its registration was removed. Only then a run there doesn't count. A registration that is removed doesn't show it alone, since some targets serve on after that. Ruled out: runs that begin as they are abandoned; these were counted already.

The test on refused connections marked a target down without a connection that was refused. It now resets the stream and refuses the probe, and fails on the code before, with "no attempt was started": the targets allowed for a next run were taken when it was submitted, before the end of the first was known. They are now asked for when a path is chosen.

The test of the count still fails at its last line, as the stream is cut afterwards; that is another fault.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -255,7 +255,9 @@
         """Handles an attempt that got no valid and complete response."""
         self._cancel_attempt(attempt)
         if failure.was_refused:
-            self._context.targets.mark_down(attempt.target, failure.reason)
+            self._context.targets.mark_down(
+                attempt.target, failure.reason, has_ended=True
+            )
         else:
             self._context.targets.record_request_failure(
                 attempt.target, failure.reason
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -68,8 +68,8 @@
         on_path_found: Called with the path when the request may start.
         on_rejected: Called with the time to retry after, in seconds, and
             the reason.
-        allowed_first_targets: Targets that the path may begin at; None for
-            any.
+        allowed_first_targets: Returns the targets that the path may begin
+            at now; None for any.
         latency_objective_s: Time in which the first event should come.
     """
 
@@ -79,7 +79,7 @@
     token_demand: paths.RequestDemand
     on_path_found: Callable[[paths.PathChoice], None]
     on_rejected: Callable[[float, str], None]
-    allowed_first_targets: frozenset[str] | None = None
+    allowed_first_targets: Callable[[], frozenset[str] | None] = lambda: None
     latency_objective_s: float = math.inf
 
 
@@ -212,12 +212,13 @@
             self._rng.sample,
         )
         candidates = self._targets.available(path_request.service.name)
-        if path_request.allowed_first_targets is not None:
+        allowed_first_targets = path_request.allowed_first_targets()
+        if allowed_first_targets is not None:
             candidates = [
                 target
                 for target in candidates
                 if target.first_layer > 0
-                or target.name in path_request.allowed_first_targets
+                or target.name in allowed_first_targets
             ]
         with PATH_CHOICE_DURATION_S.time():
             return paths.find_fastest_path(
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -217,10 +217,10 @@
                 lambda report, placement=placement: self._send_order(
                     service, placement, report
                 ),
-                lambda reason, placement=placement: events.emit(
+                lambda failure, placement=placement: events.emit(
                     "order_waits",
                     target=placement.target.name,
-                    reason=reason,
+                    reason=failure.reason,
                 ),
             )
 
--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -56,5 +56,5 @@
         targets.request_report(
             target,
             lambda report, target=target: on_report(target, report.born_ms),
-            lambda reason, target=target: decide(target, reason),
+            lambda failure, target=target: decide(target, failure.reason),
         )
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -217,7 +217,7 @@
             token_demand,
             self._start_attempt,
             on_rejected,
-            self._allowed_first_targets(),
+            self._allowed_first_targets,
             admitted.route.target_latency_s,
         )
 
@@ -230,7 +230,7 @@
         return attempts.required_first_targets(
             self._admitted.route.allowance,
             self._started_at_targets,
-            self._context.targets.is_down,
+            self._context.targets.has_ended,
         )
 
     def _start_attempt(self, choice):
@@ -555,11 +555,14 @@
         another target.
         """
         if not self._is_streaming and failure.was_refused:
-            self._context.targets.mark_down(target, failure.reason)
+            self._context.targets.mark_down(
+                target, failure.reason, has_ended=True
+            )
             if self.path:
                 self._reroute(failure.reason, may_have_run=False)
             return
         path = self.path
+        self._context.targets.record_connection_lost(target)
         is_suspect = (
             self._context.crash_evidence.state(self.digest) == "suspect"
         )
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -1,6 +1,8 @@
 """Registry of the targets of each service, with their health.
 
-A target is down from a failed probe until a later probe is answered.
+A target is down from a failed probe until a later probe is answered. Its
+process may only be silent meanwhile; it has ended if it refuses connections,
+has been replaced, or loses its registration while it is down.
 """
 
 from collections.abc import Callable
@@ -11,6 +13,7 @@
 
 import prometheus_client
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import upstream
@@ -31,8 +34,10 @@
 EXPIRED_REGISTRATION_GRACE_S = 2.4
 # Smaller relative changes of a target's pace are not sent to peers.
 PACE_CHANGE_MIN_RATIO = 0.2
-# Processes that have said that they leave; the oldest are forgotten first.
+# Processes that have said that they leave, or that have ended; the oldest are
+# forgotten first.
 MAX_LEAVING_PROCESSES = 10_000
+MAX_ENDED_PROCESSES = 10_000
 # Weight of the newest result in the moving average of failed requests.
 FAILURE_AVERAGE_WEIGHT = 0.2
 
@@ -108,6 +113,8 @@
         self._pauses = target_pauses.TargetPauses()
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
+        # Ids of the processes that have ended, oldest first.
+        self._ended_processes: dict[str, None] = {}
 
     def apply_registrations(
         self,
@@ -198,6 +205,17 @@
             return True
         return registered.born_ms != target.born_ms
 
+    def has_ended(self, target: fleet.Target) -> bool:
+        """Returns whether the process of a target is known to have ended.
+
+        One that doesn't answer may only be silent, and one that is no longer
+        registered may still serve.
+        """
+        registered = self.by_name.get(target.name)
+        if registered is not None and registered.born_ms != target.born_ms:
+            return True
+        return target.process_id in self._ended_processes
+
     def is_leaving(self, target: fleet.Target) -> bool:
         """Returns whether a registered target drains or is about to."""
         registered = self.by_name.get(target.name)
@@ -304,6 +322,14 @@
         self._update_failure_ratio(target.name, 1.0)
         self.probe_suspect(target, reason)
 
+    def record_connection_lost(self, target: fleet.Target) -> None:
+        """Records that a target has closed a connection with a request.
+
+        One that is no longer registered serves until it ends.
+        """
+        if target.name not in self.by_name and not self.has_ended(target):
+            self._record_ended(target)
+
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
         """Probes a target, unless a probe is already in progress."""
         name = target.name
@@ -312,14 +338,31 @@
         events.emit("target_suspected", target=name, reason=reason)
         self._probe(target)
 
-    def mark_down(self, target: fleet.Target, reason: str) -> None:
-        """Marks a target as down until it answers a probe."""
+    def mark_down(
+        self, target: fleet.Target, reason: str, has_ended: bool = False
+    ) -> None:
+        """Marks a target as down until it answers a probe.
+
+        Args:
+            target: The target.
+            reason: Why, for logs.
+            has_ended: Whether its process has ended, instead of being silent.
+        """
         name = target.name
-        if name in self._down_by_name or name not in self.by_name:
+        if name not in self.by_name:
+            return
+        if has_ended and not self.has_ended(target):
+            self._record_ended(target)
+            if name in self._down_by_name:
+                events.emit("target_ended", target=name, reason=reason)
+                self._notify_down(target, reason)
+        if name in self._down_by_name:
             return
         self._down_by_name[name] = target
         TARGETS_DOWN.set(len(self._down_by_name))
-        events.emit("target_down", target=name, reason=reason)
+        events.emit(
+            "target_down", target=name, reason=reason, has_ended=has_ended
+        )
         self.on_health(target, True, reason)
         self._notify_down(target, reason)
         self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
@@ -347,14 +390,14 @@
         self,
         target: fleet.Target,
         on_report: Callable[[model.TargetReport], None],
-        on_failed: Callable[[str], None],
+        on_failed: Callable[[http_exchange.ExchangeFailure], None],
     ) -> None:
         """Requests the status report of a model target.
 
         Args:
             target: The target.
             on_report: Called with the decoded report.
-            on_failed: Called with the reason if there is no valid report.
+            on_failed: Called with the failure if there is no valid report.
         """
 
         def on_done(status, body):
@@ -363,7 +406,11 @@
                     raise ValueError(f"status {status}")
                 report = self._adapter.decode_report(body)
             except ValueError as error:
-                on_failed(f"bad report: {error}")
+                on_failed(
+                    http_exchange.ExchangeFailure(
+                        f"bad report: {error}", was_sent=True
+                    )
+                )
                 return
             self._record_reported_pace(target, report.pace)
             on_report(report)
@@ -374,7 +421,7 @@
             ("GET", self._adapter.report_path, b""),
             PROBE_TIMEOUT_S,
             on_done,
-            lambda failure: on_failed(failure.reason),
+            on_failed,
             functools.partial(self.record_response_head, target),
         )
 
@@ -442,8 +489,8 @@
                 self.request_report(
                     target,
                     lambda report: None,
-                    lambda reason, target=target: self.probe_suspect(
-                        target, f"no report: {reason}"
+                    lambda failure, target=target: self.probe_suspect(
+                        target, f"no report: {failure.reason}"
                     ),
                 )
 
@@ -506,7 +553,10 @@
             is_same_address = other.address == target.address
             if is_same_address and other.name != target.name:
                 is_other_older = other.born_ms <= target.born_ms
-                self._remove(other.name if is_other_older else target.name)
+                self._remove(
+                    other.name if is_other_older else target.name,
+                    is_replaced=True,
+                )
 
     def _remove_after_grace(self, name):
         """Removes a target, with a delay after an outage of the store.
@@ -533,12 +583,22 @@
         self._remove(name)
         self._notify_changed()
 
-    def _remove(self, name):
+    def _remove(self, name, is_replaced=False):
         target = self.by_name.pop(name, None)
         if target is None:
             return
+        is_down = name in self._down_by_name
         events.emit("target_gone", target=name, service=target.service)
         self._reset_health(name)
+        if (is_down or is_replaced) and not self.has_ended(target):
+            self._record_ended(target)
+            self._notify_down(target, "no longer registered")
+
+    def _record_ended(self, target):
+        """Records that the process of a target has ended."""
+        self._ended_processes[target.process_id] = None
+        if len(self._ended_processes) > MAX_ENDED_PROCESSES:
+            del self._ended_processes[next(iter(self._ended_processes))]
 
     def _reset_health(self, name):
         """Drops what is known about the health of an earlier process."""
@@ -583,7 +643,7 @@
             self.request_report(
                 target,
                 lambda report: self._on_report_probe_answered(target, report),
-                lambda reason: self._on_probe_failed(target, reason),
+                lambda failure: self._on_probe_failed(target, failure),
             )
             return
         upstream.request_once(
@@ -591,17 +651,22 @@
             target,
             ("GET", self._health_path(target.service), b""),
             PROBE_TIMEOUT_S,
-            lambda status, body: self._on_probe_answered(target),
-            lambda failure: self._on_probe_failed(target, failure.reason),
+            lambda status, body: self._on_health_probe_answered(target),
+            lambda failure: self._on_probe_failed(target, failure),
             functools.partial(self.record_response_head, target),
         )
 
     def _on_report_probe_answered(self, target, report):
         if report.born_ms == target.born_ms:
+            self._ended_processes.pop(target.process_id, None)
             for callback in list(self.on_survival):
                 callback(target)
         self._on_probe_answered(target)
 
+    def _on_health_probe_answered(self, target):
+        self._ended_processes.pop(target.process_id, None)
+        self._on_probe_answered(target)
+
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
         self._probing.discard(target.name)
@@ -611,13 +676,12 @@
             self.on_health(target, False, "answers")
         self._notify_changed()
 
-    def _on_probe_failed(self, target, reason):
+    def _on_probe_failed(self, target, failure):
         PROBES.labels("dead").inc()
         self._probing.discard(target.name)
         if target.name in self._down_by_name:
             self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
-            return
-        self.mark_down(target, reason)
+        self.mark_down(target, failure.reason, has_ended=failure.was_refused)
 
     def _notify_changed(self):
         for callback in list(self.on_change):
--- a/src/hemlocktiller/_internal/policy/attempts.py
+++ b/src/hemlocktiller/_internal/policy/attempts.py
@@ -36,20 +36,23 @@
 def required_first_targets(
     allowance: Allowance,
     started_on: Iterable[fleet.Target],
-    is_down: Callable[[fleet.Target], bool],
+    has_ended: Callable[[fleet.Target], bool],
 ) -> frozenset[str] | None:
     """Returns the names of the targets that a run must start at.
 
     Returns None if a run may start at any target. A target that already
-    started the request counts against the allowance while it is up. Once
-    the allowance is used up, only these targets may run the request again.
+    started the request counts against the allowance unless its process has
+    ended; one that is silent may still run it. Once the allowance is used up,
+    only these targets may run the request again.
 
     Args:
         allowance: Retries that the request's route allows.
         started_on: Targets that started to run the request.
-        is_down: Returns whether a target is down or removed.
+        has_ended: Returns whether the process of a target has ended.
     """
-    alive_names = {target.name for target in started_on if not is_down(target)}
+    alive_names = {
+        target.name for target in started_on if not has_ended(target)
+    }
     return (
         frozenset(alive_names)
         if len(alive_names) >= allowance.max_targets
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -229,3 +229,34 @@
     make_silent(harness, {4001: "a", 4002: "b"}[second.port])
     harness.reactor.advance(0.6)
     assert harness.context.crash_evidence.state(call.digest) == "clear"
+
+
+def test_a_removed_registration_does_not_show_that_a_target_has_ended(
+    harness,
+):
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.apply_registrations([], ["a"], False, 2)
+    assert not harness.targets.has_ended(target)
+
+
+def test_a_target_removed_while_it_is_silent_has_ended(harness):
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    make_silent(harness, "a")
+    assert not harness.targets.has_ended(target)
+    harness.targets.apply_registrations([], ["a"], False, 2)
+    assert harness.targets.has_ended(target)
+
+
+def test_a_target_that_answers_after_a_refusal_has_not_ended(harness):
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.probe_suspect(target, "test")
+    harness.refuse_connection()
+    assert harness.targets.has_ended(target)
+    harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    harness.accept_connection().respond(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    assert not harness.targets.has_ended(target)
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -438,7 +438,13 @@
     connection = harness.accept_connection()
     first_name = path_target_names(connection)[0]
     connection.respond(RESPONSE_HEAD + chunk(event(1)))
-    harness.targets.mark_down(harness.targets.by_name[first_name], "refused")
+    connection.reset()
+    first_port = harness.targets.by_name[first_name].port
+    for _ in range(harness.pending_connection_count()):
+        if harness.next_port() == first_port:
+            harness.refuse_connection()
+        else:
+            harness.accept_connection().respond(REPORT_RESPONSE)
     assert path_target_names(accept_attempt(harness))[0] != first_name
 
 
