Keep a run at a silent target until another can replace it

Callers lost requests that had been accepted (LOST): a stream whose target was silent for a second was cut, although the target went on. As soon as a probe was not answered, each stream at the target was cancelled and only then another path was searched for. Without a path, without retries, or where the request must not be repeated, the caller's connection was closed.

A silent attempt now goes on while another path is searched for. It is cancelled when the path is found and the retry is spent, and it ends the search if it goes on itself. Without a path it runs until its deadline, or until its target is known to have ended. The run in progress counts against the attempts of the route in that search. Streams at a target that has ended are resumed at once, as before.

Ruled out: resets by the target, which was silent with open connections.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -68,6 +68,8 @@
         self.digest = request_context.request_digest(admitted)
         self.request_id = admitted.parsed_headers.request_id
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
+        # Key of the path that is searched for to replace a silent attempt.
+        self._replacement_key = ""
         self._exchange: http_exchange.Exchange | None = None
         self._splitter = sse.EventSplitter()
         # What delimits the current response; see `http_exchange.Exchange`.
@@ -111,7 +113,12 @@
         if self._stopped_by_crash_evidence(self.start):
             return
         self._dispatcher.submit(
-            self._build_path_request(MAX_QUEUE_WAIT_S, self._reject)
+            self._build_path_request(
+                self._dispatch_key,
+                MAX_QUEUE_WAIT_S,
+                self._start_attempt,
+                self._reject,
+            )
         )
 
     def check_progress(self, now_s: float) -> None:
@@ -140,12 +147,21 @@
                     stage.target, "silent stream"
                 )
         if silence_s > REROUTE_AFTER_SILENCE_S and self._may_reroute(now_s):
-            self._reroute("silence")
+            self._seek_replacement("silence")
 
     def on_target_down(self, target: Any, reason: str) -> None:
-        """Resumes on another path if the target is part of the current one."""
-        if self._is_running_at(target):
-            self._reroute(f"{target.name} is down: {reason}")
+        """Resumes on another path if the target is part of the current one.
+
+        A target that has not ended may go on with its run, which is kept
+        until another path is found.
+        """
+        if not self._is_running_at(target):
+            return
+        reason = f"{target.name} is down: {reason}"
+        if self._context.targets.has_ended(target):
+            self._reroute(reason)
+        else:
+            self._seek_replacement(reason)
 
     def awaits_output_from(self, target: fleet.Target) -> bool:
         """Returns whether a target runs the request without output so far."""
@@ -181,11 +197,15 @@
 
     # Attempts
 
-    def _build_path_request(self, max_wait_s, on_rejected):
+    def _build_path_request(
+        self, dispatch_key, max_wait_s, on_path_found, on_rejected
+    ):
         """Builds the request for a path that is submitted to the dispatcher.
 
         Args:
+            dispatch_key: Identifies the request for a path.
             max_wait_s: Maximum wait for a path.
+            on_path_found: See `PathRequest`.
             on_rejected: See `PathRequest`.
         """
         admitted = self._admitted
@@ -200,7 +220,7 @@
             request_context.request_deadline_s(admitted), now_s + max_wait_s
         )
         queue_item = fair_queue.QueuedRequest(
-            self._dispatch_key,
+            dispatch_key,
             f"priority {admitted.priority}",
             admitted.workspace,
             parsed_headers.prompt_tokens + expected_tokens,
@@ -215,7 +235,7 @@
             queue_item,
             admitted.service,
             token_demand,
-            self._start_attempt,
+            on_path_found,
             on_rejected,
             self._allowed_first_targets,
             admitted.route.target_latency_s,
@@ -225,11 +245,12 @@
         """Returns the targets that an attempt may begin at; None for any.
 
         Once the route's targets are used up, an attempt may begin only at one
-        that started the request before.
+        that started the request before, or that has it now.
         """
+        current_targets = [stage.target for stage in self.path[:1]]
         return attempts.required_first_targets(
             self._admitted.route.allowance,
-            self._started_at_targets,
+            self._started_at_targets + current_targets,
             self._context.targets.has_ended,
         )
 
@@ -313,17 +334,25 @@
         admitted = self._admitted
         now_s = self._context.reactor.seconds()
         may_reroute = admitted.route.may_repeat or not may_have_run
-        if (
-            self._dispatch_count
-            >= MAX_EXTRA_DISPATCHES + admitted.route.max_targets
-        ):
-            may_reroute = False
-        if not may_reroute:
+        if not may_reroute or not self._may_dispatch_again():
             self._fail(reason, may_have_run)
             return
         if not self._spend_retry(now_s):
             self._wait_for_budget(reason, may_have_run, now_s)
             return
+        self._log_resumption(reason, now_s)
+        self._dispatcher.submit_resumed(
+            self._build_path_request(
+                self._dispatch_key,
+                RESUME_WINDOW_S,
+                self._start_attempt,
+                lambda retry_after_s, rejection_reason: self._fail(
+                    rejection_reason, self._started_attempts > 0, retry_after_s
+                ),
+            )
+        )
+
+    def _log_resumption(self, reason, now_s):
         events.emit(
             "resume",
             request=self.request_id,
@@ -333,15 +362,60 @@
             framing=self._framing,
             unfinished_bytes=len(self._splitter.buffer),
         )
+
+    def _seek_replacement(self, reason):
+        """Looks for another path for a silent attempt, kept until then.
+
+        Args:
+            reason: Why, for logs.
+        """
+        now_s = self._context.reactor.seconds()
+        crash_state = self._context.crash_evidence.state(self.digest)
+        if (
+            self._replacement_key
+            or not self._admitted.route.may_repeat
+            or not self._may_dispatch_again()
+            or not self._may_spend_retry(now_s)
+            or crash_state in ("condemned", "undecided")
+        ):
+            return
+        self._replacement_key = f"{self._dispatch_key}/{self._attempt_number}"
         self._dispatcher.submit_resumed(
             self._build_path_request(
+                self._replacement_key,
                 RESUME_WINDOW_S,
-                lambda retry_after_s, rejection_reason: self._fail(
-                    rejection_reason, self._started_attempts > 0, retry_after_s
+                lambda choice: self._replace_attempt(reason, choice),
+                lambda retry_after_s, rejection_reason: (
+                    self._cancel_replacement()
                 ),
             )
         )
 
+    def _replace_attempt(self, reason, choice):
+        """Abandons a silent attempt for one on the path that was found."""
+        now_s = self._context.reactor.seconds()
+        if not self._spend_retry(now_s):
+            self._cancel_replacement()
+            return
+        self._log_resumption(reason, now_s)
+        dispatch_key = self._replacement_key
+        self._replacement_key = ""
+        self._abandon_attempt(attempt_may_have_started=True)
+        self._dispatch_key = dispatch_key
+        self._start_attempt(choice)
+
+    def _cancel_replacement(self):
+        """Ends the search for a path that replaces the current attempt."""
+        if self._replacement_key:
+            self._dispatcher.discard(self._replacement_key)
+            self._replacement_key = ""
+
+    def _may_dispatch_again(self):
+        max_dispatches = (
+            MAX_EXTRA_DISPATCHES + self._admitted.route.max_targets
+        )
+        return self._dispatch_count < max_dispatches
+
     def _may_reroute(self, now_s):
         """Returns whether a silent attempt may be replaced by another."""
         reserved_retries = (
@@ -353,15 +427,16 @@
         has_dispatches = self._dispatch_count < MAX_EXTRA_DISPATCHES
         return has_retries and has_dispatches and self._may_run_again()
 
+    def _may_spend_retry(self, now_s):
+        """Returns whether a retry is left; the last are for begun streams."""
+        min_retries = 1 if self._event_count else RETRIES_RESERVED_FOR_RESUMING
+        return self._retry_budget().remaining(now_s) >= min_retries
+
     def _spend_retry(self, now_s):
         """Spends a retry; the last are reserved for streams with events."""
-        retry_budget = self._retry_budget()
-        if (
-            not self._event_count
-            and retry_budget.remaining(now_s) < RETRIES_RESERVED_FOR_RESUMING
-        ):
-            return False
-        return retry_budget.try_retry(now_s)
+        return self._may_spend_retry(now_s) and self._retry_budget().try_retry(
+            now_s
+        )
 
     def _wait_for_budget(self, reason, may_have_run, now_s):
         """Tries to reroute a stream with events again after a short delay.
@@ -386,6 +461,7 @@
     def _cancel_attempt(self):
         """Cancels the current attempt, or the wait for its path or delay."""
         self._attempt_number += 1
+        self._cancel_replacement()
         self.path = ()
         if self._exchange is not None:
             self._exchange.cancel()
@@ -472,6 +548,7 @@
 
     def _record_activity(self, now_s):
         """Restarts the measurement of silence."""
+        self._cancel_replacement()
         self._last_activity_s = now_s
         self._silent_checks = 0
 
