Keep a call at a silent target while a second one is asked

A lookup at a target that was silent for a second was cancelled as soon as a probe went unanswered, and answered 502 if no other target could take it, although its target went on (LOST). It is kept now and sent to a second target beside it where the route and the budget allow that. A target that has ended is left at once, as before. Calls that must not be repeated were kept already.

Evidence: the two tests on idempotent calls in test_silent_targets.py failed before (answered 502; the first run cancelled) and pass now.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -126,12 +126,20 @@
         """Does nothing; a call has timers of its own."""
 
     def on_target_down(self, target: fleet.Target, reason: str) -> None:
-        """Abandons the attempt at a target if the call may be repeated."""
+        """Sends a call that may be repeated to another target as well.
+
+        The attempt at the target is abandoned only if the target has ended;
+        one that is silent may still respond.
+        """
         attempt = self._active_attempts.get(target.name)
-        if attempt is not None and self._admitted.route.may_repeat:
-            self._on_upstream_failure(
-                attempt, http_exchange.ExchangeFailure(reason, was_sent=True)
-            )
+        if attempt is None or not self._admitted.route.may_repeat:
+            return
+        if not self._context.targets.has_ended(target):
+            self._send_hedge()
+            return
+        self._on_upstream_failure(
+            attempt, http_exchange.ExchangeFailure(reason, was_sent=True)
+        )
 
     def awaits_output_from(self, target: fleet.Target) -> bool:
         """Returns whether a target runs the call and has not responded."""
