Take a silent target for no evidence of a crash

A lookup that many callers make alike was rejected with 422 for ten minutes once two targets of a plain service had been silent while they had it: each probe without an answer counted as a crash. For model targets the evidence was withdrawn when they answered again; a plain one's health page can't show that it is the same process. Only the end of a process counts now, and it counts once it is known: a refused connection, a restart, a registration that goes.

--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -109,8 +109,9 @@
 ) -> None:
     """Handles the loss of a target.
 
-    The crash is recorded first, as handlers look it up to decide whether to
-    send their request to another target.
+    A crash is recorded first, as handlers look it up to decide whether to
+    send their request to another target. A silent target has not crashed; it
+    is handled again once it is known to have ended.
 
     Args:
         context: Shared services.
@@ -119,12 +120,13 @@
         reason: Why it is considered down.
     """
     in_progress = list(in_progress)
-    silent_requests = {
-        handler.digest: handler.request_id
-        for handler in in_progress
-        if handler.awaits_output_from(target)
-    }
-    context.crash_evidence.record_target_down(target, silent_requests)
+    if context.targets.has_ended(target):
+        waiting_requests = {
+            handler.digest: handler.request_id
+            for handler in in_progress
+            if handler.awaits_output_from(target)
+        }
+        context.crash_evidence.record_target_down(target, waiting_requests)
     for handler in in_progress:
         handler.on_target_down(target, reason)
 
