Ask a silent target again whether it outlived a stream that has ended

A stream without framing is complete once all targets of its path answer after its end. One that did not answer within 0.3 s counted as lost; where no other path was left, the caller's connection was closed, although every event had been passed on and the target answered a second later. It is asked again now while another path is searched for. A target that is no longer registered is asked, too, as it may serve on; before, it counted as lost.

Evidence: test_an_ended_stream_is_not_cut_while_a_silent_target_may_confirm_it failed before ("cut") and passes now.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable
+import functools
 
+from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import fleet
 
@@ -15,14 +17,19 @@
     targets: targets_module.Targets,
     path: fleet.Path,
     on_result: Callable[[fleet.Target | None, str], None],
+    on_silent: Callable[[fleet.Target, str], None],
 ) -> None:
     """Asks the targets of a path whether they outlived a stream.
 
+    One of the two callbacks is called, once.
+
     Args:
         targets: Registry of the targets.
         path: Path of the stream.
-        on_result: Called once: with None after all targets have answered,
-            else with the first one that was lost, and the reason.
+        on_result: Called with None after all targets have answered, else
+            with the first one that was lost, and the reason.
+        on_silent: Called with a target that did not answer in time, and the
+            reason; it may answer later.
     """
     unconfirmed = {stage.target.name for stage in path}
     is_decided = False
@@ -45,9 +52,19 @@
         if not unconfirmed:
             decide(None)
 
+    def on_failed(
+        target: fleet.Target, failure: http_exchange.ExchangeFailure
+    ) -> None:
+        nonlocal is_decided
+        if not failure.has_timed_out or targets.has_ended(target):
+            decide(target, failure.reason)
+        elif not is_decided:
+            is_decided = True
+            on_silent(target, failure.reason)
+
     for target in [stage.target for stage in path]:
-        if targets.is_down(target):
-            decide(target, "is down")
+        if targets.has_ended(target):
+            decide(target, "has ended")
             return
         if targets.pause_left_s(target) > 0:
             # It has answered this process after the start of the stream.
@@ -56,5 +73,5 @@
         targets.request_report(
             target,
             lambda report, target=target: on_report(target, report.born_ms),
-            lambda failure, target=target: decide(target, failure.reason),
+            functools.partial(on_failed, target),
         )
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -24,6 +24,8 @@
 # Callers time out after two seconds of silence; a new attempt needs the time
 # that is left.
 REROUTE_AFTER_SILENCE_S = 1.1
+# Pause before a silent target is asked again whether it outlived a stream.
+CONFIRMATION_RETRY_DELAY_S = 0.2
 # A new path is searched for during this time; after it, the caller has
 # probably timed out.
 RESUME_WINDOW_S = 1.6
@@ -612,7 +614,21 @@
                 f"closed as {lost_target.name} was lost: {reason}"
             )
 
-        stream_end.confirm(self._context.targets, self.path, on_result)
+        def on_silent(silent_target, reason):
+            if attempt_number != self._attempt_number or self._is_finished:
+                return
+            self._context.targets.probe_suspect(silent_target, reason)
+            self._call_after(
+                CONFIRMATION_RETRY_DELAY_S,
+                self._confirm_end,
+                attempt_number,
+                first_target,
+            )
+            self._seek_replacement(f"{silent_target.name}: {reason}")
+
+        stream_end.confirm(
+            self._context.targets, self.path, on_result, on_silent
+        )
 
     def _complete(self, target):
         """Ends the response after a stream that the target has completed."""
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -65,7 +65,7 @@
         exchange.cancel()
         on_failed(
             http_exchange.ExchangeFailure(
-                "no answer in time", exchange.is_sent
+                "no answer in time", exchange.is_sent, has_timed_out=True
             )
         )
 
--- a/src/hemlocktiller/_internal/http_exchange.py
+++ b/src/hemlocktiller/_internal/http_exchange.py
@@ -58,11 +58,13 @@
         reason: Text for logs; also a metric label for layout orders.
         was_sent: Whether the target may have received part of the request.
         was_refused: Whether the connection was refused.
+        has_timed_out: Whether the target only did not answer in time.
     """
 
     reason: str
     was_sent: bool
     was_refused: bool = False
+    has_timed_out: bool = False
 
 
 class _Connection(protocol.Protocol):
@@ -248,8 +250,11 @@
             return
         self._is_cancelled = True
         was_refused = reason.check(error.ConnectionRefusedError) is not None
+        has_timed_out = reason.check(error.TimeoutError) is not None
         text = f"no connection: {reason.type.__name__}"
-        self._callbacks.on_end(ExchangeFailure(text, False, was_refused))
+        self._callbacks.on_end(
+            ExchangeFailure(text, False, was_refused, has_timed_out)
+        )
 
 
 class _ConnectionFactory(protocol.ClientFactory):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -8,9 +8,11 @@
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import is_probe
 from tests.unit.gateway.test_streams import path_target_names
+from tests.unit.gateway.test_streams import REPORT_RESPONSE
 from tests.unit.gateway.test_streams import RESPONSE_END
 from tests.unit.gateway.test_streams import RESPONSE_HEAD
 from tests.unit.gateway.test_streams import spend_retries
+from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 
 SILENCE_S = 1.2
 OK_RESPONSE = (
@@ -173,6 +175,25 @@
     pytest.fail("the stream was not resumed")
 
 
+def test_an_ended_stream_is_not_cut_while_a_silent_target_may_confirm_it(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    assert stay_silent(harness) == []
+    assert admitted.caller_request.ending == ""
+    for _ in range(10):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "whole"
+    assert admitted.caller_request.body == event(1)
+
+
 def make_silent(harness, name):
     """Lets a probe of a target go without an answer."""
     harness.targets.probe_suspect(harness.targets.by_name[name], "test")
