Let a target without registration show whether it has ended

A run was still cut at a target that had gone on: one that was down when its registration was removed counted as ended, though targets may serve on without a registration and one that was silent stays down until its next probe. A process that registered again under the same start went on counting as ended, so that its next silence was taken for death (found in the review of the fix).

Such a target is probed once now, and has ended only if it doesn't answer. A newer registration or any report of the same process withdraws it.

Evidence: test_a_run_at_a_target_that_serves_on_without_registration_is_kept and test_a_target_that_registers_again_has_not_ended failed before (no probe was sent; "assert not True").

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -2,7 +2,7 @@
 
 A target is down from a failed probe until a later probe is answered. Its
 process may only be silent meanwhile; it has ended if it refuses connections,
-has been replaced, or loses its registration while it is down.
+has been replaced, or has lost its registration and doesn't answer.
 """
 
 from collections.abc import Callable
@@ -327,8 +327,8 @@
 
         One that is no longer registered serves until it ends.
         """
-        if target.name not in self.by_name and not self.has_ended(target):
-            self._record_ended(target)
+        if target.name not in self.by_name:
+            self._record_ended(target, "not registered, connection closed")
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
         """Probes a target, unless a probe is already in progress."""
@@ -351,13 +351,12 @@
         name = target.name
         if name not in self.by_name:
             return
-        if has_ended and not self.has_ended(target):
-            self._record_ended(target)
-            if name in self._down_by_name:
-                events.emit("target_ended", target=name, reason=reason)
-                self._notify_down(target, reason)
         if name in self._down_by_name:
+            if has_ended:
+                self._record_ended(target, reason)
             return
+        if has_ended:
+            self._add_ended_process(target)
         self._down_by_name[name] = target
         TARGETS_DOWN.set(len(self._down_by_name))
         events.emit(
@@ -412,6 +411,8 @@
                     )
                 )
                 return
+            if report.born_ms == target.born_ms:
+                self._ended_processes.pop(target.process_id, None)
             self._record_reported_pace(target, report.pace)
             on_report(report)
 
@@ -533,6 +534,7 @@
         if removal is not None:
             removal.cancel()
         self.by_name[name] = target
+        self._ended_processes.pop(target.process_id, None)
         if previous is None or previous.born_ms != target.born_ms:
             self._reset_health(name)
             if previous is not None:
@@ -590,12 +592,46 @@
         is_down = name in self._down_by_name
         events.emit("target_gone", target=name, service=target.service)
         self._reset_health(name)
-        if (is_down or is_replaced) and not self.has_ended(target):
-            self._record_ended(target)
-            self._notify_down(target, "no longer registered")
+        if self.has_ended(target):
+            return
+        if is_replaced:
+            self._record_ended(target, "another process has its address")
+        elif is_down:
+            self._probe_removed(target)
+
+    def _probe_removed(self, target):
+        """Probes a target that was down as its registration was removed.
+
+        It has ended if it doesn't answer; otherwise it only went silent for a
+        time, and serves on without a registration.
+        """
+        if not self._pauses.try_probe(
+            target.process_id, self._reactor.seconds()
+        ):
+            return
+
+        def on_report(report):
+            if report.born_ms != target.born_ms:
+                self._record_ended(target, "another process answers")
+
+        self._send_probe(
+            target,
+            on_report,
+            lambda: None,
+            lambda failure: self._record_ended(
+                target, f"no longer registered: {failure.reason}"
+            ),
+        )
 
-    def _record_ended(self, target):
+    def _record_ended(self, target, reason):
         """Records that the process of a target has ended."""
+        if target.process_id in self._ended_processes:
+            return
+        self._add_ended_process(target)
+        events.emit("target_ended", target=target.name, reason=reason)
+        self._notify_down(target, reason)
+
+    def _add_ended_process(self, target):
         self._ended_processes[target.process_id] = None
         if len(self._ended_processes) > MAX_ENDED_PROCESSES:
             del self._ended_processes[next(iter(self._ended_processes))]
@@ -639,26 +675,30 @@
                 )
             return
         self._probing.add(name)
+        self._send_probe(
+            target,
+            lambda report: self._on_report_probe_answered(target, report),
+            lambda: self._on_health_probe_answered(target),
+            lambda failure: self._on_probe_failed(target, failure),
+        )
+
+    def _send_probe(self, target, on_report, on_health, on_failed):
+        """Requests the report of a model target, or a plain one's health."""
         if target.accelerator:
-            self.request_report(
-                target,
-                lambda report: self._on_report_probe_answered(target, report),
-                lambda failure: self._on_probe_failed(target, failure),
-            )
+            self.request_report(target, on_report, on_failed)
             return
         upstream.request_once(
             self._reactor,
             target,
             ("GET", self._health_path(target.service), b""),
             PROBE_TIMEOUT_S,
-            lambda status, body: self._on_health_probe_answered(target),
-            lambda failure: self._on_probe_failed(target, failure),
+            lambda status, body: on_health(),
+            on_failed,
             functools.partial(self.record_response_head, target),
         )
 
     def _on_report_probe_answered(self, target, report):
         if report.born_ms == target.born_ms:
-            self._ended_processes.pop(target.process_id, None)
             for callback in list(self.on_survival):
                 callback(target)
         self._on_probe_answered(target)
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
@@ -267,9 +268,42 @@
     make_silent(harness, "a")
     assert not harness.targets.has_ended(target)
     harness.targets.apply_registrations([], ["a"], False, 2)
+    assert not harness.targets.has_ended(target)
+    harness.accept_connection()
+    harness.reactor.pump([targets_module.PROBE_TIMEOUT_S / 3] * 3)
     assert harness.targets.has_ended(target)
 
 
+def test_a_target_that_registers_again_has_not_ended(harness):
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    make_silent(harness, "a")
+    harness.targets.apply_registrations([], ["a"], False, 2)
+    harness.accept_connection()
+    harness.reactor.pump([targets_module.PROBE_TIMEOUT_S / 3] * 3)
+    harness.targets.apply_registrations(
+        [client.StoredObject("a", "a", 3, target)], [], False, 3
+    )
+    assert not harness.targets.has_ended(target)
+
+
+def test_a_run_at_a_target_that_serves_on_without_registration_is_kept(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    name = path_target_names(connection)[0]
+    stay_silent(harness, 0.9)
+    connection.respond(chunk(event(2)))
+    harness.targets.apply_registrations([], [name], False, 2)
+    harness.accept_connection().respond(REPORT_RESPONSE)
+    go_on(harness, admitted, connection, 2)
+
+
 def test_a_target_that_answers_after_a_refusal_has_not_ended(harness):
     harness.register(make_target("a"))
     target = harness.targets.by_name["a"]
