Seek a replacement for a silent run again while its target is down

A stream whose second run was at a dark target was never resumed if no retry was left when the target went down, although its first run's target had ended and retries returned a second later: the search was repeated only where the count of all runs allowed another one (found in the review). The search itself knows which first targets are allowed, so it is repeated while a target of the path is down.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -148,7 +148,9 @@
                 self._context.targets.probe_suspect(
                     stage.target, "silent stream"
                 )
-        if silence_s > REROUTE_AFTER_SILENCE_S and self._may_reroute(now_s):
+        if silence_s > REROUTE_AFTER_SILENCE_S and (
+            self._may_reroute(now_s) or self._has_target_down()
+        ):
             self._seek_replacement("silence")
 
     def on_target_down(self, target: Any, reason: str) -> None:
@@ -172,6 +174,10 @@
     def _is_running_at(self, target):
         return any(stage.target.name == target.name for stage in self.path)
 
+    def _has_target_down(self):
+        is_down = self._context.targets.is_down
+        return any(is_down(stage.target) for stage in self.path)
+
     def _has_produced_output(self):
         """Returns whether a target survived running part of the request."""
         return self._event_count > 0 or self._last_event_id != ""
