Keep what the targets of an ended stream have confirmed

Only the targets that have not answered yet are asked again.

Evidence: test_an_ended_stream_is_confirmed_by_targets_that_answer_in_turn failed before (no end after 2 s).

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -15,7 +15,7 @@
 
 def confirm(
     targets: targets_module.Targets,
-    path: fleet.Path,
+    unconfirmed: dict[str, fleet.Target],
     on_result: Callable[[fleet.Target | None, str], None],
     on_silent: Callable[[fleet.Target, str], None],
 ) -> None:
@@ -25,13 +25,13 @@
 
     Args:
         targets: Registry of the targets.
-        path: Path of the stream.
+        unconfirmed: Targets of the path by name; those that have answered
+            are removed, so that a later call asks only the others.
         on_result: Called with None after all targets have answered, else
             with the first one that was lost, and the reason.
         on_silent: Called with a target that did not answer in time, and the
             reason; it may answer later.
     """
-    unconfirmed = {stage.target.name for stage in path}
     is_decided = False
 
     def decide(lost_target: fleet.Target | None, reason: str = "") -> None:
@@ -48,7 +48,7 @@
             # It may have stopped at the end of its drain, in mid-stream.
             decide(target, "is leaving")
             return
-        unconfirmed.discard(target.name)
+        unconfirmed.pop(target.name, None)
         if not unconfirmed:
             decide(None)
 
@@ -62,7 +62,7 @@
             is_decided = True
             on_silent(target, failure.reason)
 
-    for target in [stage.target for stage in path]:
+    for target in list(unconfirmed.values()):
         if targets.has_ended(target):
             decide(target, "has ended")
             return
@@ -75,3 +75,5 @@
             lambda report, target=target: on_report(target, report.born_ms),
             functools.partial(on_failed, target),
         )
+    if not unconfirmed:
+        decide(None)
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -575,7 +575,10 @@
         if failure is None and self._error_head is None:
             failure = self._find_truncation()
             if failure is None and self._framing == "close":
-                self._confirm_end(attempt_number, target)
+                path_targets = {
+                    stage.target.name: stage.target for stage in self.path
+                }
+                self._confirm_end(attempt_number, target, path_targets)
                 return
             if failure is None:
                 self._complete(target)
@@ -607,8 +610,14 @@
             return None
         return http_exchange.ExchangeFailure(reason, was_sent=True)
 
-    def _confirm_end(self, attempt_number, first_target):
-        """Completes a stream that no framing delimits, or resumes it."""
+    def _confirm_end(self, attempt_number, first_target, unconfirmed):
+        """Completes a stream that no framing delimits, or resumes it.
+
+        Args:
+            attempt_number: Number of the attempt that has ended.
+            first_target: Target that the attempt began at.
+            unconfirmed: See `stream_end.confirm`.
+        """
 
         def on_result(lost_target, reason):
             if attempt_number != self._attempt_number or self._is_finished:
@@ -629,11 +638,12 @@
                 self._confirm_end,
                 attempt_number,
                 first_target,
+                unconfirmed,
             )
             self._seek_replacement(f"{silent_target.name}: {reason}")
 
         stream_end.confirm(
-            self._context.targets, self.path, on_result, on_silent
+            self._context.targets, unconfirmed, on_result, on_silent
         )
 
     def _complete(self, target):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -253,6 +253,57 @@
     assert harness.context.crash_evidence.state(call.digest) == "clear"
 
 
+def test_a_replacement_is_sought_again_once_retries_are_left(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "abc")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    first = harness.accept_connection()
+    first.respond(RESPONSE_HEAD + chunk(event(1)))
+    first.reset()
+    ended_port = harness.targets.by_name[path_target_names(first)[0]].port
+    for _ in range(harness.pending_connection_count()):
+        if harness.next_port() == ended_port:
+            harness.refuse_connection()
+        else:
+            connection = harness.accept_connection()
+            if not is_probe(connection):
+                second = connection
+    second.respond(RESPONSE_HEAD + chunk(event(2)))
+    attempts = []
+    for _ in range(15):
+        spend_retries(harness, 0)
+        attempts += stay_silent(harness, 0.1)
+    assert attempts == []
+    for _ in range(20):
+        harness.budget.record_success(harness.reactor.seconds())
+    (third,) = stay_silent(harness, 0.3)
+    assert path_target_names(third)[0] not in (
+        path_target_names(first)[0],
+        path_target_names(second)[0],
+    )
+
+
+def test_an_ended_stream_is_confirmed_by_targets_that_answer_in_turn(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    for number in range(20):
+        harness.advance_clock(0.1)
+        answering_port = 4000 if number < 10 else 4040
+        while harness.pending_connection_count():
+            report = harness.accept_connection()
+            if report.port == answering_port:
+                report.respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "whole"
+
+
 def test_a_removed_registration_does_not_show_that_a_target_has_ended(
     harness,
 ):
