Send a call at a silent target elsewhere once another target is free

A hedge was tried once: if no second target was free at that moment, it spent a retry for nothing and the call waited for its silent target alone (found in the review). The retry is spent after a target was found now, and the search is repeated while the call is at a silent target.

Evidence: test_a_hedge_without_a_free_target_spends_no_retry failed before (48 of 50 retries left), and so did test_a_call_at_a_silent_target_is_hedged_once_another_is_free (no attempt).

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -91,6 +91,8 @@
         # Last response with a server error; forwarded if no retry follows.
         self._error_response: _Response | None = None
         self._is_finished = False
+        # Whether a silent attempt waits for a second target beside it.
+        self._seeks_hedge = False
         self._hedge_timer: Any = None
         admitted.caller_request.on_disconnect = self._on_disconnect
         remaining_s = (
@@ -123,7 +125,9 @@
             )
 
     def check_progress(self, now_s: float) -> None:
-        """Does nothing; a call has timers of its own."""
+        """Looks for a second target again if that of an attempt is silent."""
+        if self._seeks_hedge:
+            self._send_hedge()
 
     def on_target_down(self, target: fleet.Target, reason: str) -> None:
         """Sends a call that may be repeated to another target as well.
@@ -135,6 +139,7 @@
         if attempt is None or not self._admitted.route.may_repeat:
             return
         if not self._context.targets.has_ended(target):
+            self._seeks_hedge = True
             self._send_hedge()
             return
         self._on_upstream_failure(
@@ -194,8 +199,10 @@
         """Sends the call to a second target as well, if that is allowed."""
         if self._is_finished or not self._may_run_again():
             return
-        if self._retry_budget().try_retry(self._context.reactor.seconds()):
-            self._dispatch()
+        now_s = self._context.reactor.seconds()
+        if self._retry_budget().remaining(now_s) >= 1 and self._dispatch():
+            self._seeks_hedge = False
+            self._retry_budget().try_retry(now_s)
 
     def _may_run_again(self):
         """Returns whether the route allows another run of the call."""
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -45,7 +45,8 @@
         harness.advance_clock(0.1)
         while harness.pending_connection_count():
             connection = harness.accept_connection()
-            if not is_probe(connection):
+            request = connection.transport.value()
+            if not request.startswith((b"GET /report", b"GET /health")):
                 attempts.append(connection)
     return attempts
 
@@ -304,6 +305,35 @@
     assert admitted.caller_request.ending == "whole"
 
 
+def test_a_hedge_without_a_free_target_spends_no_retry(
+    harness, plain_service, lookup_route
+):
+    harness.register(make_target("a", service="plain", accelerator=""))
+    admitted = harness.admit(plain_service, lookup_route)
+    harness.start_call(admitted)
+    harness.accept_connection()
+    before = harness.budget.remaining(harness.reactor.seconds())
+    make_silent(harness, "a")
+    harness.reactor.advance(0.01)
+    assert harness.budget.remaining(harness.reactor.seconds()) >= before
+
+
+def test_a_call_at_a_silent_target_is_hedged_once_another_is_free(
+    harness, plain_service, lookup_route
+):
+    route = lookup_route._replace(target_latency_s=5.0, timeout_s=10.0)
+    harness.register(make_target("a", service="plain", accelerator=""))
+    admitted = harness.admit(plain_service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, "a")
+    other = make_target("b", service="plain", accelerator="", port=4002)
+    harness.register(other)
+    attempts = stay_silent(harness, 0.3)
+    assert [attempt.port for attempt in attempts] == [other.port]
+    assert not first.transport.disconnecting
+
+
 def test_a_removed_registration_does_not_show_that_a_target_has_ended(
     harness,
 ):
