Keep a silent run until the target of its replacement answers

A silent run was cancelled when a path for its replacement was found. If that target turned the request down, which is likely while load moves away from silent targets, the sound run was gone: the stream spent its retries on rejections and was cut (found in the review; with one retry, one rejection was enough).

The replacement is sent beside the silent run now and takes its place with its first response head. A rejection or a failure drops just the replacement; data of the silent run drops it, too. Both first targets count against the attempts, and a target that dies while it has the replacement makes the request a suspect. If the silent run fails meanwhile, its replacement becomes the current attempt. A request that is condemned while a path is searched for is not sent.

Evidence: test_a_silent_run_outlives_a_replacement_that_is_rejected failed before (no reservation left; cut), and so did test_a_run_that_goes_on_is_kept_instead_of_its_replacement. Two tests expected a stalled run to be cancelled before its replacement answers; they now let it answer first and check the cancellation then.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -46,6 +46,23 @@
 MAX_ERROR_BODY_BYTES = 65_536
 
 
+class _Replacement:
+    """An attempt that replaces a silent one as soon as its target answers.
+
+    Attributes:
+        dispatch_key: Identifies its request for a path.
+        path: Its stages; empty while the path is searched for.
+        exchange: Its exchange; None before it is sent.
+        attempt_number: Its number once it is the current attempt, else 0.
+    """
+
+    def __init__(self, dispatch_key: str) -> None:
+        self.dispatch_key = dispatch_key
+        self.path: fleet.Path = ()
+        self.exchange: http_exchange.Exchange | None = None
+        self.attempt_number = 0
+
+
 class Stream:
     """Handles one streaming request.
 
@@ -70,8 +87,7 @@
         self.digest = request_context.request_digest(admitted)
         self.request_id = admitted.parsed_headers.request_id
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
-        # Key of the path that is searched for to replace a silent attempt.
-        self._replacement_key = ""
+        self._replacement: _Replacement | None = None
         self._exchange: http_exchange.Exchange | None = None
         self._splitter = sse.EventSplitter()
         # What delimits the current response; see `http_exchange.Exchange`.
@@ -162,7 +178,11 @@
         if not self._is_running_at(target):
             return
         reason = f"{target.name} is down: {reason}"
-        if self._context.targets.has_ended(target):
+        replacement = self._replacement
+        if replacement is not None and _is_on_path(target, replacement.path):
+            self._cancel_replacement()
+        has_ended = self._context.targets.has_ended(target)
+        if has_ended and _is_on_path(target, self.path):
             self._reroute(reason)
         else:
             self._seek_replacement(reason)
@@ -172,7 +192,8 @@
         return self._is_running_at(target) and not self._has_produced_output()
 
     def _is_running_at(self, target):
-        return any(stage.target.name == target.name for stage in self.path)
+        replacement_path = self._replacement.path if self._replacement else ()
+        return _is_on_path(target, (*self.path, *replacement_path))
 
     def _has_target_down(self):
         is_down = self._context.targets.is_down
@@ -267,22 +288,40 @@
         if self._is_finished:
             self._dispatcher.discard(self._dispatch_key)
             return
-        context = self._context
-        now_s = context.reactor.seconds()
-        admitted = self._admitted
-        self.path = choice.path
+        self._begin_attempt(choice.path)
+        attempt_number = self._attempt_number
+        self._exchange = self._send(
+            choice,
+            http_exchange.ExchangeCallbacks(
+                lambda status, headers: self._on_head(
+                    attempt_number, status, headers
+                ),
+                lambda data: self._on_data(attempt_number, data),
+                lambda failure: self._on_end(attempt_number, failure),
+            ),
+        )
+
+    def _begin_attempt(self, path):
+        """Resets the state of the response for another attempt."""
+        self.path = path
         self._attempt_number += 1
-        self._dispatch_count += 1
-        self._record_activity(now_s)
+        self._record_activity(self._context.reactor.seconds())
         self._is_suspected = False
         self._splitter = sse.EventSplitter()
         self._framing = "none"
         self._error_head = None
         self._error_body = []
+
+    def _send(self, choice, callbacks):
+        """Sends the request along a path; returns the exchange."""
+        context = self._context
+        admitted = self._admitted
+        now_s = context.reactor.seconds()
+        self._dispatch_count += 1
         events.emit(
             "dispatch",
             request=self.request_id,
-            run=self._attempt_number,
+            run=self._dispatch_count,
             path=[
                 [stage.target.name, stage.first_layer, stage.end_layer]
                 for stage in choice.path
@@ -294,18 +333,11 @@
             after_event=self._last_event_id,
             config=admitted.config_version,
         )
-        attempt_number = self._attempt_number
-        self._exchange = request_context.send_to_target(
+        return request_context.send_to_target(
             context,
             admitted,
             choice.path[0].target,
-            http_exchange.ExchangeCallbacks(
-                lambda status, headers: self._on_head(
-                    attempt_number, status, headers
-                ),
-                lambda data: self._on_data(attempt_number, data),
-                lambda failure: self._on_end(attempt_number, failure),
-            ),
+            callbacks,
             choice.path,
             self._last_event_id,
         )
@@ -334,7 +366,12 @@
             attempt_may_have_started: Whether a target may have started the
                 current attempt, which it may do just as it is abandoned.
         """
-        self._abandon_attempt(may_have_run and attempt_may_have_started)
+        may_have_started = may_have_run and attempt_may_have_started
+        replacement = self._replacement
+        if replacement is not None and replacement.exchange is not None:
+            self._adopt_replacement(replacement, may_have_started)
+            return
+        self._abandon_attempt(may_have_started)
         if self._stopped_by_crash_evidence(
             self._reroute, reason, may_have_run
         ):
@@ -378,45 +415,128 @@
             reason: Why, for logs.
         """
         now_s = self._context.reactor.seconds()
-        crash_state = self._context.crash_evidence.state(self.digest)
         if (
-            self._replacement_key
+            self._replacement is not None
             or not self._admitted.route.may_repeat
             or not self._may_dispatch_again()
             or not self._may_spend_retry(now_s)
-            or crash_state in ("condemned", "undecided")
+            or self._crash_state() in ("condemned", "undecided")
         ):
             return
-        self._replacement_key = f"{self._dispatch_key}/{self._attempt_number}"
+        dispatch_key = f"{self._dispatch_key}/{self._dispatch_count}"
+        self._replacement = _Replacement(dispatch_key)
         self._dispatcher.submit_resumed(
             self._build_path_request(
-                self._replacement_key,
+                dispatch_key,
                 RESUME_WINDOW_S,
-                lambda choice: self._replace_attempt(reason, choice),
+                lambda choice: self._send_replacement(reason, choice),
                 lambda retry_after_s, rejection_reason: (
                     self._cancel_replacement()
                 ),
             )
         )
 
-    def _replace_attempt(self, reason, choice):
-        """Abandons a silent attempt for one on the path that was found."""
+    def _send_replacement(self, reason, choice):
+        """Sends the request along a path that was found for a replacement."""
+        replacement = self._replacement
         now_s = self._context.reactor.seconds()
-        if not self._spend_retry(now_s):
+        if self._crash_state() in (
+            "condemned",
+            "undecided",
+        ) or not self._spend_retry(now_s):
             self._cancel_replacement()
             return
         self._log_resumption(reason, now_s)
-        dispatch_key = self._replacement_key
-        self._replacement_key = ""
-        self._abandon_attempt(attempt_may_have_started=True)
-        self._dispatch_key = dispatch_key
-        self._start_attempt(choice)
+        replacement.path = choice.path
+
+        def on_head(status, headers):
+            if self._replacement is replacement:
+                self._on_replacement_head(replacement, status, headers)
+            if replacement.attempt_number:
+                self._on_head(replacement.attempt_number, status, headers)
+
+        def on_data(data):
+            if replacement.attempt_number:
+                self._on_data(replacement.attempt_number, data)
+
+        def on_end(failure):
+            if self._replacement is replacement:
+                self._on_replacement_failed(replacement, failure)
+            elif replacement.attempt_number:
+                self._on_end(replacement.attempt_number, failure)
+
+        replacement.exchange = self._send(
+            choice, http_exchange.ExchangeCallbacks(on_head, on_data, on_end)
+        )
+
+    def _on_replacement_head(self, replacement, status, headers):
+        """Replaces the silent attempt, unless the response is an error."""
+        response_head = self._context.adapter.decode_response_head(
+            status, headers
+        )
+        if (
+            status == 200
+            and response_head.is_signed
+            and response_head.is_unencoded
+            and response_head.request_id in ("", self.request_id)
+        ):
+            self._adopt_replacement(replacement, attempt_may_have_started=True)
+            return
+        if response_head.was_not_executed:
+            faulty_target = self._context.targets.find_by_address(
+                response_head.failed_stage_address
+            )
+            faulty_target = faulty_target or replacement.path[0].target
+            self._dispatcher.mark_full(faulty_target)
+            self._context.targets.probe_suspect(
+                faulty_target, f"turned down with {status}"
+            )
+            replacement.path = ()
+        self._cancel_replacement()
+
+    def _on_replacement_failed(self, replacement, failure):
+        """Drops a replacement whose exchange failed."""
+        targets = self._context.targets
+        path = replacement.path
+        first_target = path[0].target
+        if failure.was_refused:
+            targets.mark_down(first_target, failure.reason, has_ended=True)
+        targets.record_connection_lost(first_target)
+        if failure.was_sent and not self._has_produced_output():
+            self._record_early_failure(path)
+        if not failure.was_sent:
+            replacement.path = ()
+        self._cancel_replacement()
+        for stage in path:
+            targets.probe_suspect(stage.target, failure.reason)
+
+    def _adopt_replacement(self, replacement, attempt_may_have_started):
+        """Makes a replacement the current attempt, and abandons that one."""
+        self._replacement = None
+        self._abandon_attempt(attempt_may_have_started)
+        self._dispatch_key = replacement.dispatch_key
+        self._exchange = replacement.exchange
+        self._begin_attempt(replacement.path)
+        replacement.attempt_number = self._attempt_number
 
     def _cancel_replacement(self):
-        """Ends the search for a path that replaces the current attempt."""
-        if self._replacement_key:
-            self._dispatcher.discard(self._replacement_key)
-            self._replacement_key = ""
+        """Ends the search for a replacement, or the replacement itself.
+
+        Its first target counts against the attempts of the route if it may
+        have started the request.
+        """
+        replacement = self._replacement
+        if replacement is None:
+            return
+        self._replacement = None
+        if replacement.exchange is not None:
+            replacement.exchange.cancel()
+        if replacement.path:
+            self._started_at_targets.append(replacement.path[0].target)
+        self._dispatcher.discard(replacement.dispatch_key)
+
+    def _crash_state(self):
+        return self._context.crash_evidence.state(self.digest)
 
     def _may_dispatch_again(self):
         max_dispatches = (
@@ -676,11 +796,7 @@
             self._context.crash_evidence.state(self.digest) == "suspect"
         )
         if not self._has_produced_output():
-            self._context.crash_evidence.record_early_failure(
-                self.digest,
-                self.request_id,
-                [stage.target for stage in path],
-            )
+            self._record_early_failure(path)
         for stage in path:
             self._context.targets.probe_suspect(stage.target, failure.reason)
         if is_suspect and not self._has_produced_output():
@@ -694,6 +810,14 @@
             return
         self._reroute(failure.reason, may_have_run=failure.was_sent)
 
+    def _record_early_failure(self, path):
+        """Records that an attempt on a path failed without output."""
+        self._context.crash_evidence.record_early_failure(
+            self.digest,
+            self.request_id,
+            [stage.target for stage in path],
+        )
+
     def _on_target_rejected(self, response_head, status):
         """Resumes on another path: a target is at fault or has no room."""
         faulty_target = self._context.targets.find_by_address(
@@ -803,3 +927,7 @@
             self._deadline_timer.cancel()
         self._cancel_attempt()
         self._on_finished(self)
+
+
+def _is_on_path(target, path):
+    return any(stage.target.name == target.name for stage in path)
--- a/tests/unit/gateway/test_endless_answers.py
+++ b/tests/unit/gateway/test_endless_answers.py
@@ -10,6 +10,7 @@
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import make_two_chains
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
+from tests.unit.gateway.test_streams import RESPONSE_HEAD
 from tests.unit.gateway.test_streams import start_unresumable_stream
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 
@@ -150,11 +151,9 @@
     connection.respond(UNFRAMED_HEAD + event(1))
     for _ in range(20):
         harness.advance_clock(0.1)
-        if connection.transport.disconnecting:
-            break
         connection.respond(part)
+    accept_attempt(harness).respond(RESPONSE_HEAD)
     assert connection.transport.disconnecting
-    accept_attempt(harness)
 
 
 def answer_reports(harness):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -128,9 +128,10 @@
     assert not connection.transport.disconnecting
     register_chains(harness, "ab")
     (second,) = stay_silent(harness, 0.2)
-    assert connection.transport.disconnecting
+    assert not connection.transport.disconnecting
     assert path_target_names(second) == ["b0", "b40"]
     second.respond(RESPONSE_HEAD)
+    assert connection.transport.disconnecting
     go_on(harness, admitted, second, 1)
 
 
@@ -177,6 +178,64 @@
     pytest.fail("the stream was not resumed")
 
 
+REJECTION = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("retries", [1, 50])
+def test_a_silent_run_outlives_a_replacement_that_is_rejected(
+    harness, model_service, stream_route, retries
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    spend_retries(harness, retries)
+    rejected = 0
+    for _ in range(16):
+        for attempt in stay_silent(harness, 0.1):
+            attempt.respond(REJECTION)
+            rejected += 1
+    assert rejected
+    assert harness.dispatcher.occupancy.reservation_count() == 1
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_run_that_goes_on_is_kept_instead_of_its_replacement(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    (replacement,) = stay_silent(harness)
+    connection.respond(chunk(event(2)))
+    assert replacement.transport.disconnecting
+    go_on(harness, admitted, connection, 2)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_a_request_that_replacements_run_is_suspected_of_their_crash(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    stream = harness.start_stream(admitted)
+    harness.accept_connection()
+    (replacement,) = stay_silent(harness)
+    name = path_target_names(replacement)[0]
+    target = harness.targets.by_name[name]
+    replacement.reset()
+    for _ in range(harness.pending_connection_count()):
+        if harness.next_port() == target.port:
+            harness.refuse_connection()
+        else:
+            harness.accept_connection()
+    assert harness.targets.has_ended(target)
+    assert harness.context.crash_evidence.state(stream.digest) == "suspect"
+
+
 def test_an_ended_stream_is_not_cut_while_a_silent_target_may_confirm_it(
     harness, model_service, stream_route
 ):
