Probe an unregistered target whose connection was lost

A first stage that serves on without a registration closes a stream when a later stage is lost. It counted as ended for good then (found in the review). It is probed now, and a probe that was sent when a registration was removed is ignored if the process has registered again meanwhile.

Evidence: test_a_lost_connection_alone_does_not_show_that_a_target_has_ended failed before.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -323,12 +323,13 @@
         self.probe_suspect(target, reason)
 
     def record_connection_lost(self, target: fleet.Target) -> None:
-        """Records that a target has closed a connection with a request.
+        """Records that the connection of a request was lost.
 
-        One that is no longer registered serves until it ends.
+        A target that is no longer registered serves until it ends, so it is
+        probed.
         """
-        if target.name not in self.by_name:
-            self._record_ended(target, "not registered, connection closed")
+        if target.name not in self.by_name and not self.has_ended(target):
+            self._probe_removed(target)
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
         """Probes a target, unless a probe is already in progress."""
@@ -614,14 +615,13 @@
             if report.born_ms != target.born_ms:
                 self._record_ended(target, "another process answers")
 
-        self._send_probe(
-            target,
-            on_report,
-            lambda: None,
-            lambda failure: self._record_ended(
-                target, f"no longer registered: {failure.reason}"
-            ),
-        )
+        def on_failed(failure):
+            if target.name not in self.by_name:
+                self._record_ended(
+                    target, f"no longer registered: {failure.reason}"
+                )
+
+        self._send_probe(target, on_report, lambda: None, on_failed)
 
     def _record_ended(self, target, reason):
         """Records that the process of a target has ended."""
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -444,6 +444,26 @@
     go_on(harness, admitted, connection, 2)
 
 
+def test_a_lost_connection_alone_does_not_show_that_a_target_has_ended(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    name = path_target_names(connection)[0]
+    target = harness.targets.by_name[name]
+    harness.targets.apply_registrations([], [name], False, 2)
+    connection.reset()
+    for _ in range(harness.pending_connection_count()):
+        answering = harness.accept_connection()
+        if is_probe(answering):
+            answering.respond(REPORT_RESPONSE)
+    harness.advance_clock(0.5)
+    assert not harness.targets.has_ended(target)
+
+
 def test_a_target_that_answers_after_a_refusal_has_not_ended(harness):
     harness.register(make_target("a"))
     target = harness.targets.by_name["a"]
