Wait for a silent target whose registration has expired

Such a target is probed until it answers, refuses, or has been silent for two seconds more.

Evidence: test_a_target_removed_while_it_is_silent_has_ended failed before with a silence of 1.6 s after the removal ("assert not True").

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -29,6 +29,8 @@
 PROBE_TIMEOUT_S = 0.3
 # Pause between the probes of a target that is down.
 PROBE_INTERVAL_S = 0.5
+# A target may still be silent for this long after its registration expired.
+MAX_SILENCE_AFTER_REMOVAL_S = 2.0
 # Registrations that expired during an outage of the object store are written
 # again within two seconds after it.
 EXPIRED_REGISTRATION_GRACE_S = 2.4
@@ -600,15 +602,22 @@
         elif is_down:
             self._probe_removed(target)
 
-    def _probe_removed(self, target):
+    def _probe_removed(self, target, until_s=None):
         """Probes a target that was down as its registration was removed.
 
-        It has ended if it doesn't answer; otherwise it only went silent for a
-        time, and serves on without a registration.
+        It has ended if it refuses connections or stays silent; otherwise it
+        serves on without a registration.
+
+        Args:
+            target: The target.
+            until_s: Time until which it may be silent.
         """
-        if not self._pauses.try_probe(
-            target.process_id, self._reactor.seconds()
-        ):
+        now_s = self._reactor.seconds()
+        if until_s is None:
+            until_s = now_s + MAX_SILENCE_AFTER_REMOVAL_S
+        if target.name in self.by_name or self.has_ended(target):
+            return
+        if not self._pauses.try_probe(target.process_id, now_s):
             return
 
         def on_report(report):
@@ -616,7 +625,14 @@
                 self._record_ended(target, "another process answers")
 
         def on_failed(failure):
-            if target.name not in self.by_name:
+            may_be_silent = (
+                failure.has_timed_out and self._reactor.seconds() < until_s
+            )
+            if may_be_silent:
+                self._reactor.callLater(
+                    PROBE_INTERVAL_S, self._probe_removed, target, until_s
+                )
+            elif target.name not in self.by_name:
                 self._record_ended(
                     target, f"no longer registered: {failure.reason}"
                 )
