Let targets fall silent in the soak of the gateways

The soak missed both. It suspended one target at a time, for up to 2.5 s, with two paths for streams; a request could not meet more than one silent target, and no check counted the targets or missed an answer.

`--silences N` suspends up to four targets in turn for 0.8 to 1.6 s each, two to four of them at a time, with eight model targets whose stages outwait the silence. These faults are drawn last, so the draws of each seed stay. `--only` leaves the other faults out. Each run now checks that no request ran at more first targets than its route's attempts, not counting those that ended or whose link was impaired meanwhile; and in runs with silences alone, that what a target began was answered, unless the caller timed out or was promised that it didn't run.

--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -29,7 +29,6 @@
 from tests.fakes import web
 
 EVENT_INTERVAL_S = 0.02
-STAGE_TIMEOUT_S = 1.0
 DRAIN_DURATION_S = 2.5
 LAYER_COUNT = 80
 
@@ -255,7 +254,9 @@
         for address, first, end in hops:
             url = f"http://{address}/part?f={first}&t={end}".encode()
             response_deferred = self._agent.request(b"GET", url)
-            response_deferred.addTimeout(STAGE_TIMEOUT_S, reactor)
+            response_deferred.addTimeout(
+                self._options.stage_timeout_s, reactor
+            )
             try:
                 response = await response_deferred
             except Exception:
@@ -307,6 +308,7 @@
     parser.add_argument("--store", required=True)
     parser.add_argument("--journal", required=True)
     parser.add_argument("--beat-s", type=float, default=0.5)
+    parser.add_argument("--stage-timeout-s", type=float, default=1.0)
     parser.add_argument("--advertised", help="address of a relay before it")
     options = parser.parse_args(arguments)
     target = Target(options)
--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -14,6 +14,9 @@
 MODEL_TARGET_COUNT = 4
 PLAIN_TARGET_COUNT = 2
 GATEWAY_COUNT = 3
+STAGE_TIMEOUT_S = 1.0
+# Enough paths for several at a time to be silent, and stages that outwait it.
+SILENCE_OPTIONS = {"model_target_count": 8, "stage_timeout_s": 2.0}
 HEARTBEAT_INTERVAL_S = 0.5
 HOSTNAME = "drafts.example"
 API_KEY = "key-1"
@@ -103,8 +106,15 @@
         target_relays: Relays in front of every second target, by its name.
     """
 
-    def __init__(self, directory: Path):
+    def __init__(
+        self,
+        directory: Path,
+        model_target_count: int = MODEL_TARGET_COUNT,
+        stage_timeout_s: float = STAGE_TIMEOUT_S,
+    ):
         self._directory = directory
+        self._model_target_count = model_target_count
+        self._stage_timeout_s = stage_timeout_s
         self.journal_file = directory / "journal"
         self.journal_file.touch()
         self.last_config_version = 0
@@ -118,7 +128,7 @@
         ).start()
         self.put_config()
         self.targets = {
-            **{f"model-{i}": "model" for i in range(MODEL_TARGET_COUNT)},
+            **{f"model-{i}": "model" for i in range(model_target_count)},
             **{f"plain-{i}": "plain" for i in range(PLAIN_TARGET_COUNT)},
         }
         self.targets = {
@@ -145,6 +155,7 @@
                 "--store", self.store.address.url(),
                 "--journal", self.journal_file,
                 "--beat-s", HEARTBEAT_INTERVAL_S,
+                "--stage-timeout-s", self._stage_timeout_s,
                 *relay_options,
             ],
             self._directory,
@@ -153,6 +164,16 @@
             relay.set_target(target.address)
         return target
 
+    def registered_address(self, target: process.Process) -> str:
+        """Returns the address of a target, or that of its relay."""
+        address = self.target_relays.get(target.name, target).address
+        return f"{address.host}:{address.port}"
+
+    def read_journal(self) -> list[dict]:
+        """Returns what the targets have recorded so far."""
+        lines = self.journal_file.read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
     def call_store(self, method: str, path: str, value=None) -> dict:
         """Sends one request to the store; returns the JSON answer."""
         connection = http.client.HTTPConnection(
@@ -220,7 +241,7 @@
     def _is_layout_complete(self):
         items = self.call_store("GET", "/api/objects/servers")["items"]
         assigned = [item for item in items if item["spec"].get("layers")]
-        return len(assigned) >= MODEL_TARGET_COUNT
+        return len(assigned) >= self._model_target_count
 
     def _start_store_relay(self, number):
         relay = Relay(f"link-{number}", self._directory)
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -10,6 +10,7 @@
 import concurrent.futures
 import http.client
 import json
+import math
 from pathlib import Path
 import random
 import shutil
@@ -48,8 +49,17 @@
 # Drawn only on demand, last of all, which keeps the draws of each seed.
 RESTORE_FAULT = "restore_store"
 UNDELIMITED_FAULT = "undelimited_targets"
+SILENCE_FAULT = "silence_targets"
+# A sound target may be silent that long.
+SILENCE_RANGE_S = (0.8, 1.6)
+SILENT_TARGET_COUNT = 4
 # Share of the streams that targets then break off inside an event.
 BREAK_OFF_RATIO = 0.3
+# Targets at which the request of each route may begin.
+ATTEMPTS = {
+    route["name"]: route["attempts"]
+    for route in gateway_deployment.configuration(1)["routes"]
+}
 ONE_WAY_MODES = ("no_requests", "no_answers")
 # How long the store is away before it comes back from a copy.
 RESTORE_OUTAGE_S = 0.3
@@ -83,6 +93,7 @@
     status: int
     body: bytes
     is_whole: bool
+    end_s: float = 0.0
 
 
 class ExtraFaults(NamedTuple):
@@ -92,10 +103,14 @@
         restores: Restores of the store.
         undelimited: Times at which the streams of targets have no framing,
             and some are broken off.
+        silences: Times at which several targets in turn are silent.
+        excludes_others: Whether all other faults are left out.
     """
 
     restores: int = 0
     undelimited: int = 0
+    silences: int = 0
+    excludes_others: bool = False
 
 
 NO_EXTRA_FAULTS = ExtraFaults()
@@ -108,6 +123,8 @@
     faults += [
         _draw_fault(rng, ADDITIONAL_FAULTS) for _ in range(rng.randint(0, 3))
     ]
+    if extra.excludes_others:
+        faults = []
     faults += [
         _draw_fault(rng, (kind,))
         for kind, count in (
@@ -116,6 +133,12 @@
         )
         for _ in range(count)
     ]
+    faults += [
+        _draw_fault(rng, (SILENCE_FAULT,))._replace(
+            duration_s=rng.uniform(*SILENCE_RANGE_S)
+        )
+        for _ in range(extra.silences)
+    ]
     return sorted(faults)
 
 
@@ -200,7 +223,9 @@
         is_whole = True
     except (OSError, http.client.HTTPException):
         connection.close()
-    return Exchange(kind, request_id, gateway, at_s, status, body, is_whole)
+    return Exchange(
+        kind, request_id, gateway, at_s, status, body, is_whole, time.time()
+    )
 
 
 # Exit codes of a gateway that an injected fault has ended.
@@ -222,17 +247,20 @@
 
     Attributes:
         impaired: Links to targets that had a fault.
+        ended: Links to targets that were killed or terminated.
         errors: Messages of faults that could not be injected.
         threads: Threads that inject faults.
     """
 
     def __init__(self, deployment):
         self.impaired: list[ImpairedLink] = []
+        self.ended: list[ImpairedLink] = []
         self.errors: list[str] = []
         self._deployment = deployment
         self._count = 0
         self.threads: list[threading.Thread] = []
         self._restarting = threading.Lock()
+        self._silencing = threading.Lock()
 
     def start(self, fault: Fault) -> None:
         """Injects and reverts a fault in a new thread."""
@@ -307,6 +335,7 @@
 
     def _kill_target(self, fault):
         name, target = self._select_target(fault)
+        self._record_end(target)
         target.kill()
         time.sleep(fault.duration_s / 2)
         self._replace_target(name)
@@ -320,8 +349,43 @@
     def _term_target(self, fault):
         name, target = self._select_target(fault)
         self._replace_target(name)
+        self._record_end(target)
         target.terminate()
 
+    def _record_end(self, target):
+        address = self._deployment.registered_address(target)
+        self.ended.append(ImpairedLink(address, time.time(), math.inf))
+
+    def _silence_targets(self, fault):
+        """Suspends targets in turn, two to four of them at a time."""
+        overlap_count = 2 + fault.selector // 4
+        with self._silencing:
+            targets = self._select_silent_targets(fault)
+            for number in range(len(targets) + overlap_count - 1):
+                if number < len(targets):
+                    targets[number].freeze()
+                time.sleep(fault.duration_s / overlap_count)
+                if number >= overlap_count - 1:
+                    targets[number - overlap_count + 1].resume()
+
+    def _select_silent_targets(self, fault):
+        """Returns targets that began runs, or else the later stages."""
+        begun = {
+            row["address"]
+            for row in self._deployment.read_journal()
+            if row["what"] == "run"
+        }
+        service = "plain" if fault.selector % 4 == 0 else "model"
+        is_first = fault.selector % 4 != 1
+        targets = [
+            target
+            for name, target in sorted(self._deployment.targets.items())
+            if name.startswith(service)
+            and (self._deployment.registered_address(target) in begun)
+            == is_first
+        ]
+        return targets[:SILENT_TARGET_COUNT]
+
     def _with_store_state(self, fault, **state):
         self._deployment.call_store("POST", "/control", state)
         time.sleep(fault.duration_s)
@@ -471,7 +535,9 @@
                     self.samples.append((gateway.name, pid, version))
 
 
-def check_history(exchanges, journal, samples, impaired=()) -> list[str]:
+def check_history(
+    exchanges, journal, samples, impaired=(), ended=(), has_only_silences=False
+) -> list[str]:
     """Returns the guarantees that the history of a run violates.
 
     This is a pure function.
@@ -481,6 +547,9 @@
         journal: What the targets recorded.
         samples: Configuration versions, as in `ConfigVersionSampler`.
         impaired: Links to targets that had a fault.
+        ended: Links to targets that were killed or terminated.
+        has_only_silences: Whether targets were silent at times, and there
+            were no other faults.
     """
     problems = []
     runs: dict[str, list[dict]] = {}
@@ -491,6 +560,16 @@
             problems.append(f"{row['request']}: a path without all layers")
     for exchange in exchanges:
         problems.extend(_check_exchange(exchange, runs))
+        executions = runs.get(exchange.request_id, [])
+        problems.extend(
+            _check_attempts(exchange, executions, [*impaired, *ended])
+        )
+        if has_only_silences and executions and _is_lost(exchange):
+            problems.append(
+                f"{exchange.kind} {exchange.request_id} began and was lost,"
+                f" with {exchange.status}"
+                f" after {exchange.end_s - exchange.at_s:.2f} s"
+            )
     problems.extend(_check_drains(journal, impaired))
     newest: dict[tuple[str, int], int] = {}
     for name, pid, version in samples:
@@ -530,6 +609,41 @@
     return problems
 
 
+def _check_attempts(exchange, executions, excused):
+    """Returns a finding if a request ran at too many first targets.
+
+    Targets that ended or whose link was impaired meanwhile don't count.
+    """
+    end_s = max([exchange.end_s, *(row["at_s"] for row in executions)])
+    counted = {
+        row["target"]
+        for row in executions
+        if not any(
+            link.address == row["address"]
+            and link.from_s <= end_s
+            and link.until_s >= exchange.at_s
+            for link in excused
+        )
+    }
+    if len(counted) <= ATTEMPTS[exchange.kind]:
+        return []
+    return [
+        f"{exchange.kind} {exchange.request_id} ran at {len(counted)} targets,"
+        f" {ATTEMPTS[exchange.kind]} allowed"
+    ]
+
+
+def _is_lost(exchange):
+    """Returns whether a caller that waited got no answer for what ran."""
+    has_answer = exchange.status == 200 and exchange.is_whole
+    has_timed_out = exchange.end_s - exchange.at_s >= CALLER_TIMEOUT_S
+    return (
+        not has_answer
+        and not has_timed_out
+        and exchange.status not in NOT_RUN_STATUSES
+    )
+
+
 def _check_drains(journal, impaired):
     """Returns work that reached a target after it should have drained.
 
@@ -569,14 +683,16 @@
         directory: Directory for settings and logs.
         extra: Faults on demand, beside the others.
     """
-    deployment = gateway_deployment.Deployment(directory)
+    faults = schedule(seed, extra)
+    options = gateway_deployment.SILENCE_OPTIONS if extra.silences else {}
+    deployment = gateway_deployment.Deployment(directory, **options)
     try:
         deployment.wait_until_serving()
         sampler = ConfigVersionSampler(deployment)
         callers = LoadCallers(deployment, seed)
         injector = Injector(deployment)
         start_s = time.monotonic()
-        for fault in schedule(seed, extra):
+        for fault in faults:
             time.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
             injector.start(fault)
         time.sleep(max(0.0, start_s + LOAD_DURATION_S - time.monotonic()))
@@ -585,12 +701,13 @@
         time.sleep(SETTLE_DELAY_S)
         callers.stop()
         sampler.stop()
-        journal = [
-            json.loads(line)
-            for line in deployment.journal_file.read_text().splitlines()
-        ]
         problems = check_history(
-            callers.exchanges, journal, sampler.samples, injector.impaired
+            callers.exchanges,
+            deployment.read_journal(),
+            sampler.samples,
+            injector.impaired,
+            injector.ended,
+            all(fault.kind == SILENCE_FAULT for fault in faults),
         )
         problems.extend(injector.errors)
         problems.extend(_check_recovery(deployment))
@@ -680,13 +797,26 @@
         default=0,
         help="times a seed at which streams have no framing",
     )
+    parser.add_argument(
+        "--silences",
+        type=int,
+        default=0,
+        help="times a seed at which several targets in turn are silent",
+    )
+    parser.add_argument(
+        "--only",
+        action="store_true",
+        help="leave out all faults that have no option here",
+    )
     parser.add_argument(
         "--keep", type=Path, help="directory for the logs of failed seeds"
     )
     options = parser.parse_args(arguments)
     first, _, end = options.seeds.partition(":")
     seeds = range(int(first), int(end))
-    extra = ExtraFaults(options.restores, options.undelimited)
+    extra = ExtraFaults(
+        options.restores, options.undelimited, options.silences, options.only
+    )
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
             pool.map(
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -26,6 +26,9 @@
 # rejected. In 713 and 714 a stage that had begun to drain ended streams.
 UNDELIMITED_SEEDS = (701, 704, 713, 714)
 
+# Each plays targets that are silent in turn, and no other fault.
+SILENCE_SEEDS = (806, 807, 810)
+
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
 
@@ -58,6 +61,15 @@
     assert kinds == {"draft", "booking", "lookup"}
 
 
+@pytest.mark.parametrize("seed", SILENCE_SEEDS)
+def test_silent_targets_neither_lose_nor_multiply_work(seed, tmp_path):
+    extra = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
+    problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
+    assert problems == []
+    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
+    assert kinds == {"draft", "booking", "lookup"}
+
+
 def test_wall_clock_steps_have_no_effect(tmp_path):
     deployment = gateway_deployment.Deployment(tmp_path)
     try:
@@ -199,3 +211,82 @@
     assert gateway_soak.check_history([], journal, [], elsewhere)
     earlier = [gateway_soak.ImpairedLink("127.0.0.1:1", 0.0, 1.0)]
     assert gateway_soak.check_history([], journal, [], earlier)
+
+
+def run_at(target, at_s=0.5, address="127.0.0.1:1"):
+    return dict(journal_row("run", target=target, at_s=at_s), address=address)
+
+
+THREE_RUNS = [run_at("t"), run_at("u"), run_at("v", 0.6, "127.0.0.1:2")]
+
+
+@pytest.mark.parametrize("kind", ["draft", "lookup"])
+def test_runs_at_more_targets_than_the_route_allows_are_found(kind):
+    body = event_bytes(1, 31) if kind == "draft" else b"done r"
+    exchange = make_exchange(kind, 200, body)
+    assert gateway_soak.check_history([exchange], THREE_RUNS, [])
+    allowed = [run_at("t"), run_at("u"), run_at("u", 0.6)]
+    assert gateway_soak.check_history([exchange], allowed, []) == []
+
+
+@pytest.mark.parametrize("argument", ["impaired", "ended"])
+def test_only_targets_lost_meanwhile_do_not_count_as_attempts(argument):
+    exchange = make_exchange("draft", 200, event_bytes(1, 31))
+    exchange = exchange._replace(at_s=0.4, end_s=1.0)
+
+    def findings(link):
+        faults = {argument: [link]}
+        return gateway_soak.check_history([exchange], THREE_RUNS, [], **faults)
+
+    link = gateway_soak.ImpairedLink("127.0.0.1:2", 0.5, 0.55)
+    assert findings(link) == []
+    assert findings(link._replace(from_s=0.1, until_s=0.3))
+    assert findings(link._replace(from_s=1.1, until_s=9.0))
+    assert findings(link._replace(address="127.0.0.1:3"))
+
+
+def lost_findings(exchange, has_only_silences=True, ran="r"):
+    return gateway_soak.check_history(
+        [exchange],
+        [journal_row("run", ran)],
+        [],
+        has_only_silences=has_only_silences,
+    )
+
+
+@pytest.mark.parametrize(
+    ("kind", "status", "body", "is_whole"),
+    [
+        ("draft", 200, event_bytes(1, 4), False),
+        ("draft", 0, b"", False),
+        ("draft", 422, b"", True),
+        ("lookup", 502, b"", True),
+        ("lookup", 0, b"", False),
+        ("booking", 504, b"", True),
+    ],
+)
+def test_work_lost_beside_silences_alone_is_found(
+    kind, status, body, is_whole
+):
+    exchange = make_exchange(kind, status, body, is_whole)._replace(end_s=3.9)
+    assert lost_findings(exchange)
+    assert lost_findings(exchange, has_only_silences=False) == []
+    assert lost_findings(exchange._replace(end_s=4.0)) == []
+    assert lost_findings(exchange, ran="another") == []
+
+
+@pytest.mark.parametrize("status", gateway_soak.NOT_RUN_STATUSES)
+def test_a_promise_that_a_request_did_not_run_is_no_loss(status):
+    assert lost_findings(make_exchange("lookup", status)) == []
+
+
+def test_extra_faults_keep_the_draws_of_each_seed():
+    only = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
+    silences = gateway_soak.schedule(7, only)
+    assert len(silences) == 3
+    lowest_s, highest_s = gateway_soak.SILENCE_RANGE_S
+    for fault in silences:
+        assert fault.kind == gateway_soak.SILENCE_FAULT
+        assert lowest_s <= fault.duration_s <= highest_s
+    both = gateway_soak.schedule(7, only._replace(excludes_others=False))
+    assert both == sorted(gateway_soak.schedule(7) + silences)
