Keep the soak's seed in which a silent target's entry expires

The entry of its first target expired after three missed heartbeats, 1.5 s here; the gateway took the target, which was down, for ended (`target_gone`), and 1 ms later began the stream at a third one.

--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -27,7 +27,7 @@
 UNDELIMITED_SEEDS = (701, 704, 713, 714)
 
 # Each plays targets that are silent in turn, and no other fault.
-SILENCE_SEEDS = (806, 807, 810)
+SILENCE_SEEDS = (806, 807, 809, 810)
 
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
