Keep the requests of a silent agent that can't run elsewhere

Callers saw requests end with 502 or 503 because their agent said nothing for 0.75 s: calls that may not be repeated ended as outcome_unknown, model requests with one chain as no_target or, in the middle of a stream, as interrupted, and requests out of attempts as overloaded. A call with an idempotency key went to a second agent and ended there as in_progress. The agent went on a moment later; its answer was dropped.

The cause: an entry closed a link with work on it after five intervals of 0.15 s in silence, and the requests on it counted as lost. Silence was taken for death.

Now the link reports the silence and stays open until silence_timeout_s. A request moves only where the replacement is known: it may be repeated, has an attempt left, and another route takes it now. The others wait, and the link is closed at once if none do. A silent target gets no new requests and counts as an attempt. Its requests stay evidence if it proves to have died; they are forgotten once it goes on.

Ruled out: requests at agents that were only silent were not condemned before either, as only another process id or a refused connection counts as the death of an agent.

--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -51,6 +51,8 @@
         self._drained = defer.Deferred()
         # By target: running times by request digest, when its link was lost.
         self._running_s_at_link_loss: dict[str, dict[int, float]] = {}
+        # The same for silent targets, whose requests may have moved since.
+        self._running_s_at_silence: dict[str, dict[int, float]] = {}
         self.registry = request_registry.RequestRegistry()
         self.targets = targets_module.TargetPool(
             self.reactor,
@@ -61,6 +63,7 @@
                 self._on_message,
                 self._on_link_lost,
                 self._on_target_died,
+                self._on_silence,
             ),
             process.rng,
         )
@@ -334,10 +337,26 @@
         self, target: targets_module.Target, reason: str
     ) -> None:
         self._running_s_at_link_loss[target.name] = (
-            self.registry.running_s_by_digest(target)
+            self._running_s_at_silence.pop(target.name, {})
+            | self.registry.running_s_by_digest(target)
         )
         self.registry.on_target_lost(target, reason)
 
+    def _on_silence(self, target: targets_module.Target) -> None:
+        """Moves the requests of a silent target that can run elsewhere.
+
+        The link stays open while others wait for an answer on it.
+        """
+        if not target.link.is_silent:
+            self._running_s_at_silence.pop(target.name, None)
+            return
+        self._running_s_at_silence[target.name] = (
+            self.registry.running_s_by_digest(target)
+        )
+        self.registry.on_target_silent(target)
+        if not self.registry.requests_at_target(target):
+            target.link.abort(link_module.SILENCE)
+
     def _on_target_died(self, target: targets_module.Target) -> None:
         log.warning("process of target {} has died", target.name)
         running_s = self._running_s_at_link_loss.pop(target.name, {})
--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -7,6 +7,7 @@
 from hemlocktiller._internal.entry import request_context
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.policy import suspects
 
 DEFAULT_RETRY_AFTER_S = 1.0
@@ -31,6 +32,9 @@
         ended: Whether the request has succeeded, failed or been cancelled.
     """
 
+    # Whether a retry after the loss of a target takes from the retry budget.
+    _charges_lost_targets = True
+
     def __init__(
         self,
         context: request_context.RequestContext,
@@ -62,6 +66,28 @@
         """Sends the next attempt, if one may be sent now."""
         raise NotImplementedError
 
+    def on_target_silent(self) -> None:
+        """Moves to another target, if the request may run there too.
+
+        Otherwise the attempt continues, as its target may be only paused.
+        """
+        if not self._is_repeatable:
+            return
+        route = self._choose_route(self._excluded_targets | {self.target.name})
+        if route is None or not request_context.consume_retry(
+            self._context,
+            self._failed_attempts + 1,
+            link_module.SILENCE,
+            not self._charges_lost_targets,
+        ):
+            return
+        self._failed_attempts += 1
+        self._may_have_run = True
+        self._send_cancellation()
+        self._record_target_failure()
+        if self._prepare_attempt():
+            self._send(route)
+
     def cancel(self) -> None:
         """Ends the request, as its caller has disconnected.
 
@@ -76,6 +102,19 @@
         """Fails the request, as its deadline has passed."""
         raise NotImplementedError
 
+    def _choose_route(self, excluded: set[str]) -> routes.Route | None:
+        """Returns the best route without the excluded targets, or None."""
+        raise NotImplementedError
+
+    def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
+        """Returns the message that starts the current attempt."""
+        raise NotImplementedError
+
+    @property
+    def _is_repeatable(self) -> bool:
+        """Whether the request may run more than once."""
+        return True
+
     @property
     def _cost_tokens(self) -> float:
         """Expected cost of the next attempt, in units of an output token."""
@@ -145,23 +184,15 @@
             self._schedule_attempt(suspects.CONDEMNATION_DELAY_S)
         return state in ("condemned", "undecided")
 
-    def _send(
-        self, route: routes.Route, build_message: Callable[[], dict[str, Any]]
-    ) -> None:
-        """Sends the next attempt to the target of a route.
-
-        Args:
-            route: Where the attempt goes.
-            build_message: Builds the message, once the attempt has its
-                number.
-        """
+    def _send(self, route: routes.Route) -> None:
+        """Sends the next attempt to the target of a route."""
         self.attempt_number += 1
         self.target = route.target
         target_name = route.target.name
         request_context.ATTEMPTS.inc()
         self._add_event("attempt", target=target_name, why=route.explanation)
         self._context.push_config(route.target)
-        route.target.link.send(build_message())
+        route.target.link.send(self._attempt_message(route))
         now_s = self._context.reactor.seconds()
         self.attempt_sent_at_s = now_s
         plan = self.call.caller.workspace_view.plan["plan"]
@@ -220,11 +251,14 @@
                 timer.cancel()
 
     def _cancel_attempt(self) -> None:
-        """Sends a cancellation of the current attempt to its target."""
+        """Cancels the current attempt at its target and releases that."""
+        self._send_cancellation()
+        self._release_target()
+
+    def _send_cancellation(self) -> None:
         link = self.target.link if self.target else None
         if link is not None:
             link.send({"type": "cancel", **self._attempt_fields})
-        self._release_target()
 
     def _record_target_failure(self) -> None:
         """Records a failure of the target and excludes it from retries."""
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -32,6 +32,8 @@
         tokens: Tokens received so far, from all attempts.
     """
 
+    _charges_lost_targets = False
+
     def __init__(
         self,
         context: request_context.RequestContext,
@@ -47,16 +49,11 @@
         """Chooses a route and sends the next attempt, if one may be sent."""
         if not self._prepare_attempt():
             return
-        remaining_work = routes.RemainingWork(
-            self._remaining_output_tokens, self._time_left_s
-        )
-        route = routes.choose_model_route(
-            self._context, self.call, remaining_work, self._excluded_targets
-        )
+        route = self._choose_route(self._excluded_targets)
         if route is None:
             self._on_no_route()
         else:
-            self._send(route, lambda: self._start_message(route))
+            self._send(route)
 
     def grant_credit(self, tokens: int) -> None:
         """Grants the target credit for tokens that the response consumed.
@@ -138,7 +135,15 @@
         """Credit that each attempt starts with."""
         return self._context.settings["limits"]["stream_credit_tokens"]
 
-    def _start_message(self, route: routes.Route) -> dict[str, Any]:
+    def _choose_route(self, excluded: set[str]) -> routes.Route | None:
+        remaining_work = routes.RemainingWork(
+            self._remaining_output_tokens, self._time_left_s
+        )
+        return routes.choose_model_route(
+            self._context, self.call, remaining_work, excluded
+        )
+
+    def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         view = self.call.caller.workspace_view
         self._ungranted_tokens = 0
         return {
--- a/src/hemlocktiller/_internal/entry/request_registry.py
+++ b/src/hemlocktiller/_internal/entry/request_registry.py
@@ -158,6 +158,11 @@
         for request in self.requests_at_target(target):
             request.on_target_lost(reason)
 
+    def on_target_silent(self, target: targets_module.Target) -> None:
+        """Notifies the requests at a target that it has fallen silent."""
+        for request in self.requests_at_target(target):
+            request.on_target_silent()
+
     def _start(self, request_id: str, request: Request) -> None:
         self._requests[request_id] = request
         OPEN_REQUESTS.set(len(self._requests))
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -43,13 +43,11 @@
         """Chooses a target and sends the next attempt, if one may be sent."""
         if not self._prepare_attempt():
             return
-        route = routes.choose_service_route(
-            self._context, self.call, self._excluded_targets
-        )
+        route = self._choose_route(self._excluded_targets)
         if route is None:
             self._on_no_route()
         else:
-            self._send(route, self._call_message)
+            self._send(route)
 
     def on_message(self, message: Any) -> None:
         """Handles a message of a target, unless its attempt is stale."""
@@ -70,7 +68,10 @@
     def _is_repeatable(self) -> bool:
         return self.call.method in REPEATABLE_METHODS
 
-    def _call_message(self) -> dict[str, Any]:
+    def _choose_route(self, excluded: set[str]) -> routes.Route | None:
+        return routes.choose_service_route(self._context, self.call, excluded)
+
+    def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         view = self.call.caller.workspace_view
         return {
             "type": "call",
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -38,12 +38,15 @@
         on_message: Called with each message of a target.
         on_link_lost: Called with the reason when a link goes down.
         on_target_died: Called when the process of a target has died.
+        on_silence: Called when a target with requests falls silent, and when
+            it goes on.
     """
 
     on_open: Callable[["Target"], None]
     on_message: Callable[["Target", Any], None]
     on_link_lost: Callable[["Target", str], None]
     on_target_died: Callable[["Target"], None]
+    on_silence: Callable[["Target"], None]
 
 
 class Target:
@@ -82,11 +85,12 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the link is open and the target takes new requests."""
+        """Whether the target answers and takes new requests."""
         refuses_requests = (
             self.is_leaving or self.is_unready or self.is_vm_leaving
         )
-        return self.link is not None and not refuses_requests
+        answers = self.link is not None and not self.link.is_silent
+        return answers and not refuses_requests
 
 
 class TargetPool:
@@ -236,6 +240,7 @@
             lambda link: self._on_open(target, link),
             lambda link, message: self._on_message(target, message),
             lambda link, reason: self._on_link_down(target, reason),
+            lambda link: self._on_silence(target),
         )
 
     def _on_open(self, target: Target, link: link_module.Link) -> None:
@@ -273,6 +278,10 @@
         self._update_chain_cache(target)
         self._callbacks.on_link_lost(target, reason)
 
+    def _on_silence(self, target: Target) -> None:
+        self._update_chain_cache(target)
+        self._callbacks.on_silence(target)
+
     def _on_connection_refused(self, target: Target) -> None:
         """Records the death of a known process, as nothing listens now."""
         if target.peer_process:
--- a/src/hemlocktiller/_internal/links/dialer.py
+++ b/src/hemlocktiller/_internal/links/dialer.py
@@ -89,7 +89,10 @@
 
     def _new_link(self) -> link_module.Link:
         handlers = link_module.Handlers(
-            self._on_open, self._handlers.on_message, self._on_down
+            self._on_open,
+            self._handlers.on_message,
+            self._on_down,
+            self._handlers.on_silence,
         )
         self.link = link_module.DialledLink(
             self._reactor, self._settings, self._local, handlers
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -54,6 +54,7 @@
     )
 )
 RTT_SMOOTHING_FACTOR = 0.2  # Share of a new sample in the moving average.
+SILENCE = "silence"
 WATCH_INTERVAL_S = 0.15
 MAX_SILENT_INTERVALS = 5  # 0.6 to 0.75 s of silence while there is work.
 WATCH_AFTER_WORK_S = 5.0  # The link is watched this long after work.
@@ -78,11 +79,14 @@
         on_open: Called when the peer's hello has arrived.
         on_message: Called with each later message.
         on_down: Called once with the reason when the link is lost or closed.
+        on_silence: Called when `is_silent` has changed. Without it, a link
+            whose peer falls silent during work is aborted at once.
     """
 
     on_open: Callable[["Link"], None]
     on_message: Callable[["Link", codec.Message], None]
     on_down: Callable[["Link", str], None]
+    on_silence: Callable[["Link"], None] | None = None
 
 
 class LocalProcess(NamedTuple):
@@ -121,6 +125,8 @@
         peer: The peer's hello, or None before it has arrived.
         rtt_s: Moving average of the round-trip time of heartbeats.
         is_open: Whether the link is open, with the peer's hello received.
+        is_silent: Whether the peer has sent nothing for a moment while there
+            is work for requests. It may be only paused.
     """
 
     sends_heartbeats = False
@@ -135,6 +141,7 @@
         self.peer: codec.Message | None = None
         self.rtt_s = 0.0
         self.is_open = False
+        self.is_silent = False
         self._reactor = reactor
         self._settings = settings
         self._local = local
@@ -162,6 +169,8 @@
         """Feeds received bytes to the WebSocket protocol."""
         self._last_received_s = self._reactor.seconds()
         self._silent_intervals = 0
+        if self.is_silent:
+            self._set_silent(False)
         self._ws.receive_data(data)
         try:
             for event in self._ws.events_received():
@@ -328,7 +337,7 @@
         now_s = self._reactor.seconds()
         silence_s = self._settings["silence_timeout_s"] * self._interval_factor
         if now_s - self._last_received_s > silence_s:
-            self.abort("silence")
+            self.abort(SILENCE)
             return
         if (
             self.is_open
@@ -350,7 +359,7 @@
         )
 
     def _on_watch_timer(self) -> None:
-        """Counts an interval without data; aborts the link after too many.
+        """Counts an interval without data; reports silence after too many.
 
         The intervals are counted instead of measuring elapsed time, so that
         a pause of this process is not mistaken for silence of the peer.
@@ -358,14 +367,21 @@
         self._watch_timer = None
         self._silent_intervals += 1
         if self._silent_intervals >= MAX_SILENT_INTERVALS:
-            self.abort("silence")
-            return
+            if self._handlers.on_silence is None:
+                self.abort(SILENCE)
+                return
+            self._set_silent(True)
         if self._silent_intervals > 1:
             self._send_probe()
         idle_s = self._reactor.seconds() - self._last_work_s
-        if idle_s < WATCH_AFTER_WORK_S:
+        if self.is_open and idle_s < WATCH_AFTER_WORK_S:
             self._schedule_watch()
 
+    def _set_silent(self, is_silent: bool) -> None:
+        if self.is_silent != is_silent:
+            self.is_silent = is_silent
+            self._handlers.on_silence(self)
+
     def _send_heartbeat(self, sequence: int, echo: bool) -> None:
         self._write_message(
             {
--- /dev/null
+++ b/tests/unit/test_silent_agents.py
@@ -0,0 +1,151 @@
+"""An agent may fall silent for a second or so while it works, and go on."""
+
+import pytest
+
+from tests.unit import entry_simulation
+
+SILENCE_S = 1.5
+
+
+@pytest.fixture
+def entry_run():
+    return entry_simulation.EntryRun()
+
+
+def be_silent(entry_run, agent, duration_s=SILENCE_S):
+    """Lets an agent be silent for some time, and then go on."""
+    agent.is_silent = True
+    entry_run.advance(duration_s)
+    agent.is_silent = False
+    entry_run.advance(entry_simulation.STEP_S)
+
+
+@pytest.mark.parametrize("idempotency_key", ["", "k1"])
+def test_a_call_outlives_the_silence_of_its_agent(entry_run, idempotency_key):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(idempotency_key=idempotency_key)
+    (agent,) = entry_run.agents_with("call")
+    be_silent(entry_run, agent)
+    assert entry_run.errors == []
+    entry_simulation.answer_call(agent)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert [response.status for response in entry_run.responses] == [200]
+    assert entry_run.agents_with("call") == [agent]
+
+
+def test_a_repeatable_call_without_another_agent_outlives_a_silence(entry_run):
+    agent = entry_run.add_service("a")
+    entry_run.call(method="GET")
+    be_silent(entry_run, agent)
+    assert entry_run.errors == []
+    entry_simulation.answer_call(agent)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert [response.status for response in entry_run.responses] == [200]
+    assert len(agent.requests("call")) == 1
+
+
+@pytest.mark.parametrize("has_tokens", [True, False])
+def test_a_model_request_without_another_chain_outlives_a_silence(
+    entry_run, has_tokens
+):
+    agent = entry_run.add_engine("a")
+    entry_run.complete()
+    if has_tokens:
+        entry_simulation.send_tokens(agent, 0, [1, 2])
+        entry_run.advance(entry_simulation.STEP_S)
+    be_silent(entry_run, agent)
+    assert entry_run.errors == []
+    entry_simulation.send_tokens(agent, 0, [1, 2, 3])
+    entry_simulation.finish(agent, 3)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.tokens["r1"] == [1, 2, 3]
+    assert len(entry_run.usages) == 1
+    assert len(agent.requests("start")) == 1
+
+
+def test_a_model_request_at_a_silent_agent_moves_to_another_chain(entry_run):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (first,) = entry_run.agents_with("start")
+    entry_simulation.send_tokens(first, 0, [1, 2])
+    entry_run.advance(entry_simulation.STEP_S)
+    first.is_silent = True
+    entry_run.advance(0.9)
+    (second,) = set(entry_run.agents_with("start")) - {first}
+    assert second.requests("start")[0]["generated"] == [1, 2]
+    entry_simulation.send_tokens(second, 2, [3])
+    entry_simulation.finish(second, 3)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.tokens["r1"] == [1, 2, 3]
+
+
+def test_silent_agents_count_against_the_attempts_of_a_request(entry_run):
+    for name in "abcdef":
+        entry_run.add_engine(name)
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    reached = [agent]
+    for _ in range(6):
+        be_silent(entry_run, agent)
+        others = set(entry_run.agents_with("start")) - set(reached)
+        reached += others
+        agent = reached[-1]
+    max_attempts = entry_run.entry.settings["retries"]["attempts"]
+    assert len(reached) == max_attempts
+    assert entry_run.errors == []
+    entry_simulation.finish(agent, 0)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert len(entry_run.usages) == 1
+
+
+def test_a_silent_agent_gets_no_new_request(entry_run):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(request="r1")
+    (silent,) = entry_run.agents_with("call")
+    silent.is_silent = True
+    entry_run.advance(0.9)
+    for number in range(8):
+        entry_run.call(request=f"s{number}")
+    silent.is_silent = False
+    entry_run.advance(entry_simulation.STEP_S)
+    assert len(silent.requests("call")) == 1
+
+
+def test_a_request_at_agents_that_were_only_silent_is_not_condemned(entry_run):
+    for name in "abc":
+        entry_run.add_engine(name)
+    entry_run.complete()
+    for count in (1, 2):
+        agents = entry_run.agents_with("start")
+        assert len(agents) == count
+        for agent in agents:
+            be_silent(entry_run, agent)
+    assert entry_run.suspect_state() == "clear"
+
+
+def test_a_request_that_left_a_silent_agent_is_suspected_of_its_death(
+    entry_run,
+):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    agent.is_silent = True
+    entry_run.advance(0.9)
+    assert len(entry_run.agents_with("start")) == 2
+    agent.stop()
+    entry_run.advance(2.0)
+    assert entry_run.suspect_state() == "suspect"
+
+
+def test_a_call_at_an_agent_that_stays_silent_ends_before_its_deadline(
+    entry_run,
+):
+    agent = entry_run.add_service("a")
+    entry_run.call()
+    agent.is_silent = True
+    entry_run.advance(4.0)
+    assert [error.code for error in entry_run.errors] == ["outcome_unknown"]
