Let only its previous stage release a stage

Callers saw streams end as interrupted, some seconds after a middle stage of their chain had been silent for a moment, where the last stage had no alternate; with one, it was replaced for nothing.

The cause: a stage that its predecessor gave up for silence goes on, finds its link closed and releases its run after a grace of 6 s. It then tells the next stage to do so too, which runs for its replacement meanwhile. A message to close named only request and attempt, and those are the same for both.

A stage now follows a message to close only from the peer that opened or last reopened it. One that comes after a lost link is ignored; the run is then released after the grace, as before.

--- a/src/hemlocktiller/_internal/agent/message_dispatcher.py
+++ b/src/hemlocktiller/_internal/agent/message_dispatcher.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from hemlocktiller._internal.agent import pipeline as pipeline_module
-from hemlocktiller._internal.agent import stage_runs
 from hemlocktiller._internal.links import link as link_module
 
 MessageHandler = Callable[[link_module.Link, Any], None]
@@ -23,9 +22,6 @@
         for result in message["results"]:
             pipeline.on_hop_result(result)
 
-    def on_close(link: link_module.Link, message: Any) -> None:
-        pipeline.close(stage_runs.attempt_key(message))
-
     return {
         "hops": on_hops,
         "hop_results": on_hop_results,
@@ -33,7 +29,7 @@
         "opened": pipeline.on_opened,
         "refused": pipeline.on_refused,
         "stage_failed": pipeline.on_stage_failed,
-        "close": on_close,
+        "close": pipeline.on_close,
     }
 
 
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -176,6 +176,16 @@
             message = {"type": "close", **run.attempt_fields}
             self._peers.send(run.next_stage["target"], message)
 
+    def on_close(self, link: link_module.Link, message: Any) -> None:
+        """Releases this stage, if the peer runs the stage before it.
+
+        A stage that was replaced sends this too, once it releases its run.
+        """
+        key = stage_runs.attempt_key(message)
+        run = self.runs.get(key)
+        if run is not None and run.upstream_name == link.peer["name"]:
+            self.close(key)
+
     def on_open(self, link: link_module.Link, message: Any) -> None:
         """Reserves this stage, unless an earlier message has reserved it."""
         run = self.runs.get(stage_runs.attempt_key(message))
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -208,8 +208,7 @@
             for result in message["results"]:
                 self.pipeline.on_hop_result(result)
         elif message_type == "close":
-            key = (message["request"], message["attempt"])
-            self.pipeline.close(key)
+            self.pipeline.on_close(link, message)
         else:
             getattr(self.pipeline, f"on_{message_type}")(link, message)
 
@@ -347,6 +346,13 @@
             if agent is not self.agents[name]:
                 agent.pipeline.on_peer_down(name, "silence")
 
+    def abort_silent_link(self, name, silent_name):
+        """Lets an agent abort its link to a peer that then goes on."""
+        for endpoints in ((name, silent_name), (silent_name, name)):
+            self.message_queues.pop(endpoints, None)
+        self.agents[name].pipeline.on_peer_down(silent_name, "silence")
+        self.agents[silent_name].pipeline.on_peer_down(name, "closed")
+
     def duplicate_message(self):
         """Duplicates the next message of a random queue."""
         nonempty_queues = [
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -196,6 +196,28 @@
     assert_complete_answer(entry_link)
 
 
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_replaced_stage_does_not_release_the_stages_after_it(simulation):
+    for name in ("s2r1", "s2r2"):
+        simulation.kill_agent(name)
+    entry_link = simulation.start_request(TOKENS)
+    simulation.agents["s0r0"].first_stage_runner.requests_by_key[
+        ("r1", 1)
+    ].credit_tokens = 3
+    fault = (
+        simulation.rng.randrange(4, 20),
+        lambda simulation: simulation.abort_silent_link("s0r0", "s1r0"),
+    )
+    # The stream waits for credit while the replaced stage is released.
+    run_until_finished(simulation, entry_link, [fault])
+    assert received_tokens(entry_link) == reference_tokens()[:3]
+    assert simulation.agents["s1r0"].pipeline.runs == {}
+    grant = {"request": "r1", "attempt": 1, "tokens": 100}
+    simulation.agents["s0r0"].first_stage_runner.on_credit(None, grant)
+    run_until_finished(simulation, entry_link)
+    assert_complete_answer(entry_link)
+
+
 @pytest.mark.promise(1)
 @pytest.mark.parametrize("simulation", SEEDS, indirect=True)
 def test_an_unreachable_stage_is_replaced(simulation):
