Don't count the current next stage as its own alternate

Callers saw a stream end as interrupted, or start again on another chain, because a stage whose link was lost did not answer a dial for 0.3 s.

The cause: a stage without an alternate is to be waited for, up to the connect timeout of 1 s. A stage that has itself replaced another is in the list of alternates, and counted as one for itself, so the run gave it up after 0.3 s and then found nothing to replace it with. An unanswered dial was taken for a death.

The current next stage is now no alternate.

--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -191,13 +191,14 @@
 
 
 def alternate_for(run: StageRun) -> Any:
-    """Returns an untried alternate with the next stage's layers, or None."""
+    """Returns an untried alternate for the next stage, or None."""
     wanted = run.next_stage
+    tried_targets = run.tried_targets | {wanted["target"]}
     for stage in run.alternates:
         same_layers = (
             stage["first_layer"] == wanted["first_layer"]
             and stage["end_layer"] == wanted["end_layer"]
         )
-        if same_layers and stage["target"] not in run.tried_targets:
+        if same_layers and stage["target"] not in tried_targets:
             return stage
     return None
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -76,10 +76,13 @@
     def connect(self, stage, callbacks):
         """Connects at once or reports a refused connection.
 
-        A dial to an unreachable target gets no reply.
+        A dial to an unreachable target gets no reply, one to a paused target
+        a late one.
         """
         target = stage["target"]
-        if target in self.simulation.agents:
+        if target in self.simulation.paused_targets:
+            self.simulation.pending_dials.append((self, stage, callbacks))
+        elif target in self.simulation.agents:
             callbacks.on_connected(
                 FakeLink(self.simulation, self.name, target)
             )
@@ -235,6 +238,8 @@
         self.executed_steps = []
         self.agents = {}
         self.unreachable_targets = set()
+        self.paused_targets = set()
+        self.pending_dials = []
         self.process_ids = {}
         self.stages = []
         layers_per_stage = LAYERS // STAGES
@@ -353,6 +358,24 @@
         self.agents[name].pipeline.on_peer_down(silent_name, "silence")
         self.agents[silent_name].pipeline.on_peer_down(name, "closed")
 
+    def pause_dials(self, name, duration_s):
+        """Resets the links of an agent and delays its replies to dials."""
+        self.paused_targets.add(name)
+        for endpoints in list(self.message_queues):
+            if name in endpoints:
+                del self.message_queues[endpoints]
+        for other, agent in list(self.agents.items()):
+            if other != name:
+                agent.pipeline.on_peer_down(name, "closed")
+                self.agents[name].pipeline.on_peer_down(other, "closed")
+        self.clock.callLater(duration_s, self._resume_dials, name)
+
+    def _resume_dials(self, name):
+        self.paused_targets.discard(name)
+        pending_dials, self.pending_dials = self.pending_dials, []
+        for peers, stage, callbacks in pending_dials:
+            peers.connect(stage, callbacks)
+
     def duplicate_message(self):
         """Duplicates the next message of a random queue."""
         nonempty_queues = [
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -218,6 +218,19 @@
     assert_complete_answer(entry_link)
 
 
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_replacement_without_an_alternate_may_reconnect_late(simulation):
+    simulation.kill_agent("s1r1")
+    entry_link = simulation.start_request(TOKENS)
+    kill_index, pause_index = 2, simulation.rng.randrange(20, 60)
+    faults = [
+        (kill_index, lambda simulation: simulation.kill_agent("s1r0")),
+        (pause_index, lambda simulation: simulation.pause_dials("s1r2", 0.5)),
+    ]
+    run_until_finished(simulation, entry_link, faults)
+    assert_complete_answer(entry_link)
+
+
 @pytest.mark.promise(1)
 @pytest.mark.parametrize("simulation", SEEDS, indirect=True)
 def test_an_unreachable_stage_is_replaced(simulation):
