Let runs without an alternate outlive the silence of their next stage

Callers saw streams start again or end as interrupted because a later stage said nothing for 0.75 s. Each such stream failed with no_alternate at its first stage, and only a retry from the budget, with the prompt run again on all stages, could continue it.

The cause: the stage before closed a link with work on it after five intervals of 0.15 s in silence, and each run there was replaced or failed at once, also where nothing could replace it.

A stage now replaces a silent next stage only for runs that have an alternate, and tells it to release those once it goes on. If other runs wait for it, the link stays open until silence_timeout_s; if none do, it is closed at once, as before.

The cost: where a link is frozen and its peer isn't, runs without an alternate fail after silence_timeout_s and not after 0.75 s, so an entry with another chain hears of it later.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -79,6 +79,7 @@
                 link, message
             ),
             self._on_link_down,
+            self._on_link_silence,
         )
         self._listener = listener.Listener(
             self.reactor,
@@ -416,6 +417,19 @@
         elif self.peers.remove(link) and self.pipeline is not None:
             self.pipeline.on_peer_down(link.peer["name"], reason)
 
+    def _on_link_silence(self, link: link_module.Link) -> None:
+        """Closes a silent link, unless a run has to wait for its peer."""
+        if not link.is_silent:
+            return
+        name = link.peer["name"]
+        has_waiting_runs = (
+            self.pipeline is not None
+            and self.peers.is_current(link)
+            and self.pipeline.replace_silent_stages(name)
+        )
+        if not has_waiting_runs:
+            link.abort(link_module.SILENCE)
+
     def _build_target_operations(self) -> orders.TargetOperations:
         if self.engine_watch is None:
             return orders.TargetOperations(
--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -26,7 +26,6 @@
 MAX_CRASHED_ENGINES = 2
 MAX_DEAD_TARGETS = 3
 SUSPECT_CONFLICT = "suspect_apart"
-SILENCE = "silence"  # The link was closed, as its peer sent nothing.
 RECONNECT_WAIT_S = 0.3  # Longest wait for a new link to a next stage.
 RECONNECT_TIMEOUT = "reconnect_timeout"
 
@@ -77,7 +76,7 @@
         link is lost again, is replaced at once.
         """
         target = run.next_stage["target"]
-        if reason == SILENCE or target in run.reconnected_targets:
+        if reason == link_module.SILENCE or target in run.reconnected_targets:
             self.replace_next_stage(run, reason)
             return
         run.reconnected_targets.add(target)
--- a/src/hemlocktiller/_internal/agent/peers.py
+++ b/src/hemlocktiller/_internal/agent/peers.py
@@ -60,11 +60,15 @@
     def remove(self, link: link_module.Link) -> bool:
         """Removes a lost link; returns False if it was already replaced."""
         name = link.peer["name"]
-        if self._links.get(name) is not link:
+        if not self.is_current(link):
             return False
         del self._links[name]
         return True
 
+    def is_current(self, link: link_module.Link) -> bool:
+        """Returns whether messages to its peer are sent on this link."""
+        return self._links.get(link.peer["name"]) is link
+
     def send(self, name: str, message: codec.Message) -> bool:
         """Sends a message to a peer; returns False if no link is open."""
         link = self._links.get(name)
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -285,6 +285,24 @@
             if run.upstream_name == peer_name:
                 self._schedule_release(run)
 
+    def replace_silent_stages(self, peer_name: str) -> bool:
+        """Replaces the next stages at a silent peer that have an alternate.
+
+        Returns:
+            Whether runs without an alternate wait for the peer to go on.
+        """
+        waits = False
+        for run in list(self.runs.values()):
+            if run.is_last or run.next_stage["target"] != peer_name:
+                continue
+            if stage_runs.alternate_for(run) is None:
+                waits = True
+                continue
+            message = {"type": "close", **run.attempt_fields}
+            self._peers.send(peer_name, message)
+            self._next_stages.replace_next_stage(run, link_module.SILENCE)
+        return waits
+
     def _is_open(self, run: stage_runs.StageRun) -> bool:
         return self.runs.get(run.key) is run
 
