Don't count a pause of this process as silence of its peers

Callers saw requests started again, or ended as outcome_unknown, after the VM of an agent had been paused for a second and gone on.

The cause: the timer of heartbeats compared the time since the last bytes with silence_timeout_s. An entry that hears from its agent sends heartbeats up to two intervals apart, so an agent that was paused for 1.5 s can find 2.0 s passed when its timers run, before it reads what waits. It closed the link and cancelled the requests of that entry. The close watch of links with work counts intervals for this reason; the timer of heartbeats didn't.

The time between two calls of the timer now counts as one interval, however long it took. A peer that is silent is noticed as soon as before.

test_a_pause_of_a_process_closes_no_link_that_it_accepted failed before the change: is_open of the accepted link was False after a pause of 1.5 s.

--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -155,6 +155,8 @@
         self._last_work_s = -ACTIVE_WINDOW_S
         self._last_message_sent_s = -ACTIVE_WINDOW_S
         self._heartbeat_timer: Any = None
+        self._heartbeat_wait_s = 0.0
+        self._silent_s = 0.0
         self._silent_intervals = 0
         self._watch_timer: Any = None
 
@@ -168,6 +170,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Feeds received bytes to the WebSocket protocol."""
         self._last_received_s = self._reactor.seconds()
+        self._silent_s = 0.0
         self._silent_intervals = 0
         if self.is_silent:
             self._set_silent(False)
@@ -303,8 +306,10 @@
         self._last_work_s = now_s
         if was_idle:
             self._last_received_s = now_s
+            self._silent_s = 0.0
             self._cancel_heartbeat_timer()
-            self._on_heartbeat_timer()
+            self._send_probe_without_traffic()
+            self._schedule_heartbeat()
         if (
             self.sends_heartbeats
             and self.is_open
@@ -320,9 +325,11 @@
         return now_s - older_s < self._settings["heartbeat_interval_s"]
 
     def _schedule_heartbeat(self) -> None:
-        wait_s = self._settings["heartbeat_interval_s"] * self._interval_factor
+        self._heartbeat_wait_s = (
+            self._settings["heartbeat_interval_s"] * self._interval_factor
+        )
         self._heartbeat_timer = self._reactor.callLater(
-            wait_s, self._on_heartbeat_timer
+            self._heartbeat_wait_s, self._on_heartbeat_timer
         )
 
     def _cancel_heartbeat_timer(self) -> None:
@@ -333,19 +340,27 @@
             self._heartbeat_timer.cancel()
 
     def _on_heartbeat_timer(self) -> None:
-        """Aborts a silent link; sends a heartbeat on one without traffic."""
-        now_s = self._reactor.seconds()
-        silence_s = self._settings["silence_timeout_s"] * self._interval_factor
-        if now_s - self._last_received_s > silence_s:
+        """Aborts a silent link; sends a heartbeat on one without traffic.
+
+        The time between two calls counts as one interval of heartbeats,
+        however long it took, as in `_on_watch_timer`.
+        """
+        self._silent_s += self._heartbeat_wait_s
+        timeout_s = self._settings["silence_timeout_s"] * self._interval_factor
+        if self._silent_s > timeout_s:
             self.abort(SILENCE)
             return
+        self._send_probe_without_traffic()
+        self._schedule_heartbeat()
+
+    def _send_probe_without_traffic(self) -> None:
+        """Sends a heartbeat if this end does, unless messages flow."""
         if (
             self.is_open
             and self.sends_heartbeats
-            and not self._has_recent_traffic(now_s)
+            and not self._has_recent_traffic(self._reactor.seconds())
         ):
             self._send_probe()
-        self._schedule_heartbeat()
 
     def _send_probe(self) -> None:
         """Sends a heartbeat for the peer to echo."""
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -216,6 +216,20 @@
     assert not link_pair.dialled.down_reasons
 
 
+def test_a_pause_of_a_process_closes_no_link_that_it_accepted(link_pair):
+    for _ in range(2):
+        link_pair.dialled.link.send(CANCEL)
+        link_pair.advance(0.05, step_s=0.05)
+    # What the accepting end sends keeps the peer from sending heartbeats.
+    for _ in range(8):
+        link_pair.accepted.link.send(CANCEL)
+        link_pair.advance(0.1, step_s=0.05)
+    link_pair.clock.advance(1.5)
+    link_pair.advance(1.0, step_s=0.05)
+    assert link_pair.accepted.link.is_open
+    assert not link_pair.accepted.down_reasons
+
+
 def test_the_short_timeout_ends_some_time_after_the_last_message(link_pair):
     link_pair.dialled.link.send(CANCEL)
     link_pair.advance(link_module.WATCH_AFTER_WORK_S + 1.0, step_s=0.05)
