Exchange evidence on crashing prompt parts over the links

Callers saw requests with the same crashing part arrive at several processes, each of which knew the crashes of its own requests only. The new message carries deaths of targets with the prompt parts of the requests that ran there, and outputs that clear parts.

A process closes a link on a message type that it does not know. The links therefore negotiate version 1.1 of the protocol, and the message is sent only where both ends have it; a test with an older peer at either end shows that the link stays open and gets no such message.

--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -24,7 +24,10 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.links import codec
 
-SUBPROTOCOLS = ("hemlocktiller.v1",)
+# Newest first. Processes of an older version close the link on messages that
+# it does not have.
+SUBPROTOCOLS = ("hemlocktiller.v1.1", "hemlocktiller.v1")
+MESSAGE_TYPES_SINCE_V1_1 = frozenset(("part_evidence",))
 AUTHORIZATION = "Authorization"
 ACTIVE_WINDOW_S = 20.0  # A link counts as active this long after work.
 IDLE_INTERVAL_FACTOR = 8.0
@@ -35,6 +38,7 @@
         "load",
         "leaving",
         "config",
+        "part_evidence",
         "suspects",
         "targets",
         "targets_wanted",
@@ -216,6 +220,13 @@
         self._last_message_sent_s = self._reactor.seconds()
         self._write_message(message, frame)
 
+    def peer_accepts(self, message_type: str) -> bool:
+        """Returns whether the peer's version has a type of message."""
+        return (
+            message_type not in MESSAGE_TYPES_SINCE_V1_1
+            or self._ws.subprotocol == SUBPROTOCOLS[0]
+        )
+
     def close(self) -> None:
         """Closes the link once all sent messages are written."""
         if self._ws.state is ws_protocol.State.OPEN:
--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -42,7 +42,7 @@
 MAX_PARTS = 10_000
 MAX_DEATHS = 1024
 MAX_PROMPTS_PER_DEATH = 64
-MAX_PARTS_PER_PROMPT = 64
+MAX_PARTS_PER_PROMPT = 32
 
 Prompt = tuple[int, ...]
 
@@ -74,13 +74,10 @@
     Attributes:
         deaths: Deaths that were not known before.
         outputs: Outputs that cleared a part or show that it is sound.
-        known_outputs: Outputs that this process knew already, for parts of
-            the new deaths.
     """
 
     deaths: list[Death]
     outputs: list[Output]
-    known_outputs: list[Output]
 
 
 class CrashingParts:
@@ -192,9 +189,13 @@
         self._drop_expired(now_s)
         return list(self._deaths.values())
 
-    def outputs(self, now_s: float) -> list[Output]:
-        """Returns the known outputs for the parts in all deaths."""
-        return self._known_outputs(self._deaths.values(), now_s)
+    def outputs(self, deaths: Iterable[Death], now_s: float) -> list[Output]:
+        """Returns the known outputs for the parts in some deaths."""
+        return [
+            Output(part, self._output_s[part])
+            for part in parts_of(deaths)
+            if self._is_known_good(part, now_s)
+        ]
 
     def contrast_s(self) -> float:
         """Returns since when `MIN_OTHER_OUTPUTS` requests have had output.
@@ -240,25 +241,7 @@
             if death is not None:
                 new_deaths.append(death)
         self._judge(now_s)
-        return News(
-            new_deaths, new_outputs, self._known_outputs(new_deaths, now_s)
-        )
-
-    def _known_outputs(
-        self, deaths: Iterable[Death], now_s: float
-    ) -> list[Output]:
-        """Returns the known outputs for the parts in some deaths."""
-        parts = {
-            part: None
-            for death in deaths
-            for prompt in death.prompts
-            for part in prompt
-        }
-        return [
-            Output(part, self._output_s[part])
-            for part in parts
-            if self._is_known_good(part, now_s)
-        ]
+        return News(new_deaths, new_outputs)
 
     def _add_death(
         self, target: str, prompts: Iterable[Sequence[int]], time_s: float
@@ -497,6 +480,17 @@
         return followed
 
 
+def parts_of(deaths: Iterable[Death]) -> list[int]:
+    """Returns the different parts of the prompts in some deaths."""
+    parts = {
+        part: None
+        for death in deaths
+        for prompt in death.prompts
+        for part in prompt
+    }
+    return list(parts)
+
+
 def _add_bounded(
     entries: dict, key: object, value: object, max_entries: int
 ) -> None:
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -361,6 +361,134 @@
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
 
 
+NoneType = type(None)
+
+def check_part_evidence(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'deaths', 'outputs'], 'properties': {'type': {'const': 'part_evidence', 'type': 'string'}, 'deaths': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, 'maxItems': 64}, 'outputs': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, 'maxItems': 256}, 'contrast_age_s': {'type': 'number', 'minimum': 0}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'deaths', 'outputs']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'deaths', 'outputs'], 'properties': {'type': {'const': 'part_evidence', 'type': 'string'}, 'deaths': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, 'maxItems': 64}, 'outputs': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, 'maxItems': 256}, 'contrast_age_s': {'type': 'number', 'minimum': 0}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'part_evidence', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'part_evidence'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: part_evidence", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'part_evidence', 'type': 'string'}, rule='const')
+        if "deaths" in data_keys:
+            data_keys.remove("deaths")
+            data__deaths = data["deaths"]
+            if not isinstance(data__deaths, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths must be array", value=data__deaths, name="" + (name_prefix or "data") + ".deaths", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, 'maxItems': 64}, rule='type')
+            data__deaths_is_list = isinstance(data__deaths, (list, tuple))
+            if data__deaths_is_list:
+                data__deaths_len = len(data__deaths)
+                if data__deaths_len > 64:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths must contain less than or equal to 64 items", value=data__deaths, name="" + (name_prefix or "data") + ".deaths", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, 'maxItems': 64}, rule='maxItems')
+                for data__deaths_x, data__deaths_item in enumerate(data__deaths):
+                    if not isinstance(data__deaths_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + " must be object", value=data__deaths_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, rule='type')
+                    data__deaths_item_is_dict = isinstance(data__deaths_item, dict)
+                    if data__deaths_item_is_dict:
+                        data__deaths_item__missing_keys = set(['target', 'age_s', 'prompts']) - data__deaths_item.keys()
+                        if data__deaths_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + " must contain " + (str(sorted(data__deaths_item__missing_keys)) + " properties"), value=data__deaths_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, rule='required')
+                        data__deaths_item_keys = set(data__deaths_item.keys())
+                        if "target" in data__deaths_item_keys:
+                            data__deaths_item_keys.remove("target")
+                            data__deaths_item__target = data__deaths_item["target"]
+                            if not isinstance(data__deaths_item__target, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].target".format(**locals()) + " must be string", value=data__deaths_item__target, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].target".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "age_s" in data__deaths_item_keys:
+                            data__deaths_item_keys.remove("age_s")
+                            data__deaths_item__ages = data__deaths_item["age_s"]
+                            if not isinstance(data__deaths_item__ages, (int, float, Decimal)) or isinstance(data__deaths_item__ages, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].age_s".format(**locals()) + " must be number", value=data__deaths_item__ages, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
+                            if isinstance(data__deaths_item__ages, (int, float, Decimal)) and not isinstance(data__deaths_item__ages, bool):
+                                if data__deaths_item__ages < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].age_s".format(**locals()) + " must be bigger than or equal to 0", value=data__deaths_item__ages, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                        if "prompts" in data__deaths_item_keys:
+                            data__deaths_item_keys.remove("prompts")
+                            data__deaths_item__prompts = data__deaths_item["prompts"]
+                            if not isinstance(data__deaths_item__prompts, (list, tuple)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts".format(**locals()) + " must be array", value=data__deaths_item__prompts, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts".format(**locals()) + "", definition={'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}, rule='type')
+                            data__deaths_item__prompts_is_list = isinstance(data__deaths_item__prompts, (list, tuple))
+                            if data__deaths_item__prompts_is_list:
+                                data__deaths_item__prompts_len = len(data__deaths_item__prompts)
+                                if data__deaths_item__prompts_len > 64:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts".format(**locals()) + " must contain less than or equal to 64 items", value=data__deaths_item__prompts, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts".format(**locals()) + "", definition={'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}, rule='maxItems')
+                                for data__deaths_item__prompts_x, data__deaths_item__prompts_item in enumerate(data__deaths_item__prompts):
+                                    if not isinstance(data__deaths_item__prompts_item, (list, tuple)):
+                                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}]".format(**locals()) + " must be array", value=data__deaths_item__prompts_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}]".format(**locals()) + "", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, rule='type')
+                                    data__deaths_item__prompts_item_is_list = isinstance(data__deaths_item__prompts_item, (list, tuple))
+                                    if data__deaths_item__prompts_item_is_list:
+                                        data__deaths_item__prompts_item_len = len(data__deaths_item__prompts_item)
+                                        if data__deaths_item__prompts_item_len > 32:
+                                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}]".format(**locals()) + " must contain less than or equal to 32 items", value=data__deaths_item__prompts_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}]".format(**locals()) + "", definition={'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, rule='maxItems')
+                                        for data__deaths_item__prompts_item_x, data__deaths_item__prompts_item_item in enumerate(data__deaths_item__prompts_item):
+                                            if not isinstance(data__deaths_item__prompts_item_item, (int)) and not (isinstance(data__deaths_item__prompts_item_item, float) and data__deaths_item__prompts_item_item.is_integer()) or isinstance(data__deaths_item__prompts_item_item, bool):
+                                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}][{data__deaths_item__prompts_item_x}]".format(**locals()) + " must be integer", value=data__deaths_item__prompts_item_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}][{data__deaths_item__prompts_item_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                                            if isinstance(data__deaths_item__prompts_item_item, (int, float, Decimal)) and not isinstance(data__deaths_item__prompts_item_item, bool):
+                                                if data__deaths_item__prompts_item_item < 0:
+                                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}][{data__deaths_item__prompts_item_x}]".format(**locals()) + " must be bigger than or equal to 0", value=data__deaths_item__prompts_item_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}].prompts[{data__deaths_item__prompts_x}][{data__deaths_item__prompts_item_x}]".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if data__deaths_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + " must not contain "+str(data__deaths_item_keys)+" properties", value=data__deaths_item, name="" + (name_prefix or "data") + ".deaths[{data__deaths_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, rule='additionalProperties')
+        if "outputs" in data_keys:
+            data_keys.remove("outputs")
+            data__outputs = data["outputs"]
+            if not isinstance(data__outputs, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs must be array", value=data__outputs, name="" + (name_prefix or "data") + ".outputs", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, 'maxItems': 256}, rule='type')
+            data__outputs_is_list = isinstance(data__outputs, (list, tuple))
+            if data__outputs_is_list:
+                data__outputs_len = len(data__outputs)
+                if data__outputs_len > 256:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs must contain less than or equal to 256 items", value=data__outputs, name="" + (name_prefix or "data") + ".outputs", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, 'maxItems': 256}, rule='maxItems')
+                for data__outputs_x, data__outputs_item in enumerate(data__outputs):
+                    if not isinstance(data__outputs_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + " must be object", value=data__outputs_item, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, rule='type')
+                    data__outputs_item_is_dict = isinstance(data__outputs_item, dict)
+                    if data__outputs_item_is_dict:
+                        data__outputs_item__missing_keys = set(['part', 'age_s']) - data__outputs_item.keys()
+                        if data__outputs_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + " must contain " + (str(sorted(data__outputs_item__missing_keys)) + " properties"), value=data__outputs_item, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, rule='required')
+                        data__outputs_item_keys = set(data__outputs_item.keys())
+                        if "part" in data__outputs_item_keys:
+                            data__outputs_item_keys.remove("part")
+                            data__outputs_item__part = data__outputs_item["part"]
+                            if not isinstance(data__outputs_item__part, (int)) and not (isinstance(data__outputs_item__part, float) and data__outputs_item__part.is_integer()) or isinstance(data__outputs_item__part, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}].part".format(**locals()) + " must be integer", value=data__outputs_item__part, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}].part".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__outputs_item__part, (int, float, Decimal)) and not isinstance(data__outputs_item__part, bool):
+                                if data__outputs_item__part < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}].part".format(**locals()) + " must be bigger than or equal to 0", value=data__outputs_item__part, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}].part".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "age_s" in data__outputs_item_keys:
+                            data__outputs_item_keys.remove("age_s")
+                            data__outputs_item__ages = data__outputs_item["age_s"]
+                            if not isinstance(data__outputs_item__ages, (int, float, Decimal)) or isinstance(data__outputs_item__ages, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}].age_s".format(**locals()) + " must be number", value=data__outputs_item__ages, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
+                            if isinstance(data__outputs_item__ages, (int, float, Decimal)) and not isinstance(data__outputs_item__ages, bool):
+                                if data__outputs_item__ages < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}].age_s".format(**locals()) + " must be bigger than or equal to 0", value=data__outputs_item__ages, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                        if data__outputs_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + " must not contain "+str(data__outputs_item_keys)+" properties", value=data__outputs_item, name="" + (name_prefix or "data") + ".outputs[{data__outputs_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+        if "contrast_age_s" in data_keys:
+            data_keys.remove("contrast_age_s")
+            data__contrastages = data["contrast_age_s"]
+            if not isinstance(data__contrastages, (int, float, Decimal)) or isinstance(data__contrastages, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".contrast_age_s must be number", value=data__contrastages, name="" + (name_prefix or "data") + ".contrast_age_s", definition={'type': 'number', 'minimum': 0}, rule='type')
+            if isinstance(data__contrastages, (int, float, Decimal)) and not isinstance(data__contrastages, bool):
+                if data__contrastages < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".contrast_age_s must be bigger than or equal to 0", value=data__contrastages, name="" + (name_prefix or "data") + ".contrast_age_s", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'deaths', 'outputs'], 'properties': {'type': {'const': 'part_evidence', 'type': 'string'}, 'deaths': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['target', 'age_s', 'prompts'], 'properties': {'target': {'type': 'string'}, 'age_s': {'type': 'number', 'minimum': 0}, 'prompts': {'type': 'array', 'items': {'type': 'array', 'items': {'type': 'integer', 'minimum': 0}, 'maxItems': 32}, 'maxItems': 64}}}, 'maxItems': 64}, 'outputs': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['part', 'age_s'], 'properties': {'part': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}}}, 'maxItems': 256}, 'contrast_age_s': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
 NoneType = type(None)
 
 def check_start(data, custom_formats={}, name_prefix=None):
@@ -2408,6 +2536,7 @@
     'leaving': check_leaving,
     'config': check_config,
     'suspects': check_suspects,
+    'part_evidence': check_part_evidence,
     'start': check_start,
     'started': check_started,
     'refused': check_refused,
@@ -2444,6 +2573,7 @@
     'leaving': [],
     'config': [('body',)],
     'suspects': [],
+    'part_evidence': [],
     'start': [],
     'started': [],
     'refused': [],
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, NotRequired, TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -95,6 +95,31 @@
     expires_in_s: float
 
 
+PromptItem: TypeAlias = int
+
+
+Prompt: TypeAlias = list[PromptItem]
+
+
+class PartDeath(TypedDict, closed=True):
+    """
+    The death of a target, with the requests that it had returned no output for.
+    """
+
+    target: str
+    age_s: float
+    prompts: list[Prompt]
+
+
+class PartOutput(TypedDict, closed=True):
+    """
+    The latest output for a request with a prompt part.
+    """
+
+    part: int
+    age_s: float
+
+
 class Start(TypedDict, closed=True):
     """
     Asks the first stage of a chain to run a model request.
@@ -509,6 +534,17 @@
     entries: list[Suspect]
 
 
+class PartEvidence(TypedDict, closed=True):
+    """
+    Evidence on prompt parts that crash the targets that begin to answer them.
+    """
+
+    type: Literal['part_evidence']
+    deaths: list[PartDeath]
+    outputs: list[PartOutput]
+    contrast_age_s: NotRequired[float]
+
+
 Message: TypeAlias = (
     Hello
     | Heartbeat
@@ -516,6 +552,7 @@
     | Leaving
     | ConfigUpdate
     | Suspects
+    | PartEvidence
     | Start
     | Started
     | Refused
