Decode the parts of a prompt from the Prompt-Prefix header

The gateway forwards the header without reading it, so it cannot tell which requests share a part of their prompts. The last part is left out, as it belongs to the request or its session. Nothing uses the field yet.

--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -25,6 +25,9 @@
         last_event_id: Id of the last event that the caller has received;
             empty for a new stream.
         forwarded: Headers to forward to the target.
+        prompt_parts: Ids of the parts of the prompt that other requests may
+            share, in order and below 2**64; without the last part, which
+            belongs to the request or its session.
     """
 
     request_id: str
@@ -35,6 +38,7 @@
     expected_output_tokens: int
     last_event_id: str
     forwarded: Headers
+    prompt_parts: tuple[int, ...] = ()
 
 
 class DispatchDetails(NamedTuple):
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -282,6 +282,30 @@
                          b"length-hint"}  # fmt: skip
 
 
+@pytest.mark.parametrize(
+    ("values", "parts"),
+    [
+        (["5c1e07a2:800,91BD3F06:410,e4402b7d:250"], (0x5C1E07A2, 0x91BD3F06)),
+        (["5c1e07a2:800, 91bd3f06:410", "e4:2"], (0x5C1E07A2, 0x91BD3F06)),
+        (["5c1e07a2:800"], ()),
+        ([""], ()),
+        ([], ()),
+        (["x:1,:2,,0x5:3,-5:4,5_5:5,5:6,6:7"], (5,)),
+        (["f00000000000000001:1,2:2"], (1,)),
+        ([",".join(f"{n:x}:1" for n in range(100))], tuple(range(32))),
+    ],
+)
+def test_all_parts_of_a_prompt_but_the_last_are_decoded(
+    adapter, values, parts
+):
+    headers = http_headers.Headers({"Prompt-Prefix": values})
+    request_headers = adapter.exchange_headers.decode_request(headers)
+    assert request_headers.prompt_parts == parts
+    assert [value for _, value in request_headers.forwarded] == [
+        value.encode() for value in values
+    ]
+
+
 def test_a_request_to_a_target_carries_path_workspace_and_deadline(adapter):
     request_headers = platform_adapter.RequestHeaders(
         "r", 20.0, "secret", 0, 0, 0, "", []
