--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -223,8 +223,12 @@
             round(duration_s / request_context.PROGRESS_CHECK_INTERVAL_S)
         ):
             self.reactor.advance(request_context.PROGRESS_CHECK_INTERVAL_S)
-            for call_or_stream in self._in_progress:
-                call_or_stream.check_progress(self.reactor.seconds())
+            self.check_progress()
+
+    def check_progress(self) -> None:
+        """Runs the periodic progress checks once."""
+        for call_or_stream in self._in_progress:
+            call_or_stream.check_progress(self.reactor.seconds())
 
     def accept_connection(self) -> connections.TargetConnection:
         """Accepts the oldest pending connection."""
