Count the death of a target that had answered a probe before

A probe answered by a running target made the module ignore the later death of the same process. The new test, in which each target answers a probe before it crashes, failed ("assert False": the part was not condemned). Only a recorded death is withdrawn now, and only reports of deaths before that moment are ignored.

--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -108,7 +108,7 @@
             maxlen=MIN_OTHER_OUTPUTS
         )
         self._peers_contrast_s = float("-inf")
-        self._withdrawn: dict[str, None] = {}
+        self._withdrawn_s: dict[str, float] = {}
         # Keys in the order in which they were condemned.
         self._condemned: dict[int, None] = {}
         self._lacks_contrast = False
@@ -174,11 +174,11 @@
     def withdraw_death(self, target: str, now_s: float) -> None:
         """Withdraws the death of a target that is running after all.
 
-        Reports of peers on its death are ignored from now on.
+        Reports of peers on a death before now are ignored.
         """
-        _add_bounded(self._withdrawn, target, None, MAX_DEATHS)
         if self._death_s.pop(target, None) is None:
             return
+        _add_bounded(self._withdrawn_s, target, now_s, MAX_DEATHS)
         self._deaths.pop(target, None)
         for part in list(self._evidence):
             self._drop_deaths(part, lambda name, _: name == target)
@@ -247,7 +247,7 @@
         self, target: str, prompts: Iterable[Sequence[int]], time_s: float
     ) -> Death | None:
         """Adds a death; returns the prompts in it that were not known."""
-        if target in self._withdrawn:
+        if time_s <= self._withdrawn_s.get(target, time_s - 1):
             return None
         known = self._deaths.get(target)
         if target in self._death_s:
--- a/tests/unit/test_policy_crashing_parts.py
+++ b/tests/unit/test_policy_crashing_parts.py
@@ -224,6 +224,15 @@
     assert not tracker.is_condemned((CRASHING,), 4.0)
 
 
+def test_death_after_an_answered_probe_counts(tracker):
+    for time_s in (0.0, 1.0, 2.0, 3.0):
+        tracker.withdraw_death(f"t{time_s}", time_s - 0.5)
+    tracker.record_death("t3.0", [(FIRST, CRASHING)], 2.8)
+    tracker.withdraw_death("t3.0", 2.9)
+    crash(tracker, [0.0, 1.0, 2.0, 3.0])
+    assert tracker.is_condemned((CRASHING,), 4.0)
+
+
 def test_evidence_expires_after_the_last_death(tracker):
     crash(tracker, [0.0, 100.0, 200.0, 300.0])
     assert tracker.is_condemned((CRASHING,), 899.0)
