Reject requests with a prompt part that crashes targets

Callers saw target after target lost: one part of a prompt crashed each target that began to answer it, and the requests with it were all different. The gateway knew a crashing request only by the digest of the whole request, so each of them was new to it, and several crashes within two seconds counted as a mass failure.

The gateway now also keeps evidence by prompt part, shared with its peers. The first event of an attempt clears the parts of its prompt; a target that goes down counts against the parts of the requests that waited for it or had just failed there. A request with a condemned part is rejected at its start, when its path is found after a wait, and before it is sent again, unless it has had output itself.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -249,6 +249,7 @@
                 self.targets,
                 self._dispatcher.occupancy,
                 self._context.crash_evidence.feed,
+                self._context.crash_evidence.part_feed,
                 lambda: self._stored_catalog,
                 self._apply_peer_catalog,
                 self._restart_polls,
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -66,8 +66,11 @@
     Attributes:
         digest: Digest that is the same for retries of the request.
         request_id: Id of the request; each retry by the caller has a new one.
+        prompt_parts: None; plain services have no prompts.
     """
 
+    prompt_parts = ()
+
     def __init__(
         self,
         context: request_context.RequestContext,
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -2,17 +2,22 @@
 
 A request that crashes a target does so when the target begins to run it.
 When a target goes down, only requests that it had returned no data for
-become suspects.
+become suspects, and so do the parts of their prompts.
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
+import prometheus_client
+
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.links import part_evidence_feed
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import crashing_parts
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import suspects
 
@@ -26,10 +31,16 @@
 CONDEMNATION_DELAY_S = suspects.CONDEMNATION_DELAY_S
 CONDEMNED_STATUS = exceptions.CrashesTargets.http_status
 CONDEMNED_REASON = "targets went down as they began to run this request"
+CONDEMNED_PART_REASON = "targets went down on a part of this prompt"
 # Evidence is kept for as long as in an entry process, since callers retry
 # requests in the same way.
 SUSPECT_SETTINGS = {"suspect_ttl_s": 600.0}
 
+PART_REJECTIONS = prometheus_client.Counter(
+    "hemlocktiller_gateway_part_rejections",
+    "Requests rejected as a part of their prompt crashes targets",
+)
+
 
 class _EarlyFailure(NamedTuple):
     """An attempt that failed before its target had returned data."""
@@ -37,19 +48,34 @@
     digest: int
     request_id: str
     failed_s: float
+    prompt_parts: crashing_parts.Prompt
+
+
+class RequestPrompt(NamedTuple):
+    """The prompt of a request, by the parts that other requests may share."""
+
+    request_id: str
+    parts: crashing_parts.Prompt
 
 
 class CrashEvidence:
     """Evidence of this process and its peers on crashing requests.
 
     Attributes:
-        feed: The evidence, exchanged with peers.
+        feed: The evidence on requests, exchanged with peers.
+        part_feed: The evidence on prompt parts, exchanged with peers.
     """
 
     def __init__(self, reactor: Any) -> None:
         self.feed = suspects_feed.SuspectsFeed(
             reactor, SUSPECT_SETTINGS, relays=False
         )
+        self.part_feed = part_evidence_feed.PartEvidenceFeed(
+            reactor,
+            SUSPECT_SETTINGS,
+            relays=False,
+            on_condemned=self._log_condemned_part,
+        )
         self._reactor = reactor
         self._failures_by_process: dict[str, list[_EarlyFailure]] = {}
 
@@ -57,8 +83,16 @@
         """Returns the state of a request; see `Suspects.state`."""
         return self.feed.state(digest)
 
+    def has_condemned_part(self, prompt_parts: Sequence[int]) -> bool:
+        """Returns whether a part of a prompt is known to crash targets."""
+        return self.part_feed.condemned_part(prompt_parts) is not None
+
     def record_early_failure(
-        self, digest: int, request_id: str, targets: list[fleet.Target]
+        self,
+        digest: int,
+        request_id: str,
+        targets: list[fleet.Target],
+        prompt_parts: crashing_parts.Prompt = (),
     ) -> None:
         """Records an attempt that failed before any data was returned."""
         now_s = self._reactor.seconds()
@@ -67,15 +101,24 @@
             failures = self._failures_by_process.setdefault(
                 target.process_id, []
             )
-            failures.append(_EarlyFailure(digest, request_id, now_s))
+            failures.append(
+                _EarlyFailure(digest, request_id, now_s, prompt_parts)
+            )
 
     def record_first_data(self, digest: int) -> None:
         """Clears a request that a target has returned data for."""
         if len(self.feed.suspects):
             self.feed.record_success(digest)
 
+    def record_output(self, prompt_parts: Sequence[int]) -> None:
+        """Clears the parts of a prompt that a target has begun to answer."""
+        self.part_feed.record_output(prompt_parts)
+
     def record_target_down(
-        self, target: fleet.Target, waiting: Mapping[int, str]
+        self,
+        target: fleet.Target,
+        waiting: Mapping[int, str],
+        waiting_prompts: Sequence[RequestPrompt] = (),
     ) -> None:
         """Records that a target went down, as evidence against requests.
 
@@ -83,6 +126,7 @@
             target: The target.
             waiting: Request ids by digest, of the requests in progress at
                 the target that have returned no data yet.
+            waiting_prompts: Prompts of these requests.
         """
         now_s = self._reactor.seconds()
         self._drop_expired(now_s)
@@ -103,10 +147,48 @@
                 born_ms=target.born_ms,
                 state=self.state(digest),
             )
+        prompts = [
+            RequestPrompt(attempt.request_id, attempt.prompt_parts)
+            for attempt in early_failures
+        ]
+        self._record_part_evidence(target, [*prompts, *waiting_prompts])
+
+    def _record_part_evidence(self, target, prompts):
+        """Records that a target went down, as evidence against parts."""
+        self.part_feed.record_death(
+            target.process_id, [prompt.parts for prompt in prompts]
+        )
+        for request_id, prompt_parts in prompts:
+            if not prompt_parts:
+                continue
+            events.emit(
+                "part_suspected",
+                request=request_id,
+                parts=[f"{part:x}" for part in prompt_parts],
+                deaths=[
+                    self.part_feed.parts.death_count(part)
+                    for part in prompt_parts
+                ],
+                target=target.name,
+                born_ms=target.born_ms,
+            )
+
+    def _log_condemned_part(self, part, death_count):
+        contrast_age_s = (
+            self._reactor.seconds() - self.part_feed.parts.contrast_s()
+        )
+        events.emit(
+            "part_condemned",
+            part=f"{part:x}",
+            deaths=death_count,
+            other_outputs=crashing_parts.MIN_OTHER_OUTPUTS,
+            other_outputs_in_ms=round(contrast_age_s * 1000),
+        )
 
     def record_survival(self, target: fleet.Target) -> None:
         """Withdraws the evidence of a target that was only silent."""
         self.feed.suspects.record_survival(target.process_id)
+        self.part_feed.withdraw_death(target.process_id)
 
     def _drop_expired(self, now_s):
         """Drops early failures that are too old to be due to a crash."""
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -20,6 +20,7 @@
 from hemlocktiller._internal.links import dialer
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import listener
+from hemlocktiller._internal.links import part_evidence_feed
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import fleet
@@ -74,6 +75,7 @@
         targets: Registry of the targets.
         occupancy: Load of targets by this process and by its peers.
         suspects: Evidence against requests that crash targets.
+        part_evidence: Evidence against prompt parts that crash targets.
         stored_catalog: Returns the newest configuration, or None.
         apply_catalog: Applies a configuration of a peer if it is newer;
             returns whether it did.
@@ -86,6 +88,7 @@
     targets: targets_module.Targets
     occupancy: occupancy_module.Occupancy
     suspects: suspects_feed.SuspectsFeed
+    part_evidence: part_evidence_feed.PartEvidenceFeed
     stored_catalog: Callable[[], StoredCatalog | None]
     apply_catalog: Callable[[StoredCatalog], bool]
     on_store_recovered: Callable[[], None]
@@ -317,10 +320,12 @@
             self._occupancy_message(self._hooks.occupancy.own_loads(), True)
         )
         self._hooks.suspects.on_open(link)
+        self._hooks.part_evidence.on_open(link)
 
     def _on_down(self, link, reason):
         self._links.discard(link)
         self._hooks.suspects.on_down(link)
+        self._hooks.part_evidence.on_down(link)
         LINKED_PEERS.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
@@ -369,6 +374,8 @@
             )
         elif message_type == "suspects":
             self._hooks.suspects.on_message(link, message)
+        elif message_type == "part_evidence":
+            self._hooks.part_evidence.on_message(link, message)
         elif message_type == "catalog_wanted":
             self._send_catalog(link)
         elif message_type == "catalog":
--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -121,12 +121,21 @@
     """
     in_progress = list(in_progress)
     if context.targets.has_ended(target):
-        waiting_requests = {
-            handler.digest: handler.request_id
+        waiting = [
+            handler
             for handler in in_progress
             if handler.awaits_output_from(target)
-        }
-        context.crash_evidence.record_target_down(target, waiting_requests)
+        ]
+        context.crash_evidence.record_target_down(
+            target,
+            {handler.digest: handler.request_id for handler in waiting},
+            [
+                crashes_module.RequestPrompt(
+                    handler.request_id, handler.prompt_parts
+                )
+                for handler in waiting
+            ],
+        )
     for handler in in_progress:
         handler.on_target_down(target, reason)
 
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -70,6 +70,7 @@
         path: Stages of the current attempt; empty while there is none.
         digest: Digest that is the same for retries of the request.
         request_id: Id of the request; each retry by the caller has a new one.
+        prompt_parts: Parts of the prompt that other requests may share.
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         self._on_finished = on_finished
         self.digest = request_context.request_digest(admitted)
         self.request_id = admitted.parsed_headers.request_id
+        self.prompt_parts = admitted.parsed_headers.prompt_parts
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
         self._replacement: _Replacement | None = None
         self._exchange: http_exchange.Exchange | None = None
@@ -94,6 +96,7 @@
         self._framing = "none"
         self._last_event_id = admitted.parsed_headers.last_event_id
         self._event_count = 0
+        self._attempt_has_output = False
         # Attempts that a target is known to have started.
         self._started_attempts = 0
         # All attempts, including those that targets rejected.
@@ -204,20 +207,35 @@
         return self._event_count > 0 or self._last_event_id != ""
 
     def _stopped_by_crash_evidence(self, proceed, *arguments):
-        """Rejects a request that crashes targets.
+        """Rejects a request that crashes targets, by itself or by a part.
 
         While the evidence is undecided, `proceed` is called again later.
 
         Returns:
             Whether the caller of this method must stop.
         """
+        if self._stopped_by_condemned_part():
+            return True
         state = self._context.crash_evidence.state(self.digest)
         if state == "condemned":
-            self._reject_crashing_request()
+            self._reject_crashing_request(crashes.CONDEMNED_REASON)
         elif state == "undecided":
             self._call_after(crashes.CONDEMNATION_DELAY_S, proceed, *arguments)
         return state in ("condemned", "undecided")
 
+    def _stopped_by_condemned_part(self):
+        """Rejects a request with a prompt part that crashes targets."""
+        if (
+            self._has_produced_output()
+            or not self._context.crash_evidence.has_condemned_part(
+                self.prompt_parts
+            )
+        ):
+            return False
+        crashes.PART_REJECTIONS.inc()
+        self._reject_crashing_request(crashes.CONDEMNED_PART_REASON)
+        return True
+
     def _call_after(self, delay_s, proceed, *arguments):
         """Calls a function later, unless the attempt is cancelled before."""
         self._delay_timer = self._context.reactor.callLater(
@@ -288,6 +306,8 @@
         if self._is_finished:
             self._dispatcher.discard(self._dispatch_key)
             return
+        if self._stopped_by_condemned_part():
+            return
         self._begin_attempt(choice.path)
         attempt_number = self._attempt_number
         self._exchange = self._send(
@@ -307,6 +327,7 @@
         self._attempt_number += 1
         self._record_activity(self._context.reactor.seconds())
         self._is_suspected = False
+        self._attempt_has_output = False
         self._splitter = sse.EventSplitter()
         self._framing = "none"
         self._error_head = None
@@ -667,6 +688,9 @@
             )
             self._dispatcher.occupancy.record_prefill_done(self._dispatch_key)
             self._context.crash_evidence.record_first_data(self.digest)
+        if not self._attempt_has_output:
+            self._attempt_has_output = True
+            self._context.crash_evidence.record_output(self.prompt_parts)
         self._record_activity(now_s)
         self._is_suspected = False
         self._event_count += 1
@@ -816,6 +840,7 @@
             self.digest,
             self.request_id,
             [stage.target for stage in path],
+            self.prompt_parts,
         )
 
     def _on_target_rejected(self, response_head, status):
@@ -877,9 +902,8 @@
         else:
             self._reject(retry_after_s, reason)
 
-    def _reject_crashing_request(self):
+    def _reject_crashing_request(self, reason):
         """Rejects a request that crashes the targets that run it."""
-        reason = crashes.CONDEMNED_REASON
         if self._admitted.caller_request.is_response_started:
             self._finish("cut", reason)
             self._admitted.caller_request.abort()
--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -27,7 +27,8 @@
     "Prompt parts found to crash the targets that begin to answer them",
 )
 DEATHS_TO_CONDEMN = 4
-MIN_SPAN_S = 0.5
+# Targets lost at one moment are found within the timeout of one probe.
+MIN_SPAN_S = 0.4
 DEATHS_TO_CONDEMN_KNOWN_GOOD = 8
 MIN_SPAN_KNOWN_GOOD_S = 5.0
 MASS_FAILURE_DEATHS = 3
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -26,6 +26,10 @@
         self.is_open = True
         self.sent = []
 
+    def peer_accepts(self, message_type):
+        """Returns whether the peer has a type of message: it has all."""
+        return True
+
     def send(self, message, frame=None):
         """Records a message."""
         assert frame is None or codec.decode(frame) == message
@@ -62,6 +66,7 @@
                 harness.targets,
                 self.occupancy,
                 self.suspects,
+                harness.context.crash_evidence.part_feed,
                 lambda: self.stored,
                 self._offer,
                 lambda: self.recovery_times_s.append(
