Condemn a prompt part that leaves no target to serve others

Callers would see requests with a part crash all targets of a service again and again if they arrive fast enough: a part was condemned only once three other requests had had output since its first crash, and with all targets lost none had.

Without output a part now also counts as the cause if it has had none itself, it is in almost all deaths since its first, at least six, and the service had output before. From a cold start, before any output, such a part is still not told apart from a broken service.

--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -35,6 +35,8 @@
 MASS_FAILURE_WINDOW_S = 1.0
 # Without output of other requests, the failure may be due to anything.
 MIN_OTHER_OUTPUTS = 3
+# Deaths without a part, relative to those with it, while nothing has output.
+MAX_OTHER_DEATHS_RATIO = 0.25
 # Parts that can't be told apart yet wait for this many further deaths.
 UNDECIDED_DEATHS = 2
 # A part whose earlier deaths count against another part needs this many
@@ -351,7 +353,11 @@
                 and part not in self._condemned
                 and self._has_enough_deaths(part, explained, now_s)
             ]
-            candidates = [part for part in reached if self._stands_out(part)]
+            candidates = [
+                part
+                for part in reached
+                if self._stands_out(part, explained, now_s)
+            ]
             if len(candidates) < len(reached):
                 self._lacks_contrast = True
             leaders = self._leaders(candidates, explained, now_s)
@@ -435,12 +441,35 @@
             return DEATHS_TO_CONDEMN_KNOWN_GOOD
         return DEATHS_TO_CONDEMN
 
-    def _stands_out(self, part: int) -> bool:
-        """Returns whether other requests had output since the first death.
+    def _stands_out(
+        self, part: int, explained: set[str], now_s: float
+    ) -> bool:
+        """Returns whether the deaths are due to the part and no wider failure.
 
-        None of them has the part, since its output drops its deaths.
+        That is so if other requests had output since the first death; none
+        of them has the part, since its output drops its deaths. A part may
+        crash all targets before others have output: it is then in almost all
+        deaths, and there had been output before.
         """
-        return self.contrast_s() > min(self._evidence[part].values())
+        deaths = self._evidence[part]
+        first_death_s = min(deaths.values())
+        contrast_s = self.contrast_s()
+        if contrast_s > first_death_s:
+            return True
+        if (
+            self._is_known_good(part, now_s)
+            or contrast_s + self._ttl_s <= now_s
+            or len(deaths) < DEATHS_TO_CONDEMN + UNDECIDED_DEATHS
+        ):
+            return False
+        other_deaths = [
+            target
+            for target, died_s in self._death_s.items()
+            if died_s >= first_death_s
+            and target not in deaths
+            and target not in explained
+        ]
+        return len(other_deaths) <= MAX_OTHER_DEATHS_RATIO * len(deaths)
 
     def _leaders(
         self, parts: list[int], explained: set[str], now_s: float
--- a/tests/unit/gateway/test_crashing_parts.py
+++ b/tests/unit/gateway/test_crashing_parts.py
@@ -119,13 +119,20 @@
         harness.start_stream(admitted)
         return admitted.caller_request
 
-    def run(self, duration_s, crashing=(), is_sound=True):
+    def run(
+        self,
+        duration_s,
+        crashing=(),
+        is_sound=True,
+        crashing_interval_s=CRASHING_INTERVAL_S,
+    ):
         """Lets requests arrive at all gateways in turn.
 
         Args:
             duration_s: How long.
             crashing: Gateways that crashing requests arrive at, or none.
             is_sound: Whether sound requests arrive.
+            crashing_interval_s: Time between crashing requests.
         """
         end_s = self.now_s + duration_s
         sound_s = crashing_s = self.now_s
@@ -134,7 +141,7 @@
                 sound_s += SOUND_INTERVAL_S
                 self._send_sound()
             if crashing and self.now_s >= crashing_s:
-                crashing_s += CRASHING_INTERVAL_S
+                crashing_s += crashing_interval_s
                 parts = (FIRST, CRASHING, self._rng.choice(SOUND))
                 self.send(self._rng.choice(crashing), parts, b"crash ")
             self._advance()
@@ -265,6 +272,20 @@
     assert play.served_share(10.0) > 0.95
 
 
+@pytest.mark.parametrize("gateway_count", [1, 2])
+def test_a_part_that_crashes_all_targets_at_once_is_rejected(
+    make_play, gateway_count
+):
+    play = make_play(gateway_count)
+    play.run(3.0)
+    play.run(12.0, crashing=range(gateway_count), crashing_interval_s=0.1)
+    fifth_s = play.crash_times_s[4]
+    late = [t for t in play.crashing_arrivals_s if t > fifth_s + 1.0]
+    assert len(late) <= 3
+    play.run(2.0, is_sound=False)
+    assert play.served_share(8.0) > 0.95
+
+
 def test_a_gateway_learns_the_crashing_part_from_its_peer(make_play):
     play = make_play(2)
     play.run(3.0)
--- a/tests/unit/test_policy_crashing_parts.py
+++ b/tests/unit/test_policy_crashing_parts.py
@@ -163,6 +163,25 @@
     assert tracker.is_condemned((CRASHING,), 21.0)
 
 
+def test_part_in_every_death_is_condemned_while_nothing_has_output(tracker):
+    record_other_outputs(tracker, 0.0)
+    for number in range(1, 6):
+        tracker.record_death(f"t{number}", [(FIRST, CRASHING)], float(number))
+    assert not tracker.is_condemned((FIRST, CRASHING), 6.0)
+    tracker.record_death("t6", [(FIRST, CRASHING)], 6.0)
+    assert tracker.is_condemned((CRASHING,), 6.0)
+    assert not tracker.is_condemned((FIRST,), 6.0)
+
+
+def test_failure_of_all_targets_condemns_no_part(tracker):
+    record_other_outputs(tracker, 0.0)
+    tracker.record_output((FIRST,), 0.0)
+    for number in range(1, 61):
+        prompt = (FIRST, 10 + number % 6)
+        tracker.record_death(f"t{number}", [prompt], float(number))
+    assert not tracker.is_condemned((FIRST, *range(10, 16)), 61.0)
+
+
 @pytest.mark.parametrize("seed", range(20))
 @pytest.mark.parametrize("starts_cold", [True, False])
 def test_loss_of_a_third_of_the_targets_condemns_no_part(
