Judge only the prompt parts that a death may condemn

Each death made a process look at all parts with evidence, and sort all deaths for each of them. The new test guards the release; without that rule the part beside the released one was not condemned.

--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -42,6 +42,7 @@
 # A part whose earlier deaths count against another part needs this many
 # deaths of its own before they count against it too.
 MIN_UNEXPLAINED_DEATHS = 2
+SWEEP_INTERVAL_S = 1.0
 MAX_PARTS = 10_000
 MAX_DEATHS = 1024
 MAX_PROMPTS_PER_DEATH = 64
@@ -114,7 +115,10 @@
         self._withdrawn_s: dict[str, float] = {}
         # Keys in the order in which they were condemned.
         self._condemned: dict[int, None] = {}
-        self._lacks_contrast = False
+        # Parts with enough deaths that are undecided for now.
+        self._undecided: set[int] = set()
+        self._has_released = False
+        self._swept_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._evidence)
@@ -151,10 +155,10 @@
             The death as recorded, or None if it is evidence against no part
             or was known before.
         """
-        self._drop_expired(now_s)
+        self._sweep(now_s)
         death = self._add_death(target, prompts, now_s)
         if death is not None:
-            self._judge(now_s)
+            self._judge(parts_of([death]), now_s)
         return death
 
     def record_output(
@@ -170,8 +174,8 @@
         for part in parts:
             if self._add_output(part, now_s):
                 cleared.append(Output(part, now_s))
-        if cleared or self._lacks_contrast:
-            self._judge(now_s)
+        if cleared or self._undecided:
+            self._judge([], now_s)
         return cleared
 
     def withdraw_death(self, target: str, now_s: float) -> None:
@@ -185,7 +189,7 @@
         self._deaths.pop(target, None)
         for part in list(self._evidence):
             self._drop_deaths(part, lambda name, _: name == target)
-        self._judge(now_s)
+        self._judge([], now_s)
 
     def deaths(self, now_s: float) -> list[Death]:
         """Returns all deaths that are evidence against a part."""
@@ -224,7 +228,7 @@
             contrast_s: The peer's `contrast_s`.
             now_s: Current time.
         """
-        self._drop_expired(now_s)
+        self._sweep(now_s)
         self._peers_contrast_s = max(
             self._peers_contrast_s, min(contrast_s, now_s)
         )
@@ -243,7 +247,7 @@
             death = self._add_death(told.target, told.prompts, time_s)
             if death is not None:
                 new_deaths.append(death)
-        self._judge(now_s)
+        self._judge(parts_of(new_deaths), now_s)
         return News(new_deaths, new_outputs)
 
     def _add_death(
@@ -287,7 +291,7 @@
             if len(self._evidence) >= self._max_parts:
                 oldest = next(iter(self._evidence))
                 del self._evidence[oldest]
-                self._condemned.pop(oldest, None)
+                self._release(oldest)
             deaths = self._evidence[part] = {}
         deaths.setdefault(target, time_s)
 
@@ -317,15 +321,21 @@
             self._evidence[part] = kept
         else:
             del self._evidence[part]
-            self._condemned.pop(part, None)
+            self._release(part)
         return True
 
+    def _sweep(self, now_s: float) -> None:
+        """Drops expired evidence from time to time."""
+        if now_s >= self._swept_s + SWEEP_INTERVAL_S:
+            self._swept_s = now_s
+            self._drop_expired(now_s)
+
     def _drop_expired(self, now_s: float) -> None:
         """Drops the evidence on parts whose last death is too old."""
         for part in list(self._evidence):
             if self._is_expired(part, now_s):
                 del self._evidence[part]
-                self._condemned.pop(part, None)
+                self._release(part)
         used = {
             target for deaths in self._evidence.values() for target in deaths
         }
@@ -340,26 +350,42 @@
         output_s = self._output_s.get(part)
         return output_s is not None and now_s < output_s + self._ttl_s
 
-    def _judge(self, now_s: float) -> None:
-        """Condemns the parts with enough evidence, and releases others."""
-        self._condemned = self._still_condemned(now_s)
-        self._lacks_contrast = False
+    def _release(self, part: int) -> None:
+        """Releases a part; its deaths count against others again."""
+        if part in self._condemned:
+            del self._condemned[part]
+            self._has_released = True
+
+    def _judge(self, parts: Iterable[int], now_s: float) -> None:
+        """Condemns the parts with enough evidence, and releases others.
+
+        Args:
+            parts: Parts with new deaths; no other part can have become
+                condemned by them.
+            now_s: Current time.
+        """
+        still_condemned = self._still_condemned(now_s)
+        for part in [p for p in self._condemned if p not in still_condemned]:
+            self._release(part)
+        to_judge = {*parts, *self._undecided}
+        if self._has_released:
+            self._has_released = False
+            to_judge = set(self._evidence)
         while True:
             explained = self._explained_deaths(self._condemned)
             reached = [
                 part
-                for part, deaths in self._evidence.items()
-                if len(deaths) >= DEATHS_TO_CONDEMN
+                for part in to_judge
+                if len(self._evidence.get(part, ())) >= DEATHS_TO_CONDEMN
                 and part not in self._condemned
                 and self._has_enough_deaths(part, explained, now_s)
             ]
+            self._undecided = set(reached)
             candidates = [
                 part
                 for part in reached
                 if self._stands_out(part, explained, now_s)
             ]
-            if len(candidates) < len(reached):
-                self._lacks_contrast = True
             leaders = self._leaders(candidates, explained, now_s)
             if not leaders:
                 return
--- a/tests/unit/test_policy_crashing_parts.py
+++ b/tests/unit/test_policy_crashing_parts.py
@@ -125,6 +125,13 @@
     assert not tracker.is_condemned((FIRST,), 6.1)
 
 
+def test_deaths_of_a_released_part_count_against_its_neighbour(tracker):
+    crash(tracker, [0.0, 1.0, 2.0, 3.0], (FIRST, CRASHING, OTHER))
+    assert tracker.condemned_part((CRASHING, OTHER), 4.0) == OTHER
+    tracker.record_output((FIRST, OTHER), 4.0)
+    assert tracker.condemned_part((CRASHING, OTHER), 4.0) == CRASHING
+
+
 def test_output_drops_the_deaths_before_it(tracker):
     crash(tracker, [0.0, 1.0, 2.0], (CRASHING,))
     assert tracker.record_output((CRASHING,), 2.5) == [(CRASHING, 2.5)]
