--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -25,6 +25,9 @@
 # probe takes at most its timeout, and twice that if it had to wait for an
 # earlier one.
 EARLY_FAILURE_TTL_S = 2 * targets_module.PROBE_TIMEOUT_S
+# The end of a model target that is silent at first may show only as its
+# registration expires. A report of it drops its failures before that.
+MODEL_FAILURE_TTL_S = 5.0
 # A failed attempt of a suspect waits for the probe of its target, which
 # shows whether this was the second crash.
 PROBE_WAIT_S = targets_module.PROBE_TIMEOUT_S
@@ -47,7 +50,7 @@
 
     digest: int
     request_id: str
-    failed_s: float
+    expires_at_s: float
     prompt_parts: crashing_parts.Prompt
 
 
@@ -101,8 +104,13 @@
             failures = self._failures_by_process.setdefault(
                 target.process_id, []
             )
+            ttl_s = (
+                MODEL_FAILURE_TTL_S
+                if target.accelerator
+                else EARLY_FAILURE_TTL_S
+            )
             failures.append(
-                _EarlyFailure(digest, request_id, now_s, prompt_parts)
+                _EarlyFailure(digest, request_id, now_s + ttl_s, prompt_parts)
             )
 
     def record_first_data(self, digest: int) -> None:
@@ -187,6 +195,7 @@
 
     def record_survival(self, target: fleet.Target) -> None:
         """Withdraws the evidence of a target that was only silent."""
+        self._failures_by_process.pop(target.process_id, None)
         self.feed.suspects.record_survival(target.process_id)
         self.part_feed.withdraw_death(target.process_id)
 
@@ -198,7 +207,7 @@
             kept = [
                 attempt
                 for attempt in early_failures
-                if now_s - attempt.failed_s < EARLY_FAILURE_TTL_S
+                if now_s < attempt.expires_at_s
             ]
             if kept:
                 self._failures_by_process[process_id] = kept
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -236,6 +236,49 @@
     assert harness.context.crash_evidence.state(stream.digest) == "suspect"
 
 
+def refuse_probes(harness, target, duration_s):
+    """Refuses the connections to a target, and leaves others unanswered."""
+    for _ in range(round(duration_s / 0.1)):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            if harness.next_port() == target.port:
+                harness.refuse_connection()
+            else:
+                harness.accept_connection()
+
+
+def test_a_replaced_run_is_evidence_once_its_silent_target_has_ended(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    admitted = harness.admit(model_service, stream_route)
+    stream = harness.start_stream(admitted)
+    first = harness.accept_connection()
+    target = harness.targets.by_name[path_target_names(first)[0]]
+    (replacement,) = stay_silent(harness)
+    replacement.respond(RESPONSE_HEAD)
+    refuse_probes(harness, target, 1.0)
+    assert harness.targets.has_ended(target)
+    assert harness.context.crash_evidence.state(stream.digest) == "suspect"
+
+
+def test_a_failed_run_is_evidence_if_its_target_refuses_only_a_later_probe(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    stream = harness.start_stream(admitted)
+    first = harness.accept_connection()
+    target = harness.targets.by_name[path_target_names(first)[0]]
+    first.reset()
+    probe = harness.accept_connection()
+    harness.advance_clock(0.2)
+    probe.reset()
+    refuse_probes(harness, target, 1.0)
+    assert harness.targets.has_ended(target)
+    assert harness.context.crash_evidence.state(stream.digest) == "suspect"
+
+
 def test_an_ended_stream_is_not_cut_while_a_silent_target_may_confirm_it(
     harness, model_service, stream_route
 ):
