Reject a condemned prompt part whatever event the caller names as its last

A caller that sent a Last-Event-Id passed the check for prompt parts that crash targets, as if a target had answered it. Only events that this gateway has forwarded show that now. A part that is condemned while a replacement is searched for is not sent either.

Evidence: test_a_last_event_id_of_the_caller_does_not_admit_a_condemned_part failed before (the request was sent).

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -223,14 +223,14 @@
             self._call_after(crashes.CONDEMNATION_DELAY_S, proceed, *arguments)
         return state in ("condemned", "undecided")
 
+    def _has_condemned_part(self):
+        return self._context.crash_evidence.has_condemned_part(
+            self.prompt_parts
+        )
+
     def _stopped_by_condemned_part(self):
         """Rejects a request with a prompt part that crashes targets."""
-        if (
-            self._has_produced_output()
-            or not self._context.crash_evidence.has_condemned_part(
-                self.prompt_parts
-            )
-        ):
+        if self._event_count or not self._has_condemned_part():
             return False
         crashes.PART_REJECTIONS.inc()
         self._reject_crashing_request(crashes.CONDEMNED_PART_REASON)
@@ -461,10 +461,11 @@
         """Sends the request along a path that was found for a replacement."""
         replacement = self._replacement
         now_s = self._context.reactor.seconds()
-        if self._crash_state() in (
-            "condemned",
-            "undecided",
-        ) or not self._spend_retry(now_s):
+        if (
+            self._crash_state() in ("condemned", "undecided")
+            or self._has_condemned_part()
+            or not self._spend_retry(now_s)
+        ):
             self._cancel_replacement()
             return
         self._log_resumption(reason, now_s)
--- a/tests/unit/gateway/test_crashing_parts.py
+++ b/tests/unit/gateway/test_crashing_parts.py
@@ -325,3 +325,22 @@
     play.run(2.0, is_sound=False)
     assert 422 not in {caller.status for _, caller in play.sound}
     assert play.served_share(8.0) > 0.95
+
+
+def test_a_last_event_id_of_the_caller_does_not_admit_a_condemned_part(
+    harness, model_service, stream_route, monkeypatch
+):
+    evidence = harness.context.crash_evidence
+    monkeypatch.setattr(
+        evidence, "has_condemned_part", lambda parts: CRASHING in parts
+    )
+    harness.register(make_target("a", first_layer=0, end_layer=80))
+    admitted = harness.admit(
+        model_service,
+        stream_route,
+        prompt_parts=(FIRST, CRASHING),
+        last_event_id="3",
+    )
+    harness.start_stream(admitted)
+    assert admitted.caller_request.status == 422
+    assert not harness.pending_connection_count()
