Reproduce prompts of which one part crashes each target that begins them

Callers saw engine after engine end under prompts that share one part: each prompt is another request, so that the evidence, which goes by the digest of the whole request, never adds up.

A simulation of entries and agents with real links in memory plays such prompts on engines that end and come back, with and without their agents.

--- a/tests/unit/memory_links.py
+++ b/tests/unit/memory_links.py
@@ -43,13 +43,15 @@
 class LinkEnd:
     """One end of a pair, with the callbacks that its owner received."""
 
-    def __init__(self, link_class, clock, name, settings, version=0):
+    def __init__(
+        self, link_class, clock, name, settings, version=0, role="agent"
+    ):
         self.opened_links = []
         self.messages = []
         self.down_reasons = []
         self.version = version
         local = link_module.LocalProcess(
-            f"process-{name}", "agent", name, "dc1", lambda: self.version
+            f"process-{name}", role, name, "dc1", lambda: self.version
         )
         handlers = link_module.Handlers(
             self.opened_links.append,
