Forget the lost links to targets at entries

An entry kept each link to a target that it had lost, for as long as it ran: the feeds of configurations and of suspects were told of new links, but not of lost ones. With each restart of a target its memory grew, and the loops over the links became longer.

The pool of targets now passes the lost link on, and the entry removes it from both feeds.

--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -334,8 +334,13 @@
             self.registry.on_message(message)
 
     def _on_link_lost(
-        self, target: targets_module.Target, reason: str
+        self,
+        target: targets_module.Target,
+        link: link_module.Link,
+        reason: str,
     ) -> None:
+        self.process.feed.on_down(link)
+        self.process.suspects.on_down(link)
         self._running_s_at_link_loss[target.name] = (
             self._running_s_at_silence.pop(target.name, {})
             | self.registry.running_s_by_digest(target)
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -36,7 +36,7 @@
     Attributes:
         on_open: Called when the link to a target opens.
         on_message: Called with each message of a target.
-        on_link_lost: Called with the reason when a link goes down.
+        on_link_lost: Called with the link and the reason when it goes down.
         on_target_died: Called when the process of a target has died.
         on_silence: Called when a target with requests falls silent, and when
             it goes on.
@@ -44,7 +44,7 @@
 
     on_open: Callable[["Target"], None]
     on_message: Callable[["Target", Any], None]
-    on_link_lost: Callable[["Target", str], None]
+    on_link_lost: Callable[["Target", link_module.Link, str], None]
     on_target_died: Callable[["Target"], None]
     on_silence: Callable[["Target"], None]
 
@@ -239,7 +239,7 @@
         return link_module.Handlers(
             lambda link: self._on_open(target, link),
             lambda link, message: self._on_message(target, message),
-            lambda link, reason: self._on_link_down(target, reason),
+            lambda link, reason: self._on_link_down(target, link, reason),
             lambda link: self._on_silence(target),
         )
 
@@ -273,10 +273,12 @@
             target.name, message["prefixes"], now_s
         )
 
-    def _on_link_down(self, target: Target, reason: str) -> None:
+    def _on_link_down(
+        self, target: Target, link: link_module.Link, reason: str
+    ) -> None:
         self._removed_targets.discard(target)
         self._update_chain_cache(target)
-        self._callbacks.on_link_lost(target, reason)
+        self._callbacks.on_link_lost(target, link, reason)
 
     def _on_silence(self, target: Target) -> None:
         self._update_chain_cache(target)
--- a/tests/unit/fleet_simulation.py
+++ b/tests/unit/fleet_simulation.py
@@ -236,7 +236,6 @@
         self.entries = {}
         self._whole_vm_crashes = whole_vm_crashes
         self._connections = []
-        self._dialled_count = 0
         self._request_count = 0
         self._engines = {}
         self._ports = {f"a{index}": 1000 + index for index in range(agents)}
@@ -390,9 +389,8 @@
     def _accept_connections(self):
         """Accepts the connections dialled since the last call."""
         names_by_port = {port: name for name, port in self._ports.items()}
-        while self._dialled_count < len(self.clock.tcpClients):
-            _, port, factory, *_ = self.clock.tcpClients[self._dialled_count]
-            self._dialled_count += 1
+        while self.clock.tcpClients:
+            _, port, factory, *_ = self.clock.tcpClients.pop(0)
             name = names_by_port[port]
             if name not in self.agents:
                 factory.clientConnectionFailed(
