Reject prompts with a part that crashes the targets that begin them

Callers saw engine after engine end under prompts that share one part. Evidence goes by the digest of the whole request, and no two such requests are alike, so that each of them crashed targets of its own; several deaths within two seconds count as a mass failure besides, which withdraws the evidence.

Entries and agents now also keep evidence by part and exchange it over the links. The parts of a prompt are its prefixes that it goes on after, for one model; the digests are those that routing and load reports use, computed once by an entry for all attempts and once by an agent. The death of an agent counts against the parts of the requests without output that its entry had there, the death of an engine against those of the requests without output in it, once the engine doesn't respond or has been replaced: one that was only late has not crashed. The first token of each attempt clears the parts of its request. An entry rejects a request with a condemned part before each attempt, and an agent before it starts a request, also after a wait; the entry takes the agent's refusal as final.

That late engines condemn no part is tested; the test fails if each failed call counts as a crash.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -1,6 +1,7 @@
 """Builds an agent from its settings and connects its components."""
 
 from collections.abc import Callable
+import functools
 from typing import Any
 
 import logbook
@@ -65,6 +66,8 @@
         self.reactor = process.reactor
         self.settings = process.settings
         self.registration: dict[str, Any] = {}
+        # Prompt parts of the requests in the engine when its call failed.
+        self._prompts_at_failure: list[tuple[int, ...]] = []
         self.links: set[link_module.Link] = set()
         self.admin_port = 0
         self.link_port = 0
@@ -106,7 +109,10 @@
             process.request_log,
         )
         self.first_stage_runner = first_stage.FirstStageRunner(
-            self.reactor, self.settings, self.admission.on_request_done
+            self.reactor,
+            self.settings,
+            self.admission.on_request_done,
+            process.part_evidence.record_output,
         )
         self.services: services_module.ServiceCalls | None = None
         self.engine_watch: engine_watch.EngineWatch | None = None
@@ -235,7 +241,10 @@
             self.settings,
             self.admission,
             engine_watch.Callbacks(
-                self._on_engine_died, self._register, self._send_load_report
+                self._on_engine_died,
+                self._on_engine_death_confirmed,
+                self._register,
+                self._send_load_report,
             ),
         )
         self.pipeline = pipeline_module.Pipeline(
@@ -330,6 +339,14 @@
         self.process.suspects.record_death(
             self.settings["name"], self.pipeline.in_engine_s_by_digest()
         )
+        self._prompts_at_failure = (
+            self.first_stage_runner.prompts_without_output()
+        )
+
+    def _on_engine_death_confirmed(self, engine: str) -> None:
+        self.process.part_evidence.record_death(
+            f"{self.settings['name']}/{engine}", self._prompts_at_failure
+        )
 
     def _on_service_died(self) -> None:
         self.process.suspects.record_death(
@@ -364,8 +381,13 @@
 
         Concerns requests suspected of crashing targets. Only their entry
         decides whether to reject them for good: an agent sees too few
-        crashes to tell a request that causes them from a failed rack.
+        crashes to tell a request that causes them from a failed rack. That
+        does not hold for the parts of prompts, as output clears sound ones.
         """
+        if message["type"] == "start":
+            parts = _describe_prompt(message["model"], message["prompt"]).parts
+            if self.process.part_evidence.condemned_part(parts) is not None:
+                return next_stages.CRASHES_TARGETS
         digest = message["digest"]
         if self.process.suspects.may_run_beside(
             digest, self._running_s_by_digest()
@@ -380,15 +402,15 @@
         if message["type"] == "call":
             self.services.start_call(message, link)
             return
-        self._load_reports.record_prefixes(
-            prefixes_module.digests(message["prompt"])
-        )
-        self.first_stage_runner.begin(message, link)
+        prompt_info = _describe_prompt(message["model"], message["prompt"])
+        self._load_reports.record_prefixes(prompt_info.prefixes)
+        self.first_stage_runner.begin(message, link, prompt_info.parts)
 
     def _on_link_open(self, link: link_module.Link) -> None:
         self.links.add(link)
         self.process.feed.on_open(link)
         self.process.suspects.on_open(link)
+        self.process.part_evidence.on_open(link)
         if link.peer["role"] == "agent":
             self.peers.add(link)
             if self.pipeline is not None:
@@ -408,6 +430,7 @@
         self.links.discard(link)
         self.process.feed.on_down(link)
         self.process.suspects.on_down(link)
+        self.process.part_evidence.on_down(link)
         self._target_queries.on_down(link)
         if link.peer is None:
             return
@@ -452,6 +475,7 @@
                 "heartbeat": process.feed.on_message,
                 "config": process.feed.on_message,
                 "suspects": process.suspects.on_message,
+                "part_evidence": process.part_evidence.on_message,
                 "vm_leaving": self._on_vm_leaving,
                 "order": self._orders.on_order,
                 "targets_wanted": self._on_targets_wanted,
@@ -506,3 +530,9 @@
             "leaving": self.unready_reason() != "",
             "plan_backlog_tokens": self.admission.backlog_tokens_by_plan(),
         }
+
+
+# The check of a request and its start follow each other.
+@functools.lru_cache(maxsize=1)
+def _describe_prompt(model: str, prompt: str) -> prefixes_module.PromptInfo:
+    return prefixes_module.describe(model, prompt)
--- a/src/hemlocktiller/_internal/agent/engine_watch.py
+++ b/src/hemlocktiller/_internal/agent/engine_watch.py
@@ -24,12 +24,15 @@
 
     Attributes:
         on_died: A call of the engine failed while it was ready.
+        on_death_confirmed: The engine of this id, whose call failed before,
+            does not respond or has been replaced.
         on_info_changed: The engine's model or layers have changed.
         on_readiness_changed: The agent may have started or stopped accepting
             requests.
     """
 
     on_died: Callable[[], None]
+    on_death_confirmed: Callable[[str], None]
     on_info_changed: Callable[[], None]
     on_readiness_changed: Callable[[], None]
 
@@ -58,6 +61,7 @@
         self._callbacks = callbacks
         self._info_requested = False
         self._paused = False
+        self._failed_engine = ""
         admission.not_ready_reason = ENGINE_DOWN
 
     def request_info(self) -> None:
@@ -100,6 +104,7 @@
             log.warning(
                 "engine call failed; refusing requests until it responds"
             )
+            self._failed_engine = self.info.engine
             self._callbacks.on_died()
             self._refuse_requests(ENGINE_DOWN)
         self.request_info()
@@ -107,6 +112,9 @@
     def _on_info(self, info: engine_client.EngineInfo) -> None:
         """Stores the engine's info and accepts requests unless paused."""
         self._info_requested = False
+        if info.engine != self._failed_engine:
+            self._confirm_death()
+        self._failed_engine = ""
         has_changed = self.info != info
         self.info = info
         self._admission.not_ready_reason = LOADING if self._paused else ""
@@ -117,4 +125,11 @@
 
     def _on_info_failed(self, reason: Any) -> None:
         self._info_requested = False
+        self._confirm_death()
         self._reactor.callLater(INFO_RETRY_INTERVAL_S, self.request_info)
+
+    def _confirm_death(self) -> None:
+        """Reports the engine whose call failed as dead, once."""
+        engine, self._failed_engine = self._failed_engine, ""
+        if engine:
+            self._callbacks.on_death_confirmed(engine)
--- a/src/hemlocktiller/_internal/agent/first_stage.py
+++ b/src/hemlocktiller/_internal/agent/first_stage.py
@@ -52,6 +52,7 @@
         credit_tokens: Tokens that may be sent before the next grant.
         waiting_for_credit: Whether generation is paused until the entry
             grants credit.
+        prompt_parts: Ids of the parts of the prompt.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         run: stage_runs.StageRun,
         link: link_module.Link,
         start_message: Any,
+        prompt_parts: tuple[int, ...],
     ) -> None:
         self.run = run
         self.link = link
@@ -67,6 +69,7 @@
         self.sent_token_count = 0
         self.credit_tokens = start_message["credit_tokens"]
         self.waiting_for_credit = False
+        self.prompt_parts = prompt_parts
 
     @property
     def next_token_index(self) -> int:
@@ -81,6 +84,8 @@
         reactor: Twisted reactor.
         settings: Settings of the agent.
         on_done: Called with each request that ended.
+        on_first_output: Called with the prompt parts of each request that
+            has its first output.
 
     Attributes:
         requests_by_key: Open requests by request id and attempt number.
@@ -93,6 +98,7 @@
         reactor: Any,
         settings: Any,
         on_done: Callable[[EndedRequest], None],
+        on_first_output: Callable[[tuple[int, ...]], None],
     ) -> None:
         self.requests_by_key: dict[
             stage_runs.AttemptKey, FirstStageRequest
@@ -101,6 +107,7 @@
         self._reactor = reactor
         self._settings = settings
         self._on_done = on_done
+        self._on_first_output = on_first_output
         self._token_batches: dict[link_module.Link, coalesce.Coalescer] = {}
 
     def callbacks(self) -> pipeline_module.ChainCallbacks:
@@ -109,7 +116,12 @@
             self._on_opened, self._on_token, self._on_failed
         )
 
-    def begin(self, start_message: Any, link: link_module.Link) -> None:
+    def begin(
+        self,
+        start_message: Any,
+        link: link_module.Link,
+        prompt_parts: tuple[int, ...],
+    ) -> None:
         """Starts a dequeued request; its stages are reserved first."""
         context = stage_runs.RequestContext(
             start_message["config_version"],
@@ -127,10 +139,21 @@
             len(start_message["generated"]),
         )
         self.requests_by_key[run.key] = FirstStageRequest(
-            run, link, start_message
+            run, link, start_message, prompt_parts
         )
         self.pipeline.open_first_stage(run)
 
+    def prompts_without_output(self) -> list[tuple[int, ...]]:
+        """Returns the prompt parts of requests that wait for their output.
+
+        Only those now in the engine.
+        """
+        return [
+            request.prompt_parts
+            for request in self.requests_by_key.values()
+            if request.run.engine_busy and not request.tokens
+        ]
+
     def on_credit(self, link: link_module.Link, message: Any) -> None:
         """Adds credit to a stream and resumes it if it was paused."""
         request = self.requests_by_key.get(stage_runs.attempt_key(message))
@@ -197,6 +220,8 @@
         request.sent_token_count += 1
         request.credit_tokens -= 1
         SENT_TOKENS.inc()
+        if request.sent_token_count == 1:
+            self._on_first_output(request.prompt_parts)
         self._token_batch(request.link).add((run, token_index, output.token))
         if output.final:
             self._finish(request, "stop")
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -1,6 +1,7 @@
 """Builds an entry from its settings and connects its components."""
 
 from typing import Any
+from typing import NamedTuple
 
 import logbook
 from twisted.internet import defer
@@ -28,6 +29,20 @@
 log = logbook.Logger(__name__)
 
 
+class LostWork(NamedTuple):
+    """Requests at a target when its link was lost.
+
+    Attributes:
+        process: Id of the target's process.
+        running_s: How long each has run, by request digest.
+        prompts: Prompt parts of those without output.
+    """
+
+    process: str
+    running_s: dict[int, float]
+    prompts: list[tuple[int, ...]]
+
+
 class Entry:
     """An entry: its HTTP API, links to targets and periodic tasks.
 
@@ -49,10 +64,9 @@
         self.registration: dict[str, Any] = {}
         self._watches: list[watch.Watch] = []
         self._drained = defer.Deferred()
-        # By target: running times by request digest, when its link was lost.
-        self._running_s_at_link_loss: dict[str, dict[int, float]] = {}
+        self._lost_work_by_target: dict[str, LostWork] = {}
         # The same for silent targets, whose requests may have moved since.
-        self._running_s_at_silence: dict[str, dict[int, float]] = {}
+        self._work_at_silence: dict[str, LostWork] = {}
         self.registry = request_registry.RequestRegistry()
         self.targets = targets_module.TargetPool(
             self.reactor,
@@ -97,6 +111,7 @@
             lambda target: process.feed.push(target.link),
             budget.RetryBudget(self.settings["retries"]),
             process.suspects,
+            process.part_evidence,
             costs.Estimator(),
             process.request_log,
             process.tracer,
@@ -315,6 +330,7 @@
     def _on_link_open(self, target: targets_module.Target) -> None:
         self.process.feed.on_open(target.link)
         self.process.suspects.on_open(target.link)
+        self.process.part_evidence.on_open(target.link)
 
     def _on_message(self, target: targets_module.Target, message: Any) -> None:
         link = target.dialer.link
@@ -322,6 +338,8 @@
             self.process.feed.on_message(link, message)
         elif message["type"] == "suspects":
             self.process.suspects.on_message(link, message)
+        elif message["type"] == "part_evidence":
+            self.process.part_evidence.on_message(link, message)
         elif message["type"] == "order_result":
             self._controller.on_result(message)
         elif message["type"] == "targets_wanted":
@@ -341,10 +359,15 @@
     ) -> None:
         self.process.feed.on_down(link)
         self.process.suspects.on_down(link)
-        self._running_s_at_link_loss[target.name] = (
-            self._running_s_at_silence.pop(target.name, {})
-            | self.registry.running_s_by_digest(target)
-        )
+        self.process.part_evidence.on_down(link)
+        lost = self._work_at(target, link)
+        at_silence = self._work_at_silence.pop(target.name, None)
+        if at_silence is not None:
+            lost = lost._replace(
+                running_s=at_silence.running_s | lost.running_s,
+                prompts=[*at_silence.prompts, *lost.prompts],
+            )
+        self._lost_work_by_target[target.name] = lost
         self.registry.on_target_lost(target, reason)
 
     def _on_silence(self, target: targets_module.Target) -> None:
@@ -353,19 +376,29 @@
         The link stays open while others wait for an answer on it.
         """
         if not target.link.is_silent:
-            self._running_s_at_silence.pop(target.name, None)
+            self._work_at_silence.pop(target.name, None)
             return
-        self._running_s_at_silence[target.name] = (
-            self.registry.running_s_by_digest(target)
-        )
+        self._work_at_silence[target.name] = self._work_at(target, target.link)
         self.registry.on_target_silent(target)
         if not self.registry.requests_at_target(target):
             target.link.abort(link_module.SILENCE)
 
+    def _work_at(
+        self, target: targets_module.Target, link: link_module.Link
+    ) -> LostWork:
+        return LostWork(
+            link.peer["process"],
+            self.registry.running_s_by_digest(target),
+            self.registry.prompts_without_output(target),
+        )
+
     def _on_target_died(self, target: targets_module.Target) -> None:
         log.warning("process of target {} has died", target.name)
-        running_s = self._running_s_at_link_loss.pop(target.name, {})
-        self.process.suspects.record_death(target.name, running_s)
+        lost = self._lost_work_by_target.pop(target.name, LostWork("", {}, []))
+        self.process.suspects.record_death(target.name, lost.running_s)
+        self.process.part_evidence.record_death(
+            f"{target.name}/{lost.process}", lost.prompts
+        )
 
 
 def _target_status(target: targets_module.Target) -> dict[str, Any]:
--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -11,6 +11,7 @@
 from hemlocktiller._internal.policy import suspects
 
 DEFAULT_RETRY_AFTER_S = 1.0
+CONDEMNED_PART = "targets died while they ran a part of this prompt"
 STALE_CONFIG = "stale_config"
 STALE_CONFIG_WAIT_S = 0.1  # The target sends the newer version meanwhile.
 
@@ -115,6 +116,16 @@
         """Whether the request may run more than once."""
         return True
 
+    @property
+    def has_output(self) -> bool:
+        """Whether a target has begun to answer the request."""
+        return False
+
+    @property
+    def prompt_parts(self) -> tuple[int, ...]:
+        """Ids of the parts of the prompt; empty without a prompt."""
+        return ()
+
     @property
     def _cost_tokens(self) -> float:
         """Expected cost of the next attempt, in units of an output token."""
@@ -152,7 +163,11 @@
             failed or another attempt is scheduled.
         """
         self._attempt_timer = None
-        return not self._is_blocked_as_suspect() and self._reauthorize_call()
+        return (
+            not self._has_condemned_part()
+            and not self._is_blocked_as_suspect()
+            and self._reauthorize_call()
+        )
 
     def _reauthorize_call(self) -> bool:
         """Authorizes the call under the newest configuration.
@@ -168,6 +183,22 @@
             return False
         return True
 
+    def _has_condemned_part(self) -> bool:
+        """Returns whether a part of the prompt crashes targets.
+
+        Fails the request if so.
+        """
+        part = self._context.part_evidence.condemned_part(self.prompt_parts)
+        if part is None:
+            return False
+        self._fail_as_crashing(CONDEMNED_PART)
+        return True
+
+    def _fail_as_crashing(self, message: str) -> None:
+        self._finish_with_error(
+            exceptions.CrashesTargets(message, self._run_status)
+        )
+
     def _is_blocked_as_suspect(self) -> bool:
         """Returns whether suspicion of crashing targets blocks the request.
 
@@ -176,10 +207,7 @@
         """
         state = self._context.suspects.state(self.call.request_digest)
         if state == "condemned":
-            message = "targets died while they ran this request"
-            self._finish_with_error(
-                exceptions.CrashesTargets(message, self._run_status)
-            )
+            self._fail_as_crashing("targets died while they ran this request")
         elif state == "undecided":
             self._schedule_attempt(suspects.CONDEMNATION_DELAY_S)
         return state in ("condemned", "undecided")
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal.entry import routes
 from hemlocktiller._internal.observe import traces
 from hemlocktiller._internal.policy import costs
+from hemlocktiller._internal.policy import prefixes
 
 PREEMPTED = "preempted"
 SUSPECT_CONFLICT = "suspect_apart"
@@ -42,8 +43,20 @@
     ) -> None:
         super().__init__(context, call, sink.on_error)
         self.tokens: list[int] = []
+        self._prompt_info = prefixes.describe(call.model, call.prompt)
         self._sink = sink
         self._ungranted_tokens = 0
+        self._last_attempt_with_output = 0
+
+    @property
+    def has_output(self) -> bool:
+        """Whether a target has begun to answer the request."""
+        return bool(self.tokens)
+
+    @property
+    def prompt_parts(self) -> tuple[int, ...]:
+        """Ids of the parts of the prompt."""
+        return self._prompt_info.parts
 
     def start_next_attempt(self) -> None:
         """Chooses a route and sends the next attempt, if one may be sent."""
@@ -104,6 +117,9 @@
         self._context.targets.routing_state.circuit_breakers.record_success(
             self.target.name
         )
+        if self._last_attempt_with_output != self.attempt_number:
+            self._last_attempt_with_output = self.attempt_number
+            self._context.part_evidence.record_output(self.prompt_parts)
         new_tokens = token_run["tokens"][duplicate_count:]
         self.tokens.extend(new_tokens)
         self._sink.on_tokens(new_tokens)
@@ -125,7 +141,7 @@
 
     @property
     def _cost_tokens(self) -> float:
-        context_words = len(self.call.prompt.split()) + len(self.tokens)
+        context_words = self._prompt_info.word_count + len(self.tokens)
         return costs.actual_cost_tokens(
             context_words, self._remaining_output_tokens
         )
@@ -140,7 +156,11 @@
             self._remaining_output_tokens, self._time_left_s
         )
         return routes.choose_model_route(
-            self._context, self.call, remaining_work, excluded
+            self._context,
+            self.call,
+            self._prompt_info,
+            remaining_work,
+            excluded,
         )
 
     def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
@@ -173,6 +193,9 @@
     def _on_refused(self, message: Any) -> None:
         reason = message["reason"]
         self._add_event("refused", target=self.target.name, why=reason)
+        if reason == exceptions.CrashesTargets.code:
+            self._fail_as_crashing(base_request.CONDEMNED_PART)
+            return
         self._retry_after_s = max(
             message["retry_after_s"], base_request.DEFAULT_RETRY_AFTER_S
         )
--- a/src/hemlocktiller/_internal/entry/request_context.py
+++ b/src/hemlocktiller/_internal/entry/request_context.py
@@ -10,6 +10,7 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.config import snapshot as snapshot_module
 from hemlocktiller._internal.entry import targets as targets_module
+from hemlocktiller._internal.links import part_evidence_feed
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import request_log as request_log_module
 from hemlocktiller._internal.observe import traces
@@ -39,6 +40,7 @@
             older.
         retry_budget: Limits retries to a share of the successes.
         suspects: Requests suspected of crashing targets.
+        part_evidence: Prompt parts suspected of crashing targets.
         estimator: Estimates the output tokens of a request.
         request_log: Records the events of each request.
         tracer: Creates the spans of requests.
@@ -52,6 +54,7 @@
     push_config: Callable[[Any], None]
     retry_budget: budget.RetryBudget
     suspects: suspects_feed.SuspectsFeed
+    part_evidence: part_evidence_feed.PartEvidenceFeed
     estimator: costs.Estimator
     request_log: request_log_module.RequestLog
     tracer: traces.Tracer
--- a/src/hemlocktiller/_internal/entry/request_registry.py
+++ b/src/hemlocktiller/_internal/entry/request_registry.py
@@ -151,6 +151,16 @@
             for request in self.requests_at_target(target)
         }
 
+    def prompts_without_output(
+        self, target: targets_module.Target
+    ) -> list[tuple[int, ...]]:
+        """Returns the prompt parts of requests that wait for their output."""
+        return [
+            request.prompt_parts
+            for request in self.requests_at_target(target)
+            if not request.has_output
+        ]
+
     def on_target_lost(
         self, target: targets_module.Target, reason: str
     ) -> None:
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -45,6 +45,7 @@
 def choose_model_route(
     context: request_context.RequestContext,
     call: call_types.ModelCall,
+    prompt_info: prefixes.PromptInfo,
     remaining_work: RemainingWork,
     excluded: set[str],
 ) -> Route | None:
@@ -53,6 +54,7 @@
     Args:
         context: Components of the entry.
         call: The model request.
+        prompt_info: Length and prefixes of its prompt.
         remaining_work: Expected work of the attempt.
         excluded: Names of targets that must not be used.
     """
@@ -73,12 +75,11 @@
         )
         for chain in _usable_chains(context, call.model, usable_targets)
     ]
-    prompt_words = len(call.prompt.split())
     request = routing.RequestInfo(
         call.caller.workspace_view.plan["plan"],
-        prompt_words,
+        prompt_info.word_count,
         remaining_work.output_tokens,
-        prefixes.digests(call.prompt),
+        prompt_info.prefixes,
         remaining_work.remaining_s,
     )
     now_s = context.reactor.seconds()
--- a/src/hemlocktiller/_internal/policy/prefixes.py
+++ b/src/hemlocktiller/_internal/policy/prefixes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import xxhash
 
@@ -10,6 +11,38 @@
 MAX_PREFIXES_PER_TARGET = 4096
 
 
+class PromptInfo(NamedTuple):
+    """What routing and the evidence on crashes need to know of a prompt.
+
+    Attributes:
+        word_count: Length of the prompt in words.
+        prefixes: Digests of its prefixes, see `digests`.
+        parts: Ids of its parts that other prompts for the same model may
+            have; see `crashing_parts`.
+    """
+
+    word_count: int
+    prefixes: list[int]
+    parts: tuple[int, ...]
+
+
+def describe(model: str, prompt: str) -> PromptInfo:
+    """Returns the length, the prefixes and the parts of a prompt.
+
+    The parts are the prefixes that the prompt goes on after. Their ids differ
+    by model, as a part that crashes the targets of one may suit another.
+    """
+    word_count = len(prompt.split())
+    prefixes = digests(prompt)
+    model_digest = xxhash.xxh64_intdigest(model.encode())
+    parts = tuple(
+        prefix ^ model_digest
+        for prefix, length in zip(prefixes, PREFIX_WORD_COUNTS, strict=False)
+        if length < word_count
+    )
+    return PromptInfo(word_count, prefixes, parts)
+
+
 def digests(prompt: str) -> list[int]:
     """Returns the digests of a prompt's prefixes, shortest first.
 
--- a/src/hemlocktiller/_internal/process.py
+++ b/src/hemlocktiller/_internal/process.py
@@ -18,6 +18,7 @@
 from hemlocktiller._internal.config import check
 from hemlocktiller._internal.links import config_feed
 from hemlocktiller._internal.links import link as link_module
+from hemlocktiller._internal.links import part_evidence_feed
 from hemlocktiller._internal.links import suspects_feed
 from hemlocktiller._internal.observe import request_log as request_log_module
 from hemlocktiller._internal.observe import traces
@@ -52,6 +53,8 @@
         local_identity: This process as introduced to its peers on links.
         feed: Configuration in force, passed on to peers.
         suspects: Evidence on requests that crash targets, shared with peers.
+        part_evidence: Evidence on prompt parts that crash targets, shared
+            with peers.
         store: Client of the object API.
         request_log: Log of recent requests, for the `/explain` admin page.
         tracer: Source of spans.
@@ -63,6 +66,7 @@
     local_identity: link_module.LocalProcess
     feed: config_feed.ConfigFeed
     suspects: suspects_feed.SuspectsFeed
+    part_evidence: part_evidence_feed.PartEvidenceFeed
     store: client.ObjectStore
     request_log: request_log_module.RequestLog
     tracer: traces.Tracer
@@ -81,13 +85,15 @@
         settings["data_centre"],
         feed.version,
     )
+    suspect_settings = settings.get("retries", DEFAULT_SUSPECT_SETTINGS)
     return Process(
         reactor,
         settings,
         local_identity,
         feed,
-        suspects_feed.SuspectsFeed(
-            reactor, settings.get("retries", DEFAULT_SUSPECT_SETTINGS)
+        suspects_feed.SuspectsFeed(reactor, suspect_settings),
+        part_evidence_feed.PartEvidenceFeed(
+            reactor, suspect_settings, on_condemned=_log_condemned_part
         ),
         client.ObjectStore(settings["store"], process_id, reactor),
         request_log_module.RequestLog(),
@@ -96,6 +102,14 @@
     )
 
 
+def _log_condemned_part(part: int, death_count: int) -> None:
+    log.warning(
+        "prompt part {:016x} condemned after the deaths of {} targets",
+        part,
+        death_count,
+    )
+
+
 def watch_config(process: Process) -> watch.Watch:
     """Watches the configuration in the object API and applies changes."""
     return watch.watch_object(
--- a/tests/unit/fleet_simulation.py
+++ b/tests/unit/fleet_simulation.py
@@ -171,6 +171,11 @@
             self._on_call_failed()
             done.errback(failure.Failure(engine_client.EngineFailed("ended")))
             return
+        timeout_text = engine.fleet.timeout_text
+        if timeout_text is not None and timeout_text in (prompt or ""):
+            self._on_call_failed()
+            done.errback(failure.Failure(engine_client.EngineFailed("late")))
+            return
         done.callback(engine_client.Output(token=1))
 
     def release_sequences(self, sequences):
@@ -221,6 +226,7 @@
         crashes: Target and time of each engine that ended.
         begun: Prompts that engines began to answer.
         whole_vm_crashes: Whether the agent of an engine ends with it.
+        timeout_text: Text of prompts that engines don't answer in time.
     """
 
     def __init__(
@@ -235,6 +241,7 @@
         self.crashing_text = crashing_text
         self.crashes = []
         self.begun = []
+        self.timeout_text = None
         self.agents = {}
         self.entries = {}
         self.whole_vm_crashes = whole_vm_crashes
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -187,7 +187,10 @@
         self.engine = FakeEngine(simulation, name, first_layer, end_layer)
         self.peers = FakePeers(simulation, name)
         self.first_stage_runner = first_stage.FirstStageRunner(
-            simulation.clock, SETTINGS, lambda finished: None
+            simulation.clock,
+            SETTINGS,
+            lambda finished: None,
+            lambda parts: None,
         )
         self.pipeline = pipeline_module.Pipeline(
             simulation.clock,
@@ -289,7 +292,7 @@
             "digest": 1,
             "traceparent": "",
         }
-        self.agents["s0r0"].first_stage_runner.begin(message, link)
+        self.agents["s0r0"].first_stage_runner.begin(message, link, ())
         return link
 
     def run_one_event(self):
--- a/tests/unit/test_crashing_prompt_parts.py
+++ b/tests/unit/test_crashing_prompt_parts.py
@@ -9,6 +9,7 @@
 CRASHING_PART = fleet_simulation.words("crashing", 16)
 CRASHES_BEFORE_LIMIT = 5
 MAX_BEGUN_LATER = 3
+MANY_FAILED_CALLS = 8
 ROUND_S = 0.4
 SOUND_PROMPTS_PER_ROUND = 4
 
@@ -173,3 +174,21 @@
         fleet.run(0.1)
     fleet_simulation.settle(fleet, sound)
     assert [exchange.is_whole for exchange in sound] == [True] * len(sound)
+
+
+def test_engines_that_only_answered_late_condemn_no_part(build_fleet):
+    fleet = build_fleet()
+    late_part = fleet_simulation.words("late", 32)
+    fleet.timeout_text = late_part
+    exchanges = []
+    for number in range(12):
+        exchanges.append(fleet.send("e0", sound_prompt(number)))
+        exchanges.append(fleet.send("e0", f"{late_part} {number}"))
+        fleet.run(ROUND_S)
+    fleet_simulation.settle(fleet, exchanges)
+    late_count = sum(late_part in begun.prompt for begun in fleet.begun)
+    assert late_count > MANY_FAILED_CALLS
+    fleet.timeout_text = None
+    exchange = fleet.send("e0", f"{late_part} last")
+    fleet_simulation.settle(fleet, [exchange])
+    assert exchange.is_whole
--- a/tests/unit/test_policy_routing.py
+++ b/tests/unit/test_policy_routing.py
@@ -194,3 +194,20 @@
     targets = [choice.candidate.target for choice in choices]
     assert len(set(targets)) == len(targets)
     assert bool(targets) == bool(count)
+
+
+def test_the_parts_of_a_prompt_leave_out_the_whole_prompt():
+    first_32_words = " ".join(PROMPT.split()[:32])
+    whole = prefixes.describe("small", first_32_words)
+    longer = prefixes.describe("small", f"{first_32_words} more")
+    assert (whole.word_count, len(whole.prefixes)) == (32, 2)
+    assert (longer.word_count, len(longer.prefixes)) == (33, 2)
+    assert whole.parts == longer.parts[:1]
+    assert len(longer.parts) == 2
+
+
+def test_the_parts_of_a_prompt_differ_by_model():
+    small = prefixes.describe("small", PROMPT)
+    large = prefixes.describe("large", PROMPT)
+    assert small.prefixes == large.prefixes
+    assert not set(small.parts) & set(large.parts)
--- a/tests/unit/test_silent_stages.py
+++ b/tests/unit/test_silent_stages.py
@@ -83,7 +83,7 @@
             "digest": 1,
             "traceparent": "",
         }
-        self.agent.first_stage_runner.begin(message, self.entry_link)
+        self.agent.first_stage_runner.begin(message, self.entry_link, ())
         self.advance(0.1)
 
     def advance(self, duration_s):
