Let a part of prompts crash targets in the soak of the gateways

The soak sent no parts, so it couldn't find this.

Callers now send `Prompt-Prefix`, with a shared part, mostly another, and a last one of their own, without a further draw. With `--crashing-parts N` a quarter of the drafts has a part at which the first stage of a path exits before its first event, from 5 s on for 18 s; these targets are started again after a second. Then no two drafts have the same path. With `--only`, two checks apply: later than 3 s after the fifth crash no more than three requests with the part reach targets, and from 6 s after it sound drafts, which share their key, are served at least half as often as before (20 or more of each).

A trial in which all drafts had the same path and body was discarded: the gateways condemned all as one request.

--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -2,15 +2,16 @@
 
 A model target holds a range of layers and streams deterministic events;
 before each event it calls every other stage of the path. Its streams can be
-made to end with their connection, some of them inside an event. A plain target
-handles single calls. Each run is appended to a journal file, which outlives a
-kill of the process. On SIGTERM the target registers as draining and stops
-after a delay.
+made to end with their connection, some of them inside an event. Some parts of
+a prompt crash it before its first event. A plain target handles single calls.
+Each run is appended to a journal file, which outlives a kill of the process.
+On SIGTERM the target registers as draining and stops after a delay.
 """
 
 import argparse
 import io
 import json
+import os
 import random
 import secrets
 import signal
@@ -31,6 +32,9 @@
 EVENT_INTERVAL_S = 0.02
 DRAIN_DURATION_S = 2.5
 LAYER_COUNT = 80
+# Parts of a prompt that crash each model target that begins to answer it.
+CRASHING_PARTS = range(0xC0, 0xCC)
+CRASH_EXIT_CODE = 70
 
 
 def event_of(request_id: str, number: int) -> bytes:
@@ -193,6 +197,9 @@
             or hops[0][0] != self.address
         ):
             self._append_journal("bad_path", request_id, 0)
+        crashing_part = _find_crashing_part(request)
+        if crashing_part:
+            self._append_journal("part_arrival", request_id, crashing_part)
         disconnected = []
         request.notifyFinish().addErrback(disconnected.append)
         last_event_id = int(request.getHeader("Last-Event-Id") or 0)
@@ -211,6 +218,9 @@
                     request, failed_address, number == last_event_id + 1
                 )
                 return
+            if crashing_part:
+                self._append_journal("part_crash", request_id, crashing_part)
+                os._exit(CRASH_EXIT_CODE)
             if number == last_event_id + 1:
                 self._start_stream(request, request_id, last_event_id)
             event = event_of(request_id, number)
@@ -291,6 +301,13 @@
     return json.dumps(value).encode()
 
 
+def _find_crashing_part(request):
+    """Returns the first part that crashes the target, or 0."""
+    entries = (request.getHeader("Prompt-Prefix") or "0:0").split(",")
+    parts = [int(entry.partition(":")[0], 16) for entry in entries]
+    return next((part for part in parts if part in CRASHING_PARTS), 0)
+
+
 def _parse_hops(header):
     hops = []
     for part in header.split(","):
--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -15,8 +15,8 @@
 PLAIN_TARGET_COUNT = 2
 GATEWAY_COUNT = 3
 STAGE_TIMEOUT_S = 1.0
-# Enough paths for several at a time to be silent, and stages that outwait it.
-SILENCE_OPTIONS = {"model_target_count": 8, "stage_timeout_s": 2.0}
+# Enough paths for several at a time to fail, and stages that outwait silence.
+MANY_PATHS = {"model_target_count": 8, "stage_timeout_s": 2.0}
 HEARTBEAT_INTERVAL_S = 0.5
 HOSTNAME = "drafts.example"
 API_KEY = "key-1"
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -20,6 +20,7 @@
 import threading
 import time
 from typing import NamedTuple
+import zlib
 
 from tests.fakes import platform_target
 from tests.functional import gateway_deployment
@@ -53,6 +54,18 @@
 # A sound target may be silent that long.
 SILENCE_RANGE_S = (0.8, 1.6)
 SILENT_TARGET_COUNT = 4
+CRASH_FAULT = "crash_targets"
+# Time with sound requests only, and then with some that crash targets.
+CRASH_START_S = 5.0
+CRASH_DURATION_S = 18.0
+CRASH_RATIO = 0.25
+CRASH_RESTART_DELAY_S = 1.0
+# After this many crashes and two times `contact_ms`, sound requests of a route
+# are served again, and after one time few crashing requests reach targets.
+CRASH_LIMIT = 5
+CONTACT_S = 3.0
+MAX_LATE_ARRIVALS = 3
+MIN_SAMPLE_COUNT = 20
 # Share of the streams that targets then break off inside an event.
 BREAK_OFF_RATIO = 0.3
 # Targets at which the request of each route may begin.
@@ -94,6 +107,7 @@
     body: bytes
     is_whole: bool
     end_s: float = 0.0
+    crashing_part: int = 0
 
 
 class ExtraFaults(NamedTuple):
@@ -104,12 +118,14 @@
         undelimited: Times at which the streams of targets have no framing,
             and some are broken off.
         silences: Times at which several targets in turn are silent.
+        crashing_parts: Parts of prompts that crash targets.
         excludes_others: Whether all other faults are left out.
     """
 
     restores: int = 0
     undelimited: int = 0
     silences: int = 0
+    crashing_parts: int = 0
     excludes_others: bool = False
 
 
@@ -139,6 +155,12 @@
         )
         for _ in range(extra.silences)
     ]
+    faults += [
+        _draw_fault(rng, (CRASH_FAULT,))._replace(
+            at_s=CRASH_START_S, duration_s=CRASH_DURATION_S
+        )
+        for _ in range(extra.crashing_parts)
+    ]
     return sorted(faults)
 
 
@@ -152,10 +174,16 @@
 
 
 class LoadCallers:
-    """Threads that send requests to random gateways until `stop`."""
+    """Threads that send requests to random gateways until `stop`.
+
+    Attributes:
+        exchanges: Requests with their responses.
+        crashing_parts: Parts that some of the drafts have in their prompt.
+    """
 
     def __init__(self, deployment, seed):
         self.exchanges: list[Exchange] = []
+        self.crashing_parts: list[int] = []
         self._deployment = deployment
         self._stop_requested = threading.Event()
         self._threads = [
@@ -186,8 +214,18 @@
                 )
             kind = rng.choice(("draft", "draft", "booking", "lookup"))
             count += 1
+            parts = self.crashing_parts[:]
+            is_sound = not parts or kind != "draft"
             exchange = send(
-                connection, gateway.name, kind, f"{seed}-{number}-{count}"
+                connection,
+                gateway.name,
+                kind,
+                f"{seed}-{number}-{count}",
+                0
+                if is_sound or rng.random() > CRASH_RATIO
+                else rng.choice(parts),
+                # Drafts that are alike count as one request that crashes.
+                resource=f"{seed}-{number}-{count}" if parts else "1",
             )
             self.exchanges.append(exchange)
             if not exchange.is_whole:
@@ -196,7 +234,19 @@
             time.sleep(rng.uniform(0.0, 0.15))
 
 
-def send(connection, gateway, kind, request_id) -> Exchange:
+def prompt_prefix(request_id: str, crashing_part: int = 0) -> str:
+    """Returns the parts of a prompt: a shared one, maybe another, its own."""
+    own_part = zlib.crc32(request_id.encode())
+    middle_part = crashing_part or (0xB0 + own_part % 5)
+    parts = [0xA0 + own_part % 3, middle_part, 0x100 + own_part]
+    if middle_part == 0xB0:
+        del parts[1]
+    return ",".join(f"{part:x}:30" for part in parts)
+
+
+def send(
+    connection, gateway, kind, request_id, crashing_part=0, resource="1"
+) -> Exchange:
     """Sends one request and reads its response up to the end or a failure."""
     at_s = time.time()
     body = b""
@@ -207,12 +257,13 @@
         "Deadline-Ms": str(int(CALLER_TIMEOUT_S * 1000)),
         "Key": gateway_deployment.API_KEY,
         "Token-Usage": f"100,{EVENT_COUNT}",
+        "Prompt-Prefix": prompt_prefix(request_id, crashing_part),
     }
     is_whole = False
     try:
         method = "GET" if kind == "lookup" else "POST"
         content = b"{}" if method == "POST" else None
-        connection.request(method, f"/{kind}/1", content, headers)
+        connection.request(method, f"/{kind}/{resource}", content, headers)
         response = connection.getresponse()
         status = response.status
         while part := response.read1(65536):
@@ -224,7 +275,15 @@
     except (OSError, http.client.HTTPException):
         connection.close()
     return Exchange(
-        kind, request_id, gateway, at_s, status, body, is_whole, time.time()
+        kind,
+        request_id,
+        gateway,
+        at_s,
+        status,
+        body,
+        is_whole,
+        time.time(),
+        crashing_part,
     )
 
 
@@ -252,7 +311,7 @@
         threads: Threads that inject faults.
     """
 
-    def __init__(self, deployment):
+    def __init__(self, deployment, crashing_parts):
         self.impaired: list[ImpairedLink] = []
         self.ended: list[ImpairedLink] = []
         self.errors: list[str] = []
@@ -261,6 +320,7 @@
         self.threads: list[threading.Thread] = []
         self._restarting = threading.Lock()
         self._silencing = threading.Lock()
+        self._crashing_parts = crashing_parts
 
     def start(self, fault: Fault) -> None:
         """Injects and reverts a fault in a new thread."""
@@ -471,6 +531,25 @@
             lambda relay: relay.signal(signal.SIGUSR2),
         )
 
+    def _crash_targets(self, fault):
+        """Lets requests crash targets, which are started again."""
+        part = platform_target.CRASHING_PARTS[fault.selector]
+        self._crashing_parts.append(part)
+        end_s = time.monotonic() + fault.duration_s
+        while time.monotonic() < end_s:
+            time.sleep(SAMPLE_INTERVAL_S)
+            crashed = [
+                name
+                for name, target in self._deployment.targets.items()
+                if not target.running()
+                and target.wait() == platform_target.CRASH_EXIT_CODE
+            ]
+            if crashed:
+                time.sleep(CRASH_RESTART_DELAY_S)
+            for name in crashed:
+                self._replace_target(name)
+        self._crashing_parts.remove(part)
+
     def _undelimited_targets(self, fault):
         """Lets streams end with their connection, some inside an event."""
         models = [
@@ -552,6 +631,7 @@
             were no other faults.
     """
     problems = []
+    ended = [*ended, *_crash_ends(journal)]
     runs: dict[str, list[dict]] = {}
     for row in journal:
         if row["what"] == "run":
@@ -609,6 +689,14 @@
     return problems
 
 
+def _crash_ends(journal):
+    return [
+        ImpairedLink(row["address"], row["at_s"], math.inf)
+        for row in journal
+        if row["what"] == "part_crash"
+    ]
+
+
 def _check_attempts(exchange, executions, excused):
     """Returns a finding if a request ran at too many first targets.
 
@@ -644,6 +732,65 @@
     )
 
 
+def check_crashes(exchanges, journal) -> list[str]:
+    """Returns what prompt parts that crash targets did to other requests.
+
+    This is a pure function, for runs without other faults.
+
+    Args:
+        exchanges: Requests with their responses.
+        journal: What the targets recorded.
+    """
+    crash_times_s: dict[int, list[float]] = {}
+    for row in journal:
+        if row["what"] == "part_crash":
+            crash_times_s.setdefault(row["number"], []).append(row["at_s"])
+    problems = []
+    for part, times_s in crash_times_s.items():
+        times_s.sort()
+        limit_s = times_s[:CRASH_LIMIT][-1]
+        late_count = sum(
+            row["what"] == "part_arrival"
+            and row["number"] == part
+            and row["at_s"] > limit_s + CONTACT_S
+            for row in journal
+        )
+        if len(times_s) >= CRASH_LIMIT and late_count > MAX_LATE_ARRIVALS:
+            problems.append(
+                f"part {part:x} reached targets {late_count} times more;"
+                f" {len(times_s)} crashed"
+            )
+        end_s = max(
+            exchange.at_s
+            for exchange in exchanges
+            if exchange.crashing_part == part
+        )
+        sound = [
+            exchange
+            for exchange in exchanges
+            if exchange.kind == "draft" and not exchange.crashing_part
+        ]
+        before = [one for one in sound if one.end_s < times_s[0]]
+        after = [
+            one for one in sound if limit_s + 2 * CONTACT_S < one.at_s < end_s
+        ]
+        if (
+            min(len(before), len(after)) >= MIN_SAMPLE_COUNT
+            and _served_ratio(after) < _served_ratio(before) / 2
+        ):
+            problems.append(
+                f"sound drafts beside part {part:x} were served"
+                f" {_served_ratio(after):.2f} of the time,"
+                f" before {_served_ratio(before):.2f}"
+            )
+    return problems
+
+
+def _served_ratio(exchanges):
+    served = [one for one in exchanges if one.status == 200 and one.is_whole]
+    return len(served) / len(exchanges)
+
+
 def _check_drains(journal, impaired):
     """Returns work that reached a target after it should have drained.
 
@@ -684,13 +831,14 @@
         extra: Faults on demand, beside the others.
     """
     faults = schedule(seed, extra)
-    options = gateway_deployment.SILENCE_OPTIONS if extra.silences else {}
+    has_many_paths = extra.silences or extra.crashing_parts
+    options = gateway_deployment.MANY_PATHS if has_many_paths else {}
     deployment = gateway_deployment.Deployment(directory, **options)
     try:
         deployment.wait_until_serving()
         sampler = ConfigVersionSampler(deployment)
         callers = LoadCallers(deployment, seed)
-        injector = Injector(deployment)
+        injector = Injector(deployment, callers.crashing_parts)
         start_s = time.monotonic()
         for fault in faults:
             time.sleep(max(0.0, start_s + fault.at_s - time.monotonic()))
@@ -709,6 +857,9 @@
             injector.ended,
             all(fault.kind == SILENCE_FAULT for fault in faults),
         )
+        if all(fault.kind == CRASH_FAULT for fault in faults):
+            journal = deployment.read_journal()
+            problems.extend(check_crashes(callers.exchanges, journal))
         problems.extend(injector.errors)
         problems.extend(_check_recovery(deployment))
         return problems, callers.exchanges
@@ -803,6 +954,12 @@
         default=0,
         help="times a seed at which several targets in turn are silent",
     )
+    parser.add_argument(
+        "--crashing-parts",
+        type=int,
+        default=0,
+        help="parts of prompts a seed that crash targets",
+    )
     parser.add_argument(
         "--only",
         action="store_true",
@@ -815,7 +972,11 @@
     first, _, end = options.seeds.partition(":")
     seeds = range(int(first), int(end))
     extra = ExtraFaults(
-        options.restores, options.undelimited, options.silences, options.only
+        options.restores,
+        options.undelimited,
+        options.silences,
+        options.crashing_parts,
+        options.only,
     )
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -29,6 +29,9 @@
 # Each plays targets that are silent in turn, and no other fault.
 SILENCE_SEEDS = (806, 807, 809, 810)
 
+# Each plays a part of prompts that crashes targets, and no other fault.
+CRASH_SEEDS = (900, 901)
+
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
 
@@ -70,6 +73,14 @@
     assert kinds == {"draft", "booking", "lookup"}
 
 
+@pytest.mark.parametrize("seed", CRASH_SEEDS)
+def test_a_part_of_prompts_does_not_crash_target_after_target(seed, tmp_path):
+    extra = gateway_soak.ExtraFaults(crashing_parts=1, excludes_others=True)
+    problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
+    assert problems == []
+    assert any(exchange.crashing_part for exchange in exchanges)
+
+
 def test_wall_clock_steps_have_no_effect(tmp_path):
     deployment = gateway_deployment.Deployment(tmp_path)
     try:
@@ -114,12 +125,12 @@
 
 def test_gateway_killed_during_start_is_restarted():
     gateway = FailingGateway(-signal.SIGKILL, -signal.SIGTERM)
-    gateway_soak.Injector(None)._restart(gateway)
+    gateway_soak.Injector(None, [])._restart(gateway)
     assert gateway.is_running
 
 
 def test_gateway_start_failure_is_reported(monkeypatch):
-    injector = gateway_soak.Injector(None)
+    injector = gateway_soak.Injector(None, [])
     gateway = FailingGateway(1)
     monkeypatch.setattr(
         injector, "_kill_target", lambda fault: injector._restart(gateway)
@@ -245,6 +256,13 @@
     assert findings(link._replace(address="127.0.0.1:3"))
 
 
+def test_a_target_that_a_part_crashed_does_not_count_as_an_attempt():
+    exchange = make_exchange("draft", 200, event_bytes(1, 31))
+    crash = dict(THREE_RUNS[-1], what="part_crash")
+    findings = gateway_soak.check_history([exchange], [*THREE_RUNS, crash], [])
+    assert findings == []
+
+
 def lost_findings(exchange, has_only_silences=True, ran="r"):
     return gateway_soak.check_history(
         [exchange],
@@ -290,3 +308,55 @@
         assert lowest_s <= fault.duration_s <= highest_s
     both = gateway_soak.schedule(7, only._replace(excludes_others=False))
     assert both == sorted(gateway_soak.schedule(7) + silences)
+
+
+def crash_rows(what, *times_s):
+    return [
+        dict(journal_row(what, at_s=at_s), number=0xC1) for at_s in times_s
+    ]
+
+
+def drafts(status, from_s, part=0, count=20):
+    exchange = make_exchange("draft", status)
+    return [
+        exchange._replace(
+            at_s=from_s + i / 10, end_s=from_s + i / 10, crashing_part=part
+        )
+        for i in range(count)
+    ]
+
+
+def test_requests_with_a_crashing_part_are_found_after_the_fifth_crash():
+    exchanges = drafts(422, 0.0, 0xC1)
+    crashes = crash_rows("part_crash", 1.0, 2.0, 3.0, 4.0, 5.0)
+    late = crash_rows("part_arrival", 1.0, 7.9, 8.1, 8.2, 8.3, 8.4)
+    assert gateway_soak.check_crashes(exchanges, crashes + late)
+    assert gateway_soak.check_crashes(exchanges, crashes + late[:-1]) == []
+    assert gateway_soak.check_crashes(exchanges, crashes[:4] + late) == []
+
+
+@pytest.mark.parametrize("crash_count", [2, 6])
+def test_sound_drafts_that_are_not_served_beside_crashes_are_found(
+    crash_count,
+):
+    crashes = crash_rows("part_crash", *[3.0] * crash_count)
+    before = drafts(200, 0.0)
+    poisoned = drafts(422, 10.0, 0xC1)
+
+    def findings(after):
+        return gateway_soak.check_crashes(before + after + poisoned, crashes)
+
+    assert findings(drafts(503, 9.1, count=30))
+    served = drafts(200, 9.1, count=14) + drafts(503, 9.2, count=14)
+    assert findings(served) == []
+    assert findings(drafts(503, 6.9, count=20)) == []
+    assert findings(drafts(503, 12.0, count=30)) == []
+
+
+def test_only_the_last_part_of_a_prompt_is_unique():
+    prefixes = [gateway_soak.prompt_prefix(f"r{i}") for i in range(40)]
+    parts = [prefix.split(",") for prefix in prefixes]
+    assert len({one[-1] for one in parts}) == 40
+    assert len({one[0] for one in parts}) == 3
+    assert {len(one) for one in parts} == {2, 3}
+    assert gateway_soak.prompt_prefix("r", 0xC1).split(",")[1] == "c1:30"
