--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -176,7 +176,7 @@
         """Resumes on another path if the target is part of the current one.
 
         A target that has not ended may go on with its run, which is kept
-        until another path is found.
+        until another one answers.
         """
         if not self._is_running_at(target):
             return
