--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -505,14 +505,7 @@
             self._adopt_replacement(replacement, attempt_may_have_started=True)
             return
         if response_head.was_not_executed:
-            faulty_target = self._context.targets.find_by_address(
-                response_head.failed_stage_address
-            )
-            faulty_target = faulty_target or replacement.path[0].target
-            self._dispatcher.mark_full(faulty_target)
-            self._context.targets.probe_suspect(
-                faulty_target, f"turned down with {status}"
-            )
+            self._record_rejection(response_head, status, replacement.path)
             replacement.path = ()
         self._cancel_replacement()
 
@@ -849,16 +842,20 @@
             self.prompt_parts,
         )
 
-    def _on_target_rejected(self, response_head, status):
-        """Resumes on another path: a target is at fault or has no room."""
+    def _record_rejection(self, response_head, status, path):
+        """Avoids and probes the target that turned a request down."""
         faulty_target = self._context.targets.find_by_address(
             response_head.failed_stage_address
         )
-        faulty_target = faulty_target or self.path[0].target
+        faulty_target = faulty_target or path[0].target
         self._dispatcher.mark_full(faulty_target)
         self._context.targets.probe_suspect(
             faulty_target, f"turned down with {status}"
         )
+
+    def _on_target_rejected(self, response_head, status):
+        """Resumes on another path: a target is at fault or has no room."""
+        self._record_rejection(response_head, status, self.path)
         self._reroute(
             f"turned down with {status}",
             may_have_run=self._started_attempts > 0,
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -51,6 +51,16 @@
     return attempts
 
 
+def start_answered_stream(harness, service, route, names):
+    """Returns a request on new chains, and its run after the first event."""
+    register_chains(harness, names)
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    return admitted, connection
+
+
 def go_on(harness, admitted, connection, number):
     """Ends the stream of a target that was silent after event `number`."""
     connection.respond(chunk(event(number + 1)) + RESPONSE_END)
@@ -80,11 +90,9 @@
 def test_a_stream_without_another_path_outlives_the_silence_of_its_target(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "a")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
     assert stay_silent(harness, 2.8) == []
     go_on(harness, admitted, connection, 1)
 
@@ -92,11 +100,9 @@
 def test_a_stream_without_retries_outlives_the_silence_of_its_target(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "ab")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
     for _ in range(24):
         spend_retries(harness, 0)
         assert stay_silent(harness, 0.1) == []
@@ -106,12 +112,10 @@
 def test_a_stream_that_must_not_be_repeated_outlives_the_silence_of_its_target(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "ab")
     route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
     assert stay_silent(harness) == []
     go_on(harness, admitted, connection, 1)
 
@@ -119,11 +123,9 @@
 def test_a_silent_run_is_kept_until_its_replacement_has_a_path(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "a")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
     stay_silent(harness)
     assert not connection.transport.disconnecting
     register_chains(harness, "ab")
@@ -138,11 +140,9 @@
 def test_a_run_that_goes_on_cancels_the_search_for_its_replacement(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "a")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
     stay_silent(harness)
     connection.respond(chunk(event(2)))
     register_chains(harness, "ab")
@@ -154,13 +154,11 @@
 def test_a_stream_is_resumed_once_its_silent_target_is_known_to_have_ended(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "ab")
     route = stream_route._replace(max_targets=1)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
     silent_name = path_target_names(connection)[0]
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
     stay_silent(harness, 0.9)
     for _ in range(20):
         harness.advance_clock(0.1)
@@ -185,11 +183,9 @@
 def test_a_silent_run_outlives_a_replacement_that_is_rejected(
     harness, model_service, stream_route, retries
 ):
-    register_chains(harness, "ab")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
     spend_retries(harness, retries)
     rejected = 0
     for _ in range(16):
@@ -204,11 +200,9 @@
 def test_a_run_that_goes_on_is_kept_instead_of_its_replacement(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "ab")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
     (replacement,) = stay_silent(harness)
     connection.respond(chunk(event(2)))
     assert replacement.transport.disconnecting
@@ -474,12 +468,10 @@
 def test_a_run_at_a_target_that_serves_on_without_registration_is_kept(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "a")
     route = stream_route._replace(is_resumable=False)
-    admitted = harness.admit(model_service, route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
     name = path_target_names(connection)[0]
     stay_silent(harness, 0.9)
     connection.respond(chunk(event(2)))
@@ -491,11 +483,9 @@
 def test_a_lost_connection_alone_does_not_show_that_a_target_has_ended(
     harness, model_service, stream_route
 ):
-    register_chains(harness, "ab")
-    admitted = harness.admit(model_service, stream_route)
-    harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
     name = path_target_names(connection)[0]
     target = harness.targets.by_name[name]
     harness.targets.apply_registrations([], [name], False, 2)
