--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -66,7 +66,7 @@
     Attributes:
         digest: Digest that is the same for retries of the request.
         request_id: Id of the request; each retry by the caller has a new one.
-        prompt_parts: None; plain services have no prompts.
+        prompt_parts: Always empty; plain services have no prompts.
     """
 
     prompt_parts = ()
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -216,7 +216,7 @@
         """
         if self._stopped_by_condemned_part():
             return True
-        state = self._context.crash_evidence.state(self.digest)
+        state = self._crash_state()
         if state == "condemned":
             self._reject_crashing_request(crashes.CONDEMNED_REASON)
         elif state == "undecided":
@@ -815,9 +815,7 @@
             return
         path = self.path
         self._context.targets.record_connection_lost(target)
-        is_suspect = (
-            self._context.crash_evidence.state(self.digest) == "suspect"
-        )
+        is_suspect = self._crash_state() == "suspect"
         if not self._has_produced_output():
             self._record_early_failure(path)
         for stage in path:
