--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -71,8 +71,6 @@
         allowed_first_targets: Returns the targets that the path may begin
             at now; None for any.
         latency_objective_s: Time in which the first event should come.
-        avoided_targets: Names of targets that the path contains only if there
-            is no other path; the first of them is avoided most.
     """
 
     request_id: str
@@ -83,7 +81,6 @@
     on_rejected: Callable[[float, str], None]
     allowed_first_targets: Callable[[], frozenset[str] | None] = lambda: None
     latency_objective_s: float = math.inf
-    avoided_targets: tuple[str, ...] = ()
 
 
 class Dispatcher:
@@ -224,11 +221,8 @@
                 or target.name in allowed_first_targets
             ]
         with PATH_CHOICE_DURATION_S.time():
-            return paths.find_path_around(
-                candidates,
-                path_request.avoided_targets,
-                path_request.token_demand,
-                targets_state,
+            return paths.find_fastest_path(
+                candidates, path_request.token_demand, targets_state
             )
 
     def _make_bias(self):
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -454,8 +454,6 @@
                 lambda retry_after_s, rejection_reason: (
                     self._cancel_replacement()
                 ),
-            )._replace(
-                avoided_targets=tuple(stage.target.name for stage in self.path)
             )
         )
 
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Sequence
 import heapq
 import itertools
 import math
@@ -134,37 +133,6 @@
     )
 
 
-def find_path_around(
-    targets: Iterable[fleet.Target],
-    avoided: Sequence[str],
-    demand: RequestDemand,
-    state: TargetsState,
-) -> PathChoice | None:
-    """Returns the fastest path that avoids targets as far as it can.
-
-    Answers the load of a run that is silent although its targets answer
-    probes: a run that takes the same path is likely to be silent as well.
-
-    Args:
-        targets: Targets that the path may contain.
-        avoided: Names of the targets of the silent run, in their order. If
-            there is no path without them, only the first one is avoided,
-            which the silent run was sent to, and then none.
-        demand: Demand of the request.
-        state: State of the targets.
-    """
-    targets = list(targets)
-    for names in dict.fromkeys((tuple(avoided), tuple(avoided[:1]), ())):
-        choice = find_fastest_path(
-            [target for target in targets if target.name not in names],
-            demand,
-            state,
-        )
-        if choice is not None:
-            return choice
-    return None
-
-
 def find_fastest_path(
     targets: Iterable[fleet.Target], demand: RequestDemand, state: TargetsState
 ) -> PathChoice | None:
