Log and count ends of targets that are withdrawn

A target that was taken for ended and answers later as the same process left no trace: `_ended_processes` was a set of ids, and the id was dropped silently.

The registry now keeps time and reason of each such belief. When the process shows itself (its report has the same start, its health page answers, or it writes another registration), `target_end_withdrawn` says for how long it was believed and why, and `hemlocktiller_target_ends_withdrawn_total` counts it. A registration that changes nothing, as a restored store lists it, is no sign of life and withdraws nothing.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -10,6 +10,7 @@
 import functools
 import random
 from typing import Any
+from typing import NamedTuple
 
 import prometheus_client
 
@@ -53,6 +54,22 @@
 PROBES = prometheus_client.Counter(
     "hemlocktiller_target_probes", "Probes of targets by result", ["result"]
 )
+ENDS_WITHDRAWN = prometheus_client.Counter(
+    "hemlocktiller_target_ends_withdrawn",
+    "Processes of targets that were believed to have ended, and answered",
+)
+
+
+class _ProcessEnd(NamedTuple):
+    """The belief that the process of a target has ended.
+
+    Attributes:
+        recorded_s: Time at which it was first held.
+        reason: What it is based on, for logs.
+    """
+
+    recorded_s: float
+    reason: str
 
 
 class Targets:
@@ -115,8 +132,8 @@
         self._pauses = target_pauses.TargetPauses()
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
-        # Ids of the processes that have ended, oldest first.
-        self._ended_processes: dict[str, None] = {}
+        # Ends of processes by their ids, oldest first.
+        self._ended_processes: dict[str, _ProcessEnd] = {}
 
     def apply_registrations(
         self,
@@ -359,7 +376,7 @@
                 self._record_ended(target, reason)
             return
         if has_ended:
-            self._add_ended_process(target)
+            self._add_ended_process(target, reason)
         self._down_by_name[name] = target
         TARGETS_DOWN.set(len(self._down_by_name))
         events.emit(
@@ -415,7 +432,7 @@
                 )
                 return
             if report.born_ms == target.born_ms:
-                self._ended_processes.pop(target.process_id, None)
+                self._withdraw_end(target, "reports")
             self._record_reported_pace(target, report.pace)
             on_report(report)
 
@@ -537,10 +554,12 @@
         if removal is not None:
             removal.cancel()
         self.by_name[name] = target
-        self._ended_processes.pop(target.process_id, None)
+        if target != previous:
+            self._withdraw_end(target, "registers")
         if previous is None or previous.born_ms != target.born_ms:
             self._reset_health(name)
             if previous is not None:
+                self._add_ended_process(previous, "started again")
                 self._notify_down(previous, "started again")
         if previous is None or previous.state != target.state:
             events.emit(
@@ -643,15 +662,32 @@
         """Records that the process of a target has ended."""
         if target.process_id in self._ended_processes:
             return
-        self._add_ended_process(target)
+        self._add_ended_process(target, reason)
         events.emit("target_ended", target=target.name, reason=reason)
         self._notify_down(target, reason)
 
-    def _add_ended_process(self, target):
-        self._ended_processes[target.process_id] = None
+    def _add_ended_process(self, target, reason):
+        self._ended_processes.setdefault(
+            target.process_id, _ProcessEnd(self._reactor.seconds(), reason)
+        )
         if len(self._ended_processes) > MAX_ENDED_PROCESSES:
             del self._ended_processes[next(iter(self._ended_processes))]
 
+    def _withdraw_end(self, target, evidence):
+        """Drops the belief that a process has ended, as it shows itself."""
+        end = self._ended_processes.pop(target.process_id, None)
+        if end is None:
+            return
+        ENDS_WITHDRAWN.inc()
+        events.emit(
+            "target_end_withdrawn",
+            target=target.name,
+            born_ms=target.born_ms,
+            believed_s=round(self._reactor.seconds() - end.recorded_s, 3),
+            reason=end.reason,
+            evidence=evidence,
+        )
+
     def _reset_health(self, name):
         """Drops what is known about the health of an earlier process."""
         self._circuit_breakers.forget(name)
@@ -720,7 +756,7 @@
         self._on_probe_answered(target)
 
     def _on_health_probe_answered(self, target):
-        self._ended_processes.pop(target.process_id, None)
+        self._withdraw_end(target, "health page")
         self._on_probe_answered(target)
 
     def _on_probe_answered(self, target):
