Take no failed answer of a removed target for its end

Callers' runs at a target that had lost its registration while it was silent were given up, and no longer counted as attempts, if the next probe got a reset, a truncated or garbled answer, a 503 or 429, or a report without a start time.

Cause: `_probe_removed` knew two kinds of failure, a time-out and all the rest, and the rest was recorded as the end. Now only a refused connection, another start time in a report, and four probes in a row without an answer in time are proof. A whole answer of another kind shows that a process serves there; a broken off one shows nothing, so the target is probed again, 40 times at most.

The silence is counted in probes instead of timed: a gateway that stopped for two seconds during one probe took that single time-out for two seconds of silence. A target in a pause was not probed at all; it is, after the pause. Several lost connections of one process started a series of probes each; there is one.

Considered: a second refusal before the end is concluded, and a longer limit.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -1,8 +1,9 @@
 """Registry of the targets of each service, with their health.
 
 A target is down from a failed probe until a later probe is answered. Its
-process may only be silent meanwhile; it has ended if it refuses connections,
-has been replaced, or has lost its registration and doesn't answer.
+process may only be silent meanwhile, or answer with errors; it has ended if it
+refuses connections, has been replaced, or has lost its registration and stays
+silent.
 """
 
 from collections.abc import Callable
@@ -30,8 +31,13 @@
 PROBE_TIMEOUT_S = 0.3
 # Pause between the probes of a target that is down.
 PROBE_INTERVAL_S = 0.5
-# A target may still be silent for this long after its registration expired.
-MAX_SILENCE_AFTER_REMOVAL_S = 2.0
+# A target without a registration has ended after this many probes in a row
+# that were not answered in time, which take 2.7 s. They are counted instead
+# of timed, as a pause of this process makes a time-out late.
+MAX_SILENT_PROBES_AFTER_REMOVAL = 4
+# After its last registration a target serves for many seconds at most. One
+# that still breaks probes off after this many (20 s) is left alone.
+MAX_PROBES_AFTER_REMOVAL = 40
 # Registrations that expired during an outage of the object store are written
 # again within two seconds after it.
 EXPIRED_REGISTRATION_GRACE_S = 2.4
@@ -134,6 +140,8 @@
         self._leaving_born_ms: dict[str, int] = {}
         # Ends of processes by their ids, oldest first.
         self._ended_processes: dict[str, _ProcessEnd] = {}
+        # Unanswered probes in a row of processes without a registration.
+        self._removed_probes: dict[str, int] = {}
 
     def apply_registrations(
         self,
@@ -427,7 +435,9 @@
             except ValueError as error:
                 on_failed(
                     http_exchange.ExchangeFailure(
-                        f"bad report: {error}", was_sent=True
+                        f"bad report: {error}",
+                        was_sent=True,
+                        was_answered=True,
                     )
                 )
                 return
@@ -621,42 +631,61 @@
         elif is_down:
             self._probe_removed(target)
 
-    def _probe_removed(self, target, until_s=None):
-        """Probes a target that was down as its registration was removed.
+    def _probe_removed(self, target):
+        """Probes a process that has lost its registration, until it is known.
 
-        It has ended if it refuses connections or stays silent; otherwise it
-        serves on without a registration.
-
-        Args:
-            target: The target.
-            until_s: Time until which it may be silent.
+        Only a refused connection, another process at its address or silence
+        show that it has ended; otherwise it serves on without a registration.
         """
-        now_s = self._reactor.seconds()
-        if until_s is None:
-            until_s = now_s + MAX_SILENCE_AFTER_REMOVAL_S
-        if target.name in self.by_name or self.has_ended(target):
+        if target.process_id not in self._removed_probes:
+            self._removed_probes[target.process_id] = 0
+            self._probe_removed_again(target, MAX_PROBES_AFTER_REMOVAL)
+
+    def _probe_removed_again(self, target, probes_left):
+        """Sends a probe of a series, unless the series is over."""
+        is_unknown = target.name not in self.by_name and not self.has_ended(
+            target
+        )
+        if not is_unknown or probes_left <= 0:
+            self._removed_probes.pop(target.process_id, None)
             return
-        if not self._pauses.try_probe(target.process_id, now_s):
+        probe_again = functools.partial(
+            self._probe_removed_again, target, probes_left - 1
+        )
+        if not self._pauses.try_probe(
+            target.process_id, self._reactor.seconds()
+        ):
+            self._reactor.callLater(self.pause_left_s(target), probe_again)
             return
 
+        def on_answer():
+            self._removed_probes.pop(target.process_id, None)
+
         def on_report(report):
-            if report.born_ms != target.born_ms:
+            on_answer()
+            if is_other_process(report, target):
                 self._record_ended(target, "another process answers")
 
         def on_failed(failure):
-            may_be_silent = (
-                failure.has_timed_out and self._reactor.seconds() < until_s
-            )
-            if may_be_silent:
-                self._reactor.callLater(
-                    PROBE_INTERVAL_S, self._probe_removed, target, until_s
-                )
-            elif target.name not in self.by_name:
+            if failure.was_answered:
+                on_answer()
+                return
+            silent_probes = 0
+            if failure.has_timed_out:
+                silent_probes = self._removed_probes[target.process_id] + 1
+            if target.name not in self.by_name and (
+                failure.was_refused
+                or silent_probes >= MAX_SILENT_PROBES_AFTER_REMOVAL
+            ):
+                self._removed_probes.pop(target.process_id, None)
                 self._record_ended(
                     target, f"no longer registered: {failure.reason}"
                 )
+                return
+            self._removed_probes[target.process_id] = silent_probes
+            self._reactor.callLater(PROBE_INTERVAL_S, probe_again)
 
-        self._send_probe(target, on_report, lambda: None, on_failed)
+        self._send_probe(target, on_report, on_answer, on_failed)
 
     def _record_ended(self, target, reason):
         """Records that the process of a target has ended."""
@@ -792,6 +821,14 @@
     )
 
 
+def is_other_process(report: model.TargetReport, target: fleet.Target) -> bool:
+    """Returns whether a report is of another process than the target's.
+
+    One without a start time doesn't show that.
+    """
+    return report.born_ms not in (0, target.born_ms) and target.born_ms != 0
+
+
 def target_names(targets: Iterable[fleet.Target]) -> list[str]:
     """Returns the names of targets."""
     return [target.name for target in targets]
--- a/src/hemlocktiller/_internal/http_exchange.py
+++ b/src/hemlocktiller/_internal/http_exchange.py
@@ -59,12 +59,14 @@
         was_sent: Whether the target may have received part of the request.
         was_refused: Whether the connection was refused.
         has_timed_out: Whether the target only did not answer in time.
+        was_answered: Whether a whole response came, which is of no use.
     """
 
     reason: str
     was_sent: bool
     was_refused: bool = False
     has_timed_out: bool = False
+    was_answered: bool = False
 
 
 class _Connection(protocol.Protocol):
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import make_silent
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
 
 
@@ -74,3 +76,107 @@
     store_registration(harness, make_target("a", born_ms=9), 2)
     harness.targets.apply_registrations([], ["a"], False, 3)
     assert harness.targets.has_ended(replaced)
+
+
+def remove_registration(harness, name, version=2):
+    """Applies the deletion of a registration, and returns its target."""
+    target = harness.targets.by_name[name]
+    harness.targets.apply_registrations([], [name], False, version)
+    return target
+
+
+def start_probing_removed(harness):
+    """Returns a target that is silent as its registration is removed."""
+    harness.register(make_target("a"))
+    make_silent(harness, "a")
+    return remove_registration(harness, "a")
+
+
+BROKEN_OFF_ANSWERS = {
+    "reset": b"",
+    "truncated": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{",
+    "garbled": b"\x16\x03\x01 no answer\r\n\r\n",
+}
+USELESS_ANSWERS = {
+    "draining": b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+    "full": b"HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n",
+    "paused": b"HTTP/1.1 503 F\r\nPause: 1.0\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", [*BROKEN_OFF_ANSWERS, *USELESS_ANSWERS])
+def test_a_failed_answer_of_a_removed_target_is_no_proof_of_its_end(
+    harness, kind
+):
+    target = start_probing_removed(harness)
+    connection = harness.accept_connection()
+    connection.respond({**BROKEN_OFF_ANSWERS, **USELESS_ANSWERS}[kind])
+    if kind in BROKEN_OFF_ANSWERS:
+        connection.reset()
+    assert not harness.targets.has_ended(target)
+
+
+@pytest.mark.parametrize("kind", BROKEN_OFF_ANSWERS)
+def test_a_removed_target_is_probed_again_after_a_broken_off_answer(
+    harness, kind
+):
+    target = start_probing_removed(harness)
+    connection = harness.accept_connection()
+    connection.respond(BROKEN_OFF_ANSWERS[kind])
+    connection.reset()
+    harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    harness.refuse_connection()
+    assert harness.targets.has_ended(target)
+
+
+def test_probes_of_a_removed_target_that_are_broken_off_come_to_an_end(
+    harness,
+):
+    target = start_probing_removed(harness)
+    for _ in range(targets_module.MAX_PROBES_AFTER_REMOVAL):
+        harness.accept_connection().reset()
+        harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    assert harness.pending_connection_count() == 0
+    assert not harness.targets.has_ended(target)
+
+
+def test_each_lost_connection_does_not_start_probes_of_its_own(harness):
+    target = start_probing_removed(harness)
+    for _ in range(5):
+        harness.targets.record_connection_lost(target)
+    assert harness.pending_connection_count() == 1
+
+
+def test_a_pause_of_this_process_is_not_silence_of_a_removed_target(harness):
+    target = start_probing_removed(harness)
+    harness.accept_connection()
+    harness.reactor.pump([5.0, 0.1, 0.1, 0.1])
+    assert not harness.targets.has_ended(target)
+
+
+def test_a_removed_target_in_a_pause_is_probed_after_it(harness):
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.record_response_head(target, 503, [(b"Pause", b"3.0")])
+    make_silent(harness, "a")
+    remove_registration(harness, "a")
+    harness.reactor.pump([0.1] * 26)
+    assert harness.pending_connection_count() == 0
+    for _ in range(10):
+        harness.reactor.advance(0.1)
+        if harness.pending_connection_count():
+            harness.refuse_connection()
+    assert harness.targets.has_ended(target)
+
+
+@pytest.mark.parametrize("is_born_known", [True, False])
+def test_a_report_without_a_start_time_is_no_proof_of_another_process(
+    harness, is_born_known
+):
+    report = model.TargetReport(9 * is_born_known, 0, False, 1.0, 0, 0)
+    harness.targets._adapter = harness.adapter._replace(
+        decode_report=lambda body: report
+    )
+    target = start_probing_removed(harness)
+    harness.accept_connection().respond(REPORT_RESPONSE)
+    assert harness.targets.has_ended(target) == is_born_known
