Take no failed report for the loss of a target at a stream's end

A response without length or chunks is complete if all targets of its path have outlived it. A report that was reset, truncated or garbled, or a 503 or 429 in its place, counted as the loss of its target: callers on routes that must not be repeated got a cut connection though the target had sent everything (LOST), and others another run (BUDGET).

Now only a refused connection, a report of another process, or an end that the registry knows decides; after any other failure the target is asked again, as after a time-out. A target that really was lost refuses the next time, half a second later.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -9,6 +9,7 @@
 import functools
 
 from hemlocktiller._internal import http_exchange
+from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import fleet
 
@@ -29,8 +30,8 @@
             are removed, so that a later call asks only the others.
         on_result: Called with None after all targets have answered, else
             with the first one that was lost, and the reason.
-        on_silent: Called with a target that did not answer in time, and the
-            reason; it may answer later.
+        on_silent: Called with a target that gave no report, and the reason;
+            it may do so later.
     """
     is_decided = False
 
@@ -40,10 +41,7 @@
             is_decided = True
             on_result(lost_target, reason)
 
-    def on_report(target: fleet.Target, born_ms: int) -> None:
-        if born_ms != target.born_ms:
-            decide(target, "started again")
-            return
+    def on_survival(target: fleet.Target) -> None:
         if targets.is_leaving(target):
             # It may have stopped at the end of its drain, in mid-stream.
             decide(target, "is leaving")
@@ -52,11 +50,17 @@
         if not unconfirmed:
             decide(None)
 
+    def on_report(target: fleet.Target, report: model.TargetReport) -> None:
+        if targets_module.is_other_process(report, target):
+            decide(target, "started again")
+        else:
+            on_survival(target)
+
     def on_failed(
         target: fleet.Target, failure: http_exchange.ExchangeFailure
     ) -> None:
         nonlocal is_decided
-        if not failure.has_timed_out or targets.has_ended(target):
+        if failure.was_refused or targets.has_ended(target):
             decide(target, failure.reason)
         elif not is_decided:
             is_decided = True
@@ -68,11 +72,11 @@
             return
         if targets.pause_left_s(target) > 0:
             # It has answered this process after the start of the stream.
-            on_report(target, target.born_ms)
+            on_survival(target)
             continue
         targets.request_report(
             target,
-            lambda report, target=target: on_report(target, report.born_ms),
+            functools.partial(on_report, target),
             functools.partial(on_failed, target),
         )
     if not unconfirmed:
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -8,7 +8,10 @@
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_silent_targets import make_silent
+from tests.unit.gateway.test_silent_targets import register_chains
+from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
+from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 
 
 @pytest.fixture
@@ -180,3 +183,26 @@
     target = start_probing_removed(harness)
     harness.accept_connection().respond(REPORT_RESPONSE)
     assert harness.targets.has_ended(target) == is_born_known
+
+
+@pytest.mark.parametrize("kind", [*BROKEN_OFF_ANSWERS, *USELESS_ANSWERS])
+def test_a_failed_report_does_not_cut_a_stream_that_has_ended(
+    harness, model_service, stream_route, kind
+):
+    route = stream_route._replace(is_resumable=False)
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    report = harness.accept_connection()
+    report.respond({**BROKEN_OFF_ANSWERS, **USELESS_ANSWERS}[kind])
+    if kind in BROKEN_OFF_ANSWERS:
+        report.reset()
+    assert admitted.caller_request.ending == ""
+    for _ in range(20):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "whole"
