Let no registration of a restored store replace a later process

After the store came back from an older copy, a target that had started again under its name since that copy was taken for replaced by the process before it: the copy's registration has an earlier start, but a version of the later era. Streams at the living process were told "started again", so that they resumed elsewhere or were cut, and their runs no longer counted as attempts. Its health was reset as well, so one that was silent counted as up.

The first registration of a later era for a name is now ignored if its start is earlier than that of the process in force, like those of targets that have left. It holds in the listing and in what a peer passes on. The living process writes its registration again, which applies as it does today. Starts are compared only here: within an era the version decides, as a clock may have been set back.

Ruled out: silence beside a restore whose copy lacks the registration, for ready and draining targets (a new test, which passed before).

Evidence: the four cases of the new test failed before, "born_ms: 1 != 9".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -541,19 +541,36 @@
 
     def _apply_registration(self, name, version, value):
         """Applies a registration; returns whether its version is newer."""
-        if version <= self._version_by_name.get(name, 0):
+        known_version = self._version_by_name.get(name, 0)
+        if version <= known_version:
             return False
         self._version_by_name[name] = version
-        self._put_target(name, value)
+        is_restored = versions.era_of(version) > versions.era_of(known_version)
+        self._put_target(name, value, is_restored)
         return True
 
-    def _put_target(self, name, value):
-        """Adds or replaces a target; resets the health of a new process."""
+    def _put_target(self, name, value, is_restored):
+        """Adds or replaces a target; resets the health of a new process.
+
+        Args:
+            name: Name of the target.
+            value: Its registration.
+            is_restored: Whether this is the first one after a restore of the
+                store, so that it may be older than the one in force.
+        """
         target = self._adapter.decode_target(name, value)
         if target is None:
             events.emit("registration_ignored", target=name)
             return
         previous = self.by_name.get(name)
+        if (
+            is_restored
+            and previous is not None
+            and target.born_ms < previous.born_ms
+        ):
+            # The later process registers again; see `_is_known_gone`.
+            events.emit("registration_outdated", target=name)
+            return
         if _has_begun_to_drain(previous, target):
             # Only an outdated copy of the store says that it is ready.
             events.emit("registration_outdated", target=name)
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -5,13 +5,17 @@
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import client
+from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_silent_targets import make_silent
 from tests.unit.gateway.test_silent_targets import register_chains
+from tests.unit.gateway.test_silent_targets import stay_silent
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
+from tests.unit.gateway.test_targets import list_restored
 
 
 @pytest.fixture
@@ -206,3 +210,57 @@
         while harness.pending_connection_count():
             harness.accept_connection().respond(REPORT_RESPONSE)
     assert admitted.caller_request.ending == "whole"
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+@pytest.mark.parametrize("source", ["listing", "peer"])
+def test_a_registration_of_a_restored_store_replaces_no_later_process(
+    harness, is_silent, source
+):
+    down_reasons = []
+    harness.register(make_target("a", born_ms=1))
+    store_registration(harness, make_target("a", born_ms=9), 2)
+    target = harness.targets.by_name["a"]
+    if is_silent:
+        make_silent(harness, "a")
+    harness.targets.on_down.append(
+        lambda target, reason: down_reasons.append(reason)
+    )
+    older = make_target("a", born_ms=1)
+    if source == "listing":
+        list_restored(harness, older)
+    else:
+        harness.targets.apply_peer_registration(
+            "a", versions.join(1, 1), older
+        )
+    assert harness.targets.by_name["a"] == target
+    assert not harness.targets.has_ended(target)
+    assert harness.targets.is_down(target) == is_silent
+    assert down_reasons == []
+
+
+def test_a_restart_after_a_restore_replaces_the_earlier_process(harness):
+    harness.register(make_target("a", born_ms=5))
+    target = harness.targets.by_name["a"]
+    list_restored(harness, make_target("a", born_ms=1))
+    store_registration(
+        harness, make_target("a", born_ms=9), versions.join(1, 2)
+    )
+    assert harness.targets.has_ended(target)
+    assert harness.targets.by_name["a"].born_ms == 9
+
+
+@pytest.mark.parametrize("state", [fleet.READY, fleet.DRAINING])
+def test_silence_beside_a_restore_that_lost_the_registration_is_no_end(
+    harness, state
+):
+    harness.register(make_target("a", state=state))
+    target = harness.targets.by_name["a"]
+    make_silent(harness, "a")
+    list_restored(harness)
+    stay_silent(harness)
+    harness.advance_clock(0.5)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    harness.advance_clock(3.0)
+    assert not harness.targets.has_ended(target)
