Give registrations that a peer misses after a restore time to return

A gateway that learned of a restore from a peer before its own watch did removed the targets that the copy lacks at once, although they register again within two seconds: it had no outage of the store on record, which is what grants that time. Until then a sound target got no requests there.

A deletion of a later era than the known registration's now counts as an outage, as `store_restored` does.

Evidence: test_a_lost_registration_that_a_peer_reports_gets_time_to_return failed before, "assert [] == ['a']".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -485,7 +485,12 @@
                 self._notify_changed()
             return
         if version > 0:
-            if version > self._version_by_name.get(name, 0):
+            known_version = self._version_by_name.get(name, 0)
+            if version > known_version:
+                known_era = versions.era_of(known_version)
+                if known_version and versions.era_of(version) > known_era:
+                    # The peer knows of a restore that lost it.
+                    self.record_store_outage()
                 self._version_by_name[name] = version
                 self._remove_after_grace(name)
                 self._notify_changed()
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -15,6 +15,7 @@
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
+from tests.unit.gateway.test_targets import available_names
 from tests.unit.gateway.test_targets import list_restored
 
 
@@ -264,3 +265,12 @@
         harness.accept_connection().respond(REPORT_RESPONSE)
     harness.advance_clock(3.0)
     assert not harness.targets.has_ended(target)
+
+
+def test_a_lost_registration_that_a_peer_reports_gets_time_to_return(harness):
+    harness.register(make_target("a"))
+    harness.reactor.advance(10.0)
+    harness.targets.apply_peer_registration("a", versions.join(1, 1), None)
+    assert available_names(harness) == ["a"]
+    harness.reactor.advance(targets_module.EXPIRED_REGISTRATION_GRACE_S + 0.1)
+    assert available_names(harness) == []
