Keep what concerns an earlier process from the next one's health

A target that had just started again got no requests while a probe of the process before it was under way, and counted as down for another half second if that probe failed; gateways told each other so, and its streams looked for other targets. The other way round, an answer or a timer of the process before marked a silent one as up. A refused request to it, and failed ones (circuit breaker), went to the next one's account as well.

Cause: all of this was kept and looked up by the name alone. Probes are now kept by the id of the process, and results, timers and records apply only if their process is the one that is registered.

The result of a probe whose target lost its registration meanwhile was dropped too, so that the end of such a process stayed unknown: a refusal is now recorded as the end, and after other failures it is probed like any removed target.

Evidence: of the ten cases added nine failed before, such as "assert [] == ['a']" for the available targets; the case of a refused probe passed, as a timer had dropped the mark again by the time it was checked.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -130,6 +130,7 @@
         self._health_path = health_path
         self._circuit_breakers = breaker.CircuitBreakers()
         self._down_by_name: dict[str, fleet.Target] = {}
+        # Ids of the processes that are being probed.
         self._probing: set[str] = set()
         self._removal_timers: dict[str, Any] = {}
         self._version_by_name: dict[str, int] = {}
@@ -204,7 +205,7 @@
             if target.service == service
             and target.state == fleet.READY
             and target.name not in self._down_by_name
-            and target.name not in self._probing
+            and target.process_id not in self._probing
             and self.pause_left_s(target) <= 0
             and self._circuit_breakers.allows(target.name, now_s)
         ]
@@ -243,6 +244,11 @@
             return True
         return target.process_id in self._ended_processes
 
+    def _is_registered(self, target):
+        """Returns whether the process of a target is the registered one."""
+        registered = self.by_name.get(target.name)
+        return registered is not None and registered.born_ms == target.born_ms
+
     def is_leaving(self, target: fleet.Target) -> bool:
         """Returns whether a registered target drains or is about to."""
         registered = self.by_name.get(target.name)
@@ -336,6 +342,8 @@
 
     def record_request_success(self, target: fleet.Target) -> None:
         """Records that a target answered a request."""
+        if not self._is_registered(target):
+            return
         self._circuit_breakers.record_success(target.name)
         self._update_failure_ratio(target.name, 0.0)
 
@@ -343,6 +351,8 @@
         self, target: fleet.Target, reason: str
     ) -> None:
         """Records a failed request, and probes the target."""
+        if not self._is_registered(target):
+            return
         self._circuit_breakers.record_failure(
             target.name, self._reactor.seconds()
         )
@@ -360,10 +370,12 @@
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
         """Probes a target, unless a probe is already in progress."""
-        name = target.name
-        if name not in self.by_name or name in self._probing:
+        if (
+            not self._is_registered(target)
+            or target.process_id in self._probing
+        ):
             return
-        events.emit("target_suspected", target=name, reason=reason)
+        events.emit("target_suspected", target=target.name, reason=reason)
         self._probe(target)
 
     def mark_down(
@@ -377,7 +389,7 @@
             has_ended: Whether its process has ended, instead of being silent.
         """
         name = target.name
-        if name not in self.by_name:
+        if not self._is_registered(target):
             return
         if name in self._down_by_name:
             if has_ended:
@@ -392,7 +404,7 @@
         )
         self.on_health(target, True, reason)
         self._notify_down(target, reason)
-        self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
+        self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
         self._notify_changed()
 
     def _is_known_gone(self, stored):
@@ -443,7 +455,10 @@
                 return
             if report.born_ms == target.born_ms:
                 self._withdraw_end(target, "reports")
-            self._record_reported_pace(target, report.pace)
+            if self._is_registered(target) and not is_other_process(
+                report, target
+            ):
+                self._record_reported_pace(target, report.pace)
             on_report(report)
 
         upstream.request_once(
@@ -763,21 +778,17 @@
 
         The target is marked as down or up by the result.
         """
-        name = target.name
-        registered = self.by_name.get(name)
-        if registered is None or registered.born_ms != target.born_ms:
-            self._down_by_name.pop(name, None)
-            return
-        if name in self._probing:
+        process_id = target.process_id
+        if not self._is_registered(target) or process_id in self._probing:
             return
         now_s = self._reactor.seconds()
-        if not self._pauses.try_probe(target.process_id, now_s):
-            if name in self._down_by_name:
+        if not self._pauses.try_probe(process_id, now_s):
+            if target.name in self._down_by_name:
                 self._reactor.callLater(
-                    self.pause_left_s(target), self._probe, target
+                    self.pause_left_s(target), self._probe_down, target
                 )
             return
-        self._probing.add(name)
+        self._probing.add(process_id)
         self._send_probe(
             target,
             lambda report: self._on_report_probe_answered(target, report),
@@ -785,6 +796,11 @@
             lambda failure: self._on_probe_failed(target, failure),
         )
 
+    def _probe_down(self, target):
+        """Probes a target again, if it is still registered and down."""
+        if target.name in self._down_by_name:
+            self._probe(target)
+
     def _send_probe(self, target, on_report, on_health, on_failed):
         """Requests the report of a model target, or a plain one's health."""
         if target.accelerator:
@@ -812,7 +828,9 @@
 
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
-        self._probing.discard(target.name)
+        self._probing.discard(target.process_id)
+        if not self._is_registered(target):
+            return
         if self._down_by_name.pop(target.name, None) is not None:
             TARGETS_DOWN.set(len(self._down_by_name))
             events.emit("target_up", target=target.name)
@@ -821,11 +839,23 @@
 
     def _on_probe_failed(self, target, failure):
         PROBES.labels("dead").inc()
-        self._probing.discard(target.name)
+        self._probing.discard(target.process_id)
+        if not self._is_registered(target):
+            self._on_removed_target_failed(target, failure)
+            return
         if target.name in self._down_by_name:
-            self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
+            self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
         self.mark_down(target, failure.reason, has_ended=failure.was_refused)
 
+    def _on_removed_target_failed(self, target, failure):
+        """Handles a probe that failed after the registration was removed."""
+        if self.has_ended(target):
+            return
+        if failure.was_refused:
+            self._record_ended(target, failure.reason)
+        else:
+            self._probe_removed(target)
+
     def _notify_changed(self):
         for callback in list(self.on_change):
             callback()
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -274,3 +274,98 @@
     assert available_names(harness) == ["a"]
     harness.reactor.advance(targets_module.EXPIRED_REGISTRATION_GRACE_S + 0.1)
     assert available_names(harness) == []
+
+
+def start_again_while_probed(harness):
+    """Returns a target, and the probe of the process before it."""
+    harness.register(make_target("a", born_ms=1))
+    earlier = harness.targets.by_name["a"]
+    harness.targets.probe_suspect(earlier, "test")
+    store_registration(harness, make_target("a", born_ms=9), 2)
+    return harness.targets.by_name["a"], earlier
+
+
+def test_a_probe_of_the_process_before_keeps_no_target_unavailable(harness):
+    start_again_while_probed(harness)
+    assert available_names(harness) == ["a"]
+
+
+def test_a_target_is_probed_beside_the_process_before(harness):
+    target, _ = start_again_while_probed(harness)
+    harness.targets.probe_suspect(target, "test")
+    assert harness.pending_connection_count() == 2
+
+
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_a_failed_probe_of_the_process_before_marks_no_target_as_down(
+    harness, is_refused
+):
+    target, earlier = start_again_while_probed(harness)
+    if is_refused:
+        harness.refuse_connection()
+    stay_silent(harness, 0.5)
+    assert not harness.targets.is_down(target)
+    assert not harness.targets.has_ended(target)
+    assert harness.targets.has_ended(earlier)
+
+
+def test_an_answer_of_the_process_before_marks_no_silent_target_as_up(
+    harness,
+):
+    target, _ = start_again_while_probed(harness)
+    earlier_probe = harness.accept_connection()
+    make_silent(harness, "a")
+    earlier_probe.respond(REPORT_RESPONSE)
+    assert harness.targets.is_down(target)
+
+
+def test_a_timer_of_the_process_before_marks_no_silent_target_as_up(harness):
+    harness.register(make_target("a", born_ms=1))
+    make_silent(harness, "a")
+    store_registration(harness, make_target("a", born_ms=9), 2)
+    target = harness.targets.by_name["a"]
+    harness.reactor.advance(0.15)
+    make_silent(harness, "a")
+    harness.reactor.advance(0.1)
+    assert harness.targets.is_down(target)
+
+
+def test_a_refused_request_to_the_process_before_marks_no_target_as_down(
+    harness,
+):
+    harness.register(make_target("a", born_ms=1))
+    earlier = harness.targets.by_name["a"]
+    store_registration(harness, make_target("a", born_ms=9), 2)
+    harness.targets.mark_down(earlier, "refused", has_ended=True)
+    assert not harness.targets.is_down(harness.targets.by_name["a"])
+
+
+def test_failed_requests_to_the_process_before_open_no_circuit_breaker(
+    harness,
+):
+    harness.register(make_target("a", born_ms=1))
+    earlier = harness.targets.by_name["a"]
+    store_registration(harness, make_target("a", born_ms=9), 2)
+    for _ in range(20):
+        harness.targets.record_request_failure(earlier, "reset")
+    assert available_names(harness) == ["a"]
+    assert harness.targets.failure_ratio("a") == 0.0
+
+
+@pytest.mark.parametrize("is_refused", [True, False])
+def test_a_target_whose_registration_is_removed_during_a_probe(
+    harness, is_refused
+):
+    """A refusal ends it; a probe without an answer is repeated."""
+    harness.register(make_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.probe_suspect(target, "test")
+    remove_registration(harness, "a")
+    if is_refused:
+        harness.refuse_connection()
+    else:
+        harness.accept_connection()
+        harness.reactor.pump([0.1] * 4)
+        assert not harness.targets.has_ended(target)
+        harness.refuse_connection()
+    assert harness.targets.has_ended(target)
