--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -1,8 +1,9 @@
 """Registry of the targets of each service, with their health.
 
 A target is down from a failed probe until a later probe is answered. Its
-process may only be silent meanwhile; it has ended if it refuses connections,
-has been replaced, or has lost its registration and doesn't answer.
+process may only be silent meanwhile, or answer with errors; it has ended if it
+refuses connections, has been replaced, or has lost its registration and stays
+silent.
 """
 
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 import functools
 import random
 from typing import Any
+from typing import NamedTuple
 
 import prometheus_client
 
@@ -29,8 +31,13 @@
 PROBE_TIMEOUT_S = 0.3
 # Pause between the probes of a target that is down.
 PROBE_INTERVAL_S = 0.5
-# A target may still be silent for this long after its registration expired.
-MAX_SILENCE_AFTER_REMOVAL_S = 2.0
+# A target without a registration has ended after this many probes in a row
+# that were not answered in time, which take 2.7 s. They are counted instead
+# of timed, as a pause of this process makes a time-out late.
+MAX_SILENT_PROBES_AFTER_REMOVAL = 4
+# After its last registration a target serves for many seconds at most. One
+# that still breaks probes off after this many (20 s) is left alone.
+MAX_PROBES_AFTER_REMOVAL = 40
 # Registrations that expired during an outage of the object store are written
 # again within two seconds after it.
 EXPIRED_REGISTRATION_GRACE_S = 2.4
@@ -53,6 +60,22 @@
 PROBES = prometheus_client.Counter(
     "hemlocktiller_target_probes", "Probes of targets by result", ["result"]
 )
+ENDS_WITHDRAWN = prometheus_client.Counter(
+    "hemlocktiller_target_ends_withdrawn",
+    "Processes of targets that were believed to have ended, and answered",
+)
+
+
+class _ProcessEnd(NamedTuple):
+    """The belief that the process of a target has ended.
+
+    Attributes:
+        recorded_s: Time at which it was first held.
+        reason: What it is based on, for logs.
+    """
+
+    recorded_s: float
+    reason: str
 
 
 class Targets:
@@ -106,7 +129,9 @@
         self._adapter = adapter
         self._health_path = health_path
         self._circuit_breakers = breaker.CircuitBreakers()
-        self._down_by_name: dict[str, fleet.Target] = {}
+        # Time since which targets are down, by name.
+        self._down_since_s: dict[str, float] = {}
+        # Ids of the processes that are being probed.
         self._probing: set[str] = set()
         self._removal_timers: dict[str, Any] = {}
         self._version_by_name: dict[str, int] = {}
@@ -115,8 +140,10 @@
         self._pauses = target_pauses.TargetPauses()
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
-        # Ids of the processes that have ended, oldest first.
-        self._ended_processes: dict[str, None] = {}
+        # Ends of processes by their ids, oldest first.
+        self._ended_processes: dict[str, _ProcessEnd] = {}
+        # Unanswered probes in a row of processes without a registration.
+        self._removed_probes: dict[str, int] = {}
 
     def apply_registrations(
         self,
@@ -178,8 +205,8 @@
             for target in self.by_name.values()
             if target.service == service
             and target.state == fleet.READY
-            and target.name not in self._down_by_name
-            and target.name not in self._probing
+            and target.name not in self._down_since_s
+            and target.process_id not in self._probing
             and self.pause_left_s(target) <= 0
             and self._circuit_breakers.allows(target.name, now_s)
         ]
@@ -190,7 +217,27 @@
             target
             for target in self.by_name.values()
             if target.service == service
-            and target.name not in self._down_by_name
+            and target.name not in self._down_since_s
+        ]
+
+    def not_lost(
+        self, service: str, max_silence_s: float
+    ) -> list[fleet.Target]:
+        """Returns the targets of a service that serve or may do so again.
+
+        Args:
+            service: Name of the service.
+            max_silence_s: Targets that have been down for longer are left
+                out, as well as those known to have ended.
+        """
+        now_s = self._reactor.seconds()
+        return [
+            target
+            for target in self.by_name.values()
+            if target.service == service
+            and now_s - self._down_since_s.get(target.name, now_s)
+            <= max_silence_s
+            and not self.has_ended(target)
         ]
 
     def find_by_address(self, address: str) -> fleet.Target | None:
@@ -203,7 +250,7 @@
     def is_down(self, target: fleet.Target) -> bool:
         """Returns whether a target is down, removed or restarted since."""
         registered = self.by_name.get(target.name)
-        if registered is None or target.name in self._down_by_name:
+        if registered is None or target.name in self._down_since_s:
             return True
         return registered.born_ms != target.born_ms
 
@@ -218,6 +265,11 @@
             return True
         return target.process_id in self._ended_processes
 
+    def _is_registered(self, target):
+        """Returns whether the process of a target is the registered one."""
+        registered = self.by_name.get(target.name)
+        return registered is not None and registered.born_ms == target.born_ms
+
     def is_leaving(self, target: fleet.Target) -> bool:
         """Returns whether a registered target drains or is about to."""
         registered = self.by_name.get(target.name)
@@ -311,6 +363,8 @@
 
     def record_request_success(self, target: fleet.Target) -> None:
         """Records that a target answered a request."""
+        if not self._is_registered(target):
+            return
         self._circuit_breakers.record_success(target.name)
         self._update_failure_ratio(target.name, 0.0)
 
@@ -318,6 +372,8 @@
         self, target: fleet.Target, reason: str
     ) -> None:
         """Records a failed request, and probes the target."""
+        if not self._is_registered(target):
+            return
         self._circuit_breakers.record_failure(
             target.name, self._reactor.seconds()
         )
@@ -335,10 +391,12 @@
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
         """Probes a target, unless a probe is already in progress."""
-        name = target.name
-        if name not in self.by_name or name in self._probing:
+        if (
+            not self._is_registered(target)
+            or target.process_id in self._probing
+        ):
             return
-        events.emit("target_suspected", target=name, reason=reason)
+        events.emit("target_suspected", target=target.name, reason=reason)
         self._probe(target)
 
     def mark_down(
@@ -352,22 +410,22 @@
             has_ended: Whether its process has ended, instead of being silent.
         """
         name = target.name
-        if name not in self.by_name:
+        if not self._is_registered(target):
             return
-        if name in self._down_by_name:
+        if name in self._down_since_s:
             if has_ended:
                 self._record_ended(target, reason)
             return
         if has_ended:
-            self._add_ended_process(target)
-        self._down_by_name[name] = target
-        TARGETS_DOWN.set(len(self._down_by_name))
+            self._add_ended_process(target, reason)
+        self._down_since_s[name] = self._reactor.seconds()
+        TARGETS_DOWN.set(len(self._down_since_s))
         events.emit(
             "target_down", target=name, reason=reason, has_ended=has_ended
         )
         self.on_health(target, True, reason)
         self._notify_down(target, reason)
-        self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
+        self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
         self._notify_changed()
 
     def _is_known_gone(self, stored):
@@ -410,13 +468,18 @@
             except ValueError as error:
                 on_failed(
                     http_exchange.ExchangeFailure(
-                        f"bad report: {error}", was_sent=True
+                        f"bad report: {error}",
+                        was_sent=True,
+                        was_answered=True,
                     )
                 )
                 return
             if report.born_ms == target.born_ms:
-                self._ended_processes.pop(target.process_id, None)
-            self._record_reported_pace(target, report.pace)
+                self._withdraw_end(target, "reports")
+            if self._is_registered(target) and not is_other_process(
+                report, target
+            ):
+                self._record_reported_pace(target, report.pace)
             on_report(report)
 
         upstream.request_once(
@@ -439,9 +502,9 @@
         target = self.by_name.get(name)
         if target is None or target.born_ms != born_ms:
             return
-        if is_down and name not in self._down_by_name:
+        if is_down and name not in self._down_since_s:
             self.probe_suspect(target, reason)
-        elif not is_down and name in self._down_by_name:
+        elif not is_down and name in self._down_since_s:
             self._probe(target)
 
     def apply_peer_registration(
@@ -458,7 +521,12 @@
                 self._notify_changed()
             return
         if version > 0:
-            if version > self._version_by_name.get(name, 0):
+            known_version = self._version_by_name.get(name, 0)
+            if version > known_version:
+                known_era = versions.era_of(known_version)
+                if known_version and versions.era_of(version) > known_era:
+                    # The peer knows of a restore that lost it.
+                    self.record_store_outage()
                 self._version_by_name[name] = version
                 self._remove_after_grace(name)
                 self._notify_changed()
@@ -486,7 +554,7 @@
         for target in list(self.by_name.values()):
             should_poll = (
                 target.layers > 0
-                and target.name not in self._down_by_name
+                and target.name not in self._down_since_s
                 and self.pause_left_s(target) <= 0
             )
             if should_poll and is_poller(target.name):
@@ -514,19 +582,36 @@
 
     def _apply_registration(self, name, version, value):
         """Applies a registration; returns whether its version is newer."""
-        if version <= self._version_by_name.get(name, 0):
+        known_version = self._version_by_name.get(name, 0)
+        if version <= known_version:
             return False
         self._version_by_name[name] = version
-        self._put_target(name, value)
+        is_restored = versions.era_of(version) > versions.era_of(known_version)
+        self._put_target(name, value, is_restored)
         return True
 
-    def _put_target(self, name, value):
-        """Adds or replaces a target; resets the health of a new process."""
+    def _put_target(self, name, value, is_restored):
+        """Adds or replaces a target; resets the health of a new process.
+
+        Args:
+            name: Name of the target.
+            value: Its registration.
+            is_restored: Whether this is the first one after a restore of the
+                store, so that it may be older than the one in force.
+        """
         target = self._adapter.decode_target(name, value)
         if target is None:
             events.emit("registration_ignored", target=name)
             return
         previous = self.by_name.get(name)
+        if (
+            is_restored
+            and previous is not None
+            and target.born_ms < previous.born_ms
+        ):
+            # The later process registers again; see `_is_known_gone`.
+            events.emit("registration_outdated", target=name)
+            return
         if _has_begun_to_drain(previous, target):
             # Only an outdated copy of the store says that it is ready.
             events.emit("registration_outdated", target=name)
@@ -537,10 +622,12 @@
         if removal is not None:
             removal.cancel()
         self.by_name[name] = target
-        self._ended_processes.pop(target.process_id, None)
+        if target != previous:
+            self._withdraw_end(target, "registers")
         if previous is None or previous.born_ms != target.born_ms:
             self._reset_health(name)
             if previous is not None:
+                self._add_ended_process(previous, "started again")
                 self._notify_down(previous, "started again")
         if previous is None or previous.state != target.state:
             events.emit(
@@ -592,7 +679,7 @@
         target = self.by_name.pop(name, None)
         if target is None:
             return
-        is_down = name in self._down_by_name
+        is_down = name in self._down_since_s
         events.emit("target_gone", target=name, service=target.service)
         self._reset_health(name)
         if self.has_ended(target):
@@ -602,63 +689,99 @@
         elif is_down:
             self._probe_removed(target)
 
-    def _probe_removed(self, target, until_s=None):
-        """Probes a target that was down as its registration was removed.
+    def _probe_removed(self, target):
+        """Probes a process that has lost its registration, until it is known.
 
-        It has ended if it refuses connections or stays silent; otherwise it
-        serves on without a registration.
-
-        Args:
-            target: The target.
-            until_s: Time until which it may be silent.
+        Only a refused connection, another process at its address or silence
+        show that it has ended; otherwise it serves on without a registration.
         """
-        now_s = self._reactor.seconds()
-        if until_s is None:
-            until_s = now_s + MAX_SILENCE_AFTER_REMOVAL_S
-        if target.name in self.by_name or self.has_ended(target):
+        if target.process_id not in self._removed_probes:
+            self._removed_probes[target.process_id] = 0
+            self._probe_removed_again(target, MAX_PROBES_AFTER_REMOVAL)
+
+    def _probe_removed_again(self, target, probes_left):
+        """Sends a probe of a series, unless the series is over."""
+        is_unknown = target.name not in self.by_name and not self.has_ended(
+            target
+        )
+        if not is_unknown or probes_left <= 0:
+            self._removed_probes.pop(target.process_id, None)
             return
-        if not self._pauses.try_probe(target.process_id, now_s):
+        probe_again = functools.partial(
+            self._probe_removed_again, target, probes_left - 1
+        )
+        if not self._pauses.try_probe(
+            target.process_id, self._reactor.seconds()
+        ):
+            self._reactor.callLater(self.pause_left_s(target), probe_again)
             return
 
+        def on_answer():
+            self._removed_probes.pop(target.process_id, None)
+
         def on_report(report):
-            if report.born_ms != target.born_ms:
+            on_answer()
+            if is_other_process(report, target):
                 self._record_ended(target, "another process answers")
 
         def on_failed(failure):
-            may_be_silent = (
-                failure.has_timed_out and self._reactor.seconds() < until_s
-            )
-            if may_be_silent:
-                self._reactor.callLater(
-                    PROBE_INTERVAL_S, self._probe_removed, target, until_s
-                )
-            elif target.name not in self.by_name:
+            if failure.was_answered:
+                on_answer()
+                return
+            silent_probes = 0
+            if failure.has_timed_out:
+                silent_probes = self._removed_probes[target.process_id] + 1
+            if target.name not in self.by_name and (
+                failure.was_refused
+                or silent_probes >= MAX_SILENT_PROBES_AFTER_REMOVAL
+            ):
+                self._removed_probes.pop(target.process_id, None)
                 self._record_ended(
                     target, f"no longer registered: {failure.reason}"
                 )
+                return
+            self._removed_probes[target.process_id] = silent_probes
+            self._reactor.callLater(PROBE_INTERVAL_S, probe_again)
 
-        self._send_probe(target, on_report, lambda: None, on_failed)
+        self._send_probe(target, on_report, on_answer, on_failed)
 
     def _record_ended(self, target, reason):
         """Records that the process of a target has ended."""
         if target.process_id in self._ended_processes:
             return
-        self._add_ended_process(target)
+        self._add_ended_process(target, reason)
         events.emit("target_ended", target=target.name, reason=reason)
         self._notify_down(target, reason)
 
-    def _add_ended_process(self, target):
-        self._ended_processes[target.process_id] = None
+    def _add_ended_process(self, target, reason):
+        self._ended_processes.setdefault(
+            target.process_id, _ProcessEnd(self._reactor.seconds(), reason)
+        )
         if len(self._ended_processes) > MAX_ENDED_PROCESSES:
             del self._ended_processes[next(iter(self._ended_processes))]
 
+    def _withdraw_end(self, target, evidence):
+        """Drops the belief that a process has ended, as it shows itself."""
+        end = self._ended_processes.pop(target.process_id, None)
+        if end is None:
+            return
+        ENDS_WITHDRAWN.inc()
+        events.emit(
+            "target_end_withdrawn",
+            target=target.name,
+            born_ms=target.born_ms,
+            believed_s=round(self._reactor.seconds() - end.recorded_s, 3),
+            reason=end.reason,
+            evidence=evidence,
+        )
+
     def _reset_health(self, name):
         """Drops what is known about the health of an earlier process."""
         self._circuit_breakers.forget(name)
-        self._down_by_name.pop(name, None)
+        self._down_since_s.pop(name, None)
         self._paces.pop(name, None)
         self._failure_ratios.pop(name, None)
-        TARGETS_DOWN.set(len(self._down_by_name))
+        TARGETS_DOWN.set(len(self._down_since_s))
 
     def _notify_down(self, target, reason):
         for callback in list(self.on_down):
@@ -676,21 +799,17 @@
 
         The target is marked as down or up by the result.
         """
-        name = target.name
-        registered = self.by_name.get(name)
-        if registered is None or registered.born_ms != target.born_ms:
-            self._down_by_name.pop(name, None)
-            return
-        if name in self._probing:
+        process_id = target.process_id
+        if not self._is_registered(target) or process_id in self._probing:
             return
         now_s = self._reactor.seconds()
-        if not self._pauses.try_probe(target.process_id, now_s):
-            if name in self._down_by_name:
+        if not self._pauses.try_probe(process_id, now_s):
+            if target.name in self._down_since_s:
                 self._reactor.callLater(
-                    self.pause_left_s(target), self._probe, target
+                    self.pause_left_s(target), self._probe_down, target
                 )
             return
-        self._probing.add(name)
+        self._probing.add(process_id)
         self._send_probe(
             target,
             lambda report: self._on_report_probe_answered(target, report),
@@ -698,6 +817,11 @@
             lambda failure: self._on_probe_failed(target, failure),
         )
 
+    def _probe_down(self, target):
+        """Probes a target again, if it is still registered and down."""
+        if target.name in self._down_since_s:
+            self._probe(target)
+
     def _send_probe(self, target, on_report, on_health, on_failed):
         """Requests the report of a model target, or a plain one's health."""
         if target.accelerator:
@@ -720,25 +844,39 @@
         self._on_probe_answered(target)
 
     def _on_health_probe_answered(self, target):
-        self._ended_processes.pop(target.process_id, None)
+        self._withdraw_end(target, "health page")
         self._on_probe_answered(target)
 
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
-        self._probing.discard(target.name)
-        if self._down_by_name.pop(target.name, None) is not None:
-            TARGETS_DOWN.set(len(self._down_by_name))
+        self._probing.discard(target.process_id)
+        if not self._is_registered(target):
+            return
+        if self._down_since_s.pop(target.name, None) is not None:
+            TARGETS_DOWN.set(len(self._down_since_s))
             events.emit("target_up", target=target.name)
             self.on_health(target, False, "answers")
         self._notify_changed()
 
     def _on_probe_failed(self, target, failure):
         PROBES.labels("dead").inc()
-        self._probing.discard(target.name)
-        if target.name in self._down_by_name:
-            self._reactor.callLater(PROBE_INTERVAL_S, self._probe, target)
+        self._probing.discard(target.process_id)
+        if not self._is_registered(target):
+            self._on_removed_target_failed(target, failure)
+            return
+        if target.name in self._down_since_s:
+            self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
         self.mark_down(target, failure.reason, has_ended=failure.was_refused)
 
+    def _on_removed_target_failed(self, target, failure):
+        """Handles a probe that failed after the registration was removed."""
+        if self.has_ended(target):
+            return
+        if failure.was_refused:
+            self._record_ended(target, failure.reason)
+        else:
+            self._probe_removed(target)
+
     def _notify_changed(self):
         for callback in list(self.on_change):
             callback()
@@ -756,6 +894,14 @@
     )
 
 
+def is_other_process(report: model.TargetReport, target: fleet.Target) -> bool:
+    """Returns whether a report is of another process than the target's.
+
+    One without a start time doesn't show that.
+    """
+    return report.born_ms not in (0, target.born_ms) and target.born_ms != 0
+
+
 def target_names(targets: Iterable[fleet.Target]) -> list[str]:
     """Returns the names of targets."""
     return [target.name for target in targets]
