Don't replace a run whose events arrive

Cause: `on_target_down` looked for a replacement for every run with that target on its path.

Now a run with output must also be silent for 0.35 s, which the progress checks look at every 0.1 s. Before its first event nothing speaks against the probe, and it is replaced at once as before.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -115,6 +115,8 @@
         self._last_activity_s = 0.0
         self._silent_checks = 0
         self._is_suspected = False
+        # Why a target of the path counts as down; empty if none does.
+        self._down_reason = ""
         self._is_finished = False
         self._delay_timer: Any = None
         caller_request = admitted.caller_request
@@ -152,10 +154,7 @@
         if not self.path or self._is_finished:
             return
         self._silent_checks += 1
-        silence_s = min(
-            now_s - self._last_activity_s,
-            self._silent_checks * request_context.PROGRESS_CHECK_INTERVAL_S,
-        )
+        silence_s = self._silence_s(now_s)
         suspect_after_s = (
             SUSPECT_AFTER_SILENCE_S
             if self._is_streaming
@@ -167,16 +166,37 @@
                 self._context.targets.probe_suspect(
                     stage.target, "silent stream"
                 )
-        if silence_s > REROUTE_AFTER_SILENCE_S and (
+        if self._is_stalled_by_down_target(now_s):
+            self._seek_replacement(self._down_reason)
+        elif silence_s > REROUTE_AFTER_SILENCE_S and (
             self._may_reroute(now_s) or self._has_target_down()
         ):
             self._seek_replacement("silence")
 
+    def _silence_s(self, now_s):
+        return min(
+            now_s - self._last_activity_s,
+            self._silent_checks * request_context.PROGRESS_CHECK_INTERVAL_S,
+        )
+
+    def _is_stalled_by_down_target(self, now_s):
+        """Returns whether an attempt with a target that is down is silent.
+
+        Its events may still arrive: a later stage may only be unreachable
+        from here, or have missed a single probe.
+        """
+        if not self._down_reason or not self._has_target_down():
+            return False
+        return (
+            not self._attempt_has_output
+            or self._silence_s(now_s) > SUSPECT_AFTER_SILENCE_S
+        )
+
     def on_target_down(self, target: Any, reason: str) -> None:
         """Resumes on another path if the target is part of the current one.
 
         A target that has not ended may go on with its run, which is kept
-        until another one answers.
+        until another one answers; none is sought while its events arrive.
         """
         if not self._is_running_at(target):
             return
@@ -187,8 +207,11 @@
         has_ended = self._context.targets.has_ended(target)
         if has_ended and _is_on_path(target, self.path):
             self._reroute(reason)
-        else:
-            self._seek_replacement(reason)
+            return
+        if _is_on_path(target, self.path):
+            self._down_reason = reason
+        if self._is_stalled_by_down_target(self._context.reactor.seconds()):
+            self._seek_replacement(self._down_reason)
 
     def awaits_output_from(self, target: fleet.Target) -> bool:
         """Returns whether a target runs the request without output so far."""
@@ -327,6 +350,7 @@
         self._attempt_number += 1
         self._record_activity(self._context.reactor.seconds())
         self._is_suspected = False
+        self._down_reason = ""
         self._attempt_has_output = False
         self._splitter = sse.EventSplitter()
         self._framing = "none"
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -509,3 +509,32 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
     )
     assert not harness.targets.has_ended(target)
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_run_whose_events_arrive_is_not_replaced_as_a_target_is_down(
+    harness, model_service, stream_route, stage
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    make_silent(harness, path_target_names(connection)[stage])
+    before = harness.budget.remaining(harness.reactor.seconds())
+    for number in range(2, 12):
+        connection.respond(chunk(event(number)))
+        assert stay_silent(harness, 0.1) == []
+    assert harness.budget.remaining(harness.reactor.seconds()) >= before
+    (replacement,) = stay_silent(harness, 0.4)
+    assert not connection.transport.disconnecting
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 11)
+
+
+def test_a_run_without_events_is_replaced_once_a_target_is_down(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    harness.start_stream(harness.admit(model_service, stream_route))
+    connection = harness.accept_connection()
+    make_silent(harness, path_target_names(connection)[1])
+    assert stay_silent(harness, 0.1)
