Keep a replacement as the silent run answers an error

A stream that had fallen silent before its head, and had been sent to another target as well, was answered 503 or got the error 500 if its first target then answered with an error and no retry was left: callers were refused though another target ran their request. With a retry left it began a third time.

Cause: any head counted as activity, which cancels the replacement. So a 503 with Not-Executed, or a 5xx, first cancelled the run that could go on and then looked for a path. Besides, a 5xx was only followed by another attempt if a retry was left, although the replacement had paid for its own.

Ruled out: that the end of the exchange does it; `_reroute` adopts a replacement that was sent, but it was gone by then.

Now only a usable head counts as activity. The test failed before for both answers: "assert not True, where True = ....disconnecting".

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -412,9 +412,8 @@
                 current attempt, which it may do just as it is abandoned.
         """
         may_have_started = may_have_run and attempt_may_have_started
-        replacement = self._replacement
-        if replacement is not None and replacement.exchange is not None:
-            self._adopt_replacement(replacement, may_have_started)
+        if self._has_sent_replacement():
+            self._adopt_replacement(self._replacement, may_have_started)
             return
         self._abandon_attempt(may_have_started)
         if self._stopped_by_crash_evidence(
@@ -563,6 +562,10 @@
         self._begin_attempt(replacement.path)
         replacement.attempt_number = self._attempt_number
 
+    def _has_sent_replacement(self):
+        replacement = self._replacement
+        return replacement is not None and replacement.exchange is not None
+
     def _cancel_replacement(self):
         """Ends the search for a replacement, or the replacement itself.
 
@@ -656,11 +659,11 @@
         if response_head.request_id not in ("", self.request_id):
             self._fail_attempt("another's answer")
             return
-        self._record_activity(self._context.reactor.seconds())
         if status == 200 and response_head.is_signed:
             if not response_head.is_unencoded:
                 self._reroute("encoded answer")
                 return
+            self._record_activity(self._context.reactor.seconds())
             self._started_attempts += 1
             self._started_at_targets.append(self.path[0].target)
             self._is_streaming = True
@@ -887,7 +890,9 @@
     def _on_error_response(self, status, headers, response_head):
         """Resumes after a server error, or forwards the error response."""
         caller_request = self._admitted.caller_request
-        if self._may_run_again() and status >= 500:
+        if status >= 500 and (
+            self._has_sent_replacement() or self._may_run_again()
+        ):
             self._started_attempts += 1
             self._reroute(f"answered {status}")
             return
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -538,3 +538,35 @@
     connection = harness.accept_connection()
     make_silent(harness, path_target_names(connection)[1])
     assert stay_silent(harness, 0.1)
+
+
+def start_silent_run_before_its_head(harness, service, route):
+    """Returns a request, its silent run without head, and the replacement."""
+    register_chains(harness, "abc")
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    (replacement,) = stay_silent(harness)
+    return admitted, connection, replacement
+
+
+SERVER_ERROR = (
+    b"HTTP/1.1 500 Failed\r\nSignature: s\r\nRequest-Id: r1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("answer", [REJECTION, SERVER_ERROR])
+def test_a_replacement_outlives_the_error_of_the_run_that_it_replaces(
+    harness, model_service, stream_route, answer
+):
+    admitted, connection, replacement = start_silent_run_before_its_head(
+        harness, model_service, stream_route
+    )
+    spend_retries(harness, 0)
+    connection.respond(answer)
+    assert not replacement.transport.disconnecting
+    assert admitted.caller_request.ending == ""
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 0)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
