Don't count dispatches that a silent run made needless

A stream whose target had been silent five times and had gone on each time was cut when the target was then lost, though another path was free and retries were left.

Cause: each silence sends the request to one more target. That is cancelled as the run goes on, but its dispatch counted against the limit of dispatches (four beyond the attempts of the route), which is for targets that reject a request. The sixth attempt, the one that was needed, was not made.

Ruled out: the retry budget, of which the test spends six of 50, and the attempts of the route, which let the run begin at the target of its replacements again.

Now such dispatches don't count. Others do as before, so a request that ends its targets isn't sent more often.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -101,6 +101,9 @@
         self._started_attempts = 0
         # All attempts, including those that targets rejected.
         self._dispatch_count = 0
+        # Those of replacements that were cancelled as the silent attempt
+        # went on.
+        self._needless_dispatch_count = 0
         # First targets of the attempts that may have started to run.
         self._started_at_targets: list[fleet.Target] = []
         # Changes at the start and the cancellation of each attempt, so that
@@ -589,7 +592,10 @@
         max_dispatches = (
             MAX_EXTRA_DISPATCHES + self._admitted.route.max_targets
         )
-        return self._dispatch_count < max_dispatches
+        return self._counted_dispatches() < max_dispatches
+
+    def _counted_dispatches(self):
+        return self._dispatch_count - self._needless_dispatch_count
 
     def _may_reroute(self, now_s):
         """Returns whether a silent attempt may be replaced by another."""
@@ -599,7 +605,7 @@
         has_retries = (
             self._retry_budget().remaining(now_s) >= reserved_retries + 1
         )
-        has_dispatches = self._dispatch_count < MAX_EXTRA_DISPATCHES
+        has_dispatches = self._counted_dispatches() < MAX_EXTRA_DISPATCHES
         return has_retries and has_dispatches and self._may_run_again()
 
     def _may_spend_retry(self, now_s):
@@ -726,6 +732,8 @@
 
     def _record_activity(self, now_s):
         """Restarts the measurement of silence."""
+        if self._has_sent_replacement():
+            self._needless_dispatch_count += 1
         self._cancel_replacement()
         self._last_activity_s = now_s
         self._silent_checks = 0
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -51,6 +51,20 @@
     return attempts
 
 
+def answer_probes(harness, duration_s):
+    """Answers the probes of all targets; returns the last attempt, if any."""
+    attempt = None
+    for _ in range(round(duration_s / 0.1)):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            connection = harness.accept_connection()
+            if is_probe(connection):
+                connection.respond(REPORT_RESPONSE)
+            else:
+                attempt = connection
+    return attempt
+
+
 def start_answered_stream(harness, service, route, names):
     """Returns a request on new chains, and its run after the first event."""
     register_chains(harness, names)
@@ -570,3 +584,26 @@
     replacement.respond(RESPONSE_HEAD)
     go_on(harness, admitted, replacement, 0)
     assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_silences_that_came_to_nothing_leave_dispatches_for_a_lost_target(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    replacement_count = 0
+    for number in range(2, 10):
+        silent_name = path_target_names(connection)[0]
+        replacement_count += len(stay_silent(harness, 0.8))
+        answer_probes(harness, 0.6)
+        connection.respond(chunk(event(number)))
+        assert not harness.targets.is_down(
+            harness.targets.by_name[silent_name]
+        )
+    assert replacement_count >= 5
+    connection.reset()
+    second = answer_probes(harness, 0.3)
+    assert admitted.caller_request.ending == ""
+    second.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, second, 9)
