Treat a silent replacement as a silent run

A stream that had fallen silent and was sent to a second target lost that run as the second one missed a probe. If the first target was then lost, the stream began once more, or, where the attempts of its route allowed no other target (silent ones count), got nothing more and was cut 1.6 s later, though the second target would have gone on. And a replacement at a target that nothing had probed yet was waited for until the caller left.

Cause: silence was taken for death in two more places. `on_target_down` cancelled a replacement whose target was down, ended or not; and the progress checks suspected only the targets of the current run.

Ruled out: that the replacement had to go so that another could be searched for. The search and the run that was sent are now two states, and a silent replacement is cancelled once another has a path and a retry; its first target counts against the attempts of the route meanwhile.

A replacement without an answer for 0.6 s has its targets probed. It becomes the current run as that one is lost, with what is known of its target. Tests failed before: "assert '' == 'whole'" for the lost run, "assert 1 == 2, where 1 = len({'b0'})" for the replacement that nothing had probed. The third test guards that a silent replacement still gives way to another path; on the old code it failed only as the path ended at another stage.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -54,6 +54,11 @@
         path: Its stages; empty while the path is searched for.
         exchange: Its exchange; None before it is sent.
         attempt_number: Its number once it is the current attempt, else 0.
+        sent_at_s: When it was sent.
+        silent_checks: Number of progress checks since then.
+        is_suspected: Whether its targets were probed for its silence.
+        down_reason: Why a target of its path counts as down; empty if none
+            does.
     """
 
     def __init__(self, dispatch_key: str) -> None:
@@ -61,6 +66,10 @@
         self.path: fleet.Path = ()
         self.exchange: http_exchange.Exchange | None = None
         self.attempt_number = 0
+        self.sent_at_s = 0.0
+        self.silent_checks = 0
+        self.is_suspected = False
+        self.down_reason = ""
 
 
 class Stream:
@@ -89,6 +98,8 @@
         self.request_id = admitted.parsed_headers.request_id
         self.prompt_parts = admitted.parsed_headers.prompt_parts
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
+        # The search for a replacement, and one that was sent.
+        self._sought_replacement: _Replacement | None = None
         self._replacement: _Replacement | None = None
         self._exchange: http_exchange.Exchange | None = None
         self._splitter = sse.EventSplitter()
@@ -165,22 +176,34 @@
         )
         if silence_s > suspect_after_s and not self._is_suspected:
             self._is_suspected = True
-            for stage in self.path:
-                self._context.targets.probe_suspect(
-                    stage.target, "silent stream"
-                )
+            self._probe_silent(self.path)
+        self._check_replacement(now_s)
         if self._is_stalled_by_down_target(now_s):
             self._seek_replacement(self._down_reason)
         elif silence_s > REROUTE_AFTER_SILENCE_S and (
-            self._may_reroute(now_s) or self._has_target_down()
+            self._may_reroute(now_s) or self._has_target_down(self.path)
         ):
             self._seek_replacement("silence")
 
-    def _silence_s(self, now_s):
-        return min(
-            now_s - self._last_activity_s,
-            self._silent_checks * request_context.PROGRESS_CHECK_INTERVAL_S,
+    def _check_replacement(self, now_s):
+        """Suspects the targets of a replacement that doesn't answer."""
+        replacement = self._replacement
+        if replacement is None or replacement.is_suspected:
+            return
+        replacement.silent_checks += 1
+        silence_s = _silence_s(
+            now_s - replacement.sent_at_s, replacement.silent_checks
         )
+        if silence_s > SUSPECT_WITHOUT_FIRST_EVENT_S:
+            replacement.is_suspected = True
+            self._probe_silent(replacement.path)
+
+    def _probe_silent(self, path):
+        for stage in path:
+            self._context.targets.probe_suspect(stage.target, "silent stream")
+
+    def _silence_s(self, now_s):
+        return _silence_s(now_s - self._last_activity_s, self._silent_checks)
 
     def _is_stalled_by_down_target(self, now_s):
         """Returns whether an attempt with a target that is down is silent.
@@ -188,7 +211,7 @@
         Its events may still arrive: a later stage may only be unreachable
         from here, or have missed a single probe.
         """
-        if not self._down_reason or not self._has_target_down():
+        if not self._down_reason or not self._has_target_down(self.path):
             return False
         return (
             not self._attempt_has_output
@@ -204,10 +227,12 @@
         if not self._is_running_at(target):
             return
         reason = f"{target.name} is down: {reason}"
+        has_ended = self._context.targets.has_ended(target)
         replacement = self._replacement
         if replacement is not None and _is_on_path(target, replacement.path):
-            self._cancel_replacement()
-        has_ended = self._context.targets.has_ended(target)
+            replacement.down_reason = reason
+            if has_ended:
+                self._cancel_sent_replacement()
         if has_ended and _is_on_path(target, self.path):
             self._reroute(reason)
             return
@@ -224,9 +249,9 @@
         replacement_path = self._replacement.path if self._replacement else ()
         return _is_on_path(target, (*self.path, *replacement_path))
 
-    def _has_target_down(self):
+    def _has_target_down(self, path):
         is_down = self._context.targets.is_down
-        return any(is_down(stage.target) for stage in self.path)
+        return any(is_down(stage.target) for stage in path)
 
     def _has_produced_output(self):
         """Returns whether a target survived running part of the request."""
@@ -320,7 +345,10 @@
         Once the route's targets are used up, an attempt may begin only at one
         that started the request before, or that has it now.
         """
-        current_targets = [stage.target for stage in self.path[:1]]
+        replacement_path = self._replacement.path if self._replacement else ()
+        current_targets = [
+            stage.target for stage in (*self.path[:1], *replacement_path[:1])
+        ]
         return attempts.required_first_targets(
             self._admitted.route.allowance,
             self._started_at_targets + current_targets,
@@ -415,7 +443,7 @@
                 current attempt, which it may do just as it is abandoned.
         """
         may_have_started = may_have_run and attempt_may_have_started
-        if self._has_sent_replacement():
+        if self._replacement is not None:
             self._adopt_replacement(self._replacement, may_have_started)
             return
         self._abandon_attempt(may_have_started)
@@ -463,7 +491,8 @@
         """
         now_s = self._context.reactor.seconds()
         if (
-            self._replacement is not None
+            self._sought_replacement is not None
+            or self._has_sound_replacement()
             or not self._admitted.route.may_repeat
             or not self._may_dispatch_again()
             or not self._may_spend_retry(now_s)
@@ -471,31 +500,36 @@
         ):
             return
         dispatch_key = f"{self._dispatch_key}/{self._dispatch_count}"
-        self._replacement = _Replacement(dispatch_key)
+        self._sought_replacement = _Replacement(dispatch_key)
         self._dispatcher.submit_resumed(
             self._build_path_request(
                 dispatch_key,
                 RESUME_WINDOW_S,
                 lambda choice: self._send_replacement(reason, choice),
-                lambda retry_after_s, rejection_reason: (
-                    self._cancel_replacement()
-                ),
+                lambda retry_after_s, rejection_reason: self._cancel_search(),
             )
         )
 
     def _send_replacement(self, reason, choice):
-        """Sends the request along a path that was found for a replacement."""
-        replacement = self._replacement
+        """Sends the request along a path that was found for a replacement.
+
+        It takes the place of an earlier replacement that is silent.
+        """
+        replacement = self._sought_replacement
         now_s = self._context.reactor.seconds()
         if (
             self._crash_state() in ("condemned", "undecided")
             or self._has_condemned_part()
             or not self._spend_retry(now_s)
         ):
-            self._cancel_replacement()
+            self._cancel_search()
             return
         self._log_resumption(reason, now_s)
+        self._cancel_sent_replacement()
+        self._sought_replacement = None
+        self._replacement = replacement
         replacement.path = choice.path
+        replacement.sent_at_s = now_s
 
         def on_head(status, headers):
             if self._replacement is replacement:
@@ -533,7 +567,7 @@
         if response_head.was_not_executed:
             self._record_rejection(response_head, status, replacement.path)
             replacement.path = ()
-        self._cancel_replacement()
+        self._cancel_sent_replacement()
 
     def _on_replacement_failed(self, replacement, failure):
         """Drops a replacement whose exchange failed."""
@@ -547,7 +581,7 @@
             self._record_early_failure(path)
         if not failure.was_sent:
             replacement.path = ()
-        self._cancel_replacement()
+        self._cancel_sent_replacement()
         for stage in path:
             targets.probe_suspect(stage.target, failure.reason)
 
@@ -563,14 +597,30 @@
         self._dispatch_key = replacement.dispatch_key
         self._exchange = replacement.exchange
         self._begin_attempt(replacement.path)
+        self._down_reason = replacement.down_reason
         replacement.attempt_number = self._attempt_number
 
-    def _has_sent_replacement(self):
+    def _has_sound_replacement(self):
+        """Returns whether a replacement was sent that may answer soon."""
         replacement = self._replacement
-        return replacement is not None and replacement.exchange is not None
+        return replacement is not None and not (
+            replacement.down_reason and self._has_target_down(replacement.path)
+        )
 
     def _cancel_replacement(self):
-        """Ends the search for a replacement, or the replacement itself.
+        """Ends the search for a replacement, and one that was sent."""
+        self._cancel_search()
+        self._cancel_sent_replacement()
+
+    def _cancel_search(self):
+        """Ends the search for a replacement."""
+        if self._sought_replacement is not None:
+            dispatch_key = self._sought_replacement.dispatch_key
+            self._sought_replacement = None
+            self._dispatcher.discard(dispatch_key)
+
+    def _cancel_sent_replacement(self):
+        """Cancels a replacement.
 
         Its first target counts against the attempts of the route if it may
         have started the request.
@@ -732,7 +782,7 @@
 
     def _record_activity(self, now_s):
         """Restarts the measurement of silence."""
-        if self._has_sent_replacement():
+        if self._replacement is not None:
             self._needless_dispatch_count += 1
         self._cancel_replacement()
         self._last_activity_s = now_s
@@ -899,7 +949,7 @@
         """Resumes after a server error, or forwards the error response."""
         caller_request = self._admitted.caller_request
         if status >= 500 and (
-            self._has_sent_replacement() or self._may_run_again()
+            self._replacement is not None or self._may_run_again()
         ):
             self._started_attempts += 1
             self._reroute(f"answered {status}")
@@ -993,3 +1043,9 @@
 
 def _is_on_path(target, path):
     return any(stage.target.name == target.name for stage in path)
+
+
+def _silence_s(elapsed_s, check_count):
+    """Returns how long an attempt is silent, less the time without checks."""
+    checked_s = check_count * request_context.PROGRESS_CHECK_INTERVAL_S
+    return min(elapsed_s, checked_s)
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -607,3 +607,55 @@
     assert admitted.caller_request.ending == ""
     second.respond(RESPONSE_HEAD)
     go_on(harness, admitted, second, 9)
+
+
+def start_run_with_silent_replacement(harness, service, route, names):
+    """Returns a request, its silent run, and the replacement, silent too."""
+    admitted, connection = start_answered_stream(
+        harness, service, route, names
+    )
+    (replacement,) = stay_silent(harness, 0.8)
+    make_silent(harness, path_target_names(replacement)[0])
+    return admitted, connection, replacement
+
+
+def test_a_silent_replacement_goes_on_once_the_silent_run_is_lost(
+    harness, model_service, stream_route
+):
+    admitted, connection, replacement = start_run_with_silent_replacement(
+        harness, model_service, stream_route, "ab"
+    )
+    connection.reset()
+    stay_silent(harness, 0.3)
+    assert admitted.caller_request.ending == ""
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 1)
+
+
+def test_a_silent_replacement_is_cancelled_once_another_target_is_found(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=3)
+    admitted, connection, replacement = start_run_with_silent_replacement(
+        harness, model_service, route, "ab"
+    )
+    stay_silent(harness, 0.2)
+    register_chains(harness, "abc")
+    (third,) = stay_silent(harness, 0.2)
+    assert path_target_names(third) == ["c0", "c40"]
+    assert replacement.transport.disconnecting
+    assert not connection.transport.disconnecting
+    third.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, third, 1)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_a_replacement_that_does_not_answer_is_suspected(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=3)
+    _, connection = start_answered_stream(harness, model_service, route, "abc")
+    attempts = stay_silent(harness, 1.8)
+    first_targets = {path_target_names(one)[0] for one in attempts}
+    assert len(first_targets) == 2
+    assert path_target_names(connection)[0] not in first_targets
