Hedge a call for as long as its target is silent

A lookup at a silent target waited for it, up to its deadline (504), after the second target had rejected it, though a third was free. And a lookup whose target had been silent while no other was free was sent to a second one later, for a retry, though the first answered its probes again.

Cause: one flag, set as the target went down and cleared by the first hedge that was sent, stood for "a second target is needed". Neither the rejection set it again nor the answered probe cleared it.

Ruled out, by tests that passed before: a call at two silent targets is kept at both; one that must not be repeated is kept to its deadline at a silent target and at one that ended with its connection open, answered 504 and sent nowhere else.

Now the need is derived: all attempts in progress are at targets that fell silent and are still down. At most two hedges are sent for silence, so that a full service isn't offered the call again and again.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -20,6 +20,8 @@
 RETRY_AFTER_S = 0.3
 # Dispatches of a call, including those that targets reject before running it.
 MAX_DISPATCHES = 3
+# Hedges of a call at a silent target, including those that are rejected.
+MAX_SILENCE_HEDGES = 2
 
 
 class _Response(NamedTuple):
@@ -39,6 +41,8 @@
         self.status = 0
         self.headers: platform_adapter.Headers = []
         self.body: list[bytes] = []
+        # Whether the target has been silent; it may answer probes again.
+        self.was_silent = False
 
 
 class OutstandingRequests:
@@ -94,8 +98,7 @@
         # Last response with a server error; forwarded if no retry follows.
         self._error_response: _Response | None = None
         self._is_finished = False
-        # Whether a silent attempt waits for a second target beside it.
-        self._seeks_hedge = False
+        self._silence_hedge_count = 0
         self._hedge_timer: Any = None
         admitted.caller_request.on_disconnect = self._on_disconnect
         remaining_s = (
@@ -129,8 +132,7 @@
 
     def check_progress(self, now_s: float) -> None:
         """Looks for a second target again if that of an attempt is silent."""
-        if self._seeks_hedge:
-            self._send_hedge()
+        self._send_hedge_if_silent()
 
     def on_target_down(self, target: fleet.Target, reason: str) -> None:
         """Sends a call that may be repeated to another target as well.
@@ -142,8 +144,8 @@
         if attempt is None or not self._admitted.route.may_repeat:
             return
         if not self._context.targets.has_ended(target):
-            self._seeks_hedge = True
-            self._send_hedge()
+            attempt.was_silent = True
+            self._send_hedge_if_silent()
             return
         self._on_upstream_failure(
             attempt, http_exchange.ExchangeFailure(reason, was_sent=True)
@@ -199,13 +201,29 @@
         return True
 
     def _send_hedge(self):
-        """Sends the call to a second target as well, if that is allowed."""
+        """Sends the call to a second target as well, if that is allowed.
+
+        Returns:
+            Whether it was sent.
+        """
         if self._is_finished or not self._may_run_again():
-            return
+            return False
         now_s = self._context.reactor.seconds()
-        if self._retry_budget().remaining(now_s) >= 1 and self._dispatch():
-            self._seeks_hedge = False
-            self._retry_budget().try_retry(now_s)
+        if self._retry_budget().remaining(now_s) < 1 or not self._dispatch():
+            return False
+        self._retry_budget().try_retry(now_s)
+        return True
+
+    def _send_hedge_if_silent(self):
+        """Sends the call to a second target while no other may answer."""
+        is_down = self._context.targets.is_down
+        is_silent = self._active_attempts and all(
+            attempt.was_silent and is_down(attempt.target)
+            for attempt in self._active_attempts.values()
+        )
+        may_hedge = self._silence_hedge_count < MAX_SILENCE_HEDGES
+        if is_silent and may_hedge and self._send_hedge():
+            self._silence_hedge_count += 1
 
     def _may_run_again(self):
         """Returns whether the route allows another run of the call."""
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -659,3 +659,92 @@
     first_targets = {path_target_names(one)[0] for one in attempts}
     assert len(first_targets) == 2
     assert path_target_names(connection)[0] not in first_targets
+
+
+def start_call_at_silent_target(harness, service, route, names):
+    """Returns a call, its silent attempt, and the hedge beside it."""
+    ports = {4001 + number: name for number, name in enumerate(names)}
+    harness.register(
+        *(
+            make_target(name, service="plain", accelerator="", port=port)
+            for port, name in ports.items()
+        )
+    )
+    route = route._replace(target_latency_s=5.0, timeout_s=10.0)
+    admitted = harness.admit(service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, ports[first.port])
+    return admitted, first, harness.accept_connection()
+
+
+def test_a_call_at_a_silent_target_is_hedged_again_after_a_rejection(
+    harness, plain_service, lookup_route
+):
+    admitted, first, second = start_call_at_silent_target(
+        harness, plain_service, lookup_route, "abc"
+    )
+    second.respond(REJECTION)
+    (third,) = stay_silent(harness, 0.2)
+    assert third.port not in (first.port, second.port)
+    assert not first.transport.disconnecting
+    third.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+    assert first.transport.disconnecting
+
+
+def test_a_call_is_not_hedged_once_its_silent_target_answers_probes(
+    harness, plain_service, lookup_route
+):
+    route = lookup_route._replace(target_latency_s=5.0, timeout_s=10.0)
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001)
+    )
+    admitted = harness.admit(plain_service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, "a")
+    harness.advance_clock(0.6)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    harness.register(
+        make_target("b", service="plain", accelerator="", port=4002)
+    )
+    assert stay_silent(harness, 0.3) == []
+    first.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+
+
+def test_a_call_at_two_silent_targets_is_kept_at_both(
+    harness, plain_service, lookup_route
+):
+    admitted, first, second = start_call_at_silent_target(
+        harness, plain_service, lookup_route, "ab"
+    )
+    make_silent(harness, {4001: "a", 4002: "b"}[second.port])
+    assert stay_silent(harness, 1.0) == []
+    assert not first.transport.disconnecting
+    assert not second.transport.disconnecting
+    second.respond(OK_RESPONSE)
+    first.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+    assert admitted.caller_request.body == b"done"
+    assert first.transport.disconnecting
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_a_call_that_must_not_be_repeated_is_kept_to_its_deadline(
+    harness, plain_service, booking_route, has_ended
+):
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001),
+        make_target("b", service="plain", accelerator="", port=4002),
+    )
+    admitted = harness.admit(plain_service, booking_route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    target = harness.targets.by_name[{4001: "a", 4002: "b"}[first.port]]
+    harness.targets.mark_down(target, "test", has_ended)
+    assert stay_silent(harness, booking_route.timeout_s + 0.1) == []
+    assert admitted.caller_request.status == 504
+    assert first.transport.disconnecting
