--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -51,6 +51,20 @@
     return attempts
 
 
+def answer_probes(harness, duration_s):
+    """Answers the probes of all targets; returns the last attempt, if any."""
+    attempt = None
+    for _ in range(round(duration_s / 0.1)):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            connection = harness.accept_connection()
+            if is_probe(connection):
+                connection.respond(REPORT_RESPONSE)
+            else:
+                attempt = connection
+    return attempt
+
+
 def start_answered_stream(harness, service, route, names):
     """Returns a request on new chains, and its run after the first event."""
     register_chains(harness, names)
@@ -509,3 +523,228 @@
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
     )
     assert not harness.targets.has_ended(target)
+
+
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_run_whose_events_arrive_is_not_replaced_as_a_target_is_down(
+    harness, model_service, stream_route, stage
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    make_silent(harness, path_target_names(connection)[stage])
+    before = harness.budget.remaining(harness.reactor.seconds())
+    for number in range(2, 12):
+        connection.respond(chunk(event(number)))
+        assert stay_silent(harness, 0.1) == []
+    assert harness.budget.remaining(harness.reactor.seconds()) >= before
+    (replacement,) = stay_silent(harness, 0.4)
+    assert not connection.transport.disconnecting
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 11)
+
+
+def test_a_run_without_events_is_replaced_once_a_target_is_down(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "ab")
+    harness.start_stream(harness.admit(model_service, stream_route))
+    connection = harness.accept_connection()
+    make_silent(harness, path_target_names(connection)[1])
+    assert stay_silent(harness, 0.1)
+
+
+def start_silent_run_before_its_head(harness, service, route):
+    """Returns a request, its silent run without head, and the replacement."""
+    register_chains(harness, "abc")
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    (replacement,) = stay_silent(harness)
+    return admitted, connection, replacement
+
+
+SERVER_ERROR = (
+    b"HTTP/1.1 500 Failed\r\nSignature: s\r\nRequest-Id: r1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("answer", [REJECTION, SERVER_ERROR])
+def test_a_replacement_outlives_the_error_of_the_run_that_it_replaces(
+    harness, model_service, stream_route, answer
+):
+    admitted, connection, replacement = start_silent_run_before_its_head(
+        harness, model_service, stream_route
+    )
+    spend_retries(harness, 0)
+    connection.respond(answer)
+    assert not replacement.transport.disconnecting
+    assert admitted.caller_request.ending == ""
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 0)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_silences_that_came_to_nothing_leave_dispatches_for_a_lost_target(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    replacement_count = 0
+    for number in range(2, 10):
+        silent_name = path_target_names(connection)[0]
+        replacement_count += len(stay_silent(harness, 0.8))
+        answer_probes(harness, 0.6)
+        connection.respond(chunk(event(number)))
+        assert not harness.targets.is_down(
+            harness.targets.by_name[silent_name]
+        )
+    assert replacement_count >= 5
+    connection.reset()
+    second = answer_probes(harness, 0.3)
+    assert admitted.caller_request.ending == ""
+    second.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, second, 9)
+
+
+def start_run_with_silent_replacement(harness, service, route, names):
+    """Returns a request, its silent run, and the replacement, silent too."""
+    admitted, connection = start_answered_stream(
+        harness, service, route, names
+    )
+    (replacement,) = stay_silent(harness, 0.8)
+    make_silent(harness, path_target_names(replacement)[0])
+    return admitted, connection, replacement
+
+
+def test_a_silent_replacement_goes_on_once_the_silent_run_is_lost(
+    harness, model_service, stream_route
+):
+    admitted, connection, replacement = start_run_with_silent_replacement(
+        harness, model_service, stream_route, "ab"
+    )
+    connection.reset()
+    stay_silent(harness, 0.3)
+    assert admitted.caller_request.ending == ""
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 1)
+
+
+def test_a_silent_replacement_is_cancelled_once_another_target_is_found(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=3)
+    admitted, connection, replacement = start_run_with_silent_replacement(
+        harness, model_service, route, "ab"
+    )
+    stay_silent(harness, 0.2)
+    register_chains(harness, "abc")
+    (third,) = stay_silent(harness, 0.2)
+    assert path_target_names(third) == ["c0", "c40"]
+    assert replacement.transport.disconnecting
+    assert not connection.transport.disconnecting
+    third.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, third, 1)
+    assert harness.dispatcher.occupancy.reservation_count() == 0
+
+
+def test_a_replacement_that_does_not_answer_is_suspected(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=3)
+    _, connection = start_answered_stream(harness, model_service, route, "abc")
+    attempts = stay_silent(harness, 1.8)
+    first_targets = {path_target_names(one)[0] for one in attempts}
+    assert len(first_targets) == 2
+    assert path_target_names(connection)[0] not in first_targets
+
+
+def start_call_at_silent_target(harness, service, route, names):
+    """Returns a call, its silent attempt, and the hedge beside it."""
+    ports = {4001 + number: name for number, name in enumerate(names)}
+    harness.register(
+        *(
+            make_target(name, service="plain", accelerator="", port=port)
+            for port, name in ports.items()
+        )
+    )
+    route = route._replace(target_latency_s=5.0, timeout_s=10.0)
+    admitted = harness.admit(service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, ports[first.port])
+    return admitted, first, harness.accept_connection()
+
+
+def test_a_call_at_a_silent_target_is_hedged_again_after_a_rejection(
+    harness, plain_service, lookup_route
+):
+    admitted, first, second = start_call_at_silent_target(
+        harness, plain_service, lookup_route, "abc"
+    )
+    second.respond(REJECTION)
+    (third,) = stay_silent(harness, 0.2)
+    assert third.port not in (first.port, second.port)
+    assert not first.transport.disconnecting
+    third.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+    assert first.transport.disconnecting
+
+
+def test_a_call_is_not_hedged_once_its_silent_target_answers_probes(
+    harness, plain_service, lookup_route
+):
+    route = lookup_route._replace(target_latency_s=5.0, timeout_s=10.0)
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001)
+    )
+    admitted = harness.admit(plain_service, route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    make_silent(harness, "a")
+    harness.advance_clock(0.6)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    harness.register(
+        make_target("b", service="plain", accelerator="", port=4002)
+    )
+    assert stay_silent(harness, 0.3) == []
+    first.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+
+
+def test_a_call_at_two_silent_targets_is_kept_at_both(
+    harness, plain_service, lookup_route
+):
+    admitted, first, second = start_call_at_silent_target(
+        harness, plain_service, lookup_route, "ab"
+    )
+    make_silent(harness, {4001: "a", 4002: "b"}[second.port])
+    assert stay_silent(harness, 1.0) == []
+    assert not first.transport.disconnecting
+    assert not second.transport.disconnecting
+    second.respond(OK_RESPONSE)
+    first.respond(OK_RESPONSE)
+    assert admitted.caller_request.status == 200
+    assert admitted.caller_request.body == b"done"
+    assert first.transport.disconnecting
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_a_call_that_must_not_be_repeated_is_kept_to_its_deadline(
+    harness, plain_service, booking_route, has_ended
+):
+    harness.register(
+        make_target("a", service="plain", accelerator="", port=4001),
+        make_target("b", service="plain", accelerator="", port=4002),
+    )
+    admitted = harness.admit(plain_service, booking_route)
+    harness.start_call(admitted)
+    first = harness.accept_connection()
+    target = harness.targets.by_name[{4001: "a", 4002: "b"}[first.port]]
+    harness.targets.mark_down(target, "test", has_ended)
+    assert stay_silent(harness, booking_route.timeout_s + 0.1) == []
+    assert admitted.caller_request.status == 504
+    assert first.transport.disconnecting
