Open a released stage again only after its engine's step

A caller could get wrong tokens. When a stage falls silent, the one before replaces it and asks for its release. A stage that goes on just then also releases the stage after it. If that one was computing the first token, its engine stored the cache after the release; the replacement opened the same attempt there, and its steps extended this cache. Without a second opening the cache stayed in the engine after the request had ended.

The simulation had passed messages by reference, so that stages shared the list of a chain; they are copied now.

The pipeline now keeps the attempts whose run ended during a call of the engine. When the call ends it releases the sequence once more, and an `open` for the attempt that came meanwhile is handled then.

--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 import prometheus_client
+from twisted.internet import defer
 from twisted.python import failure
 
 from hemlocktiller._internal.agent import engine_client
@@ -54,6 +55,13 @@
     on_failed: Callable[[stage_runs.StageRun, str], None]
 
 
+class WaitingOpen(NamedTuple):
+    """An `open` message that waits, and the link it came on."""
+
+    link: link_module.Link
+    message: Any
+
+
 class Pipeline:
     """Runs the local stage and exchanges messages with its neighbours.
 
@@ -80,6 +88,11 @@
         recorder: recorder_module.Recorder,
     ) -> None:
         self.runs: dict[stage_runs.AttemptKey, stage_runs.StageRun] = {}
+        # Attempts released during a call of the engine, each with the newest
+        # `open` message that waits for the end of that call.
+        self._released_in_engine: dict[
+            stage_runs.AttemptKey, WaitingOpen | None
+        ] = {}
         self._reactor = reactor
         self._engine = engine
         self._peers = peers
@@ -136,7 +149,7 @@
             starts_sequence,
             token_index < run.next_stage_token,
         )
-        deferred = self._engine.run_step(step)
+        deferred = self._call_engine(run, self._engine.run_step, step)
         deferred.addCallback(self._on_output, run, token_index)
         deferred.addErrback(self._on_step_failed, run)
 
@@ -171,7 +184,7 @@
         run = self._remove_run(key)
         if run is None:
             return
-        self._engine.release_sequences([run.sequence_id])
+        self._release_sequence(run)
         if not run.is_last:
             message = {"type": "close", **run.attempt_fields}
             self._peers.send(run.next_stage["target"], message)
@@ -183,15 +196,22 @@
         """
         key = stage_runs.attempt_key(message)
         run = self.runs.get(key)
+        waiting = self._released_in_engine.get(key)
         if run is not None and run.upstream_name == link.peer["name"]:
             self.close(key)
+        elif waiting is not None and _is_same_peer(waiting.link, link):
+            self._released_in_engine[key] = None
 
     def on_open(self, link: link_module.Link, message: Any) -> None:
         """Reserves this stage, unless an earlier message has reserved it."""
-        run = self.runs.get(stage_runs.attempt_key(message))
+        key = stage_runs.attempt_key(message)
+        run = self.runs.get(key)
         if run is not None:
             self._on_repeated_open(run, link, message)
             return
+        if key in self._released_in_engine:
+            self._released_in_engine[key] = WaitingOpen(link, message)
+            return
         reason = self._refusal_reason(message)
         if reason:
             link.send(_refusal_message(message, reason))
@@ -362,10 +382,39 @@
             )
             for offset, data in enumerate(inputs)
         ]
-        deferred = self._engine.run_steps(steps)
+        deferred = self._call_engine(run, self._engine.run_steps, steps)
         deferred.addCallback(self._on_cache_rebuilt, run)
         deferred.addErrback(self._on_step_failed, run)
 
+    def _call_engine(
+        self, run: stage_runs.StageRun, call: Callable[..., Any], step: Any
+    ) -> defer.Deferred[Any]:
+        """Calls the engine for a run, which has one such call at a time."""
+        run.in_engine = True
+        return call(step).addBoth(self._on_engine_call_ended, run)
+
+    def _on_engine_call_ended(
+        self, result: Any, run: stage_runs.StageRun
+    ) -> Any:
+        """Releases the sequence again if its run ended during the call."""
+        run.in_engine = False
+        if run.key in self._released_in_engine and not self._is_open(run):
+            waiting = self._released_in_engine.pop(run.key)
+            self._engine.release_sequences([run.sequence_id])
+            if waiting is not None and waiting.link.is_open:
+                self.on_open(waiting.link, waiting.message)
+        return result
+
+    def _release_sequence(self, run: stage_runs.StageRun) -> None:
+        """Releases the cache of a run that ended.
+
+        A step under way may create the cache once more. Until it ends, the
+        attempt can't be opened again, as its steps would extend that cache.
+        """
+        self._engine.release_sequences([run.sequence_id])
+        if run.in_engine:
+            self._released_in_engine[run.key] = None
+
     def _on_cache_rebuilt(
         self, outputs: list[engine_client.Output], run: stage_runs.StageRun
     ) -> None:
@@ -434,7 +483,7 @@
         self._recorder.add_event(run, "stage_failed", why=reason)
         run.dead_targets.update(dead_targets)
         self._remove_run(run.key)
-        self._engine.release_sequences([run.sequence_id])
+        self._release_sequence(run)
         if run.stage_index == 0:
             self._callbacks.on_failed(run, reason)
         else:
@@ -570,6 +619,10 @@
     )
 
 
+def _is_same_peer(one: link_module.Link, other: link_module.Link) -> bool:
+    return one.peer["name"] == other.peer["name"]
+
+
 def _refusal_message(message: Any, reason: str) -> dict[str, Any]:
     """Returns the refusal of an `open` message."""
     stage = message["chain"][message["stage_index"]]
--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -44,6 +44,8 @@
             of a replacement for the next stage.
         last_output: Output of the newest token; None before the first one.
         engine_busy: Whether the engine is running a token.
+        in_engine: Whether a call of the engine is under way, for a token or
+            to rebuild the cache.
         cache_ready: Whether the cache of this stage is complete.
         first_incomplete_token: Index of the first token that may not have
             passed all stages; the answer holds all tokens before it.
@@ -93,6 +95,7 @@
         self.queued_inputs: dict[int, bytes] = {}
         self.last_output: engine_client.Output | None = None
         self.engine_busy = False
+        self.in_engine = False
         self.cache_ready = True
         self.may_have_run = False
         self.upstream_name = ""
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 import random
 from typing import NamedTuple
 
@@ -56,7 +57,8 @@
     def send(self, message):
         """Queues a message for the peer."""
         endpoints = (self.source, self.peer["name"])
-        self.simulation.message_queues[endpoints].append(message)
+        queue = self.simulation.message_queues[endpoints]
+        queue.append(copy.deepcopy(message))
 
 
 class FakePeers:
@@ -354,6 +356,10 @@
             if agent is not self.agents[name]:
                 agent.pipeline.on_peer_down(name, "silence")
 
+    def find_silent(self, name, silent_name):
+        """Lets an agent find a peer silent that goes on at once."""
+        self.agents[name].pipeline.replace_silent_stages(silent_name)
+
     def abort_silent_link(self, name, silent_name):
         """Lets an agent abort its link to a peer that then goes on."""
         for endpoints in ((name, silent_name), (silent_name, name)):
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -373,3 +373,74 @@
     )
     assert_complete_answer(entry_link)
     assert max(busy_counts) == 1
+
+
+def assert_no_work_left(simulation):
+    while any(simulation.message_queues.values()) or any(
+        agent.engine.pending_calls for agent in simulation.agents.values()
+    ):
+        simulation.run_one_event()
+    for agent in simulation.agents.values():
+        assert agent.pipeline.runs == {}
+        assert agent.engine.kv_caches == {}
+
+
+@pytest.mark.promise(1)
+@pytest.mark.parametrize(
+    "silences",
+    [
+        [("s0r0", "s1r0")],
+        [("s1r0", "s2r0")],
+        [("s0r0", "s1r0"), ("s1r0", "s2r0")],
+        [("s0r0", "s1r0"), ("s0r0", "s1r1")],
+        [("s0r0", "s1r0"), ("s1r1", "s2r0")],
+        [("s0r0", "s1r0"), ("s0r0", "s1r0")],
+    ],
+)
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_silent_stages_that_go_on_add_nothing_and_are_released(
+    simulation, silences
+):
+    entry_link = simulation.start_request(TOKENS)
+    indexes = sorted(simulation.rng.sample(range(2, 90), len(silences)))
+    faults = [
+        (
+            index,
+            lambda simulation, ends=ends: simulation.find_silent(*ends),
+        )
+        for index, ends in zip(indexes, silences, strict=True)
+    ]
+    run_until_finished(simulation, entry_link, faults)
+    assert_complete_answer(entry_link)
+    assert_no_work_left(simulation)
+
+
+@pytest.mark.promise(1)
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_two_stages_silent_at_once_add_nothing_and_are_released(simulation):
+    entry_link = simulation.start_request(TOKENS)
+
+    def find_both_silent(simulation):
+        simulation.find_silent("s0r0", "s1r0")
+        simulation.find_silent("s1r0", "s2r0")
+
+    index = simulation.rng.randrange(2, 90)
+    run_until_finished(simulation, entry_link, [(index, find_both_silent)])
+    assert_complete_answer(entry_link)
+    assert_no_work_left(simulation)
+
+
+@pytest.mark.promise(1)
+@pytest.mark.parametrize("index", range(6, 10))
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_stage_released_during_its_first_step_may_be_opened_again(
+    simulation, index
+):
+    entry_link = simulation.start_request(TOKENS)
+    fault = (
+        index,
+        lambda simulation: simulation.find_silent("s0r0", "s1r0"),
+    )
+    run_until_finished(simulation, entry_link, [fault])
+    assert_complete_answer(entry_link)
+    assert_no_work_left(simulation)
