Don't reserve a stage at a silent agent beside an alternate

A stream stood still for up to 2 s although another target of its stage was sound. While runs without an alternate wait at a silent agent, its link stays open, and silence is reported once, when it begins. A run that came to this agent later, as a new one or as its replacement for another silent stage, wasn't moved until the link closed.

Before: test_a_stage_known_as_silent_replaces_no_other_one failed with "assert 0 == 1", no `open` at the sound alternate.

A stage whose link is silent is now replaced before it is asked.

--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -190,10 +190,14 @@
         """Asks the next stage for a reservation.
 
         Sends the inputs to rebuild its cache, unless the process is the one
-        that was asked before, which still has the cache.
+        that was asked before, which still has the cache. A stage already
+        known as silent is not asked if it has an alternate.
         """
         if not self._is_current_next_stage(run, stage):
             return
+        if link.is_silent and stage_runs.alternate_for(run) is not None:
+            self.replace_next_stage(run, link_module.SILENCE)
+            return
         process = link.peer["process"]
         same_process = process == run.next_process
         run.next_open_sent = True
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -48,6 +48,7 @@
         self.simulation = simulation
         self.source = source
         self.is_open = True
+        self.is_silent = False
         self.peer = {
             "name": target,
             "role": "agent",
--- a/tests/unit/test_silent_stages.py
+++ b/tests/unit/test_silent_stages.py
@@ -275,3 +275,15 @@
     first_stage.advance(0.1)
     first_stage.send_token("b", 0)
     assert first_stage.sent_types() == ["started", "tokens"]
+
+
+def test_a_stage_known_as_silent_replaces_no_other_one():
+    first_stage = FirstStage(["b", "c"])
+    first_stage.start("r1", has_alternates=False)
+    first_stage.reserve("b", "r1")
+    first_stage.later["b"].is_silent = True
+    first_stage.advance(0.9)
+    first_stage.start("r2")
+    first_stage.advance(0.2)
+    assert len(first_stage.later["c"].requests("open")) == 1
+    assert len(first_stage.later["b"].requests("open")) == 1
