Check that a request may run elsewhere before it leaves a silent agent

A caller's stream or repeatable call was cut with 403 while its agent was only silent. When an agent falls silent, the entry cancelled the attempt and only then authorized the next one under the newest configuration; a withdrawn model or service, or evidence of a crash that was undecided, then left nothing that ran. Without the silence the request would have gone on. Besides, the next target was chosen by the plan from before, so that a request could move to a kind of accelerator that its plan may no longer use.

Before: test_a_request_outlives_a_silence_in_which_its_model_is_withdrawn and the one for calls failed with "[NotAllowed('m1 is not allowed')] == []", test_a_request_moves_from_a_silent_agent_by_the_newest_configuration with a second agent that had been started.

The entry now checks evidence and authorization first. What isn't permitted elsewhere stays at its agent. A lost target is handled as before.

The removal of a silent agent's registration, an older registration of it (as after a restore of the store) and its drain were played as well and broke nothing. The simulation authorizes calls by the configuration in force.

--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -72,7 +72,7 @@
 
         Otherwise the attempt continues, as its target may be only paused.
         """
-        if not self._is_repeatable:
+        if not self._is_repeatable or not self._is_permitted_elsewhere():
             return
         route = self._choose_route(self._excluded_targets | {self.target.name})
         if route is None or not request_context.consume_retry(
@@ -86,8 +86,7 @@
         self._may_have_run = True
         self._send_cancellation()
         self._record_target_failure()
-        if self._prepare_attempt():
-            self._send(route)
+        self._send(route)
 
     def cancel(self) -> None:
         """Ends the request, as its caller has disconnected.
@@ -169,6 +168,22 @@
             and self._reauthorize_call()
         )
 
+    def _is_permitted_elsewhere(self) -> bool:
+        """Returns whether another attempt is permitted now.
+
+        Unlike `_prepare_attempt`, this never fails the request. If it is
+        permitted, the newest configuration applies to its routes.
+        """
+        state = self._context.suspects.state(self.call.request_digest)
+        part = self._context.part_evidence.condemned_part(self.prompt_parts)
+        if part is not None or state in ("condemned", "undecided"):
+            return False
+        try:
+            self.call = request_context.reauthorize(self._context, self.call)
+        except exceptions.RequestError:
+            return False
+        return True
+
     def _reauthorize_call(self) -> bool:
         """Authorizes the call under the newest configuration.
 
--- a/tests/unit/entry_simulation.py
+++ b/tests/unit/entry_simulation.py
@@ -7,6 +7,7 @@
 from twisted.python import failure
 
 from hemlocktiller._internal import documents
+from hemlocktiller._internal import exceptions
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.entry import app
@@ -155,8 +156,7 @@
         self.errors = []
         process = process_module.create(self.clock, settings(), "entry")
         self.entry = app.Entry(process._replace(rng=random.Random(1)))
-        self._config = snapshot.build(1, CONFIG)
-        process.feed.apply_if_newer(self._config)
+        process.feed.apply_if_newer(snapshot.build(1, CONFIG))
         self._agents_by_port = {}
         self._handled_count = 0
 
@@ -213,7 +213,7 @@
             content_type="application/json",
             body=b"{}",
             idempotency_key=idempotency_key,
-            **self._common_fields(request),
+            **self._common_fields(request, "services", "booking"),
         )
         self.entry.registry.start_service_call(
             call, self.responses.append, self.errors.append
@@ -227,7 +227,7 @@
             model="m1",
             prompt="a menu for the hall",
             max_tokens=8,
-            **self._common_fields(request),
+            **self._common_fields(request, "models", "m1"),
         )
         tokens = self.tokens.setdefault(request, [])
         sink = call_types.ResponseSink(
@@ -248,14 +248,21 @@
         """Returns the state of a request as a suspect."""
         return self.entry.process.suspects.state(_digest(request))
 
-    def _common_fields(self, request):
-        caller = call_types.CallerIdentity(self._config.workspaces["w1"], 1)
+    def _common_fields(self, request, allowance_field, name):
+        def authorize():
+            config = self.entry.process.feed.current
+            view = config.workspaces["w1"]
+            if name not in view.allowance[allowance_field]:
+                raise exceptions.NotAllowed(f"{name} is not allowed")
+            return call_types.CallerIdentity(view, config.version)
+
+        caller = authorize()
         self.entry.registry.admit(caller)
         return {
             "caller": caller,
             "traceparent": "",
             "request_digest": _digest(request),
-            "reauthorize": lambda: caller,
+            "reauthorize": authorize,
         }
 
     def _connect_all(self):
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from hemlocktiller._internal.config import snapshot
+from hemlocktiller._internal.store import client
 from tests.unit import entry_simulation
 
 SILENCE_S = 1.5
@@ -149,3 +151,155 @@
     agent.is_silent = True
     entry_run.advance(4.0)
     assert [error.code for error in entry_run.errors] == ["outcome_unknown"]
+
+
+def change_config(entry_run, version=2, **allowance):
+    """Puts a configuration with another allowance in force."""
+    config = entry_simulation.CONFIG | {
+        "allowances": [
+            entry_simulation.CONFIG["allowances"][0] | allowance,
+        ]
+    }
+    entry_run.entry.process.feed.apply_if_newer(
+        snapshot.build(version, config)
+    )
+
+
+def list_registrations(entry_run, records):
+    """Applies a listing of the registrations of targets."""
+    listed = [
+        client.StoredObject("target", record["target"], 1, record)
+        for record in records
+    ]
+    entry_run.entry.targets.on_registration_changes(
+        listed, [], is_full_listing=True
+    )
+
+
+def test_a_request_outlives_a_silence_in_which_its_model_is_withdrawn(
+    entry_run,
+):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    entry_simulation.send_tokens(agent, 0, [1])
+    entry_run.advance(entry_simulation.STEP_S)
+    change_config(entry_run, models=["other"])
+    be_silent(entry_run, agent)
+    assert entry_run.errors == []
+    assert agent.requests("cancel") == []
+    entry_simulation.send_tokens(agent, 1, [2])
+    entry_simulation.finish(agent, 2)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.tokens["r1"] == [1, 2]
+
+
+def test_a_call_outlives_a_silence_in_which_its_service_is_withdrawn(
+    entry_run,
+):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(method="GET")
+    (agent,) = entry_run.agents_with("call")
+    change_config(entry_run, services=["other"])
+    be_silent(entry_run, agent)
+    assert entry_run.errors == []
+    entry_simulation.answer_call(agent)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert [response.status for response in entry_run.responses] == [200]
+
+
+def test_a_request_moves_from_a_silent_agent_by_the_newest_configuration(
+    entry_run,
+):
+    for name in "ab":
+        entry_run.add_agent(
+            name,
+            model="m1",
+            end_layer=4,
+            layer_count=4,
+            accelerator_kind=f"kind-{name}",
+        )
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    kind = f"kind-{agent.name}"
+    change_config(entry_run, accelerator_kinds=[kind])
+    be_silent(entry_run, agent)
+    assert entry_run.agents_with("start") == [agent]
+    assert entry_run.errors == []
+
+
+def _start(entry_run, method, request):
+    if method == "model":
+        entry_run.complete(request)
+    else:
+        entry_run.call(method=method, request=request)
+
+
+def test_a_request_outlives_the_removal_of_its_silent_agent(entry_run):
+    agent = entry_run.add_engine("a")
+    entry_run.complete()
+    agent.is_silent = True
+    entry_run.advance(0.9)
+    list_registrations(entry_run, [])
+    entry_run.advance(0.5)
+    agent.is_silent = False
+    entry_run.advance(entry_simulation.STEP_S)
+    entry_simulation.send_tokens(agent, 0, [1])
+    entry_simulation.finish(agent, 1)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.tokens["r1"] == [1]
+    assert len(agent.requests("start")) == 1
+
+
+@pytest.mark.parametrize("message_type", ["start", "call"])
+def test_a_request_outlives_an_older_registration_of_its_silent_agent(
+    entry_run, message_type
+):
+    add = entry_run.add_engine
+    if message_type == "call":
+        add = entry_run.add_service
+    agent = add("a")
+    _start(entry_run, "model" if message_type == "start" else "POST", "r1")
+    record = entry_run.entry.targets.by_name["a"].record
+    gone = entry_run.add_agent("gone")
+    gone.stop()
+    older = record | {
+        "port": entry_run.entry.targets.by_name["gone"].record["port"]
+    }
+    agent.is_silent = True
+    entry_run.advance(0.9)
+    list_registrations(entry_run, [older])
+    entry_run.advance(0.3)
+    list_registrations(entry_run, [record])
+    entry_run.advance(0.3)
+    agent.is_silent = False
+    entry_run.advance(0.5)
+    assert entry_run.errors == []
+    assert len(agent.requests(message_type)) == 1
+    assert entry_run.suspect_state() == "clear"
+
+
+def test_a_request_that_left_a_leaving_silent_agent_gets_one_answer(entry_run):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (first,) = entry_run.agents_with("start")
+    entry_simulation.send_tokens(first, 0, [1, 2])
+    entry_run.advance(entry_simulation.STEP_S)
+    leaving = {"type": "leaving", "name": first.name, "reason": "drain"}
+    first.link.send(leaving)
+    entry_run.advance(entry_simulation.STEP_S)
+    first.is_silent = True
+    entry_simulation.send_tokens(first, 2, [3, 4])
+    entry_simulation.finish(first, 4)
+    entry_run.advance(0.8)
+    first.is_silent = False
+    entry_run.advance(0.3)
+    (second,) = set(entry_run.agents_with("start")) - {first}
+    entry_simulation.send_tokens(second, 2, [3])
+    entry_simulation.finish(second, 3)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.tokens["r1"] == [1, 2, 3]
+    assert len(entry_run.usages) == 1
