Wait for silent agents when a request's own agent ends

Callers lost accepted requests with `no_target`, `interrupted` or `outcome_unknown` although another agent could have continued them. An entry has no route to a silent agent. When the agent of a request ended in that time, the request found no route, tried once more after its backoff of some 10 ms, and failed, although the silent agent went on a second later.

Before: test_a_request_waits_for_a_silent_agent_after_the_loss_of_its_own failed for repeatable calls, calls with a key and model requests, with "[NoTarget('no target can serve m1 now')] == []" for the last.

An entry now keeps when it noticed the silence of a target, also after the link was closed for it. A request that may have run and finds no route asks again every 0.1 s while a target that may serve it has been silent for less than 2 s, neither refuses connections nor is leaving. This takes no attempt. A request that did not run is refused at once, as before, and so is each request whose agents have ended or stay silent (both have tests).

--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -14,6 +14,7 @@
 CONDEMNED_PART = "targets died while they ran a part of this prompt"
 STALE_CONFIG = "stale_config"
 STALE_CONFIG_WAIT_S = 0.1  # The target sends the newer version meanwhile.
+PAUSED_TARGET_WAIT_S = 0.1
 
 
 class BaseRequest:
@@ -106,6 +107,10 @@
         """Returns the best route without the excluded targets, or None."""
         raise NotImplementedError
 
+    def _is_served_by(self, record: Any) -> bool:
+        """Returns whether the target with a registration may serve it."""
+        raise NotImplementedError
+
     def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         """Returns the message that starts the current attempt."""
         raise NotImplementedError
@@ -245,6 +250,24 @@
         )
         routing_state.circuit_breakers.record_sent(target_name, now_s)
 
+    def _wait_for_paused_target(self) -> bool:
+        """Waits for a silent target, if one may soon continue the request.
+
+        A request that did not run is refused instead.
+
+        Returns:
+            Whether another attempt is scheduled.
+        """
+        may_continue = self._may_have_run and any(
+            target.name not in self._excluded_targets
+            and self._is_served_by(target.record)
+            and routes.is_allowed(self.call.caller.workspace_view, target)
+            for target in self._context.targets.paused()
+        )
+        if may_continue:
+            self._schedule_attempt(PAUSED_TARGET_WAIT_S)
+        return may_continue
+
     def _schedule_attempt(self, wait_s: float) -> None:
         """Schedules another attempt after a wait."""
         self._attempt_timer = self._context.reactor.callLater(
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -163,6 +163,9 @@
             excluded,
         )
 
+    def _is_served_by(self, record: Any) -> bool:
+        return record["model"] == self.call.model
+
     def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         view = self.call.caller.workspace_view
         self._ungranted_tokens = 0
@@ -246,7 +249,9 @@
             self._fail_with_reason(reason)
 
     def _on_no_route(self) -> None:
-        """Fails the request, or retries with the excluded targets allowed."""
+        """Waits, retries with the excluded targets allowed, or fails."""
+        if self._wait_for_paused_target():
+            return
         if not self._excluded_targets or not self._consume_retry("no_target"):
             self._fail_with_reason("no_target")
             return
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -62,7 +62,7 @@
         target.name: target
         for target in context.targets.usable_for_model(call.model)
         if target.name not in excluded
-        and _is_allowed(call.caller.workspace_view, target)
+        and is_allowed(call.caller.workspace_view, target)
     }
     candidates = [
         routing.Candidate(
@@ -118,7 +118,7 @@
         target
         for target in context.targets.usable_for_service(call.service)
         if target.name not in excluded
-        and _is_allowed(call.caller.workspace_view, target)
+        and is_allowed(call.caller.workspace_view, target)
     ]
     candidates = [routing.Candidate(target.name) for target in usable_targets]
     now_s = context.reactor.seconds()
@@ -143,7 +143,7 @@
     return {name: record[name] for name in names}
 
 
-def _is_allowed(
+def is_allowed(
     view: snapshot.WorkspaceView, target: targets_module.Target
 ) -> bool:
     """Returns whether the caller's plan may use a target."""
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -71,6 +71,9 @@
     def _choose_route(self, excluded: set[str]) -> routes.Route | None:
         return routes.choose_service_route(self._context, self.call, excluded)
 
+    def _is_served_by(self, record: Any) -> bool:
+        return record["service"] == self.call.service
+
     def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         view = self.call.caller.workspace_view
         return {
@@ -159,7 +162,9 @@
             self._fail_with_reason(reason)
 
     def _on_no_route(self) -> None:
-        """Fails the call, or retries it with the excluded targets allowed."""
+        """Waits, retries with the excluded targets allowed, or fails."""
+        if self._wait_for_paused_target():
+            return
         if not self._excluded_targets:
             self._fail_with_reason("no_target")
             return
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -21,6 +21,8 @@
 from hemlocktiller._internal.store import vms as vms_module
 
 TARGET_KIND = "target"
+# How long a silent target is expected to go on, once its silence is noticed.
+PAUSE_WAIT_S = 2.0
 
 LIVE_TARGETS = prometheus_client.Gauge(
     "hemlocktiller_live_targets", "Targets with an open link"
@@ -61,6 +63,8 @@
         is_unready: Whether its last load report said that it takes no new
             work.
         is_vm_leaving: Whether the VM list marks its VM as leaving.
+        silent_since_s: When its silence was noticed; None if it answers or
+            its process has ended.
         dialer: Keeps the link to the target open; set once it is dialled.
     """
 
@@ -70,6 +74,7 @@
         self.is_leaving = False
         self.is_unready = False
         self.is_vm_leaving = False
+        self.silent_since_s: float | None = None
         self.dialer: dialer.Dialer | None = None
 
     @property
@@ -86,11 +91,13 @@
     @property
     def is_usable(self) -> bool:
         """Whether the target answers and takes new requests."""
-        refuses_requests = (
-            self.is_leaving or self.is_unready or self.is_vm_leaving
-        )
         answers = self.link is not None and not self.link.is_silent
-        return answers and not refuses_requests
+        return answers and not self.refuses_requests
+
+    @property
+    def refuses_requests(self) -> bool:
+        """Whether the target takes no new requests, as far as is known."""
+        return self.is_leaving or self.is_unready or self.is_vm_leaving
 
 
 class TargetPool:
@@ -180,6 +187,17 @@
             if target.record["service"] == service and target.is_usable
         ]
 
+    def paused(self) -> list[Target]:
+        """Returns the silent targets that may soon take requests again."""
+        earliest_s = self._reactor.seconds() - PAUSE_WAIT_S
+        return [
+            target
+            for target in self.by_name.values()
+            if target.silent_since_s is not None
+            and target.silent_since_s > earliest_s
+            and not target.refuses_requests
+        ]
+
     def stop(self) -> None:
         """Closes all links."""
         for name in list(self.by_name):
@@ -252,6 +270,7 @@
         self._notify_vm_leaving(target)
         target.is_leaving = False
         target.is_unready = False
+        target.silent_since_s = None
         self._update_chain_cache(target)
         self._callbacks.on_open(target)
 
@@ -277,15 +296,20 @@
         self, target: Target, link: link_module.Link, reason: str
     ) -> None:
         self._removed_targets.discard(target)
+        if reason == link_module.SILENCE and target.silent_since_s is None:
+            target.silent_since_s = self._reactor.seconds()
         self._update_chain_cache(target)
         self._callbacks.on_link_lost(target, link, reason)
 
     def _on_silence(self, target: Target) -> None:
+        is_silent = target.link.is_silent
+        target.silent_since_s = self._reactor.seconds() if is_silent else None
         self._update_chain_cache(target)
         self._callbacks.on_silence(target)
 
     def _on_connection_refused(self, target: Target) -> None:
         """Records the death of a known process, as nothing listens now."""
+        target.silent_since_s = None
         if target.peer_process:
             target.peer_process = ""
             self._on_process_died(target)
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -303,3 +303,65 @@
     entry_run.advance(entry_simulation.STEP_S)
     assert entry_run.tokens["r1"] == [1, 2, 3]
     assert len(entry_run.usages) == 1
+
+
+def start_at_both(entry_run, method):
+    """Starts requests at two agents until each has one; returns both."""
+    is_model = method == "model"
+    add = entry_run.add_engine if is_model else entry_run.add_service
+    agents = [add("a"), add("b")]
+    message_type = "start" if is_model else "call"
+    for number in range(20):
+        if len(entry_run.agents_with(message_type)) == 2:
+            break
+        request = f"r{number}"
+        if is_model:
+            entry_run.complete(request)
+        elif method == "GET":
+            entry_run.call(method="GET", request=request)
+        else:
+            entry_run.call(request=request, idempotency_key=request)
+    return [
+        (agent, {each["request"] for each in agent.requests(message_type)})
+        for agent in agents
+    ]
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "model"])
+def test_a_request_waits_for_a_silent_agent_after_the_loss_of_its_own(
+    entry_run, method
+):
+    (lost, lost_requests), (silent, _) = start_at_both(entry_run, method)
+    silent.is_silent = True
+    entry_run.advance(0.9)
+    lost.stop()
+    entry_run.advance(0.5)
+    assert entry_run.errors == []
+    silent.is_silent = False
+    entry_run.advance(0.5)
+    message_type = "start" if method == "model" else "call"
+    received = {each["request"] for each in silent.requests(message_type)}
+    assert lost_requests <= received
+    assert entry_run.errors == []
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "model"])
+def test_a_request_waits_for_no_agent_that_stays_silent(entry_run, method):
+    (lost, lost_requests), (silent, _) = start_at_both(entry_run, method)
+    silent.is_silent = True
+    entry_run.advance(0.9)
+    lost.stop()
+    entry_run.advance(4.0)
+    assert len(entry_run.errors) >= len(lost_requests)
+    assert len(entry_run.entry.registry) == 0
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "model"])
+def test_a_request_waits_for_no_agent_that_ended(entry_run, method):
+    (lost, lost_requests), (ended, _) = start_at_both(entry_run, method)
+    ended.is_silent = True
+    entry_run.advance(0.9)
+    ended.stop()
+    lost.stop()
+    entry_run.advance(1.0)
+    assert len(entry_run.entry.registry) == 0
