Answer calls that may have run with outcome_unknown when the store is down

A caller got 503 `store_unavailable`, which CALLERS.md explains as "the call was not made", for a call that may have run. The agent of a call with a key stayed silent until its link closed, the entry sent the call to another agent, and that one couldn't write the claim.

Before: test_a_call_that_may_have_run_at_a_silent_agent_gets_no_refusal failed with "(503, 'unknown') == (502, 'unknown')".

All other refusals of such a call already became `outcome_unknown`; this one was looked up first. The code `in_progress` (409) stays: it says that the call may be running.

--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -175,7 +175,8 @@
     def _fail_with_reason(self, reason: str) -> None:
         """Fails the call with the error for a reason."""
         error_type = ERROR_TYPES_BY_REASON.get(reason)
-        if error_type is None and self._may_have_run:
+        is_refusal = error_type in (None, exceptions.StoreDown)
+        if is_refusal and self._may_have_run:
             error_type = exceptions.OutcomeUnknown
         elif error_type is None and reason == "no_target":
             error_type = exceptions.NoTarget
--- a/tests/unit/entry_simulation.py
+++ b/tests/unit/entry_simulation.py
@@ -280,21 +280,29 @@
 
 def answer_call(agent):
     """Lets an agent answer the newest call that it received."""
+    _send_call_result(agent, status=200, body=b"done", ran="yes")
+
+
+def refuse_claim(agent):
+    """Lets an agent answer that the claim of its newest call is not known."""
+    _send_call_result(agent, ran="no", reason="store_unavailable")
+
+
+def _send_call_result(agent, **fields):
     call = agent.requests("call")[-1]
-    agent.link.send(
-        {
-            "type": "call_result",
-            "request": call["request"],
-            "attempt": call["attempt"],
-            "status": 200,
-            "content_type": "text/plain",
-            "body": b"done",
-            "ran": "yes",
-            "reason": "",
-            "replayed": False,
-            "retry_after_s": 0.0,
-        }
-    )
+    result = {
+        "type": "call_result",
+        "request": call["request"],
+        "attempt": call["attempt"],
+        "status": 0,
+        "content_type": "text/plain",
+        "body": b"",
+        "ran": "no",
+        "reason": "",
+        "replayed": False,
+        "retry_after_s": 0.0,
+    }
+    agent.link.send(result | fields)
 
 
 def send_tokens(agent, first_index, tokens):
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -365,3 +365,21 @@
     lost.stop()
     entry_run.advance(1.0)
     assert len(entry_run.entry.registry) == 0
+
+
+def test_a_call_that_may_have_run_at_a_silent_agent_gets_no_refusal(entry_run):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(idempotency_key="k1")
+    (silent,) = entry_run.agents_with("call")
+    (other,) = set(entry_run.agents.values()) - {silent}
+    silent.is_silent = True
+    answer_count = 0
+    for _ in range(200):
+        entry_run.advance(entry_simulation.STEP_S)
+        if len(other.requests("call")) > answer_count:
+            answer_count += 1
+            entry_simulation.refuse_claim(other)
+    assert answer_count > 0
+    (error,) = entry_run.errors
+    assert (error.http_status, error.ran) == (502, "unknown")
