--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hemlocktiller._internal.agent import pipeline as pipeline_module
 from tests.fakes import model
 from tests.unit import pipeline_simulation
 
@@ -444,3 +445,34 @@
     run_until_finished(simulation, entry_link, [fault])
     assert_complete_answer(entry_link)
     assert_no_work_left(simulation)
+
+
+@pytest.mark.promise(1)
+@pytest.mark.parametrize(
+    "silent_ends, killed",
+    [
+        (("s0r0", "s1r0"), "s2r0"),
+        (("s0r0", "s1r0"), "s1r1"),
+        (("s1r0", "s2r0"), "s1r0"),
+        (("s1r0", "s2r0"), "s2r1"),
+    ],
+)
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_silent_stage_goes_on_beside_the_loss_of_another_agent(
+    simulation, silent_ends, killed
+):
+    entry_link = simulation.start_request(TOKENS)
+    silent_index, kill_index = simulation.rng.sample(range(2, 90), 2)
+    if killed == silent_ends[0]:
+        silent_index, kill_index = sorted((silent_index, kill_index))
+    faults = [
+        (
+            silent_index,
+            lambda simulation: simulation.find_silent(*silent_ends),
+        ),
+        (kill_index, lambda simulation: simulation.kill_agent(killed)),
+    ]
+    run_until_finished(simulation, entry_link, faults)
+    assert_complete_answer(entry_link)
+    simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
+    assert_no_work_left(simulation)
