Let no replaced stage take the next one from its replacement

A caller's stream stood still until its deadline. A stage that was replaced because it was silent goes on and, before it handles its release, replaces the stage after it, which ended meanwhile. Its replacement does the same and finds the same alternate. That one took whoever asked last for its previous stage: it confirmed to the replaced stage, and was released with it. The replacement waited for a confirmation that never came.

Messages don't say which previous stage is newer, but it follows from them: alternates are tried in their order, and the replacement of a stage chooses all later ones anew. So the positions of the earlier stages of a chain among the alternates rank the stages that ask. The form of the messages stays.

--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -26,10 +26,12 @@
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.observe import traces
 
+REPLACED = "replaced"
 NON_RETRYABLE_REASONS = (
     next_stages.NO_ALTERNATE,
     next_stages.SUSPECT_CONFLICT,
     next_stages.CRASHES_TARGETS,
+    REPLACED,
 )
 UPSTREAM_GRACE_S = 6.0  # Time for the previous stage to reconnect.
 
@@ -210,7 +212,7 @@
             self._on_repeated_open(run, link, message)
             return
         if key in self._released_in_engine:
-            self._released_in_engine[key] = WaitingOpen(link, message)
+            self._keep_newest_open(key, WaitingOpen(link, message))
             return
         reason = self._refusal_reason(message)
         if reason:
@@ -218,6 +220,7 @@
             return
         run = self._run_from_message(message)
         run.upstream_name = link.peer["name"]
+        run.upstream_rank = stage_runs.upstream_rank(message)
         self._add_run(run)
         self._rebuild_cache(run, message["rebuild_inputs"])
         if run.cache_ready:
@@ -342,11 +345,18 @@
     ) -> None:
         """Resends the confirmation and the last stage's newest result.
 
-        They may have been lost with an earlier link.
+        They may have been lost with an earlier link. A previous stage that
+        was replaced may still ask; it must not take the run from its
+        replacement.
         """
         if message["stage_index"] != run.stage_index:
             link.send(_refusal_message(message, "wrong_stage"))
             return
+        rank = stage_runs.upstream_rank(message)
+        if rank < run.upstream_rank:
+            self._send_stage_failed(link.peer["name"], message, REPLACED, [])
+            return
+        run.upstream_rank = rank
         run.upstream_name = link.peer["name"]
         self._send_opened_if_ready(run)
         if run.last_output is None:
@@ -386,6 +396,16 @@
         deferred.addCallback(self._on_cache_rebuilt, run)
         deferred.addErrback(self._on_step_failed, run)
 
+    def _keep_newest_open(
+        self, key: stage_runs.AttemptKey, received: WaitingOpen
+    ) -> None:
+        """Keeps the message of the previous stage that was chosen last."""
+        waiting = self._released_in_engine[key]
+        if waiting is None or stage_runs.upstream_rank(
+            received.message
+        ) >= stage_runs.upstream_rank(waiting.message):
+            self._released_in_engine[key] = received
+
     def _call_engine(
         self, run: stage_runs.StageRun, call: Callable[..., Any], step: Any
     ) -> defer.Deferred[Any]:
--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -53,6 +53,7 @@
             ran an earlier token.
         upstream_name: Name of the peer that runs the previous stage; empty
             on the first stage and while the link to that peer is lost.
+        upstream_rank: Rank of that stage; see `upstream_rank`.
         next_open_sent: Whether the next stage was asked for a reservation.
         next_reserved: Whether the next stage confirmed its reservation.
         next_process: Id of the process last asked to reserve the next
@@ -99,6 +100,7 @@
         self.cache_ready = True
         self.may_have_run = False
         self.upstream_name = ""
+        self.upstream_rank: tuple[int, ...] = ()
         self.next_open_sent = False
         self.next_reserved = self.is_last
         self.next_process = ""
@@ -166,6 +168,23 @@
     return message["request"], message["attempt"]
 
 
+def upstream_rank(open_message: Any) -> tuple[int, ...]:
+    """Returns a rank by which the stages before one can be compared.
+
+    Stages are replaced in the order of the alternates, and the replacement of
+    a stage chooses all later ones anew. So of two previous stages that ask
+    for the same run, the one with the higher rank was chosen later.
+    """
+    positions = {
+        stage["target"]: position
+        for position, stage in enumerate(open_message["alternates"])
+    }
+    earlier_stages = open_message["chain"][1 : open_message["stage_index"]]
+    return tuple(
+        positions.get(stage["target"], -1) for stage in earlier_stages
+    )
+
+
 def refusal_message(
     attempt_fields: Any,
     reason: str,
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -476,3 +476,22 @@
     assert_complete_answer(entry_link)
     simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
     assert_no_work_left(simulation)
+
+
+@pytest.mark.promise(1)
+@pytest.mark.parametrize("gap", [-3, -2, -1, 1, 2, 3])
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_replaced_stage_takes_no_stage_from_its_replacement(simulation, gap):
+    entry_link = simulation.start_request(TOKENS)
+    index = simulation.rng.randrange(8, 90)
+    faults = [
+        (index, lambda simulation: simulation.kill_agent("s2r0")),
+        (
+            index + gap,
+            lambda simulation: simulation.find_silent("s0r0", "s1r0"),
+        ),
+    ]
+    run_until_finished(simulation, entry_link, faults)
+    assert_complete_answer(entry_link)
+    simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
+    assert_no_work_left(simulation)
