--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -44,6 +44,8 @@
             of a replacement for the next stage.
         last_output: Output of the newest token; None before the first one.
         engine_busy: Whether the engine is running a token.
+        in_engine: Whether a call of the engine is under way, for a token or
+            to rebuild the cache.
         cache_ready: Whether the cache of this stage is complete.
         first_incomplete_token: Index of the first token that may not have
             passed all stages; the answer holds all tokens before it.
@@ -51,6 +53,7 @@
             ran an earlier token.
         upstream_name: Name of the peer that runs the previous stage; empty
             on the first stage and while the link to that peer is lost.
+        upstream_rank: Rank of that stage; see `upstream_rank`.
         next_open_sent: Whether the next stage was asked for a reservation.
         next_reserved: Whether the next stage confirmed its reservation.
         next_process: Id of the process last asked to reserve the next
@@ -93,9 +96,11 @@
         self.queued_inputs: dict[int, bytes] = {}
         self.last_output: engine_client.Output | None = None
         self.engine_busy = False
+        self.in_engine = False
         self.cache_ready = True
         self.may_have_run = False
         self.upstream_name = ""
+        self.upstream_rank: tuple[int, ...] = ()
         self.next_open_sent = False
         self.next_reserved = self.is_last
         self.next_process = ""
@@ -163,6 +168,23 @@
     return message["request"], message["attempt"]
 
 
+def upstream_rank(open_message: Any) -> tuple[int, ...]:
+    """Returns a rank by which the stages before one can be compared.
+
+    Stages are replaced in the order of the alternates, and the replacement of
+    a stage chooses all later ones anew. So of two previous stages that ask
+    for the same run, the one with the higher rank was chosen later.
+    """
+    positions = {
+        stage["target"]: position
+        for position, stage in enumerate(open_message["alternates"])
+    }
+    earlier_stages = open_message["chain"][1 : open_message["stage_index"]]
+    return tuple(
+        positions.get(stage["target"], -1) for stage in earlier_stages
+    )
+
+
 def refusal_message(
     attempt_fields: Any,
     reason: str,
--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -14,6 +14,7 @@
 CONDEMNED_PART = "targets died while they ran a part of this prompt"
 STALE_CONFIG = "stale_config"
 STALE_CONFIG_WAIT_S = 0.1  # The target sends the newer version meanwhile.
+PAUSED_TARGET_WAIT_S = 0.1
 
 
 class BaseRequest:
@@ -72,7 +73,7 @@
 
         Otherwise the attempt continues, as its target may be only paused.
         """
-        if not self._is_repeatable:
+        if not self._is_repeatable or not self._is_permitted_elsewhere():
             return
         route = self._choose_route(self._excluded_targets | {self.target.name})
         if route is None or not request_context.consume_retry(
@@ -86,8 +87,7 @@
         self._may_have_run = True
         self._send_cancellation()
         self._record_target_failure()
-        if self._prepare_attempt():
-            self._send(route)
+        self._send(route)
 
     def cancel(self) -> None:
         """Ends the request, as its caller has disconnected.
@@ -107,6 +107,10 @@
         """Returns the best route without the excluded targets, or None."""
         raise NotImplementedError
 
+    def _is_served_by(self, record: Any) -> bool:
+        """Returns whether the target with a registration may serve it."""
+        raise NotImplementedError
+
     def _attempt_message(self, route: routes.Route) -> dict[str, Any]:
         """Returns the message that starts the current attempt."""
         raise NotImplementedError
@@ -169,6 +173,22 @@
             and self._reauthorize_call()
         )
 
+    def _is_permitted_elsewhere(self) -> bool:
+        """Returns whether another attempt is permitted now.
+
+        Unlike `_prepare_attempt`, this never fails the request. If it is
+        permitted, the newest configuration applies to its routes.
+        """
+        state = self._context.suspects.state(self.call.request_digest)
+        part = self._context.part_evidence.condemned_part(self.prompt_parts)
+        if part is not None or state in ("condemned", "undecided"):
+            return False
+        try:
+            self.call = request_context.reauthorize(self._context, self.call)
+        except exceptions.RequestError:
+            return False
+        return True
+
     def _reauthorize_call(self) -> bool:
         """Authorizes the call under the newest configuration.
 
@@ -230,6 +250,24 @@
         )
         routing_state.circuit_breakers.record_sent(target_name, now_s)
 
+    def _wait_for_paused_target(self) -> bool:
+        """Waits for a silent target, if one may soon continue the request.
+
+        A request that did not run is refused instead.
+
+        Returns:
+            Whether another attempt is scheduled.
+        """
+        may_continue = self._may_have_run and any(
+            target.name not in self._excluded_targets
+            and self._is_served_by(target.record)
+            and routes.is_allowed(self.call.caller.workspace_view, target)
+            for target in self._context.targets.paused()
+        )
+        if may_continue:
+            self._schedule_attempt(PAUSED_TARGET_WAIT_S)
+        return may_continue
+
     def _schedule_attempt(self, wait_s: float) -> None:
         """Schedules another attempt after a wait."""
         self._attempt_timer = self._context.reactor.callLater(
