--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from tests.fakes import platform_target
 from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
 from tests.functional import process
+from tests.functional import soak_checks
 
 # Seeds 3 and 5 cover store outages with lost writes and a restart, and kills
 # and drains of targets while a gateway is suspended. Seed 102 failed when the
@@ -147,7 +149,7 @@
 
 
 def make_exchange(kind, status, body=b"", is_whole=True, request_id="r"):
-    return gateway_soak.Exchange(
+    return soak_checks.Exchange(
         kind, request_id, "g", 0.0, status, body, is_whole
     )
 
@@ -164,8 +166,7 @@
 
 def event_bytes(first, end):
     return b"".join(
-        gateway_soak.platform_target.event_of("r", number)
-        for number in range(first, end)
+        platform_target.event_of("r", number) for number in range(first, end)
     )
 
 
@@ -192,7 +193,7 @@
     ],
 )
 def test_each_broken_guarantee_is_found(exchanges, journal, samples):
-    assert gateway_soak.check_history(exchanges, journal, samples)
+    assert soak_checks.check_history(exchanges, journal, samples)
 
 
 def test_correct_history_has_no_findings():
@@ -211,17 +212,17 @@
         journal_row("run", "r", target="u", at_s=1.5),
     ]
     samples = [("g", 1, 5), ("g", 1, 6), ("g", 2, 5)]
-    assert gateway_soak.check_history(exchanges, journal, samples) == []
+    assert soak_checks.check_history(exchanges, journal, samples) == []
 
 
 def test_work_delayed_by_impaired_link_is_excused():
     journal = [journal_row("draining"), journal_row("run", at_s=3.0)]
-    impaired = [gateway_soak.ImpairedLink("127.0.0.1:1", 1.0, 2.9)]
-    assert gateway_soak.check_history([], journal, [], impaired) == []
-    elsewhere = [gateway_soak.ImpairedLink("127.0.0.1:2", 1.0, 2.9)]
-    assert gateway_soak.check_history([], journal, [], elsewhere)
-    earlier = [gateway_soak.ImpairedLink("127.0.0.1:1", 0.0, 1.0)]
-    assert gateway_soak.check_history([], journal, [], earlier)
+    impaired = [soak_checks.ImpairedLink("127.0.0.1:1", 1.0, 2.9)]
+    assert soak_checks.check_history([], journal, [], impaired) == []
+    elsewhere = [soak_checks.ImpairedLink("127.0.0.1:2", 1.0, 2.9)]
+    assert soak_checks.check_history([], journal, [], elsewhere)
+    earlier = [soak_checks.ImpairedLink("127.0.0.1:1", 0.0, 1.0)]
+    assert soak_checks.check_history([], journal, [], earlier)
 
 
 def run_at(target, at_s=0.5, address="127.0.0.1:1"):
@@ -235,9 +236,9 @@
 def test_runs_at_more_targets_than_the_route_allows_are_found(kind):
     body = event_bytes(1, 31) if kind == "draft" else b"done r"
     exchange = make_exchange(kind, 200, body)
-    assert gateway_soak.check_history([exchange], THREE_RUNS, [])
+    assert soak_checks.check_history([exchange], THREE_RUNS, [])
     allowed = [run_at("t"), run_at("u"), run_at("u", 0.6)]
-    assert gateway_soak.check_history([exchange], allowed, []) == []
+    assert soak_checks.check_history([exchange], allowed, []) == []
 
 
 @pytest.mark.parametrize("argument", ["impaired", "ended"])
@@ -247,9 +248,9 @@
 
     def findings(link):
         faults = {argument: [link]}
-        return gateway_soak.check_history([exchange], THREE_RUNS, [], **faults)
+        return soak_checks.check_history([exchange], THREE_RUNS, [], **faults)
 
-    link = gateway_soak.ImpairedLink("127.0.0.1:2", 0.5, 0.55)
+    link = soak_checks.ImpairedLink("127.0.0.1:2", 0.5, 0.55)
     assert findings(link) == []
     assert findings(link._replace(from_s=0.1, until_s=0.3))
     assert findings(link._replace(from_s=1.1, until_s=9.0))
@@ -259,12 +260,12 @@
 def test_a_target_that_a_part_crashed_does_not_count_as_an_attempt():
     exchange = make_exchange("draft", 200, event_bytes(1, 31))
     crash = dict(THREE_RUNS[-1], what="part_crash")
-    findings = gateway_soak.check_history([exchange], [*THREE_RUNS, crash], [])
+    findings = soak_checks.check_history([exchange], [*THREE_RUNS, crash], [])
     assert findings == []
 
 
 def lost_findings(exchange, has_only_silences=True, ran="r"):
-    return gateway_soak.check_history(
+    return soak_checks.check_history(
         [exchange],
         [journal_row("run", ran)],
         [],
@@ -293,7 +294,7 @@
     assert lost_findings(exchange, ran="another") == []
 
 
-@pytest.mark.parametrize("status", gateway_soak.NOT_RUN_STATUSES)
+@pytest.mark.parametrize("status", soak_checks.NOT_RUN_STATUSES)
 def test_a_promise_that_a_request_did_not_run_is_no_loss(status):
     assert lost_findings(make_exchange("lookup", status)) == []
 
@@ -330,9 +331,9 @@
     exchanges = drafts(422, 0.0, 0xC1)
     crashes = crash_rows("part_crash", 1.0, 2.0, 3.0, 4.0, 5.0)
     late = crash_rows("part_arrival", 1.0, 7.9, 8.1, 8.2, 8.3, 8.4)
-    assert gateway_soak.check_crashes(exchanges, crashes + late)
-    assert gateway_soak.check_crashes(exchanges, crashes + late[:-1]) == []
-    assert gateway_soak.check_crashes(exchanges, crashes[:4] + late) == []
+    assert soak_checks.check_crashes(exchanges, crashes + late)
+    assert soak_checks.check_crashes(exchanges, crashes + late[:-1]) == []
+    assert soak_checks.check_crashes(exchanges, crashes[:4] + late) == []
 
 
 @pytest.mark.parametrize("crash_count", [2, 6])
@@ -344,7 +345,7 @@
     poisoned = drafts(422, 10.0, 0xC1)
 
     def findings(after):
-        return gateway_soak.check_crashes(before + after + poisoned, crashes)
+        return soak_checks.check_crashes(before + after + poisoned, crashes)
 
     assert findings(drafts(503, 9.1, count=30))
     served = drafts(200, 9.1, count=14) + drafts(503, 9.2, count=14)
