Play silences of targets that meet other events in the soak

They are drawn last, so existing seeds stay as they are.

The check for lost work applied only where silences were the only faults. It now applies to all runs. Work is excused only if a target on the path of its runs ended, was impaired or was suspended by pause_target meanwhile, a later stage began to drain, its target broke it off on purpose, or its gateway was killed, suspended or had its clock stepped (up to contact_ms later). None of these exists where silences are the only faults, so nothing is excused there as before. A SIGTERM of the gateway excuses nothing. test_correct_history_has_no_findings has two requests that ran and were cut: they are now beside a killed gateway.

--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -181,7 +181,7 @@
 
     def _handle_call(self, request):
         request_id = request.getHeader("Request-Id")
-        self._append_journal("run", request_id, 0)
+        self._append_journal("run", request_id, 0, path=[self.address])
         request.setHeader("Request-Id", request_id)
         request.setHeader("Response-Signature", f"{self.id}.{request_id}")
         return b"done " + request_id.encode()
@@ -214,6 +214,9 @@
             if disconnected:
                 return
             if failed_address:
+                self._append_journal(
+                    "stage_failed", request_id, number, stage=failed_address
+                )
                 self._end_failed_stream(
                     request, failed_address, number == last_event_id + 1
                 )
@@ -222,9 +225,10 @@
                 self._append_journal("part_crash", request_id, crashing_part)
                 os._exit(CRASH_EXIT_CODE)
             if number == last_event_id + 1:
-                self._start_stream(request, request_id, last_event_id)
+                self._start_stream(request, request_id, hops, last_event_id)
             event = event_of(request_id, number)
             if number == last_number:
+                self._append_journal("break_off", request_id, number)
                 request.write(event[: random.randrange(1, len(event))])
                 request.loseConnection()
                 return
@@ -232,12 +236,13 @@
             await task.deferLater(reactor, EVENT_INTERVAL_S)
         if not disconnected:
             if last_event_id >= count:
-                self._start_stream(request, request_id, last_event_id)
+                self._start_stream(request, request_id, hops, last_event_id)
             request.finish()
 
-    def _start_stream(self, request, request_id, last_event_id):
+    def _start_stream(self, request, request_id, hops, last_event_id):
         """Records a run, and sets the headers of its response."""
-        self._append_journal("run", request_id, last_event_id)
+        path = [address for address, _, _ in hops]
+        self._append_journal("run", request_id, last_event_id, path=path)
         request.setHeader("Request-Id", request_id)
         signature = f"{self.id}.{request_id}"
         request.setHeader("Response-Signature", signature)
@@ -275,7 +280,7 @@
                 return address
         return ""
 
-    def _append_journal(self, event_kind, request_id, number):
+    def _append_journal(self, event_kind, request_id, number, **fields):
         web.append_line(
             self._options.journal,
             {
@@ -286,6 +291,7 @@
                 "number": number,
                 "address": self.address,
                 "at_s": time.time(),
+                **fields,
             },
         )
 
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -8,7 +8,9 @@
 
 import argparse
 import concurrent.futures
+import contextlib
 import http.client
+import itertools
 import json
 import math
 from pathlib import Path
@@ -26,6 +28,7 @@
 from tests.functional import gateway_deployment
 from tests.functional import process
 from tests.functional import soak_checks
+from tests.functional import soak_silences
 
 LOAD_DURATION_S = 8.0
 SETTLE_DELAY_S = 4.0
@@ -88,6 +91,8 @@
         silences: Times at which several targets in turn are silent.
         crashing_parts: Parts of prompts that crash targets.
         excludes_others: Whether all other faults are left out.
+        mixed_silences: Times at which silences meet other events, each of a
+            kind in `soak_silences.KINDS`.
     """
 
     restores: int = 0
@@ -95,6 +100,7 @@
     silences: int = 0
     crashing_parts: int = 0
     excludes_others: bool = False
+    mixed_silences: int = 0
 
 
 NO_EXTRA_FAULTS = ExtraFaults()
@@ -129,6 +135,12 @@
         )
         for _ in range(extra.crashing_parts)
     ]
+    faults += [
+        _draw_fault(rng, tuple(soak_silences.KINDS))._replace(
+            duration_s=rng.uniform(*SILENCE_RANGE_S)
+        )
+        for _ in range(extra.mixed_silences)
+    ]
     return sorted(faults)
 
 
@@ -262,11 +274,17 @@
 class Injector:
     """Injects faults into a deployment.
 
-    The method `_KIND` injects and reverts the fault of that kind.
+    The method `_KIND`, or the function in `soak_silences.KINDS`, injects and
+    reverts the fault of that kind.
 
     Attributes:
         impaired: Links to targets that had a fault.
         ended: Links to targets that were killed or terminated.
+        paused: Links to targets that were suspended for any duration.
+        disturbed_gateways: Gateways that were killed, suspended or had their
+            clock stepped.
+        deployment: The deployment.
+        silencing: Held while targets are silent.
         errors: Messages of faults that could not be injected.
         threads: Threads that inject faults.
     """
@@ -274,12 +292,14 @@
     def __init__(self, deployment, crashing_parts):
         self.impaired: list[soak_checks.ImpairedLink] = []
         self.ended: list[soak_checks.ImpairedLink] = []
+        self.paused: list[soak_checks.ImpairedLink] = []
+        self.disturbed_gateways: list[soak_checks.DisturbedGateway] = []
         self.errors: list[str] = []
-        self._deployment = deployment
-        self._count = 0
+        self.deployment = deployment
+        self._numbers = itertools.count(1)
         self.threads: list[threading.Thread] = []
         self._restarting = threading.Lock()
-        self._silencing = threading.Lock()
+        self.silencing = threading.Lock()
         self._crashing_parts = crashing_parts
 
     def start(self, fault: Fault) -> None:
@@ -292,24 +312,29 @@
 
     def _run_fault(self, fault):
         try:
-            getattr(self, f"_{fault.kind}")(fault)
+            if fault.kind in soak_silences.KINDS:
+                soak_silences.KINDS[fault.kind](self, fault)
+            else:
+                getattr(self, f"_{fault.kind}")(fault)
         except Exception as error:
             self.errors.append(f"{fault.kind} failed: {error!r}")
 
     def _select_gateway(self, fault):
-        gateways = self._deployment.gateways
+        gateways = self.deployment.gateways
         return gateways[fault.selector % len(gateways)]
 
-    def _select_target(self, fault):
-        names = sorted(self._deployment.targets)
+    def select_target(self, fault):
+        """Returns the name and process of the target of a fault."""
+        names = sorted(self.deployment.targets)
         name = names[fault.selector % len(names)]
-        return name, self._deployment.targets[name]
+        return name, self.deployment.targets[name]
 
     def _kill_gateway(self, fault):
         gateway = self._select_gateway(fault)
-        gateway.kill()
-        time.sleep(fault.duration_s / 2)
-        self._restart(gateway)
+        with self._disturbed(gateway):
+            gateway.kill()
+            time.sleep(fault.duration_s / 2)
+            self._restart(gateway)
 
     def _term_gateway(self, fault):
         gateway = self._select_gateway(fault)
@@ -317,14 +342,26 @@
         try:
             gateway.wait(180)
         except process.ProcessFailed:
-            gateway.kill()
+            with self._disturbed(gateway):
+                gateway.kill()
         self._restart(gateway)
 
     def _step_clock(self, fault):
         gateway = self._select_gateway(fault)
-        gateway.signal(signal.SIGUSR1)
-        time.sleep(fault.duration_s)
-        gateway.signal(signal.SIGUSR2)
+        with self._disturbed(gateway):
+            gateway.signal(signal.SIGUSR1)
+            time.sleep(fault.duration_s)
+            gateway.signal(signal.SIGUSR2)
+
+    @contextlib.contextmanager
+    def _disturbed(self, gateway):
+        """Records that a gateway is out of touch, also a while later."""
+        start_s = time.time()
+        yield
+        until_s = time.time() + soak_checks.CONTACT_S
+        self.disturbed_gateways.append(
+            soak_checks.DisturbedGateway(gateway.name, start_s, until_s)
+        )
 
     def _restart(self, gateway):
         with self._restarting:
@@ -338,42 +375,47 @@
 
     def _pause_gateway(self, fault):
         gateway = self._select_gateway(fault)
-        gateway.freeze()
-        time.sleep(fault.duration_s)
-        gateway.resume()
+        with self._disturbed(gateway):
+            gateway.freeze()
+            time.sleep(fault.duration_s)
+            gateway.resume()
 
-    def _replace_target(self, name):
-        self._count += 1
+    def replace_target(self, name):
+        """Starts another target in place of one, which is left running."""
+        number = next(self._numbers)
         service = name.partition("-")[0]
-        started = self._deployment.start_target(
-            f"{service}-new-{self._count}", service
+        started = self.deployment.start_target(
+            f"{service}-new-{number}", service
         )
-        self._deployment.replaced_targets.append(
-            self._deployment.targets[name]
-        )
-        self._deployment.targets[name] = started
+        self.deployment.replaced_targets.append(self.deployment.targets[name])
+        self.deployment.targets[name] = started
 
     def _kill_target(self, fault):
-        name, target = self._select_target(fault)
+        name, target = self.select_target(fault)
         self._record_end(target)
         target.kill()
         time.sleep(fault.duration_s / 2)
-        self._replace_target(name)
+        self.replace_target(name)
 
     def _pause_target(self, fault):
-        _, target = self._select_target(fault)
+        _, target = self.select_target(fault)
+        address = self.deployment.registered_address(target)
+        start_s = time.time()
         target.freeze()
         time.sleep(fault.duration_s)
         target.resume()
+        self.paused.append(
+            soak_checks.ImpairedLink(address, start_s, time.time())
+        )
 
     def _term_target(self, fault):
-        name, target = self._select_target(fault)
-        self._replace_target(name)
+        name, target = self.select_target(fault)
+        self.replace_target(name)
         self._record_end(target)
         target.terminate()
 
     def _record_end(self, target):
-        address = self._deployment.registered_address(target)
+        address = self.deployment.registered_address(target)
         self.ended.append(
             soak_checks.ImpairedLink(address, time.time(), math.inf)
         )
@@ -381,7 +423,7 @@
     def _silence_targets(self, fault):
         """Suspends targets in turn, two to four of them at a time."""
         overlap_count = 2 + fault.selector // 4
-        with self._silencing:
+        with self.silencing:
             targets = self._select_silent_targets(fault)
             for number in range(len(targets) + overlap_count - 1):
                 if number < len(targets):
@@ -394,24 +436,24 @@
         """Returns targets that began runs, or else the later stages."""
         begun = {
             row["address"]
-            for row in self._deployment.read_journal()
+            for row in self.deployment.read_journal()
             if row["what"] == "run"
         }
         service = "plain" if fault.selector % 4 == 0 else "model"
         is_first = fault.selector % 4 != 1
         targets = [
             target
-            for name, target in sorted(self._deployment.targets.items())
+            for name, target in sorted(self.deployment.targets.items())
             if name.startswith(service)
-            and (self._deployment.registered_address(target) in begun)
+            and (self.deployment.registered_address(target) in begun)
             == is_first
         ]
         return targets[:SILENT_TARGET_COUNT]
 
     def _with_store_state(self, fault, **state):
-        self._deployment.call_store("POST", "/control", state)
+        self.deployment.call_store("POST", "/control", state)
         time.sleep(fault.duration_s)
-        self._deployment.call_store(
+        self.deployment.call_store(
             "POST", "/control", {"mode": "up", "delay_s": 0.0}
         )
 
@@ -426,26 +468,26 @@
 
     def _restore_store(self, fault):
         """Restores the store from a copy, after a moment without it."""
-        store_call = self._deployment.call_store
+        store_call = self.deployment.call_store
         store_call("POST", "/control", {"copy": True})
         time.sleep(fault.duration_s)
         store_call("POST", "/control", {"mode": "busy"})
         time.sleep(RESTORE_OUTAGE_S)
         store_call("POST", "/control", {"mode": "up", "restore": True})
-        self._deployment.rewrite_config()
+        self.deployment.rewrite_config()
 
     def _store_slow(self, fault):
         self._with_store_state(fault, delay_s=0.25)
 
     def _cut_link(self, fault):
-        relays = self._deployment.store_relays
+        relays = self.deployment.store_relays
         relay = relays[fault.selector % len(relays)]
         relay.signal(signal.SIGUSR1)
         time.sleep(fault.duration_s)
         relay.signal(signal.SIGUSR2)
 
     def _with_store_relay_mode(self, fault, mode):
-        relays = self._deployment.store_relays
+        relays = self.deployment.store_relays
         relay = relays[fault.selector % len(relays)]
         relay.set_mode(mode)
         time.sleep(fault.duration_s)
@@ -461,7 +503,7 @@
         self._with_store_relay_mode(fault, ONE_WAY_MODES[fault.selector % 2])
 
     def _with_impaired_target_relay(self, fault, begin, end):
-        relays = list(self._deployment.target_relays.values())
+        relays = list(self.deployment.target_relays.values())
         relay = relays[fault.selector % len(relays)]
         address = f"{relay.address.host}:{relay.address.port}"
         start_s = time.time()
@@ -504,21 +546,21 @@
             time.sleep(SAMPLE_INTERVAL_S)
             crashed = [
                 name
-                for name, target in self._deployment.targets.items()
+                for name, target in self.deployment.targets.items()
                 if not target.running()
                 and target.wait() == platform_target.CRASH_EXIT_CODE
             ]
             if crashed:
                 time.sleep(CRASH_RESTART_DELAY_S)
             for name in crashed:
-                self._replace_target(name)
+                self.replace_target(name)
         self._crashing_parts.remove(part)
 
     def _undelimited_targets(self, fault):
         """Lets streams end with their connection, some inside an event."""
         models = [
             target
-            for name, target in sorted(self._deployment.targets.items())
+            for name, target in sorted(self.deployment.targets.items())
             if name.startswith("model")
         ]
         for ratio in (BREAK_OFF_RATIO, None):
@@ -528,7 +570,7 @@
 
     def _config(self, fault):
         try:
-            self._deployment.put_config()
+            self.deployment.put_config()
         except (OSError, ValueError, http.client.HTTPException):
             # It may have been stored although the response was lost;
             # the stored version is read at the end of the run.
@@ -593,7 +635,9 @@
         extra: Faults on demand, beside the others.
     """
     faults = schedule(seed, extra)
-    has_many_paths = extra.silences or extra.crashing_parts
+    has_many_paths = (
+        extra.silences or extra.mixed_silences or extra.crashing_parts
+    )
     options = gateway_deployment.MANY_PATHS if has_many_paths else {}
     deployment = gateway_deployment.Deployment(directory, **options)
     try:
@@ -617,7 +661,8 @@
             sampler.samples,
             injector.impaired,
             injector.ended,
-            all(fault.kind == SILENCE_FAULT for fault in faults),
+            injector.paused,
+            injector.disturbed_gateways,
         )
         if all(fault.kind == CRASH_FAULT for fault in faults):
             journal = deployment.read_journal()
@@ -718,6 +763,12 @@
         default=0,
         help="times a seed at which several targets in turn are silent",
     )
+    parser.add_argument(
+        "--mixed-silences",
+        type=int,
+        default=0,
+        help="times a seed at which silences meet other events",
+    )
     parser.add_argument(
         "--crashing-parts",
         type=int,
@@ -741,6 +792,7 @@
         options.silences,
         options.crashing_parts,
         options.only,
+        options.mixed_silences,
     )
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
--- a/tests/functional/soak_checks.py
+++ b/tests/functional/soak_checks.py
@@ -49,8 +49,22 @@
     until_s: float
 
 
+class DisturbedGateway(NamedTuple):
+    """Name of a gateway and the time during which it was out of touch."""
+
+    name: str
+    from_s: float
+    until_s: float
+
+
 def check_history(
-    exchanges, journal, samples, impaired=(), ended=(), has_only_silences=False
+    exchanges,
+    journal,
+    samples,
+    impaired=(),
+    ended=(),
+    paused=(),
+    disturbed_gateways=(),
 ) -> list[str]:
     """Returns the guarantees that the history of a run violates.
 
@@ -62,8 +76,10 @@
         samples: Configuration versions, as in `ConfigVersionSampler`.
         impaired: Links to targets that had a fault.
         ended: Links to targets that were killed or terminated.
-        has_only_silences: Whether targets were silent at times, and there
-            were no other faults.
+        paused: Links to targets that were suspended for longer than a sound
+            target may be silent.
+        disturbed_gateways: Gateways that were killed, suspended or had their
+            clock stepped.
     """
     problems = []
     ended = [*ended, *_crash_ends(journal)]
@@ -79,7 +95,18 @@
         problems.extend(
             _check_attempts(exchange, executions, [*impaired, *ended])
         )
-        if has_only_silences and executions and _is_lost(exchange):
+        if (
+            executions
+            and _is_lost(exchange)
+            and not _has_lost_targets(
+                exchange, executions, journal, [*impaired, *ended, *paused]
+            )
+            and not any(
+                _overlaps(gateway, exchange.at_s, exchange.end_s)
+                for gateway in disturbed_gateways
+                if gateway.name == exchange.gateway
+            )
+        ):
             problems.append(
                 f"{exchange.kind} {exchange.request_id} began and was lost,"
                 f" with {exchange.status}"
@@ -143,8 +170,7 @@
         for row in executions
         if not any(
             link.address == row["address"]
-            and link.from_s <= end_s
-            and link.until_s >= exchange.at_s
+            and _overlaps(link, exchange.at_s, end_s)
             for link in excused
         )
     }
@@ -156,6 +182,36 @@
     ]
 
 
+def _has_lost_targets(exchange, executions, journal, excused):
+    """Returns whether a target that a request needed failed meanwhile.
+
+    Targets of the path after the first break off their work when they begin
+    to drain.
+    """
+    end_s = max([exchange.end_s, *(row["at_s"] for row in executions)])
+    addresses = {address for row in executions for address in row["path"]}
+    stages = {address for row in executions for address in row["path"][1:]}
+    return any(
+        link.address in addresses
+        and _overlaps(
+            link._replace(until_s=link.until_s + RELAY_FLUSH_S),
+            exchange.at_s,
+            end_s,
+        )
+        for link in excused
+    ) or any(
+        row["request"] == exchange.request_id
+        if row["what"] == "break_off"
+        else row["address"] in stages and row["at_s"] <= end_s
+        for row in journal
+        if row["what"] in ("break_off", "draining")
+    )
+
+
+def _overlaps(disruption, from_s, until_s):
+    return disruption.from_s <= until_s and disruption.until_s >= from_s
+
+
 def _is_lost(exchange):
     """Returns whether a caller that waited got no answer for what ran."""
     has_answer = exchange.status == 200 and exchange.is_whole
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -10,6 +10,7 @@
 from tests.functional import gateway_soak
 from tests.functional import process
 from tests.functional import soak_checks
+from tests.functional import soak_silences
 
 # Seeds 3 and 5 cover store outages with lost writes and a restart, and kills
 # and drains of targets while a gateway is suspended. Seed 102 failed when the
@@ -160,6 +161,7 @@
         "request": request,
         "target": target,
         "address": "127.0.0.1:1",
+        "path": ["127.0.0.1:1", "127.0.0.1:2"],
         "at_s": at_s,
     }
 
@@ -212,7 +214,13 @@
         journal_row("run", "r", target="u", at_s=1.5),
     ]
     samples = [("g", 1, 5), ("g", 1, 6), ("g", 2, 5)]
-    assert soak_checks.check_history(exchanges, journal, samples) == []
+    killed = [soak_checks.DisturbedGateway("g", 0.0, 0.1)]
+    assert (
+        soak_checks.check_history(
+            exchanges, journal, samples, disturbed_gateways=killed
+        )
+        == []
+    )
 
 
 def test_work_delayed_by_impaired_link_is_excused():
@@ -264,13 +272,9 @@
     assert findings == []
 
 
-def lost_findings(exchange, has_only_silences=True, ran="r"):
-    return soak_checks.check_history(
-        [exchange],
-        [journal_row("run", ran)],
-        [],
-        has_only_silences=has_only_silences,
-    )
+def lost_findings(exchange, ran="r", journal=(), **faults):
+    rows = [journal_row("run", ran), *journal]
+    return soak_checks.check_history([exchange], rows, [], **faults)
 
 
 @pytest.mark.parametrize(
@@ -284,12 +288,9 @@
         ("booking", 504, b"", True),
     ],
 )
-def test_work_lost_beside_silences_alone_is_found(
-    kind, status, body, is_whole
-):
+def test_work_lost_at_sound_targets_is_found(kind, status, body, is_whole):
     exchange = make_exchange(kind, status, body, is_whole)._replace(end_s=3.9)
     assert lost_findings(exchange)
-    assert lost_findings(exchange, has_only_silences=False) == []
     assert lost_findings(exchange._replace(end_s=4.0)) == []
     assert lost_findings(exchange, ran="another") == []
 
@@ -299,6 +300,51 @@
     assert lost_findings(make_exchange("lookup", status)) == []
 
 
+LOST_DRAFT = make_exchange("draft", 200, event_bytes(1, 4), False)._replace(
+    at_s=2.0, end_s=3.0
+)
+
+
+@pytest.mark.parametrize("argument", ["impaired", "ended", "paused"])
+def test_only_faults_of_targets_on_the_path_excuse_lost_work(argument):
+    def findings(link):
+        return lost_findings(LOST_DRAFT, **{argument: [link]})
+
+    for address in ("127.0.0.1:1", "127.0.0.1:2"):
+        link = soak_checks.ImpairedLink(address, 2.1, 2.2)
+        assert findings(link) == []
+        assert findings(link._replace(from_s=3.1, until_s=9.0))
+        assert findings(link._replace(from_s=0.0, until_s=0.9))
+    assert findings(link._replace(address="127.0.0.1:3"))
+
+
+def test_only_faults_of_its_own_gateway_excuse_lost_work():
+    def findings(gateway):
+        return lost_findings(LOST_DRAFT, disturbed_gateways=[gateway])
+
+    gateway = soak_checks.DisturbedGateway("g", 1.0, 2.1)
+    assert findings(gateway) == []
+    assert findings(gateway._replace(name="h"))
+    assert findings(gateway._replace(until_s=1.9))
+
+
+def test_only_drains_of_later_stages_excuse_lost_work():
+    def findings(address, at_s):
+        row = dict(journal_row("draining", at_s=at_s), address=address)
+        return lost_findings(LOST_DRAFT, journal=[row])
+
+    assert findings("127.0.0.1:2", 2.5) == []
+    assert findings("127.0.0.1:2", 3.1)
+    assert findings("127.0.0.1:1", 2.5)
+
+
+def test_a_stream_that_its_target_broke_off_is_not_lost():
+    broken_off = journal_row("break_off", at_s=2.5)
+    assert lost_findings(LOST_DRAFT, journal=[broken_off]) == []
+    other = dict(broken_off, request="another")
+    assert lost_findings(LOST_DRAFT, journal=[other])
+
+
 def test_extra_faults_keep_the_draws_of_each_seed():
     only = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
     silences = gateway_soak.schedule(7, only)
@@ -309,6 +355,11 @@
         assert lowest_s <= fault.duration_s <= highest_s
     both = gateway_soak.schedule(7, only._replace(excludes_others=False))
     assert both == sorted(gateway_soak.schedule(7) + silences)
+    mixed = gateway_soak.schedule(7, only._replace(mixed_silences=4))
+    added = [fault for fault in mixed if fault not in silences]
+    assert sorted(silences + added) == mixed
+    assert len(added) == 4
+    assert {fault.kind for fault in added} <= set(soak_silences.KINDS)
 
 
 def crash_rows(what, *times_s):
