--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from tests.fakes import platform_target
 from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
 from tests.functional import process
+from tests.functional import soak_checks
+from tests.functional import soak_silences
 
 # Seeds 3 and 5 cover store outages with lost writes and a restart, and kills
 # and drains of targets while a gateway is suspended. Seed 102 failed when the
@@ -147,7 +150,7 @@
 
 
 def make_exchange(kind, status, body=b"", is_whole=True, request_id="r"):
-    return gateway_soak.Exchange(
+    return soak_checks.Exchange(
         kind, request_id, "g", 0.0, status, body, is_whole
     )
 
@@ -158,14 +161,14 @@
         "request": request,
         "target": target,
         "address": "127.0.0.1:1",
+        "path": ["127.0.0.1:1", "127.0.0.1:2"],
         "at_s": at_s,
     }
 
 
 def event_bytes(first, end):
     return b"".join(
-        gateway_soak.platform_target.event_of("r", number)
-        for number in range(first, end)
+        platform_target.event_of("r", number) for number in range(first, end)
     )
 
 
@@ -192,7 +195,7 @@
     ],
 )
 def test_each_broken_guarantee_is_found(exchanges, journal, samples):
-    assert gateway_soak.check_history(exchanges, journal, samples)
+    assert soak_checks.check_history(exchanges, journal, samples)
 
 
 def test_correct_history_has_no_findings():
@@ -211,17 +214,23 @@
         journal_row("run", "r", target="u", at_s=1.5),
     ]
     samples = [("g", 1, 5), ("g", 1, 6), ("g", 2, 5)]
-    assert gateway_soak.check_history(exchanges, journal, samples) == []
+    killed = [soak_checks.DisturbedGateway("g", 0.0, 0.1)]
+    assert (
+        soak_checks.check_history(
+            exchanges, journal, samples, disturbed_gateways=killed
+        )
+        == []
+    )
 
 
 def test_work_delayed_by_impaired_link_is_excused():
     journal = [journal_row("draining"), journal_row("run", at_s=3.0)]
-    impaired = [gateway_soak.ImpairedLink("127.0.0.1:1", 1.0, 2.9)]
-    assert gateway_soak.check_history([], journal, [], impaired) == []
-    elsewhere = [gateway_soak.ImpairedLink("127.0.0.1:2", 1.0, 2.9)]
-    assert gateway_soak.check_history([], journal, [], elsewhere)
-    earlier = [gateway_soak.ImpairedLink("127.0.0.1:1", 0.0, 1.0)]
-    assert gateway_soak.check_history([], journal, [], earlier)
+    impaired = [soak_checks.ImpairedLink("127.0.0.1:1", 1.0, 2.9)]
+    assert soak_checks.check_history([], journal, [], impaired) == []
+    elsewhere = [soak_checks.ImpairedLink("127.0.0.1:2", 1.0, 2.9)]
+    assert soak_checks.check_history([], journal, [], elsewhere)
+    earlier = [soak_checks.ImpairedLink("127.0.0.1:1", 0.0, 1.0)]
+    assert soak_checks.check_history([], journal, [], earlier)
 
 
 def run_at(target, at_s=0.5, address="127.0.0.1:1"):
@@ -235,9 +244,9 @@
 def test_runs_at_more_targets_than_the_route_allows_are_found(kind):
     body = event_bytes(1, 31) if kind == "draft" else b"done r"
     exchange = make_exchange(kind, 200, body)
-    assert gateway_soak.check_history([exchange], THREE_RUNS, [])
+    assert soak_checks.check_history([exchange], THREE_RUNS, [])
     allowed = [run_at("t"), run_at("u"), run_at("u", 0.6)]
-    assert gateway_soak.check_history([exchange], allowed, []) == []
+    assert soak_checks.check_history([exchange], allowed, []) == []
 
 
 @pytest.mark.parametrize("argument", ["impaired", "ended"])
@@ -247,9 +256,9 @@
 
     def findings(link):
         faults = {argument: [link]}
-        return gateway_soak.check_history([exchange], THREE_RUNS, [], **faults)
+        return soak_checks.check_history([exchange], THREE_RUNS, [], **faults)
 
-    link = gateway_soak.ImpairedLink("127.0.0.1:2", 0.5, 0.55)
+    link = soak_checks.ImpairedLink("127.0.0.1:2", 0.5, 0.55)
     assert findings(link) == []
     assert findings(link._replace(from_s=0.1, until_s=0.3))
     assert findings(link._replace(from_s=1.1, until_s=9.0))
@@ -259,17 +268,13 @@
 def test_a_target_that_a_part_crashed_does_not_count_as_an_attempt():
     exchange = make_exchange("draft", 200, event_bytes(1, 31))
     crash = dict(THREE_RUNS[-1], what="part_crash")
-    findings = gateway_soak.check_history([exchange], [*THREE_RUNS, crash], [])
+    findings = soak_checks.check_history([exchange], [*THREE_RUNS, crash], [])
     assert findings == []
 
 
-def lost_findings(exchange, has_only_silences=True, ran="r"):
-    return gateway_soak.check_history(
-        [exchange],
-        [journal_row("run", ran)],
-        [],
-        has_only_silences=has_only_silences,
-    )
+def lost_findings(exchange, ran="r", journal=(), **faults):
+    rows = [journal_row("run", ran), *journal]
+    return soak_checks.check_history([exchange], rows, [], **faults)
 
 
 @pytest.mark.parametrize(
@@ -283,21 +288,63 @@
         ("booking", 504, b"", True),
     ],
 )
-def test_work_lost_beside_silences_alone_is_found(
-    kind, status, body, is_whole
-):
+def test_work_lost_at_sound_targets_is_found(kind, status, body, is_whole):
     exchange = make_exchange(kind, status, body, is_whole)._replace(end_s=3.9)
     assert lost_findings(exchange)
-    assert lost_findings(exchange, has_only_silences=False) == []
     assert lost_findings(exchange._replace(end_s=4.0)) == []
     assert lost_findings(exchange, ran="another") == []
 
 
-@pytest.mark.parametrize("status", gateway_soak.NOT_RUN_STATUSES)
+@pytest.mark.parametrize("status", soak_checks.NOT_RUN_STATUSES)
 def test_a_promise_that_a_request_did_not_run_is_no_loss(status):
     assert lost_findings(make_exchange("lookup", status)) == []
 
 
+LOST_DRAFT = make_exchange("draft", 200, event_bytes(1, 4), False)._replace(
+    at_s=2.0, end_s=3.0
+)
+
+
+@pytest.mark.parametrize("argument", ["impaired", "ended", "paused"])
+def test_only_faults_of_targets_on_the_path_excuse_lost_work(argument):
+    def findings(link):
+        return lost_findings(LOST_DRAFT, **{argument: [link]})
+
+    for address in ("127.0.0.1:1", "127.0.0.1:2"):
+        link = soak_checks.ImpairedLink(address, 2.1, 2.2)
+        assert findings(link) == []
+        assert findings(link._replace(from_s=3.1, until_s=9.0))
+        assert findings(link._replace(from_s=0.0, until_s=0.9))
+    assert findings(link._replace(address="127.0.0.1:3"))
+
+
+def test_only_faults_of_its_own_gateway_excuse_lost_work():
+    def findings(gateway):
+        return lost_findings(LOST_DRAFT, disturbed_gateways=[gateway])
+
+    gateway = soak_checks.DisturbedGateway("g", 1.0, 2.1)
+    assert findings(gateway) == []
+    assert findings(gateway._replace(name="h"))
+    assert findings(gateway._replace(until_s=1.9))
+
+
+def test_only_drains_of_later_stages_excuse_lost_work():
+    def findings(address, at_s):
+        row = dict(journal_row("draining", at_s=at_s), address=address)
+        return lost_findings(LOST_DRAFT, journal=[row])
+
+    assert findings("127.0.0.1:2", 2.5) == []
+    assert findings("127.0.0.1:2", 3.1)
+    assert findings("127.0.0.1:1", 2.5)
+
+
+def test_a_stream_that_its_target_broke_off_is_not_lost():
+    broken_off = journal_row("break_off", at_s=2.5)
+    assert lost_findings(LOST_DRAFT, journal=[broken_off]) == []
+    other = dict(broken_off, request="another")
+    assert lost_findings(LOST_DRAFT, journal=[other])
+
+
 def test_extra_faults_keep_the_draws_of_each_seed():
     only = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
     silences = gateway_soak.schedule(7, only)
@@ -308,6 +355,11 @@
         assert lowest_s <= fault.duration_s <= highest_s
     both = gateway_soak.schedule(7, only._replace(excludes_others=False))
     assert both == sorted(gateway_soak.schedule(7) + silences)
+    mixed = gateway_soak.schedule(7, only._replace(mixed_silences=4))
+    added = [fault for fault in mixed if fault not in silences]
+    assert sorted(silences + added) == mixed
+    assert len(added) == 4
+    assert {fault.kind for fault in added} <= set(soak_silences.KINDS)
 
 
 def crash_rows(what, *times_s):
@@ -330,9 +382,9 @@
     exchanges = drafts(422, 0.0, 0xC1)
     crashes = crash_rows("part_crash", 1.0, 2.0, 3.0, 4.0, 5.0)
     late = crash_rows("part_arrival", 1.0, 7.9, 8.1, 8.2, 8.3, 8.4)
-    assert gateway_soak.check_crashes(exchanges, crashes + late)
-    assert gateway_soak.check_crashes(exchanges, crashes + late[:-1]) == []
-    assert gateway_soak.check_crashes(exchanges, crashes[:4] + late) == []
+    assert soak_checks.check_crashes(exchanges, crashes + late)
+    assert soak_checks.check_crashes(exchanges, crashes + late[:-1]) == []
+    assert soak_checks.check_crashes(exchanges, crashes[:4] + late) == []
 
 
 @pytest.mark.parametrize("crash_count", [2, 6])
@@ -344,7 +396,7 @@
     poisoned = drafts(422, 10.0, 0xC1)
 
     def findings(after):
-        return gateway_soak.check_crashes(before + after + poisoned, crashes)
+        return soak_checks.check_crashes(before + after + poisoned, crashes)
 
     assert findings(drafts(503, 9.1, count=30))
     served = drafts(200, 9.1, count=14) + drafts(503, 9.2, count=14)
