Weigh a refused connection against a response that still arrives

A target that has too many connections turns more of them away and serves those it has. If it does so by refusing them, a probe, a report or a request that it refused was recorded as the end of its process: its streams were resumed elsewhere or cut at once, beside a response that was arriving, and their runs no longer counted as attempts.

A refusal now shows no end within a second after output on a connection that is still open; until then the target is down, like a silent one, and is probed again after half a second. The end of any connection to the process drops this evidence, as a process that ends loses all: after a reset, a refusal decides at once, as before. Answered probes are no such evidence, since a process may end right after one.

Cost: where the refusal of an ended process arrives before the end of its connection, the end is known at the next probe, which the lost connection starts.

Evidence: of six tests added four failed before (three "assert not True, where True = has_ended", one "assert 'cut' == ''"), and the one of a refused request when a refused connection counted as the end of one.

--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -171,9 +171,19 @@
     context.targets.record_request_sent(target)
 
     def on_head(status: int, response_headers: http_exchange.Headers) -> None:
+        context.targets.record_output(target)
         context.targets.record_response_head(target, status, response_headers)
         callbacks.on_head(status, response_headers)
 
+    def on_data(data: bytes) -> None:
+        context.targets.record_output(target)
+        callbacks.on_data(data)
+
+    def on_end(failure: http_exchange.ExchangeFailure | None) -> None:
+        if failure is None or failure.was_sent:
+            context.targets.record_exchange_end(target)
+        callbacks.on_end(failure)
+
     request_parts = (
         caller_request.method.decode("latin-1"),
         caller_request.uri.decode("latin-1"),
@@ -184,7 +194,7 @@
         context.reactor,
         (target.host, target.port),
         request_parts,
-        callbacks._replace(on_head=on_head),
+        http_exchange.ExchangeCallbacks(on_head, on_data, on_end),
         None if path else http_exchange.MAX_BODY_BYTES,
     )
 
--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -60,7 +60,7 @@
         target: fleet.Target, failure: http_exchange.ExchangeFailure
     ) -> None:
         nonlocal is_decided
-        if failure.was_refused or targets.has_ended(target):
+        if targets.shows_end(target, failure) or targets.has_ended(target):
             decide(target, failure.reason)
         elif not is_decided:
             is_decided = True
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -1,14 +1,15 @@
 """Registry of the targets of each service, with their health.
 
 A target is down from a failed probe until a later probe is answered. Its
-process may only be silent meanwhile, or answer with errors; it has ended if it
-refuses connections, has been replaced, or has lost its registration and stays
-silent.
+process may only be silent meanwhile, or answer with errors; it has ended if
+it refuses connections while no response arrives from it, has been replaced, or
+has lost its registration and stays silent.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
+import math
 import random
 from typing import Any
 from typing import NamedTuple
@@ -41,12 +42,17 @@
 # Registrations that expired during an outage of the object store are written
 # again within two seconds after it.
 EXPIRED_REGISTRATION_GRACE_S = 2.4
+# A target with too many connections may refuse more and serve those it has, so
+# a refusal shows no end for this long after output of the target. Twice the
+# pause between probes: it takes a second refusal.
+MAX_OUTPUT_AGE_S = 1.0
 # Smaller relative changes of a target's pace are not sent to peers.
 PACE_CHANGE_MIN_RATIO = 0.2
 # Processes that have said that they leave, or that have ended; the oldest are
 # forgotten first.
 MAX_LEAVING_PROCESSES = 10_000
 MAX_ENDED_PROCESSES = 10_000
+MAX_OUTPUT_PROCESSES = 10_000
 # Weight of the newest result in the moving average of failed requests.
 FAILURE_AVERAGE_WEIGHT = 0.2
 
@@ -142,6 +148,9 @@
         self._leaving_born_ms: dict[str, int] = {}
         # Ends of processes by their ids, oldest first.
         self._ended_processes: dict[str, _ProcessEnd] = {}
+        # Time of the last output by process, unless an exchange with it has
+        # ended since.
+        self._output_s: dict[str, float] = {}
         # Unanswered probes in a row of processes without a registration.
         self._removed_probes: dict[str, int] = {}
 
@@ -380,6 +389,32 @@
         self._update_failure_ratio(target.name, 1.0)
         self.probe_suspect(target, reason)
 
+    def record_output(self, target: fleet.Target) -> None:
+        """Records that bytes of a response to a request have arrived."""
+        self._output_s[target.process_id] = self._reactor.seconds()
+        if len(self._output_s) > MAX_OUTPUT_PROCESSES:
+            del self._output_s[next(iter(self._output_s))]
+
+    def record_exchange_end(self, target: fleet.Target) -> None:
+        """Records that a connection ended, as all do when a process ends.
+
+        The next output of another connection shows that it has not ended.
+        """
+        self._output_s.pop(target.process_id, None)
+
+    def shows_end(
+        self, target: fleet.Target, failure: http_exchange.ExchangeFailure
+    ) -> bool:
+        """Returns whether a failure shows that a target's process has ended.
+
+        Its port refuses connections, and no response is arriving from it.
+        """
+        return failure.was_refused and not self._has_recent_output(target)
+
+    def _has_recent_output(self, target):
+        output_s = self._output_s.get(target.process_id, -math.inf)
+        return self._reactor.seconds() - output_s <= MAX_OUTPUT_AGE_S
+
     def record_connection_lost(self, target: fleet.Target) -> None:
         """Records that the connection of a request was lost.
 
@@ -407,11 +442,13 @@
         Args:
             target: The target.
             reason: Why, for logs.
-            has_ended: Whether its process has ended, instead of being silent.
+            has_ended: Whether it refused a connection, which shows that its
+                process has ended unless a response arrives from it.
         """
         name = target.name
         if not self._is_registered(target):
             return
+        has_ended = has_ended and not self._has_recent_output(target)
         if name in self._down_since_s:
             if has_ended:
                 self._record_ended(target, reason)
@@ -732,7 +769,7 @@
             if failure.has_timed_out:
                 silent_probes = self._removed_probes[target.process_id] + 1
             if target.name not in self.by_name and (
-                failure.was_refused
+                self.shows_end(target, failure)
                 or silent_probes >= MAX_SILENT_PROBES_AFTER_REMOVAL
             ):
                 self._removed_probes.pop(target.process_id, None)
@@ -872,7 +909,7 @@
         """Handles a probe that failed after the registration was removed."""
         if self.has_ended(target):
             return
-        if failure.was_refused:
+        if self.shows_end(target, failure):
             self._record_ended(target, failure.reason)
         else:
             self._probe_removed(target)
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -9,11 +9,17 @@
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import go_on
 from tests.unit.gateway.test_silent_targets import make_silent
+from tests.unit.gateway.test_silent_targets import refuse_probes
 from tests.unit.gateway.test_silent_targets import register_chains
+from tests.unit.gateway.test_silent_targets import start_answered_stream
 from tests.unit.gateway.test_silent_targets import stay_silent
+from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
+from tests.unit.gateway.test_streams import path_target_names
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
+from tests.unit.gateway.test_streams import RESPONSE_HEAD
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 from tests.unit.gateway.test_targets import available_names
 from tests.unit.gateway.test_targets import list_restored
@@ -369,3 +375,112 @@
         assert not harness.targets.has_ended(target)
         harness.refuse_connection()
     assert harness.targets.has_ended(target)
+
+
+def first_target(harness, connection):
+    """Returns the target that runs the first stage of an attempt."""
+    return harness.targets.by_name[path_target_names(connection)[0]]
+
+
+def test_a_refused_connection_ends_no_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    for number in range(2, 30):
+        connection.respond(chunk(event(number)))
+        harness.targets.probe_suspect(target, "test")
+        refuse_probes(harness, target, 0.1)
+        assert not harness.targets.has_ended(target)
+    assert harness.targets.is_down(target)
+    go_on(harness, admitted, connection, 29)
+
+
+def test_a_removed_target_that_refuses_connections_may_still_respond(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.targets.probe_suspect(target, "test")
+    harness.refuse_connection()
+    remove_registration(harness, target.name)
+    for number in range(2, 20):
+        connection.respond(chunk(event(number)))
+        refuse_probes(harness, target, 0.2)
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 19)
+
+
+def test_a_target_that_refuses_connections_without_output_has_ended(
+    harness, model_service, stream_route
+):
+    _, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.targets.probe_suspect(target, "test")
+    harness.refuse_connection()
+    assert not harness.targets.has_ended(target)
+    refuse_probes(harness, target, targets_module.MAX_OUTPUT_AGE_S + 0.6)
+    assert harness.targets.has_ended(target)
+
+
+def test_a_target_that_refuses_connections_after_it_reset_one_has_ended(
+    harness, model_service, stream_route
+):
+    _, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    connection.reset()
+    refuse_probes(harness, target, 0.1)
+    assert harness.targets.has_ended(target)
+
+
+def test_a_refused_report_does_not_cut_a_stream_beside_another_response(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    target = first_target(harness, connection)
+    other_admitted = harness.admit(model_service, route, request_id="r2")
+    harness.start_stream(other_admitted)
+    other = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    other.respond(RESPONSE_HEAD.replace(b"r1", b"r2") + chunk(event(1)))
+    connection.close()
+    other.respond(chunk(event(2)))
+    refuse_probes(harness, target, 0.1)
+    assert admitted.caller_request.ending == ""
+    for number in range(3, 13):
+        other.respond(chunk(event(number)))
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "whole"
+    go_on(harness, other_admitted, other, 12)
+
+
+def test_a_refused_request_ends_no_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.start_stream(
+        harness.admit(model_service, stream_route, request_id="r2")
+    )
+    harness.refuse_connection()
+    assert harness.targets.is_down(target)
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 1)
