Play silence beside a drain, a moved service and a start of a gateway

Tests of registry, streams and layout controller: a target that falls silent before or as its registration is removed, with and without a drain before; one that is registered for another service meanwhile; a gateway that has just read the registrations of a target that answers nothing yet, for its streams and for its plan; a service that is missing from the configuration while its target is silent.

--- a/tests/unit/gateway/test_layout_controller.py
+++ b/tests/unit/gateway/test_layout_controller.py
@@ -20,6 +20,7 @@
     """The layout controller of one gateway, with an in-memory lease and store.
 
     Attributes:
+        services: Configured services.
         held_fencing_number: Fencing number of the lease; 0 if it is not held.
         stored_plans: Values in the store, by name of the model service.
         target_report: The report that every target returns.
@@ -30,6 +31,7 @@
     def __init__(self, harness, services):
         self.harness = harness
         self.held_fencing_number = FENCING_NUMBER
+        self.services = services
         self.stored_plans = {}
         self.silent_ports = set()
         self.refusing_ports = set()
@@ -209,10 +211,8 @@
     assert [tuple(row[2:4]) for row in stored] == list(ranges.values())
 
 
-@pytest.fixture
-def serving_harness(harness, model_service):
-    """A controller whose plan is filled, with one target more."""
-    ranges = {"a": (0, 25), "b": (25, 60), "c": (60, 80), "d": (0, 10)}
+def register_holders(harness, ranges):
+    """Registers targets that hold ranges of layers, by name."""
     harness.register(
         *(
             make_target(
@@ -225,6 +225,13 @@
             for name, (first, end) in ranges.items()
         )
     )
+
+
+@pytest.fixture
+def serving_harness(harness, model_service):
+    """A controller whose plan is filled, with one target more."""
+    ranges = {"a": (0, 25), "b": (25, 60), "c": (60, 80), "d": (0, 10)}
+    register_holders(harness, ranges)
     serving = ControllerHarness(harness, [model_service])
     serving.stored_plans["model"] = [
         ["dc-a", "fast", *ranges[name], 0] for name in "abc"
@@ -328,3 +335,36 @@
     assert next_holder.advance_clock(3.0) == []
     stored = next_holder.stored_plans["model"]
     assert [tuple(row[2:4]) for row in stored] == [(0, 25), (25, 60), (60, 80)]
+
+
+def test_a_gateway_that_starts_while_a_target_is_silent_fills_no_range(
+    harness, model_service
+):
+    """It takes the target for sound until a poll of its report fails."""
+    ranges = {"a": (0, 25), "b": (25, 60), "c": (60, 80), "d": (0, 10)}
+    register_holders(harness, ranges)
+    starting = ControllerHarness(harness, [model_service])
+    starting.stored_plans["model"] = [
+        ["dc-a", "fast", *ranges[name], 0] for name in "abc"
+    ]
+    starting.target_report = starting.target_report._replace(end_layer=10)
+    silent = harness.targets.by_name["b"]
+    starting.silent_ports.add(silent.port)
+    for _ in range(5):
+        harness.targets.poll_reports(lambda name: True)
+        assert starting.advance_clock(0.25) == []
+    assert harness.targets.is_down(silent)
+    starting.silent_ports.clear()
+    assert starting.advance_clock(5.0) == []
+
+
+def test_a_service_that_returns_while_a_target_is_silent_has_its_plan(
+    serving_harness, model_service
+):
+    serving_harness.services.clear()
+    silence(serving_harness, "b")
+    assert serving_harness.advance_clock(0.75) == []
+    serving_harness.services.append(model_service)
+    assert serving_harness.advance_clock(0.5) == []
+    serving_harness.silent_ports.clear()
+    assert serving_harness.advance_clock(5.0) == []
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -13,6 +13,7 @@
 from tests.unit.gateway.test_silent_targets import make_silent
 from tests.unit.gateway.test_silent_targets import refuse_probes
 from tests.unit.gateway.test_silent_targets import register_chains
+from tests.unit.gateway.test_silent_targets import SILENCE_S
 from tests.unit.gateway.test_silent_targets import start_answered_stream
 from tests.unit.gateway.test_silent_targets import stay_silent
 from tests.unit.gateway.test_streams import chunk
@@ -484,3 +485,84 @@
     assert harness.targets.is_down(target)
     assert not harness.targets.has_ended(target)
     go_on(harness, admitted, connection, 1)
+
+
+@pytest.mark.parametrize("drains", [True, False])
+@pytest.mark.parametrize("removed_after_s", [0.0, 0.9])
+def test_a_run_outlives_the_silence_of_a_target_that_leaves(
+    harness, model_service, stream_route, drains, removed_after_s
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
+    target = first_target(harness, connection)
+    if drains:
+        draining = target._replace(state=fleet.DRAINING)
+        store_registration(harness, draining, 2)
+    attempts = stay_silent(harness, removed_after_s)
+    remove_registration(harness, target.name, 3)
+    attempts += stay_silent(harness, SILENCE_S - removed_after_s)
+    connection.respond(chunk(event(2)))
+    for _ in range(10):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    harness.advance_clock(1.0)
+    assert attempts == []
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 2)
+
+
+def test_silent_targets_that_leave_count_against_the_attempts_of_a_route(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "abcd")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    attempts = [harness.accept_connection()]
+    for number in (1, 2, 3):
+        attempts[-1].respond(RESPONSE_HEAD + chunk(event(number)))
+        name = path_target_names(attempts[-1])[0]
+        attempts += stay_silent(harness, 0.9)
+        if name in harness.targets.by_name:
+            remove_registration(harness, name, 1 + number)
+        attempts += stay_silent(harness, 0.3)
+    first_targets = {path_target_names(attempt)[0] for attempt in attempts}
+    assert len(first_targets) <= stream_route.max_targets
+    assert admitted.caller_request.ending == ""
+
+
+def test_a_run_outlives_the_silence_of_a_target_that_moves_to_a_service(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
+    target = first_target(harness, connection)
+    assert stay_silent(harness, 0.9) == []
+    store_registration(harness, target._replace(service="other"), 2)
+    assert stay_silent(harness, 0.9) == []
+    assert not harness.targets.has_ended(target)
+    assert harness.targets.is_down(target)
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_gateway_that_starts_while_a_target_is_silent_ends_no_process(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    target = first_target(harness, connection)
+    assert stay_silent(harness) == []
+    assert not harness.targets.has_ended(target)
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    go_on(harness, admitted, connection, 1)
+    harness.advance_clock(0.5)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert not harness.targets.is_down(target)
