Let no older answer of the store remove a later registration

A gateway that learned of a new target from a peer and then got a listing, or deletions, of an earlier version of the store removed it again, and never took it back: its own watch then reported a version that it already knew. Until the target changed its registration, the gateway sent it nothing; if the target was silent at the time, it was probed as one that had lost its registration, which ends in its end after four probes without an answer.

A deletion now applies only if the store's version is not older than that of the registration. Found while reading how a silent target loses its registration.

Evidence: both cases of the new test failed before, "assert ['a'] == ['a', 'b']".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -193,11 +193,12 @@
                 name for name in self.by_name if name not in listed_names
             ]
         for name in deleted:
+            if version < self._version_by_name.get(name, 0):
+                # A peer has reported a later registration.
+                continue
             if name in self.by_name:
                 self.on_registration(name, version, None)
-            self._version_by_name[name] = max(
-                version, self._version_by_name.get(name, 0)
-            )
+            self._version_by_name[name] = version
             self._remove_after_grace(name)
         if changed or deleted:
             self._notify_changed()
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -566,3 +566,18 @@
     while harness.pending_connection_count():
         harness.accept_connection().respond(REPORT_RESPONSE)
     assert not harness.targets.is_down(target)
+
+
+@pytest.mark.parametrize("is_full_listing", [True, False])
+def test_an_older_state_of_the_store_removes_no_later_registration(
+    harness, is_full_listing
+):
+    harness.register(make_target("a"))
+    harness.targets.apply_peer_registration("b", 5, make_target("b"))
+    harness.targets.apply_registrations(
+        [client.StoredObject("t", "a", 1, make_target("a"))],
+        [] if is_full_listing else ["b"],
+        is_full_listing,
+        4,
+    )
+    assert available_names(harness) == ["a", "b"]
