Count no probes as silence while a removed target's response arrives

A target without a registration was believed to have ended after its probes had not been answered for some time, even while it sent a response: the health page of a plain target waits for a slot, so a full one is late, and the report of a busy one may be. Its run was cut where it could not be repeated.

Bytes of a response now start the count of unanswered probes again.

Evidence: the new test, with an event every 0.9 s, failed before, "assert not True, where True = has_ended".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -151,7 +151,8 @@
         # Time of the last output by process, unless an exchange with it has
         # ended since.
         self._output_s: dict[str, float] = {}
-        # Unanswered probes in a row of processes without a registration.
+        # Unanswered probes, since the last output, of the processes without a
+        # registration that are being probed.
         self._removed_probes: dict[str, int] = {}
 
     def apply_registrations(
@@ -392,7 +393,10 @@
 
     def record_output(self, target: fleet.Target) -> None:
         """Records that bytes of a response to a request have arrived."""
-        self._output_s[target.process_id] = self._reactor.seconds()
+        process_id = target.process_id
+        self._output_s[process_id] = self._reactor.seconds()
+        if process_id in self._removed_probes:
+            self._removed_probes[process_id] = 0
         if len(self._output_s) > MAX_OUTPUT_PROCESSES:
             del self._output_s[next(iter(self._output_s))]
 
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -568,6 +568,24 @@
     assert not harness.targets.is_down(target)
 
 
+def test_unanswered_probes_end_no_removed_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    """A plain target that is full answers its health page late."""
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    stay_silent(harness, 0.9)
+    remove_registration(harness, target.name)
+    for number in range(2, 10):
+        stay_silent(harness, 0.9)
+        connection.respond(chunk(event(number)))
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 9)
+
+
 @pytest.mark.parametrize("is_full_listing", [True, False])
 def test_an_older_state_of_the_store_removes_no_later_registration(
     harness, is_full_listing
