Take no registration without a start time for a new process

Entries of other writers may lack fields; the platform's pages say that they name no target to use. One that lacks `born`, under the name of a registered target, decodes with a start of 0, which differs: the living process counted as replaced, its streams were told "started again", and its runs no longer counted. Such an entry is now ignored while a process with a start is registered; a platform without start times at all is not affected.

Evidence: the new test failed before, "assert not True, where True = has_ended".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -642,10 +642,13 @@
                 store, so that it may be older than the one in force.
         """
         target = self._adapter.decode_target(name, value)
-        if target is None:
+        previous = self.by_name.get(name)
+        if target is None or (
+            previous and previous.born_ms > target.born_ms == 0
+        ):
+            # Without a start time it is not from the process that is there.
             events.emit("registration_ignored", target=name)
             return
-        previous = self.by_name.get(name)
         if (
             is_restored
             and previous is not None
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -599,3 +599,11 @@
         4,
     )
     assert available_names(harness) == ["a", "b"]
+
+
+def test_a_registration_without_a_start_time_shows_no_other_process(harness):
+    harness.register(make_target("a", born_ms=9))
+    target = harness.targets.by_name["a"]
+    store_registration(harness, make_target("a", born_ms=0), 2)
+    assert not harness.targets.has_ended(target)
+    assert available_names(harness) == ["a"]
