--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -9,11 +9,18 @@
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import go_on
 from tests.unit.gateway.test_silent_targets import make_silent
+from tests.unit.gateway.test_silent_targets import refuse_probes
 from tests.unit.gateway.test_silent_targets import register_chains
+from tests.unit.gateway.test_silent_targets import SILENCE_S
+from tests.unit.gateway.test_silent_targets import start_answered_stream
 from tests.unit.gateway.test_silent_targets import stay_silent
+from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
+from tests.unit.gateway.test_streams import path_target_names
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
+from tests.unit.gateway.test_streams import RESPONSE_HEAD
 from tests.unit.gateway.test_streams import UNFRAMED_HEAD
 from tests.unit.gateway.test_targets import available_names
 from tests.unit.gateway.test_targets import list_restored
@@ -369,3 +376,234 @@
         assert not harness.targets.has_ended(target)
         harness.refuse_connection()
     assert harness.targets.has_ended(target)
+
+
+def first_target(harness, connection):
+    """Returns the target that runs the first stage of an attempt."""
+    return harness.targets.by_name[path_target_names(connection)[0]]
+
+
+def test_a_refused_connection_ends_no_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    for number in range(2, 30):
+        connection.respond(chunk(event(number)))
+        harness.targets.probe_suspect(target, "test")
+        refuse_probes(harness, target, 0.1)
+        assert not harness.targets.has_ended(target)
+    assert harness.targets.is_down(target)
+    go_on(harness, admitted, connection, 29)
+
+
+def test_a_removed_target_that_refuses_connections_may_still_respond(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.targets.probe_suspect(target, "test")
+    harness.refuse_connection()
+    remove_registration(harness, target.name)
+    for number in range(2, 20):
+        connection.respond(chunk(event(number)))
+        refuse_probes(harness, target, 0.2)
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 19)
+
+
+def test_a_target_that_refuses_connections_without_output_has_ended(
+    harness, model_service, stream_route
+):
+    _, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.targets.probe_suspect(target, "test")
+    harness.refuse_connection()
+    assert not harness.targets.has_ended(target)
+    refuse_probes(harness, target, targets_module.MAX_OUTPUT_AGE_S + 0.6)
+    assert harness.targets.has_ended(target)
+
+
+def test_a_target_that_refuses_connections_after_it_reset_one_has_ended(
+    harness, model_service, stream_route
+):
+    _, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    connection.reset()
+    refuse_probes(harness, target, 0.1)
+    assert harness.targets.has_ended(target)
+
+
+def test_a_refused_report_does_not_cut_a_stream_beside_another_response(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    target = first_target(harness, connection)
+    other_admitted = harness.admit(model_service, route, request_id="r2")
+    harness.start_stream(other_admitted)
+    other = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    other.respond(RESPONSE_HEAD.replace(b"r1", b"r2") + chunk(event(1)))
+    connection.close()
+    other.respond(chunk(event(2)))
+    refuse_probes(harness, target, 0.1)
+    assert admitted.caller_request.ending == ""
+    for number in range(3, 13):
+        other.respond(chunk(event(number)))
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "whole"
+    go_on(harness, other_admitted, other, 12)
+
+
+def test_a_refused_request_ends_no_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    target = first_target(harness, connection)
+    harness.start_stream(
+        harness.admit(model_service, stream_route, request_id="r2")
+    )
+    harness.refuse_connection()
+    assert harness.targets.is_down(target)
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 1)
+
+
+@pytest.mark.parametrize("drains", [True, False])
+@pytest.mark.parametrize("removed_after_s", [0.0, 0.9])
+def test_a_run_outlives_the_silence_of_a_target_that_leaves(
+    harness, model_service, stream_route, drains, removed_after_s
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
+    target = first_target(harness, connection)
+    if drains:
+        draining = target._replace(state=fleet.DRAINING)
+        store_registration(harness, draining, 2)
+    attempts = stay_silent(harness, removed_after_s)
+    remove_registration(harness, target.name, 3)
+    attempts += stay_silent(harness, SILENCE_S - removed_after_s)
+    connection.respond(chunk(event(2)))
+    for _ in range(10):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            harness.accept_connection().respond(REPORT_RESPONSE)
+    harness.advance_clock(1.0)
+    assert attempts == []
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 2)
+
+
+def test_silent_targets_that_leave_count_against_the_attempts_of_a_route(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "abcd")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    attempts = [harness.accept_connection()]
+    for number in (1, 2, 3):
+        attempts[-1].respond(RESPONSE_HEAD + chunk(event(number)))
+        name = path_target_names(attempts[-1])[0]
+        attempts += stay_silent(harness, 0.9)
+        if name in harness.targets.by_name:
+            remove_registration(harness, name, 1 + number)
+        attempts += stay_silent(harness, 0.3)
+    first_targets = {path_target_names(attempt)[0] for attempt in attempts}
+    assert len(first_targets) <= stream_route.max_targets
+    assert admitted.caller_request.ending == ""
+
+
+def test_a_run_outlives_the_silence_of_a_target_that_moves_to_a_service(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "ab"
+    )
+    target = first_target(harness, connection)
+    assert stay_silent(harness, 0.9) == []
+    store_registration(harness, target._replace(service="other"), 2)
+    assert stay_silent(harness, 0.9) == []
+    assert not harness.targets.has_ended(target)
+    assert harness.targets.is_down(target)
+    go_on(harness, admitted, connection, 1)
+
+
+def test_a_gateway_that_starts_while_a_target_is_silent_ends_no_process(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    route = stream_route._replace(is_resumable=False)
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    target = first_target(harness, connection)
+    assert stay_silent(harness) == []
+    assert not harness.targets.has_ended(target)
+    connection.respond(RESPONSE_HEAD + chunk(event(1)))
+    go_on(harness, admitted, connection, 1)
+    harness.advance_clock(0.5)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert not harness.targets.is_down(target)
+
+
+def test_unanswered_probes_end_no_removed_target_whose_response_arrives(
+    harness, model_service, stream_route
+):
+    """A plain target that is full answers its health page late."""
+    route = stream_route._replace(is_resumable=False)
+    admitted, connection = start_answered_stream(
+        harness, model_service, route, "a"
+    )
+    target = first_target(harness, connection)
+    stay_silent(harness, 0.9)
+    remove_registration(harness, target.name)
+    for number in range(2, 10):
+        stay_silent(harness, 0.9)
+        connection.respond(chunk(event(number)))
+    assert not harness.targets.has_ended(target)
+    go_on(harness, admitted, connection, 9)
+
+
+@pytest.mark.parametrize("is_full_listing", [True, False])
+def test_an_older_state_of_the_store_removes_no_later_registration(
+    harness, is_full_listing
+):
+    harness.register(make_target("a"))
+    harness.targets.apply_peer_registration("b", 5, make_target("b"))
+    harness.targets.apply_registrations(
+        [client.StoredObject("t", "a", 1, make_target("a"))],
+        [] if is_full_listing else ["b"],
+        is_full_listing,
+        4,
+    )
+    assert available_names(harness) == ["a", "b"]
+
+
+def test_a_registration_without_a_start_time_shows_no_other_process(harness):
+    harness.register(make_target("a", born_ms=9))
+    target = harness.targets.by_name["a"]
+    store_registration(harness, make_target("a", born_ms=0), 2)
+    assert not harness.targets.has_ended(target)
+    assert available_names(harness) == ["a"]
