--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -244,6 +244,14 @@
         factory.clientConnectionFailed(None, reason)
         return port
 
+    def skip_cancelled_connections(self) -> None:
+        """Drops the oldest pending connections that were cancelled."""
+        while (
+            self.pending_connection_count()
+            and self.reactor.connectors[self._handled_count].stoppedConnecting
+        ):
+            self._handled_count += 1
+
     def next_port(self) -> int:
         """Returns the port of the oldest pending connection."""
         return self.reactor.tcpClients[self._handled_count][1]
