Leave the last retries to streams whose run is lost

Cause: a replacement of a silent run may take the last retry of the budget. That run may go on, a lost one can't, and its stream is cut.

Ruled out: dispatches (one of six in this stream) and paths (nothing was refused; a stream that waits for the budget has asked for none).

Now the last retries, which streams without events left to those with events already, are left to lost runs as well. Silent runs are kept as before.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -33,9 +33,9 @@
 # attempts, since targets may reject it before running it. Further dispatches
 # rarely find a target with room.
 MAX_EXTRA_DISPATCHES = 4
-# The last retries of the budget are reserved for streams with events. These
-# lose work if they end, while a request without events can be rejected for its
-# caller to retry.
+# The last retries of the budget are reserved for streams with events whose run
+# is lost. These lose work if they end, while a request without events can be
+# rejected for its caller to retry, and a silent run may go on.
 RETRIES_RESERVED_FOR_RESUMING = 3
 # How often an exhausted retry budget is checked again; requests that succeed
 # refill it several times a second.
@@ -457,7 +457,7 @@
         if not may_reroute or not self._may_dispatch_again():
             self._fail(reason, may_have_run)
             return
-        if not self._spend_retry(now_s):
+        if not self._spend_retry(now_s, is_lost=True):
             self._wait_for_budget(reason, may_have_run, now_s)
             return
         self._log_resumption(reason, now_s)
@@ -495,7 +495,7 @@
             or self._has_sound_replacement()
             or not self._admitted.route.may_repeat
             or not self._may_dispatch_again()
-            or not self._may_spend_retry(now_s)
+            or not self._may_spend_retry(now_s, is_lost=False)
             or self._crash_state() in ("condemned", "undecided")
         ):
             return
@@ -520,7 +520,7 @@
         if (
             self._crash_state() in ("condemned", "undecided")
             or self._has_condemned_part()
-            or not self._spend_retry(now_s)
+            or not self._spend_retry(now_s, is_lost=False)
         ):
             self._cancel_search()
             return
@@ -649,25 +649,32 @@
 
     def _may_reroute(self, now_s):
         """Returns whether a silent attempt may be replaced by another."""
-        reserved_retries = (
-            0 if self._event_count else RETRIES_RESERVED_FOR_RESUMING
-        )
         has_retries = (
-            self._retry_budget().remaining(now_s) >= reserved_retries + 1
+            self._retry_budget().remaining(now_s)
+            >= RETRIES_RESERVED_FOR_RESUMING + 1
         )
         has_dispatches = self._counted_dispatches() < MAX_EXTRA_DISPATCHES
         return has_retries and has_dispatches and self._may_run_again()
 
-    def _may_spend_retry(self, now_s):
-        """Returns whether a retry is left; the last are for begun streams."""
-        min_retries = 1 if self._event_count else RETRIES_RESERVED_FOR_RESUMING
-        return self._retry_budget().remaining(now_s) >= min_retries
+    def _may_spend_retry(self, now_s, is_lost):
+        """Returns whether a retry is left for this stream.
 
-    def _spend_retry(self, now_s):
-        """Spends a retry; the last are reserved for streams with events."""
-        return self._may_spend_retry(now_s) and self._retry_budget().try_retry(
-            now_s
+        Args:
+            now_s: Current time.
+            is_lost: Whether its run is lost, instead of being silent.
+        """
+        min_retries = (
+            1
+            if self._event_count and is_lost
+            else RETRIES_RESERVED_FOR_RESUMING
         )
+        return self._retry_budget().remaining(now_s) >= min_retries
+
+    def _spend_retry(self, now_s, is_lost):
+        """Spends a retry, if one is left; see `_may_spend_retry`."""
+        return self._may_spend_retry(
+            now_s, is_lost
+        ) and self._retry_budget().try_retry(now_s)
 
     def _wait_for_budget(self, reason, may_have_run, now_s):
         """Tries to reroute a stream with events again after a short delay.
