Find paths for lost runs before those for silent ones

With no path free, the replacement of a run that had fallen silent first was given the next path before a stream whose run was lost later, though the silent run may go on and the lost one's caller leaves after two seconds.

Cause: the dispatcher keeps both in one line, oldest first.

Now a request for a path says that it is for a replacement, and those come after the others. The test failed before: the first attempt had "Last-Event-Id: 1" of the silent stream instead of 13.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -71,6 +71,8 @@
         allowed_first_targets: Returns the targets that the path may begin
             at now; None for any.
         latency_objective_s: Time in which the first event should come.
+        is_replacement: Whether a run of the request is only silent and may
+            still go on.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     on_rejected: Callable[[float, str], None]
     allowed_first_targets: Callable[[], frozenset[str] | None] = lambda: None
     latency_objective_s: float = math.inf
+    is_replacement: bool = False
 
 
 class Dispatcher:
@@ -162,7 +165,10 @@
         self._full_until_s[target.name] = until_s
 
     def submit_resumed(self, path_request: PathRequest) -> None:
-        """Finds a new path for a stream, ahead of all queued requests."""
+        """Finds a new path for a stream, ahead of all queued requests.
+
+        Streams whose run is lost come before those whose run is silent.
+        """
         choice = self.choose_path(path_request)
         if choice is not None:
             self._start_request(path_request, choice)
@@ -255,7 +261,10 @@
     def _process_all(self):
         """Processes resumed streams first, then the queued requests."""
         now_s = self._reactor.seconds()
-        for request_key, path_request in list(self._resuming.items()):
+        resuming = sorted(
+            self._resuming.items(), key=lambda item: item[1].is_replacement
+        )
+        for request_key, path_request in resuming:
             if path_request.queue_item.deadline_s < now_s:
                 del self._resuming[request_key]
                 self._reject(
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -507,7 +507,7 @@
                 RESUME_WINDOW_S,
                 lambda choice: self._send_replacement(reason, choice),
                 lambda retry_after_s, rejection_reason: self._cancel_search(),
-            )
+            )._replace(is_replacement=True)
         )
 
     def _send_replacement(self, reason, choice):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -762,3 +762,23 @@
     second = answer_probes(harness, 0.3)
     second.respond(RESPONSE_HEAD)
     go_on(harness, admitted, second, 1)
+
+
+def test_a_lost_run_gets_a_path_before_a_silent_one(
+    harness, model_service, stream_route
+):
+    _, lost_run = start_answered_stream(
+        harness, model_service, stream_route, "a"
+    )
+    silent = harness.admit(model_service, stream_route)
+    harness.start_stream(silent)
+    silent_run = harness.accept_connection()
+    silent_run.respond(RESPONSE_HEAD + chunk(event(1)))
+    for number in range(2, 14):
+        lost_run.respond(chunk(event(number)))
+        assert stay_silent(harness, 0.1) == []
+    lost_run.reset()
+    stay_silent(harness, 0.2)
+    register_chains(harness, "ab")
+    attempt, *_ = stay_silent(harness, 0.1)
+    assert b"Last-Event-Id: 13\r\n" in attempt.transport.value()
