Log a search without a path as what it is

A silent run whose replacement found no path was logged as `refused` and counted in hemlocktiller_gateway_refused_total, though the request went on (docs/incidents/silent-targets.md, What remains). It is logged as `no_replacement` now and not counted.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -321,6 +321,15 @@
         path_request.on_path_found(choice)
 
     def _reject(self, path_request, retry_after_s, reason):
+        if path_request.is_replacement:
+            # The request goes on; it was not refused.
+            events.emit(
+                "no_replacement",
+                request=path_request.request_id,
+                reason=reason,
+            )
+            path_request.on_rejected(retry_after_s, reason)
+            return
         REJECTED_REQUESTS.labels(reason).inc()
         events.emit(
             "refused",
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.test_streams import chunk
@@ -782,3 +783,14 @@
     register_chains(harness, "ab")
     attempt, *_ = stay_silent(harness, 0.1)
     assert b"Last-Event-Id: 13\r\n" in attempt.transport.value()
+
+
+def test_a_search_without_a_path_is_not_logged_as_a_refusal(
+    harness, model_service, stream_route, monkeypatch
+):
+    start_answered_stream(harness, model_service, stream_route, "a")
+    names = []
+    monkeypatch.setattr(events, "emit", lambda name, **_: names.append(name))
+    stay_silent(harness, 2.8)
+    assert "refused" not in names
+    assert "no_replacement" in names
