--- a/tests/unit/gateway/test_silence_sequences.py
+++ b/tests/unit/gateway/test_silence_sequences.py
@@ -6,6 +6,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from tests.fakes import connections
 from tests.unit.gateway import conftest
@@ -86,7 +87,7 @@
         self.full: set[str] = set()
         self._harness = harness
         self._caller = admitted.caller_request
-        self._max_targets = admitted.route.max_targets
+        self._allowance = admitted.route.allowance
         self._runs: list[Run] = []
         self._probes: list[tuple[str, connections.TargetConnection]] = []
         self._name_by_port = {
@@ -158,6 +159,8 @@
         assert all(run.is_over or run.is_cancelled() for run in self._runs)
         assert self._harness.dispatcher.occupancy.reservation_count() == 0
         assert len(self._harness.finished) == 1
+        if self._caller.status == 503 and not self._allowance.may_repeat:
+            assert all(run.was_rejected for run in self._runs)
         if self._caller.ending == "whole" and self._caller.status == 200:
             assert self._caller.body == _events(EVENT_COUNT)
 
@@ -215,7 +218,9 @@
                 for run in self._runs
                 if not run.was_rejected and run.path[0] not in self.ended
             }
-            assert len(started_at) <= self._max_targets, started_at
+            assert len(started_at) <= self._allowance.max_targets, started_at
+            may_have_run = [run for run in self._runs if not run.was_rejected]
+            assert self._allowance.may_repeat or len(may_have_run) == 1
 
     def _answer_probes(self):
         waiting = self._probes
@@ -281,15 +286,20 @@
 )
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"max_targets": 1}, {"max_targets": 3}, {"is_resumable": False}],
+    ids=repr,
+)
 @hypothesis.settings(
     derandomize=True,
-    max_examples=200,
+    max_examples=100,
     deadline=None,
     suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
 )
-@hypothesis.given(ACTIONS)
+@hypothesis.given(actions=ACTIONS)
 def test_no_sequence_of_silences_gives_up_a_run_that_may_go_on(
-    model_service, stream_route, actions
+    model_service, stream_route, fields, actions
 ):
     harness = conftest.GatewayHarness()
     harness.register(
@@ -303,7 +313,8 @@
             for number, name in enumerate(NAMES)
         )
     )
-    admitted = harness.admit(model_service, stream_route)
+    route = stream_route._replace(**fields)
+    admitted = harness.admit(model_service, route)
     world = World(harness, admitted)
     harness.start_stream(admitted)
     for kind, name, ticks in actions:
