Release a replaced stage on the next link to it

A stage that had been replaced while it was silent kept its run for 6 s after it went on: a slot of its agent, the cache in its engine, and after the end of the request too. Its release is sent on the silent link, but if no other run waits there the link is aborted, and the message is lost with it. The stage then waited for its previous one to reconnect.

The stage before sends the release of a run that was replaced for silence or a time-out again when a link to that agent opens, for as long as the agent keeps the run. A stage accepts it from the one whose link it lost.

--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -5,6 +5,7 @@
 token again, so no earlier layer runs a token twice.
 """
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -28,6 +29,11 @@
 SUSPECT_CONFLICT = "suspect_apart"
 RECONNECT_WAIT_S = 0.3  # Longest wait for a new link to a next stage.
 RECONNECT_TIMEOUT = "reconnect_timeout"
+# Reasons to replace a stage that may still hold its reservation.
+LATE_REASONS = (link_module.SILENCE, RECONNECT_TIMEOUT, peers_module.TIMEOUT)
+# A stage without a previous one releases its run after this time, in which
+# that one may reconnect.
+UPSTREAM_GRACE_S = 6.0
 # Longest wait for an answer to dials of a next stage without an alternate.
 LAST_STAGE_WAIT_S = 2.0
 
@@ -70,6 +76,40 @@
         self._outbox = message_outbox
         self._callbacks = callbacks
         self._recorder = recorder
+        # Runs to release at peers, once a new link to them opens.
+        self._unreleased: collections.defaultdict[
+            str, list[stage_runs.StageRun]
+        ] = collections.defaultdict(list)
+
+    def on_peer_up(self, peer_name: str) -> None:
+        """Releases the runs that a peer holds since its last link."""
+        for run in self._unreleased.pop(peer_name, []):
+            self._send_close(run, peer_name)
+
+    def release(self, run: stage_runs.StageRun, peer_name: str) -> None:
+        """Releases a run at a peer that may be silent or not linked now.
+
+        The message may be lost with a link, so that it is sent again on the
+        next one, unless the peer has released the run by itself.
+        """
+        self._send_close(run, peer_name)
+        self._unreleased[peer_name].append(run)
+        self._reactor.callLater(
+            UPSTREAM_GRACE_S, self._forget_release, run, peer_name
+        )
+
+    def _forget_release(
+        self, run: stage_runs.StageRun, peer_name: str
+    ) -> None:
+        unreleased = self._unreleased.get(peer_name, [])
+        if run in unreleased:
+            unreleased.remove(run)
+        if not unreleased:
+            self._unreleased.pop(peer_name, None)
+
+    def _send_close(self, run: stage_runs.StageRun, peer_name: str) -> None:
+        message = {"type": "close", **run.attempt_fields}
+        self._peers.send(peer_name, message)
 
     def on_link_lost(self, run: stage_runs.StageRun, reason: str) -> None:
         """Handles a lost link to the next stage.
@@ -110,6 +150,8 @@
         """Replaces the next stage by an alternate, or fails the run."""
         STAGE_FAILURES.labels(reason).inc()
         run.tried_targets.add(run.next_stage["target"])
+        if reason in LATE_REASONS and run.next_process:
+            self.release(run, run.next_stage["target"])
         run.refused_as_suspect = (
             run.refused_as_suspect or reason == SUSPECT_CONFLICT
         )
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -33,7 +33,7 @@
     next_stages.CRASHES_TARGETS,
     REPLACED,
 )
-UPSTREAM_GRACE_S = 6.0  # Time for the previous stage to reconnect.
+UPSTREAM_GRACE_S = next_stages.UPSTREAM_GRACE_S
 
 REPEATED_HOPS = prometheus_client.Counter(
     "hemlocktiller_hops_repeated", "Hops that came again for a token"
@@ -199,7 +199,9 @@
         key = stage_runs.attempt_key(message)
         run = self.runs.get(key)
         waiting = self._released_in_engine.get(key)
-        if run is not None and run.upstream_name == link.peer["name"]:
+        if run is not None and link.peer["name"] == (
+            run.upstream_name or run.lost_upstream_name
+        ):
             self.close(key)
         elif waiting is not None and _is_same_peer(waiting.link, link):
             self._released_in_engine[key] = None
@@ -287,7 +289,8 @@
             self._next_stages.replace_next_stage(run, message["reason"])
 
     def on_peer_up(self, peer_name: str) -> None:
-        """Resends results that may have been lost with an earlier link."""
+        """Resends what may have been lost with an earlier link."""
+        self._next_stages.on_peer_up(peer_name)
         for run in list(self.runs.values()):
             if (
                 run.is_last
@@ -321,8 +324,6 @@
             if stage_runs.alternate_for(run) is None:
                 waits = True
                 continue
-            message = {"type": "close", **run.attempt_fields}
-            self._peers.send(peer_name, message)
             self._next_stages.replace_next_stage(run, link_module.SILENCE)
         return waits
 
@@ -619,6 +620,7 @@
         """Releases a run later unless its previous stage reconnects."""
         peer_name = run.upstream_name
         run.upstream_name = ""
+        run.lost_upstream_name = peer_name
         self._reactor.callLater(
             UPSTREAM_GRACE_S, self._release_if_orphaned, run, peer_name
         )
--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -53,6 +53,7 @@
             ran an earlier token.
         upstream_name: Name of the peer that runs the previous stage; empty
             on the first stage and while the link to that peer is lost.
+        lost_upstream_name: Name of the peer to which that link was lost.
         upstream_rank: Rank of that stage; see `upstream_rank`.
         next_open_sent: Whether the next stage was asked for a reservation.
         next_reserved: Whether the next stage confirmed its reservation.
@@ -100,6 +101,7 @@
         self.cache_ready = True
         self.may_have_run = False
         self.upstream_name = ""
+        self.lost_upstream_name = ""
         self.upstream_rank: tuple[int, ...] = ()
         self.next_open_sent = False
         self.next_reserved = self.is_last
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -495,3 +495,17 @@
     assert_complete_answer(entry_link)
     simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
     assert_no_work_left(simulation)
+
+
+@pytest.mark.parametrize("simulation", SEEDS, indirect=True)
+def test_a_stage_that_lost_its_link_is_released_by_the_stage_before(
+    simulation,
+):
+    entry_link = simulation.start_request(TOKENS)
+    fault = (
+        simulation.rng.randrange(4, 60),
+        lambda simulation: simulation.abort_silent_link("s0r0", "s1r0"),
+    )
+    run_until_finished(simulation, entry_link, [fault])
+    assert_complete_answer(entry_link)
+    assert_no_work_left(simulation)
--- a/tests/unit/test_silent_stages.py
+++ b/tests/unit/test_silent_stages.py
@@ -287,3 +287,17 @@
     first_stage.advance(0.2)
     assert len(first_stage.later["c"].requests("open")) == 1
     assert len(first_stage.later["b"].requests("open")) == 1
+
+
+def test_a_replaced_stage_whose_link_was_closed_is_released_when_it_goes_on():
+    first_stage = FirstStage(["a", "b"])
+    first_stage.start()
+    first_stage.reserve("a")
+    silent = first_stage.later["a"]
+    silent.is_silent = True
+    first_stage.advance(0.9)
+    first_stage.reserve("b")
+    silent.is_silent = False
+    first_stage.advance(0.5)
+    closed = [message["request"] for message in silent.requests("close")]
+    assert closed == ["r1"]
