Play random silences of agents beside losses and other changes

Two agents of a model and two of a service work on requests and calls while they fall silent, end, announce that they leave, lose their registrations or get older ones back, and while models and services are withdrawn. Checked are the answers and their order, how often a request ran, refusals of calls that may have run, and the work left at agents.

Silences of up to 1.3 s without losses must cost no accepted request.

The stand-in of an agent keeps all of its connections. It had forgotten the older one when its registration came back, so that the entry saw the link as silent.

--- a/tests/unit/entry_simulation.py
+++ b/tests/unit/entry_simulation.py
@@ -1,6 +1,8 @@
 """An entry with stand-ins of agents, in memory and on a virtual clock."""
 
 import random
+from typing import Any
+from typing import NamedTuple
 
 from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock
@@ -49,12 +51,48 @@
     return documents.with_defaults(SETTINGS, schema)
 
 
+class Connection(NamedTuple):
+    """A connection between the entry and a stand-in of an agent.
+
+    Attributes:
+        entry_protocol: End of the entry.
+        link: End of the agent.
+        transports: Transports of the entry and of the agent.
+    """
+
+    entry_protocol: Any
+    link: link_module.Link
+    transports: tuple[
+        memory_links.MemoryTransport, memory_links.MemoryTransport
+    ]
+
+    def deliver_once(self):
+        """Delivers the bytes written so far; returns whether there were any.
+
+        The agent's end comes first.
+        """
+        from_entry, to_entry = (
+            bytes(transport.written) for transport in self.transports
+        )
+        for transport in self.transports:
+            transport.written.clear()
+        if from_entry:
+            self.link.dataReceived(from_entry)
+        if to_entry:
+            self.entry_protocol.dataReceived(to_entry)
+        return bool(from_entry or to_entry)
+
+    def is_closing(self):
+        """Returns whether an end has closed the connection."""
+        return any(transport.closing for transport in self.transports)
+
+
 class Agent:
     """A stand-in of an agent: records messages, sends what a test says.
 
     Attributes:
         messages: Messages of requests that it received, from all links.
-        link: Its end of the current link; None before the first one.
+        message_links: The link of each of these messages.
         is_silent: Whether it reads and writes nothing. Its kernel still
             accepts connections.
         is_gone: Whether its process has ended, so connections are refused.
@@ -64,13 +102,18 @@
     def __init__(self, clock, name):
         self.name = name
         self.messages = []
-        self.link = None
+        self.message_links = []
         self.is_silent = False
         self.is_gone = False
         self.process = f"process-{name}"
         self._clock = clock
-        self._transports = []
-        self._entry_protocol = None
+        self._connections = []
+
+    @property
+    def link(self):
+        """Its end of the newest link that is open, or None."""
+        links = [each.link for each in self._connections if each.link.is_open]
+        return links[-1] if links else None
 
     def accept(self, entry_protocol):
         """Accepts a connection of the entry."""
@@ -78,40 +121,32 @@
             self.process, "agent", self.name, "dc1", lambda: 1
         )
         handlers = link_module.Handlers(
-            lambda link: None,
-            lambda link, message: self.messages.append(message),
-            lambda link, reason: None,
+            lambda link: None, self._on_message, lambda link, reason: None
         )
-        self.link = link_module.AcceptedLink(
+        link = link_module.AcceptedLink(
             self._clock, settings()["links"], local, handlers
         )
-        self._entry_protocol = entry_protocol
-        self._transports = [
+        transports = (
             memory_links.MemoryTransport(),
             memory_links.MemoryTransport(),
-        ]
-        entry_protocol.makeConnection(self._transports[0])
-        self.link.makeConnection(self._transports[1])
+        )
+        self._connections.append(Connection(entry_protocol, link, transports))
+        entry_protocol.makeConnection(transports[0])
+        link.makeConnection(transports[1])
 
     def deliver(self):
         """Delivers bytes in both directions until none are left."""
-        while self.link is not None and not self.is_silent:
-            from_entry, to_entry = (
-                bytes(transport.written) for transport in self._transports
-            )
-            if not from_entry and not to_entry:
-                break
-            for transport in self._transports:
-                transport.written.clear()
-            self.link.dataReceived(from_entry)
-            self._entry_protocol.dataReceived(to_entry)
-        self._close_if_needed()
+        for connection in list(self._connections):
+            while not self.is_silent and connection.deliver_once():
+                pass
+            if connection.is_closing():
+                self._end(connection)
 
     def stop(self):
-        """Ends the process; its kernel closes the connection."""
+        """Ends the process; its kernel closes the connections."""
         self.is_gone = True
-        if self.link is not None:
-            self._end_link()
+        for connection in list(self._connections):
+            self._end(connection)
 
     def requests(self, message_type):
         """Returns the messages of a type, in the order of their arrival."""
@@ -121,17 +156,15 @@
             if message["type"] == message_type
         ]
 
-    def _close_if_needed(self):
-        if self.link is not None and any(
-            transport.closing for transport in self._transports
-        ):
-            self._end_link()
+    def _on_message(self, link, message):
+        self.messages.append(message)
+        self.message_links.append(link)
 
-    def _end_link(self):
+    def _end(self, connection):
+        self._connections.remove(connection)
         reason = failure.Failure(error.ConnectionDone())
-        link, self.link = self.link, None
-        link.connectionLost(reason)
-        self._entry_protocol.connectionLost(reason)
+        connection.link.connectionLost(reason)
+        connection.entry_protocol.connectionLost(reason)
 
 
 class EntryRun:
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -5,6 +5,7 @@
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.store import client
 from tests.unit import entry_simulation
+from tests.unit import silence_history
 
 SILENCE_S = 1.5
 
@@ -383,3 +384,18 @@
     assert answer_count > 0
     (error,) = entry_run.errors
     assert (error.http_status, error.ran) == (502, "unknown")
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_short_silences_beside_other_changes_lose_no_request(seed):
+    history = silence_history.History(seed, max_silence_s=1.3, losses=0)
+    history.play()
+    assert history.findings() == []
+    assert [error for error in history.run.errors if error.ran != "no"] == []
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_silences_beside_losses_break_no_guarantee(seed):
+    history = silence_history.History(seed, max_silence_s=2.6, losses=2)
+    history.play()
+    assert history.findings() == []
