--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -399,3 +399,26 @@
     history = silence_history.History(seed, max_silence_s=2.6, losses=2)
     history.play()
     assert history.findings() == []
+
+
+def test_a_request_outlives_a_silence_while_its_crashes_are_undecided(
+    entry_run,
+):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    agent.is_silent = True
+    entry_run.advance(0.5)
+    digest = agent.requests("start")[0]["digest"]
+    suspects = entry_run.entry.process.suspects
+    for target in ("gone1", "gone2"):
+        suspects.record_death(target, {digest: 0.5})
+    assert entry_run.suspect_state() == "undecided"
+    entry_run.advance(0.4)
+    assert entry_run.agents_with("start") == [agent]
+    agent.is_silent = False
+    entry_run.advance(entry_simulation.STEP_S)
+    entry_simulation.finish(agent, 0)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert len(entry_run.usages) == 1
