Confirm no reservation of a stage released during its rebuild

A stage that was released while its engine rebuilt the cache still confirmed its reservation, or reserved the next stage, once the rebuild ended. Found by reading; no wrong answer was seen from it.

Before: test_a_stage_released_during_its_rebuild_confirms_no_reservation failed with "assert not deque([{'type': 'opened', ...}])".

--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -439,6 +439,8 @@
     def _on_cache_rebuilt(
         self, outputs: list[engine_client.Output], run: stage_runs.StageRun
     ) -> None:
+        if not self._is_open(run):
+            return
         run.cache_ready = True
         if not run.is_last:
             run.kept_outputs = [output.data for output in outputs]
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -1,5 +1,6 @@
 import collections
 
+import cbor2
 import pytest
 
 from hemlocktiller._internal.agent import pipeline as pipeline_module
@@ -509,3 +510,31 @@
     run_until_finished(simulation, entry_link, [fault])
     assert_complete_answer(entry_link)
     assert_no_work_left(simulation)
+
+
+def test_a_stage_released_during_its_rebuild_confirms_no_reservation(
+    simulation,
+):
+    agent = simulation.agents["s2r0"]
+    link = pipeline_simulation.FakeLink(simulation, "s2r0", "s1r0")
+    open_message = {
+        "type": "open",
+        "request": "r1",
+        "attempt": 1,
+        "stage_index": 2,
+        "chain": [simulation.stages[index] for index in (0, 3, 6)],
+        "alternates": [],
+        "config_version": 1,
+        "priority": 0,
+        "expires_in_s": 30.0,
+        "rebuild_inputs": [cbor2.dumps([b"unit"])],
+        "rebuild_kv": b"",
+        "first_token": 1,
+        "digest": 1,
+        "traceparent": "",
+    }
+    agent.receive(link, open_message)
+    agent.receive(link, {"type": "close", "request": "r1", "attempt": 1})
+    agent.engine.complete_next_call()
+    assert not simulation.message_queues["s2r0", "s1r0"]
+    assert agent.engine.kv_caches == {}
