--- a/tests/unit/test_lost_target_links.py
+++ b/tests/unit/test_lost_target_links.py
@@ -20,3 +20,50 @@
     fleet.run(2 * fleet_simulation.RESTART_S)
     gc.collect()
     assert [link() for link in links] == [None] * 4
+
+
+def test_work_of_an_ended_entry_is_released_by_an_agent_that_goes_on(
+    monkeypatch,
+):
+    fleet = fleet_simulation.Fleet(monkeypatch, "crashing", agents=1)
+    agent = fleet.agents["a0"]
+    end = fleet.dial("a0")
+    connection = fleet._connections[-1]
+    # What a silent agent finds when it goes on: a start, then a closed link.
+    end.link.send(
+        {
+            "type": "start",
+            "request": "r1",
+            "attempt": 1,
+            "workspace": "w1",
+            "plan": "all",
+            "model": fleet_simulation.MODEL,
+            "config_version": 1,
+            "prompt": "a menu for the hall",
+            "max_tokens": 8,
+            "generated": [],
+            "cost_tokens": 8.0,
+            "worth": 1.0,
+            "expires_in_s": 30.0,
+            "credit_tokens": 100,
+            "chain": [
+                {
+                    "target": "a0",
+                    "host": "127.0.0.1",
+                    "port": 1000,
+                    "first_layer": 0,
+                    "end_layer": fleet_simulation.LAYERS,
+                }
+            ],
+            "alternates": [],
+            "digest": 1,
+            "traceparent": "",
+        }
+    )
+    connection.deliver()
+    assert agent.admission.running_count == 1
+    connection.lose()
+    fleet.run(0.5)
+    assert agent.admission.running_count == 0
+    assert agent.pipeline.runs == {}
+    assert len(fleet.begun) <= 1
