--- a/tests/unit/entry_simulation.py
+++ b/tests/unit/entry_simulation.py
@@ -302,8 +302,8 @@
         while self._handled_count < len(self.clock.tcpClients):
             _, port, factory, *_ = self.clock.tcpClients[self._handled_count]
             self._handled_count += 1
-            agent = self._agents_by_port[port]
-            if agent.is_gone:
+            agent = self._agents_by_port.get(port)
+            if agent is None or agent.is_gone:
                 factory.clientConnectionFailed(
                     None, failure.Failure(error.ConnectionRefusedError())
                 )
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -422,3 +422,17 @@
     entry_simulation.finish(agent, 0)
     entry_run.advance(entry_simulation.STEP_S)
     assert len(entry_run.usages) == 1
+
+
+def test_a_draining_entry_waits_for_the_call_of_a_silent_agent(entry_run):
+    agent = entry_run.add_service("a")
+    entry_run.call()
+    entry_run.entry._listening = entry_run.clock.listenTCP(0, None)
+    drained = entry_run.entry._drained
+    entry_run.entry.drain("test")
+    be_silent(entry_run, agent)
+    assert not drained.called
+    entry_simulation.answer_call(agent)
+    entry_run.advance(2.0)
+    assert [response.status for response in entry_run.responses] == [200]
+    assert len(agent.requests("call")) == 1
