Play calls at several silent agents and at one that stays silent

They run at no more agents than their attempts allow, and one that must not be repeated at no second one without its claim; nothing was broken.

--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -436,3 +436,38 @@
     entry_run.advance(2.0)
     assert [response.status for response in entry_run.responses] == [200]
     assert len(agent.requests("call")) == 1
+
+
+def test_silent_agents_count_against_the_attempts_of_a_call(entry_run):
+    for name in "abcdef":
+        entry_run.add_service(name)
+    entry_run.call(method="GET")
+    (agent,) = entry_run.agents_with("call")
+    reached = [agent]
+    for _ in range(6):
+        be_silent(entry_run, agent)
+        reached += set(entry_run.agents_with("call")) - set(reached)
+        agent = reached[-1]
+    max_attempts = entry_run.entry.settings["retries"]["attempts"]
+    assert len(reached) == max_attempts
+    assert entry_run.errors == []
+    entry_simulation.answer_call(agent)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert [response.status for response in entry_run.responses] == [200]
+
+
+@pytest.mark.parametrize("idempotency_key", ["", "k1"])
+def test_a_call_at_an_agent_that_stays_silent_runs_at_no_second_one(
+    entry_run, idempotency_key
+):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(idempotency_key=idempotency_key)
+    (silent,) = entry_run.agents_with("call")
+    silent.is_silent = True
+    entry_run.advance(1.7)
+    assert entry_run.agents_with("call") == [silent]
+    entry_run.advance(3.0)
+    # Only the claim of a call with a key may decide at another agent.
+    others = set(entry_run.agents_with("call")) - {silent}
+    assert len(others) == bool(idempotency_key)
