--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -5,6 +5,7 @@
 from hemlocktiller._internal.config import snapshot
 from hemlocktiller._internal.store import client
 from tests.unit import entry_simulation
+from tests.unit import silence_history
 
 SILENCE_S = 1.5
 
@@ -383,3 +384,90 @@
     assert answer_count > 0
     (error,) = entry_run.errors
     assert (error.http_status, error.ran) == (502, "unknown")
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_short_silences_beside_other_changes_lose_no_request(seed):
+    history = silence_history.History(seed, max_silence_s=1.3, losses=0)
+    history.play()
+    assert history.findings() == []
+    assert [error for error in history.run.errors if error.ran != "no"] == []
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_silences_beside_losses_break_no_guarantee(seed):
+    history = silence_history.History(seed, max_silence_s=2.6, losses=2)
+    history.play()
+    assert history.findings() == []
+
+
+def test_a_request_outlives_a_silence_while_its_crashes_are_undecided(
+    entry_run,
+):
+    entry_run.add_engine("a")
+    entry_run.add_engine("b")
+    entry_run.complete()
+    (agent,) = entry_run.agents_with("start")
+    agent.is_silent = True
+    entry_run.advance(0.5)
+    digest = agent.requests("start")[0]["digest"]
+    suspects = entry_run.entry.process.suspects
+    for target in ("gone1", "gone2"):
+        suspects.record_death(target, {digest: 0.5})
+    assert entry_run.suspect_state() == "undecided"
+    entry_run.advance(0.4)
+    assert entry_run.agents_with("start") == [agent]
+    agent.is_silent = False
+    entry_run.advance(entry_simulation.STEP_S)
+    entry_simulation.finish(agent, 0)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert len(entry_run.usages) == 1
+
+
+def test_a_draining_entry_waits_for_the_call_of_a_silent_agent(entry_run):
+    agent = entry_run.add_service("a")
+    entry_run.call()
+    entry_run.entry._listening = entry_run.clock.listenTCP(0, None)
+    drained = entry_run.entry._drained
+    entry_run.entry.drain("test")
+    be_silent(entry_run, agent)
+    assert not drained.called
+    entry_simulation.answer_call(agent)
+    entry_run.advance(2.0)
+    assert [response.status for response in entry_run.responses] == [200]
+    assert len(agent.requests("call")) == 1
+
+
+def test_silent_agents_count_against_the_attempts_of_a_call(entry_run):
+    for name in "abcdef":
+        entry_run.add_service(name)
+    entry_run.call(method="GET")
+    (agent,) = entry_run.agents_with("call")
+    reached = [agent]
+    for _ in range(6):
+        be_silent(entry_run, agent)
+        reached += set(entry_run.agents_with("call")) - set(reached)
+        agent = reached[-1]
+    max_attempts = entry_run.entry.settings["retries"]["attempts"]
+    assert len(reached) == max_attempts
+    assert entry_run.errors == []
+    entry_simulation.answer_call(agent)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert [response.status for response in entry_run.responses] == [200]
+
+
+@pytest.mark.parametrize("idempotency_key", ["", "k1"])
+def test_a_call_at_an_agent_that_stays_silent_runs_at_no_second_one(
+    entry_run, idempotency_key
+):
+    entry_run.add_service("a")
+    entry_run.add_service("b")
+    entry_run.call(idempotency_key=idempotency_key)
+    (silent,) = entry_run.agents_with("call")
+    silent.is_silent = True
+    entry_run.advance(1.7)
+    assert entry_run.agents_with("call") == [silent]
+    entry_run.advance(3.0)
+    # Only the claim of a call with a key may decide at another agent.
+    others = set(entry_run.agents_with("call")) - {silent}
+    assert len(others) == bool(idempotency_key)
