--- a/tests/functional/gateway_deployment.py
+++ b/tests/functional/gateway_deployment.py
@@ -171,8 +171,9 @@
 
     def read_journal(self) -> list[dict]:
         """Returns what the targets have recorded so far."""
-        lines = self.journal_file.read_text().splitlines()
-        return [json.loads(line) for line in lines]
+        # The last line may still be being written.
+        written = self.journal_file.read_text().rpartition("\n")[0]
+        return [json.loads(line) for line in written.splitlines()]
 
     def call_store(self, method: str, path: str, value=None) -> dict:
         """Sends one request to the store; returns the JSON answer."""
