--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -32,6 +32,9 @@
 # Each plays targets that are silent in turn, and no other fault.
 SILENCE_SEEDS = (806, 807, 809, 810)
 
+# Together they play silences beside each kind of event, and no other fault.
+MIXED_SILENCE_SEEDS = (1104, 1185)
+
 # Each plays a part of prompts that crashes targets, and no other fault.
 CRASH_SEEDS = (900, 901)
 
@@ -76,6 +79,15 @@
     assert kinds == {"draft", "booking", "lookup"}
 
 
+@pytest.mark.parametrize("seed", MIXED_SILENCE_SEEDS)
+def test_silences_that_meet_other_events_break_no_guarantee(seed, tmp_path):
+    extra = gateway_soak.ExtraFaults(mixed_silences=4, excludes_others=True)
+    problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
+    assert problems == []
+    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
+    assert kinds == {"draft", "booking", "lookup"}
+
+
 @pytest.mark.parametrize("seed", CRASH_SEEDS)
 def test_a_part_of_prompts_does_not_crash_target_after_target(seed, tmp_path):
     extra = gateway_soak.ExtraFaults(crashing_parts=1, excludes_others=True)
@@ -345,6 +357,16 @@
     assert lost_findings(LOST_DRAFT, journal=[other])
 
 
+def test_seeds_of_mixed_silences_cover_all_kinds():
+    extra = gateway_soak.ExtraFaults(mixed_silences=4, excludes_others=True)
+    kinds = {
+        fault.kind
+        for seed in MIXED_SILENCE_SEEDS
+        for fault in gateway_soak.schedule(seed, extra)
+    }
+    assert kinds == set(soak_silences.KINDS)
+
+
 def test_extra_faults_keep_the_draws_of_each_seed():
     only = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
     silences = gateway_soak.schedule(7, only)
