--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -40,7 +40,7 @@
 # long the new one is held back for the old one's range instead of becoming a
 # spare.
 SPARE_MIN_AGE_S = 4.0
-# A sound target may be silent for a second or so (issue 34), and its return
+# A sound target may be silent for a second or so, and its return
 # shows within a probe and the pause before it, 0.8 s. For this long after it
 # is marked as down it keeps its layers in the plan.
 MAX_SILENCE_S = 2.5
