--- a/tests/functional/test_undelimited_answers.py
+++ b/tests/functional/test_undelimited_answers.py
@@ -9,6 +9,7 @@
 from tests.fakes import platform_target
 from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
+from tests.functional import soak_checks
 
 STREAM_COUNT = 12
 CALLER_TIMEOUT_S = 8.0
@@ -59,7 +60,7 @@
             whole_count += 1
             assert exchange.body == b"".join(
                 platform_target.event_of(request_id, event_number)
-                for event_number in range(1, gateway_soak.EVENT_COUNT + 1)
+                for event_number in range(1, soak_checks.EVENT_COUNT + 1)
             )
     assert whole_count > STREAM_COUNT / 2
 
@@ -76,7 +77,7 @@
             f"Request-Id: {request_id}\r\n"
             "Deadline-Ms: 8000\r\n"
             f"Key: {gateway_deployment.API_KEY}\r\n"
-            f"Token-Usage: 100,{gateway_soak.EVENT_COUNT}\r\n"
+            f"Token-Usage: 100,{soak_checks.EVENT_COUNT}\r\n"
             "Content-Length: 2\r\n\r\n{}"
         ).encode()
     )
@@ -99,7 +100,7 @@
         while data := connection.recv(65536):
             received += data
     last_event = platform_target.event_of(
-        "without-chunks-1", gateway_soak.EVENT_COUNT
+        "without-chunks-1", soak_checks.EVENT_COUNT
     )
     assert received.endswith(last_event)
 
