Send a refused run elsewhere once, and count its replacement

Callers' requests could run at more targets than their route allows, and a sound run was cancelled. A run was still connecting when a probe of another request found its target silent, so that a replacement was sent beside it. Then the connection was refused: marking the target as down told the stream of its end, which made the replacement the current run or sent a new one; back from that, the stream took the new run for the refused one, cancelled it, and did not count its target as an attempt ("3 <= 2 ... {'b0', 'c0', 'd0'}").

Cause: a notification that is delivered inside `mark_down` changed the attempt that the caller went on with. The attempt's number shows that now. Without a replacement each refused connection took two dispatches and retries ("2 == 1").

Ruled out: that the connection of the second dispatch reached its target; it was cancelled before it was made. The three tests failed before.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -899,10 +899,11 @@
         another target.
         """
         if not self._is_streaming and failure.was_refused:
+            attempt_number = self._attempt_number
             self._context.targets.mark_down(
                 target, failure.reason, has_ended=True
             )
-            if self.path:
+            if self.path and attempt_number == self._attempt_number:
                 self._reroute(failure.reason, may_have_run=False)
             return
         path = self.path
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -1,6 +1,8 @@
 """A sound target may fall silent for a second or so and then go on."""
 
 import pytest
+from twisted.internet import error
+from twisted.python import failure
 
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
@@ -794,3 +796,79 @@
     stay_silent(harness, 2.8)
     assert "refused" not in names
     assert "no_replacement" in names
+
+
+def test_a_refused_stream_is_dispatched_once_more(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "abc")
+    harness.start_stream(harness.admit(model_service, stream_route))
+    before = harness.budget.remaining(harness.reactor.seconds())
+    harness.refuse_connection()
+    attempts = []
+    while harness.pending_connection_count():
+        connection = harness.accept_connection()
+        if not is_probe(connection):
+            attempts.append(connection)
+    assert len(attempts) == 1
+    assert before - harness.budget.remaining(harness.reactor.seconds()) <= 1
+
+
+def start_refused_run_with_replacement(harness, service, route):
+    """Returns a request and its replacement, as its first run is refused.
+
+    The connection of the first run is pending while another request's probe
+    finds its target silent.
+    """
+    register_chains(harness, "abcd")
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    _, port, factory, *_ = harness.reactor.tcpClients[0]
+    harness._handled_count = 1
+    name = next(
+        one.name
+        for one in harness.targets.by_name.values()
+        if one.port == port
+    )
+    make_silent(harness, name)
+    replacement = harness.accept_connection()
+    assert not is_probe(replacement)
+    harness.advance_clock(0.1)
+    # It turned another request down.
+    harness.dispatcher.mark_full(
+        harness.targets.by_name[path_target_names(replacement)[0]]
+    )
+    factory.clientConnectionFailed(
+        None, failure.Failure(error.ConnectionRefusedError())
+    )
+    return admitted, replacement
+
+
+def test_a_replacement_goes_on_as_the_silent_run_is_refused(
+    harness, model_service, stream_route
+):
+    admitted, replacement = start_refused_run_with_replacement(
+        harness, model_service, stream_route
+    )
+    assert not replacement.transport.disconnecting
+    assert answer_probes(harness, 0.1) is None
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 0)
+
+
+def test_a_replacement_counts_as_an_attempt_as_the_silent_run_is_refused(
+    harness, model_service, stream_route
+):
+    _, replacement = start_refused_run_with_replacement(
+        harness, model_service, stream_route
+    )
+    first_targets = {path_target_names(replacement)[0]}
+    for name in first_targets:
+        harness.targets.mark_down(harness.targets.by_name[name], "no answer")
+    for _ in range(40):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            one = harness.accept_connection()
+            if not is_probe(one):
+                first_targets.add(path_target_names(one)[0])
+    assert len(first_targets) <= stream_route.max_targets, first_targets
