Send a stream that was not sent yet elsewhere as its target ends

A stream that must not be repeated was answered 502 as its first target refused the connection, although it had been sent to no target. The end of the target reached the stream as that of a run that may have begun. It now goes elsewhere unless its connection was made. The test failed before: "'whole' == ''".

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -234,7 +234,8 @@
             if has_ended:
                 self._cancel_sent_replacement()
         if has_ended and _is_on_path(target, self.path):
-            self._reroute(reason)
+            was_sent = self._exchange is None or self._exchange.is_sent
+            self._reroute(reason, may_have_run=was_sent)
             return
         if _is_on_path(target, self.path):
             self._down_reason = reason
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -814,6 +814,18 @@
     assert before - harness.budget.remaining(harness.reactor.seconds()) <= 1
 
 
+def test_a_refused_stream_that_must_not_be_repeated_goes_elsewhere(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    register_chains(harness, "abc")
+    admitted = harness.admit(model_service, route)
+    harness.start_stream(admitted)
+    harness.refuse_connection()
+    assert admitted.caller_request.ending == ""
+    assert harness.pending_connection_count()
+
+
 def start_refused_run_with_replacement(harness, service, route):
     """Returns a request and its replacement, as its first run is refused.
 
