Drop a refused replacement before its target is marked as down

Marking the target as down looked for the next replacement at once, which the handler of the failed one then cancelled and counted as an attempt: a retry, a dispatch and an attempt of the route for nothing. The test failed before: "4 == 3" dispatches.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -575,14 +575,14 @@
         targets = self._context.targets
         path = replacement.path
         first_target = path[0].target
+        if not failure.was_sent:
+            replacement.path = ()
+        self._cancel_sent_replacement()
         if failure.was_refused:
             targets.mark_down(first_target, failure.reason, has_ended=True)
         targets.record_connection_lost(first_target)
         if failure.was_sent and not self._has_produced_output():
             self._record_early_failure(path)
-        if not failure.was_sent:
-            replacement.path = ()
-        self._cancel_sent_replacement()
         for stage in path:
             targets.probe_suspect(stage.target, failure.reason)
 
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -826,6 +826,32 @@
     assert harness.pending_connection_count()
 
 
+def test_a_refused_replacement_does_not_cancel_the_next_one(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=3)
+    start_answered_stream(harness, model_service, route, "abcd")
+    is_refused = False
+    while not is_refused:
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count() and not is_refused:
+            factory = harness.reactor.tcpClients[harness._handled_count][2]
+            request = factory._exchange._connection._request_head
+            is_refused = request.target != b"/report"
+            if is_refused:
+                harness.refuse_connection()
+            else:
+                harness.accept_connection()
+    harness.advance_clock(0.1)
+    requests = [
+        factory._exchange._connection._request_head
+        for _, _, factory, *_ in harness.reactor.tcpClients
+    ]
+    attempts = [one for one in requests if one.target != b"/report"]
+    assert len(attempts) == 3
+    assert harness.dispatcher.occupancy.reservation_count() == 2
+
+
 def start_refused_run_with_replacement(harness, service, route):
     """Returns a request and its replacement, as its first run is refused.
 
