Take no rejected run for evidence of a crash

A silent run that its target rejected (503, not run) gave way to its replacement, and was recorded as one that failed without output at the stages that were down. When such a stage ended, the request was suspected of having crashed it, and could be rejected (422) at the next death. It had run nowhere, which is what counts now. The test failed before: "'suspect' == 'clear'".

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -589,7 +589,7 @@
     def _adopt_replacement(self, replacement, attempt_may_have_started):
         """Makes a replacement the current attempt, and abandons that one."""
         self._replacement = None
-        if not self._has_produced_output():
+        if attempt_may_have_started and not self._has_produced_output():
             is_down = self._context.targets.is_down
             self._record_early_failure(
                 [stage for stage in self.path if is_down(stage.target)]
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -910,3 +910,18 @@
             if not is_probe(one):
                 first_targets.add(path_target_names(one)[0])
     assert len(first_targets) <= stream_route.max_targets, first_targets
+
+
+def test_a_rejected_run_is_no_evidence_of_a_crash(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "abc")
+    admitted = harness.admit(model_service, stream_route)
+    stream = harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    later = harness.targets.by_name[path_target_names(connection)[1]]
+    stay_silent(harness)
+    connection.respond(REJECTION)
+    refuse_probes(harness, later, 1.0)
+    assert harness.targets.has_ended(later)
+    assert harness.context.crash_evidence.state(stream.digest) == "clear"
