--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -112,8 +112,7 @@
         self._started_attempts = 0
         # All attempts, including those that targets rejected.
         self._dispatch_count = 0
-        # Those of replacements that were cancelled as the silent attempt
-        # went on.
+        # Those of replacements that were cancelled as the silent run went on.
         self._needless_dispatch_count = 0
         # First targets of the attempts that may have started to run.
         self._started_at_targets: list[fleet.Target] = []
@@ -455,7 +454,7 @@
         admitted = self._admitted
         now_s = self._context.reactor.seconds()
         may_reroute = admitted.route.may_repeat or not may_have_run
-        if not may_reroute or not self._may_dispatch_again():
+        if not may_reroute or not self._may_dispatch_again(is_lost=True):
             self._fail(reason, may_have_run)
             return
         if not self._spend_retry(now_s, is_lost=True):
@@ -495,7 +494,7 @@
             self._sought_replacement is not None
             or self._has_sound_replacement()
             or not self._admitted.route.may_repeat
-            or not self._may_dispatch_again()
+            or not self._may_dispatch_again(is_lost=False)
             or not self._may_spend_retry(now_s, is_lost=False)
             or self._crash_state() in ("condemned", "undecided")
         ):
@@ -639,14 +638,21 @@
     def _crash_state(self):
         return self._context.crash_evidence.state(self.digest)
 
-    def _may_dispatch_again(self):
+    def _may_dispatch_again(self, is_lost):
+        """Returns whether the request may be dispatched once more.
+
+        Dispatches of needless replacements don't count once the run is lost.
+
+        Args:
+            is_lost: Whether its run is lost, instead of being silent.
+        """
+        dispatch_count = self._dispatch_count
+        if is_lost:
+            dispatch_count -= self._needless_dispatch_count
         max_dispatches = (
             MAX_EXTRA_DISPATCHES + self._admitted.route.max_targets
         )
-        return self._counted_dispatches() < max_dispatches
-
-    def _counted_dispatches(self):
-        return self._dispatch_count - self._needless_dispatch_count
+        return dispatch_count < max_dispatches
 
     def _may_reroute(self, now_s):
         """Returns whether a silent attempt may be replaced by another."""
@@ -654,7 +660,7 @@
             self._retry_budget().remaining(now_s)
             >= RETRIES_RESERVED_FOR_RESUMING + 1
         )
-        has_dispatches = self._counted_dispatches() < MAX_EXTRA_DISPATCHES
+        has_dispatches = self._dispatch_count < MAX_EXTRA_DISPATCHES
         return has_retries and has_dispatches and self._may_run_again()
 
     def _may_spend_retry(self, now_s, is_lost):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -925,3 +925,18 @@
     refuse_probes(harness, later, 1.0)
     assert harness.targets.has_ended(later)
     assert harness.context.crash_evidence.state(stream.digest) == "clear"
+
+
+def test_needless_replacements_of_one_stream_are_bounded(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    count = 0
+    for number in range(2, 16):
+        harness.budget.record_success(harness.reactor.seconds())
+        count += len(stay_silent(harness, 0.8))
+        answer_probes(harness, 0.5)
+        connection.respond(chunk(event(number)))
+    assert count <= 6, count
