Withdraw evidence of a crash with the end of the target

The target was back at 44.4 s. A second death, which was real, made the suspicion stand.

Cause: a target that registers again, or answers with something other than the report of a probe, took back its own end and not the evidence drawn from it. Both are withdrawn together now. The test failed before: "'suspect' == 'clear'".

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -97,7 +97,8 @@
         on_down: Called with a target that was marked as down, or whose
             process was replaced, and with the reason.
         on_survival: Called with a target that has answered a probe as the
-            process that was registered.
+            process that was registered, or that was wrongly believed to
+            have ended.
         on_change: Called after any change of registrations or health.
         on_health: Called when this process marks a target as down or up,
             with the target, whether it is down, and the reason.
@@ -819,6 +820,11 @@
             reason=end.reason,
             evidence=evidence,
         )
+        self._notify_survival(target)
+
+    def _notify_survival(self, target):
+        for callback in list(self.on_survival):
+            callback(target)
 
     def _reset_health(self, name):
         """Drops what is known about the health of an earlier process."""
@@ -884,8 +890,7 @@
 
     def _on_report_probe_answered(self, target, report):
         if report.born_ms == target.born_ms:
-            for callback in list(self.on_survival):
-                callback(target)
+            self._notify_survival(target)
         self._on_probe_answered(target)
 
     def _on_health_probe_answered(self, target):
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -940,3 +940,22 @@
         answer_probes(harness, 0.5)
         connection.respond(chunk(event(number)))
     assert count <= 6, count
+
+
+def test_a_withdrawn_end_is_no_evidence_of_a_crash(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    stream = harness.start_stream(admitted)
+    name = path_target_names(harness.accept_connection())[0]
+    target = harness.targets.by_name[name]
+    make_silent(harness, name)
+    harness.targets.apply_registrations([], [name], False, 2)
+    stay_silent(harness, 3.0)
+    assert harness.targets.has_ended(target)
+    assert harness.context.crash_evidence.state(stream.digest) != "clear"
+    harness.targets.apply_registrations(
+        [client.StoredObject("t", name, 3, target)], [], False, 3
+    )
+    assert harness.context.crash_evidence.state(stream.digest) == "clear"
