--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -649,10 +649,10 @@
 
     def _may_reroute(self, now_s):
         """Returns whether a silent attempt may be replaced by another."""
-        has_retries = (
-            self._retry_budget().remaining(now_s)
-            >= RETRIES_RESERVED_FOR_RESUMING + 1
-        )
+        min_retries = RETRIES_RESERVED_FOR_RESUMING
+        if not self._event_count:
+            min_retries += 1
+        has_retries = self._retry_budget().remaining(now_s) >= min_retries
         has_dispatches = self._counted_dispatches() < MAX_EXTRA_DISPATCHES
         return has_retries and has_dispatches and self._may_run_again()
 
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -794,3 +794,16 @@
     stay_silent(harness, 2.8)
     assert "refused" not in names
     assert "no_replacement" in names
+
+
+def test_a_run_that_hangs_at_sound_targets_is_replaced_by_an_unreserved_retry(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    spend_retries(harness, 3)
+    replacement = answer_probes(harness, 1.3)
+    assert replacement is not None
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 1)
