--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -959,3 +959,16 @@
         [client.StoredObject("t", name, 3, target)], [], False, 3
     )
     assert harness.context.crash_evidence.state(stream.digest) == "clear"
+
+
+def test_a_run_that_hangs_at_sound_targets_is_replaced_by_an_unreserved_retry(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_answered_stream(
+        harness, model_service, stream_route, "ab"
+    )
+    spend_retries(harness, 3)
+    replacement = answer_probes(harness, 1.3)
+    assert replacement is not None
+    replacement.respond(RESPONSE_HEAD)
+    go_on(harness, admitted, replacement, 1)
