--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -431,6 +431,7 @@
                 time.sleep(fault.duration_s / overlap_count)
                 if number >= overlap_count - 1:
                     targets[number - overlap_count + 1].resume()
+            time.sleep(soak_silences.RECOVERY_S)
 
     def _select_silent_targets(self, fault):
         """Returns targets that began runs, or else the later stages."""
