--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -14,7 +14,8 @@
 CONDEMNED_PART = "targets died while they ran a part of this prompt"
 STALE_CONFIG = "stale_config"
 STALE_CONFIG_WAIT_S = 0.1  # The target sends the newer version meanwhile.
-PAUSED_TARGET_WAIT_S = 0.1
+# How often a request without a route asks for a silent target again.
+SILENT_TARGET_POLL_S = 0.1
 
 
 class BaseRequest:
@@ -71,9 +72,9 @@
     def on_target_silent(self) -> None:
         """Moves to another target, if the request may run there too.
 
-        Otherwise the attempt continues, as its target may be only paused.
+        Otherwise the attempt continues, as its target may only be silent.
         """
-        if not self._is_repeatable or not self._is_permitted_elsewhere():
+        if not self._is_repeatable or not self._try_authorize_elsewhere():
             return
         route = self._choose_route(self._excluded_targets | {self.target.name})
         if route is None or not request_context.consume_retry(
@@ -173,11 +174,13 @@
             and self._reauthorize_call()
         )
 
-    def _is_permitted_elsewhere(self) -> bool:
-        """Returns whether another attempt is permitted now.
+    def _try_authorize_elsewhere(self) -> bool:
+        """Authorizes another attempt under the newest configuration.
 
-        Unlike `_prepare_attempt`, this never fails the request. If it is
-        permitted, the newest configuration applies to its routes.
+        Unlike `_prepare_attempt`, this never fails the request.
+
+        Returns:
+            Whether it is permitted, also by the evidence of crashes.
         """
         state = self._context.suspects.state(self.call.request_digest)
         part = self._context.part_evidence.condemned_part(self.prompt_parts)
@@ -250,7 +253,7 @@
         )
         routing_state.circuit_breakers.record_sent(target_name, now_s)
 
-    def _wait_for_paused_target(self) -> bool:
+    def _wait_for_silent_target(self) -> bool:
         """Waits for a silent target, if one may soon continue the request.
 
         A request that did not run is refused instead.
@@ -262,10 +265,10 @@
             target.name not in self._excluded_targets
             and self._is_served_by(target.record)
             and routes.is_allowed(self.call.caller.workspace_view, target)
-            for target in self._context.targets.paused()
+            for target in self._context.targets.recently_silent()
         )
         if may_continue:
-            self._schedule_attempt(PAUSED_TARGET_WAIT_S)
+            self._schedule_attempt(SILENT_TARGET_POLL_S)
         return may_continue
 
     def _schedule_attempt(self, wait_s: float) -> None:
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -250,7 +250,7 @@
 
     def _on_no_route(self) -> None:
         """Waits, retries with the excluded targets allowed, or fails."""
-        if self._wait_for_paused_target():
+        if self._wait_for_silent_target():
             return
         if not self._excluded_targets or not self._consume_retry("no_target"):
             self._fail_with_reason("no_target")
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -21,8 +21,8 @@
 from hemlocktiller._internal.store import vms as vms_module
 
 TARGET_KIND = "target"
-# How long a silent target is expected to go on, once its silence is noticed.
-PAUSE_WAIT_S = 2.0
+# A sound target goes on within this time after its silence is noticed.
+MAX_SILENCE_S = 2.0
 
 LIVE_TARGETS = prometheus_client.Gauge(
     "hemlocktiller_live_targets", "Targets with an open link"
@@ -187,9 +187,9 @@
             if target.record["service"] == service and target.is_usable
         ]
 
-    def paused(self) -> list[Target]:
+    def recently_silent(self) -> list[Target]:
         """Returns the silent targets that may soon take requests again."""
-        earliest_s = self._reactor.seconds() - PAUSE_WAIT_S
+        earliest_s = self._reactor.seconds() - MAX_SILENCE_S
         return [
             target
             for target in self.by_name.values()
