Probe a target that falls silent after its registration was removed

A target whose registration was removed while it answered, and that went dark only then, never counted as ended: its streams waited for their deadlines, and a route whose attempts were used up never got another target for them.

The stream did report the silence, but `probe_suspect` returned for every process that is not the registered one. Only a target that was down as it was removed, or lost a connection, was probed. `probe_suspect` now hands a process whose name is free and that is not known to have ended to `_probe_removed`, which already decides between silence, refusals and answers, and of which one series runs at a time. A process replaced under its name has ended, as before.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -430,11 +430,16 @@
             self._probe_removed(target)
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
-        """Probes a target, unless a probe is already in progress."""
-        if (
-            not self._is_registered(target)
-            or target.process_id in self._probing
-        ):
+        """Probes a target, unless a probe is already in progress.
+
+        One that is no longer registered is probed until it answers or is known
+        to have ended.
+        """
+        if not self._is_registered(target):
+            if target.name not in self.by_name and not self.has_ended(target):
+                self._probe_removed(target)
+            return
+        if target.process_id in self._probing:
             return
         events.emit("target_suspected", target=target.name, reason=reason)
         self._probe(target)
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -18,6 +18,7 @@
 from tests.unit.gateway.test_silent_targets import stay_silent
 from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
+from tests.unit.gateway.test_streams import is_probe
 from tests.unit.gateway.test_streams import path_target_names
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
 from tests.unit.gateway.test_streams import RESPONSE_HEAD
@@ -568,6 +569,26 @@
     assert not harness.targets.is_down(target)
 
 
+def test_a_target_that_falls_silent_after_its_registration_is_probed(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=1)
+    _, connection = start_answered_stream(harness, model_service, route, "ab")
+    removed = first_target(harness, connection)
+    remove_registration(harness, removed.name)
+    attempts = []
+    for _ in range(60):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            pending = harness.accept_connection()
+            if not is_probe(pending):
+                attempts.append(pending)
+            elif pending.port != removed.port:
+                pending.respond(REPORT_RESPONSE)
+    assert harness.targets.has_ended(removed)
+    assert attempts
+
+
 def test_unanswered_probes_end_no_removed_target_whose_response_arrives(
     harness, model_service, stream_route
 ):
