Count no silence of a target while it is not probed in a pause

A target gets one probe in a pause that it asked for. One that missed it was down for the rest of the pause, up to 66 s, without another probe that could show it as up; after MAX_SILENCE_S `not_lost` left it out and the layout controller had its layers loaded elsewhere, though it was silent for 0.3 s.

A probe that is put off to the end of a pause now moves the start of the silence there, so only the time in which the target could have answered counts. It is lost as before if it stays silent after the pause, and at once if it refuses. Ignoring the pause in `not_lost` instead was ruled out: the target would be lost at the end of the pause, until its next probe is answered.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -135,7 +135,8 @@
         self._adapter = adapter
         self._health_path = health_path
         self._circuit_breakers = breaker.CircuitBreakers()
-        # Time since which targets are down, by name.
+        # Time since which targets are down, by name; the end of the pause if
+        # they are not probed in one.
         self._down_since_s: dict[str, float] = {}
         # Ids of the processes that are being probed.
         self._probing: set[str] = set()
@@ -238,8 +239,9 @@
 
         Args:
             service: Name of the service.
-            max_silence_s: Targets that have been down for longer are left
-                out, as well as those known to have ended.
+            max_silence_s: Targets that have been down for longer, without
+                pauses that they asked for, are left out, as well as those
+                known to have ended.
         """
         now_s = self._reactor.seconds()
         return [
@@ -855,9 +857,10 @@
         now_s = self._reactor.seconds()
         if not self._pauses.try_probe(process_id, now_s):
             if target.name in self._down_since_s:
-                self._reactor.callLater(
-                    self.pause_left_s(target), self._probe_down, target
-                )
+                pause_left_s = self.pause_left_s(target)
+                # Nothing shows meanwhile whether it is still silent.
+                self._down_since_s[target.name] = now_s + pause_left_s
+                self._reactor.callLater(pause_left_s, self._probe_down, target)
             return
         self._probing.add(process_id)
         self._send_probe(
--- a/tests/unit/gateway/test_pauses.py
+++ b/tests/unit/gateway/test_pauses.py
@@ -2,8 +2,11 @@
 
 import pytest
 
+from hemlocktiller._internal.gateway import layout_controller
 from hemlocktiller._internal.gateway import targets as targets_module
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import make_silent
+from tests.unit.gateway.test_silent_targets import stay_silent
 from tests.unit.gateway.test_streams import accept_attempt
 from tests.unit.gateway.test_streams import make_two_chains
 from tests.unit.gateway.test_streams import path_target_names
@@ -134,6 +137,30 @@
     assert probe_count == 1
 
 
+def test_a_target_in_a_pause_is_not_lost_as_it_missed_one_probe(harness):
+    max_silence_s = layout_controller.MAX_SILENCE_S
+    harness.register(make_target("a", first_layer=0, end_layer=80))
+    target = harness.targets.by_name["a"]
+    harness.targets.record_response_head(target, 503, [(b"Pause", b"9.0")])
+    make_silent(harness, "a")
+    while not harness.pending_connection_count():
+        assert harness.targets.not_lost("model", max_silence_s) == [target]
+        harness.reactor.advance(0.1)
+    assert harness.targets.pause_left_s(target) == 0
+    assert harness.targets.not_lost("model", max_silence_s) == [target]
+    stay_silent(harness, max_silence_s + 0.5)
+    assert harness.targets.not_lost("model", max_silence_s) == []
+
+
+def test_a_target_that_refused_a_probe_in_a_pause_is_lost(harness):
+    harness.register(make_target("a", first_layer=0, end_layer=80))
+    target = harness.targets.by_name["a"]
+    harness.targets.record_response_head(target, 503, [(b"Pause", b"9.0")])
+    harness.targets.probe_suspect(target, "silent")
+    harness.refuse_connection()
+    assert harness.targets.not_lost("model", 60.0) == []
+
+
 def test_a_target_down_in_a_pause_is_probed_again_after_it(harness):
     target = make_target("a0", first_layer=0, end_layer=80)
     harness.register(target)
