--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -248,6 +248,33 @@
     assert down_reasons == []
 
 
+@pytest.mark.parametrize("is_later_first", [True, False])
+@pytest.mark.parametrize("is_full_listing", [True, False])
+def test_a_target_at_a_reused_address_has_not_ended_if_a_clock_was_set_back(
+    harness, is_full_listing, is_later_first
+):
+    earlier = make_target("a", born_ms=9, port=4000)
+    later = make_target("b", born_ms=5, port=4000)
+    stored = [
+        client.StoredObject("t", "a", 1, earlier),
+        client.StoredObject("t", "b", 2, later),
+    ]
+    if is_later_first:
+        stored.reverse()
+    harness.targets.apply_registrations(stored, [], is_full_listing, 2)
+    assert not harness.targets.has_ended(later)
+    assert harness.targets.has_ended(earlier)
+    assert available_names(harness) == ["b"]
+
+
+def test_a_restored_store_ends_no_later_target_at_a_reused_address(harness):
+    later = make_target("b", born_ms=9, port=4000)
+    harness.register(later)
+    list_restored(harness, make_target("a", born_ms=5, port=4000), later)
+    assert not harness.targets.has_ended(later)
+    assert available_names(harness) == ["b"]
+
+
 def test_a_restart_after_a_restore_replaces_the_earlier_process(harness):
     harness.register(make_target("a", born_ms=5))
     target = harness.targets.by_name["a"]
