Take only a report of the same start as proof at a stream's end

A stream that no framing delimits could be ended as whole though one of its targets was lost in mid-stream, so that the caller got a cut answer as complete.

Two things counted as survival that prove nothing: a report without a start time, which another process may have sent, and a pause that a target had asked for at any time before, also before it was lost. Now only a report of an equal start confirms, one of another start is a loss, and one whose start can't be compared leaves the target to be asked again, as after a failed report.

A target in a pause is asked if the one probe of that pause is left, and not again before its end. The caller then gets nothing new until the pause is over and the target confirms, or the stream goes on from its last event at another path, as for a silent target; a stream that must not be repeated is cut at its deadline if the pause lasts longer. That goes as well for targets that never report the start that they registered.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -30,7 +30,7 @@
             are removed, so that a later call asks only the others.
         on_result: Called with None after all targets have answered, else
             with the first one that was lost, and the reason.
-        on_silent: Called with a target that gave no report, and the reason;
+        on_silent: Called with a target that gave no proof, and the reason;
             it may do so later.
     """
     is_decided = False
@@ -41,6 +41,12 @@
             is_decided = True
             on_result(lost_target, reason)
 
+    def wait_for(target: fleet.Target, reason: str) -> None:
+        nonlocal is_decided
+        if not is_decided:
+            is_decided = True
+            on_silent(target, reason)
+
     def on_survival(target: fleet.Target) -> None:
         if targets.is_leaving(target):
             # It may have stopped at the end of its drain, in mid-stream.
@@ -51,28 +57,28 @@
             decide(None)
 
     def on_report(target: fleet.Target, report: model.TargetReport) -> None:
-        if targets_module.is_other_process(report, target):
+        if report.born_ms == target.born_ms:
+            on_survival(target)
+        elif targets_module.is_other_process(report, target):
             decide(target, "started again")
         else:
-            on_survival(target)
+            wait_for(target, "no start time")
 
     def on_failed(
         target: fleet.Target, failure: http_exchange.ExchangeFailure
     ) -> None:
-        nonlocal is_decided
         if targets.shows_end(target, failure) or targets.has_ended(target):
             decide(target, failure.reason)
-        elif not is_decided:
-            is_decided = True
-            on_silent(target, failure.reason)
+        else:
+            wait_for(target, failure.reason)
 
     for target in list(unconfirmed.values()):
         if targets.has_ended(target):
             decide(target, "has ended")
             return
-        if targets.pause_left_s(target) > 0:
-            # It has answered this process after the start of the stream.
-            on_survival(target)
+        if not targets.try_probe(target):
+            # The pause may be older than the end of the stream.
+            wait_for(target, "in a pause")
             continue
         targets.request_report(
             target,
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -326,6 +326,15 @@
             return 0.0
         return self._pauses.left_s(target.process_id, self._reactor.seconds())
 
+    def try_probe(self, target: fleet.Target) -> bool:
+        """Returns whether a target may be probed now, and counts the probe.
+
+        One in a pause is probed once.
+        """
+        return self._pauses.try_probe(
+            target.process_id, self._reactor.seconds()
+        )
+
     def service_pause_s(self, service: str) -> float:
         """Returns how long no target of a service wants requests.
 
@@ -776,9 +785,7 @@
         probe_again = functools.partial(
             self._probe_removed_again, target, probes_left - 1
         )
-        if not self._pauses.try_probe(
-            target.process_id, self._reactor.seconds()
-        ):
+        if not self.try_probe(target):
             self._reactor.callLater(self.pause_left_s(target), probe_again)
             return
 
@@ -868,12 +875,13 @@
         process_id = target.process_id
         if not self._is_registered(target) or process_id in self._probing:
             return
-        now_s = self._reactor.seconds()
-        if not self._pauses.try_probe(process_id, now_s):
+        if not self.try_probe(target):
             if target.name in self._down_since_s:
                 pause_left_s = self.pause_left_s(target)
                 # Nothing shows meanwhile whether it is still silent.
-                self._down_since_s[target.name] = now_s + pause_left_s
+                self._down_since_s[target.name] = (
+                    self._reactor.seconds() + pause_left_s
+                )
                 self._reactor.callLater(pause_left_s, self._probe_down, target)
             return
         self._probing.add(process_id)
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -9,6 +9,7 @@
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import answer_probes
 from tests.unit.gateway.test_silent_targets import go_on
 from tests.unit.gateway.test_silent_targets import make_silent
 from tests.unit.gateway.test_silent_targets import refuse_probes
@@ -221,6 +222,79 @@
     assert admitted.caller_request.ending == "whole"
 
 
+def end_unframed_stream(harness, service, route):
+    """Returns a request whose targets are asked whether they outlived it."""
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    return admitted
+
+
+def test_a_report_without_a_start_time_is_no_proof_of_survival(
+    harness, model_service, stream_route
+):
+    harness.targets._adapter = harness.adapter._replace(
+        decode_report=lambda body: model.TargetReport(0, 0, False, 1.0, 0, 0)
+    )
+    register_chains(harness, "a")
+    admitted = end_unframed_stream(harness, model_service, stream_route)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == ""
+    harness.targets._adapter = harness.adapter
+    answer_probes(harness, 2.0)
+    assert admitted.caller_request.ending == "whole"
+
+
+def start_pause(harness, names, pause_s):
+    """Lets targets ask for a pause."""
+    for name in names:
+        harness.targets.record_response_head(
+            harness.targets.by_name[name], 503, [(b"Pause", b"%f" % pause_s)]
+        )
+
+
+def test_a_pause_is_no_proof_that_a_target_outlived_a_stream(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    start_pause(harness, ("a0", "a40"), 5.0)
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    assert admitted.caller_request.ending == ""
+    # Each gets the one probe of its pause.
+    answer_probes(harness, 0.1)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_target_probed_in_its_pause_confirms_a_stream_after_it(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    start_pause(harness, ["a0"], 2.0)
+    harness.targets.probe_suspect(harness.targets.by_name["a0"], "test")
+    answer_probes(harness, 0.1)
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    for _ in range(17):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            report = harness.accept_connection()
+            assert report.port == 4040
+            report.respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == ""
+    answer_probes(harness, 1.5)
+    assert admitted.caller_request.ending == "whole"
+
+
 @pytest.mark.parametrize("is_silent", [True, False])
 @pytest.mark.parametrize("source", ["listing", "peer"])
 def test_a_registration_of_a_restored_store_replaces_no_later_process(
