--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -136,7 +136,8 @@
         self._adapter = adapter
         self._health_path = health_path
         self._circuit_breakers = breaker.CircuitBreakers()
-        # Time since which targets are down, by name.
+        # Time since which targets are down, by name; the end of the pause if
+        # they are not probed in one.
         self._down_since_s: dict[str, float] = {}
         # Ids of the processes that are being probed.
         self._probing: set[str] = set()
@@ -239,8 +240,9 @@
 
         Args:
             service: Name of the service.
-            max_silence_s: Targets that have been down for longer are left
-                out, as well as those known to have ended.
+            max_silence_s: Targets that have been down for longer, without
+                pauses that they asked for, are left out, as well as those
+                known to have ended.
         """
         now_s = self._reactor.seconds()
         return [
@@ -325,6 +327,15 @@
             return 0.0
         return self._pauses.left_s(target.process_id, self._reactor.seconds())
 
+    def try_probe(self, target: fleet.Target) -> bool:
+        """Returns whether a target may be probed now, and counts the probe.
+
+        One in a pause is probed once.
+        """
+        return self._pauses.try_probe(
+            target.process_id, self._reactor.seconds()
+        )
+
     def service_pause_s(self, service: str) -> float:
         """Returns how long no target of a service wants requests.
 
@@ -431,11 +442,16 @@
             self._probe_removed(target)
 
     def probe_suspect(self, target: fleet.Target, reason: str) -> None:
-        """Probes a target, unless a probe is already in progress."""
-        if (
-            not self._is_registered(target)
-            or target.process_id in self._probing
-        ):
+        """Probes a target, unless a probe is already in progress.
+
+        One that is no longer registered is probed until it answers or is known
+        to have ended.
+        """
+        if not self._is_registered(target):
+            if target.name not in self.by_name and not self.has_ended(target):
+                self._probe_removed(target)
+            return
+        if target.process_id in self._probing:
             return
         events.emit("target_suspected", target=target.name, reason=reason)
         self._probe(target)
@@ -690,12 +706,26 @@
         for other in list(self.by_name.values()):
             is_same_address = other.address == target.address
             if is_same_address and other.name != target.name:
-                is_other_older = other.born_ms <= target.born_ms
+                is_target_older = self._is_registered_before(target, other)
                 self._remove(
-                    other.name if is_other_older else target.name,
+                    target.name if is_target_older else other.name,
                     is_replaced=True,
                 )
 
+    def _is_registered_before(self, target, other):
+        """Returns whether a target is the older one of two.
+
+        Starts are compared only across a restore of the store, as a clock may
+        have been set back.
+        """
+        version = self._version_by_name[target.name]
+        other_version = self._version_by_name[other.name]
+        if version == other_version or versions.era_of(
+            version
+        ) != versions.era_of(other_version):
+            return target.born_ms < other.born_ms
+        return version < other_version
+
     def _remove_after_grace(self, name):
         """Removes a target, with a delay after an outage of the store.
 
@@ -756,9 +786,7 @@
         probe_again = functools.partial(
             self._probe_removed_again, target, probes_left - 1
         )
-        if not self._pauses.try_probe(
-            target.process_id, self._reactor.seconds()
-        ):
+        if not self.try_probe(target):
             self._reactor.callLater(self.pause_left_s(target), probe_again)
             return
 
@@ -853,12 +881,14 @@
         process_id = target.process_id
         if not self._is_registered(target) or process_id in self._probing:
             return
-        now_s = self._reactor.seconds()
-        if not self._pauses.try_probe(process_id, now_s):
+        if not self.try_probe(target):
             if target.name in self._down_since_s:
-                self._reactor.callLater(
-                    self.pause_left_s(target), self._probe_down, target
+                pause_left_s = self.pause_left_s(target)
+                # Nothing shows meanwhile whether it is still silent.
+                self._down_since_s[target.name] = (
+                    self._reactor.seconds() + pause_left_s
                 )
+                self._reactor.callLater(pause_left_s, self._probe_down, target)
             return
         self._probing.add(process_id)
         self._send_probe(
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -9,6 +9,7 @@
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_silent_targets import answer_probes
 from tests.unit.gateway.test_silent_targets import go_on
 from tests.unit.gateway.test_silent_targets import make_silent
 from tests.unit.gateway.test_silent_targets import refuse_probes
@@ -18,6 +19,7 @@
 from tests.unit.gateway.test_silent_targets import stay_silent
 from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
+from tests.unit.gateway.test_streams import is_probe
 from tests.unit.gateway.test_streams import path_target_names
 from tests.unit.gateway.test_streams import REPORT_RESPONSE
 from tests.unit.gateway.test_streams import RESPONSE_HEAD
@@ -220,6 +222,79 @@
     assert admitted.caller_request.ending == "whole"
 
 
+def end_unframed_stream(harness, service, route):
+    """Returns a request whose targets are asked whether they outlived it."""
+    admitted = harness.admit(service, route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    return admitted
+
+
+def test_a_report_without_a_start_time_is_no_proof_of_survival(
+    harness, model_service, stream_route
+):
+    harness.targets._adapter = harness.adapter._replace(
+        decode_report=lambda body: model.TargetReport(0, 0, False, 1.0, 0, 0)
+    )
+    register_chains(harness, "a")
+    admitted = end_unframed_stream(harness, model_service, stream_route)
+    while harness.pending_connection_count():
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == ""
+    harness.targets._adapter = harness.adapter
+    answer_probes(harness, 2.0)
+    assert admitted.caller_request.ending == "whole"
+
+
+def start_pause(harness, names, pause_s):
+    """Lets targets ask for a pause."""
+    for name in names:
+        harness.targets.record_response_head(
+            harness.targets.by_name[name], 503, [(b"Pause", b"%f" % pause_s)]
+        )
+
+
+def test_a_pause_is_no_proof_that_a_target_outlived_a_stream(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    start_pause(harness, ("a0", "a40"), 5.0)
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    assert admitted.caller_request.ending == ""
+    # Each gets the one probe of its pause.
+    answer_probes(harness, 0.1)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_target_probed_in_its_pause_confirms_a_stream_after_it(
+    harness, model_service, stream_route
+):
+    register_chains(harness, "a")
+    admitted = harness.admit(model_service, stream_route)
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    start_pause(harness, ["a0"], 2.0)
+    harness.targets.probe_suspect(harness.targets.by_name["a0"], "test")
+    answer_probes(harness, 0.1)
+    connection.respond(UNFRAMED_HEAD + event(1))
+    connection.close()
+    for _ in range(17):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            report = harness.accept_connection()
+            assert report.port == 4040
+            report.respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == ""
+    answer_probes(harness, 1.5)
+    assert admitted.caller_request.ending == "whole"
+
+
 @pytest.mark.parametrize("is_silent", [True, False])
 @pytest.mark.parametrize("source", ["listing", "peer"])
 def test_a_registration_of_a_restored_store_replaces_no_later_process(
@@ -247,6 +322,33 @@
     assert down_reasons == []
 
 
+@pytest.mark.parametrize("is_later_first", [True, False])
+@pytest.mark.parametrize("is_full_listing", [True, False])
+def test_a_target_at_a_reused_address_has_not_ended_if_a_clock_was_set_back(
+    harness, is_full_listing, is_later_first
+):
+    earlier = make_target("a", born_ms=9, port=4000)
+    later = make_target("b", born_ms=5, port=4000)
+    stored = [
+        client.StoredObject("t", "a", 1, earlier),
+        client.StoredObject("t", "b", 2, later),
+    ]
+    if is_later_first:
+        stored.reverse()
+    harness.targets.apply_registrations(stored, [], is_full_listing, 2)
+    assert not harness.targets.has_ended(later)
+    assert harness.targets.has_ended(earlier)
+    assert available_names(harness) == ["b"]
+
+
+def test_a_restored_store_ends_no_later_target_at_a_reused_address(harness):
+    later = make_target("b", born_ms=9, port=4000)
+    harness.register(later)
+    list_restored(harness, make_target("a", born_ms=5, port=4000), later)
+    assert not harness.targets.has_ended(later)
+    assert available_names(harness) == ["b"]
+
+
 def test_a_restart_after_a_restore_replaces_the_earlier_process(harness):
     harness.register(make_target("a", born_ms=5))
     target = harness.targets.by_name["a"]
@@ -568,6 +670,26 @@
     assert not harness.targets.is_down(target)
 
 
+def test_a_target_that_falls_silent_after_its_registration_is_probed(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(max_targets=1)
+    _, connection = start_answered_stream(harness, model_service, route, "ab")
+    removed = first_target(harness, connection)
+    remove_registration(harness, removed.name)
+    attempts = []
+    for _ in range(60):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            pending = harness.accept_connection()
+            if not is_probe(pending):
+                attempts.append(pending)
+            elif pending.port != removed.port:
+                pending.respond(REPORT_RESPONSE)
+    assert harness.targets.has_ended(removed)
+    assert attempts
+
+
 def test_unanswered_probes_end_no_removed_target_whose_response_arrives(
     harness, model_service, stream_route
 ):
