Ask targets that answer with errors less often after a stream

Two targets that answered every request for their report with 503 were asked 226 times in 10 s for a single unframed stream that had ended, by one gateway.

The stream asked both five times a second, and with each failed answer it also had the first one probed. Each probe of a target that is down started a series of probes of its own, every 0.5 s, beside those in progress, so that they grew with the suspicions from anywhere.

- A target that is down has one timer for its next probe.
- The pause between questions doubles up to 1 s while the answers are of no use.
After a question without an answer it stays at 0.2 s, since the time-out itself bounds these and a silent target is to confirm soon after it goes on.
- A target that has answered is not probed as well, and the silence of a stream that waits for confirmations suspects its targets no second time.
Those that gave no answer are suspected as before.
In streams.py this takes the delay as an argument of `_confirm_end`, and one line in `_on_end`.

Evidence: "assert 226 <= 30" before; with the old timers, suspicions 0.1 s apart gave "assert 29 <= (5.0 / 0.5)". Both tests pass now, with test_target_ends.py, test_silent_targets.py, test_streams.py, test_pauses.py, test_endless_answers.py, test_targets.py, test_layout_controller.py, test_silence_sequences.py and test_crashes.py.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -18,7 +18,7 @@
     targets: targets_module.Targets,
     unconfirmed: dict[str, fleet.Target],
     on_result: Callable[[fleet.Target | None, str], None],
-    on_silent: Callable[[fleet.Target, str], None],
+    on_silent: Callable[[fleet.Target, str, bool], None],
 ) -> None:
     """Asks the targets of a path whether they outlived a stream.
 
@@ -30,8 +30,8 @@
             are removed, so that a later call asks only the others.
         on_result: Called with None after all targets have answered, else
             with the first one that was lost, and the reason.
-        on_silent: Called with a target that gave no proof, and the reason;
-            it may do so later.
+        on_silent: Called with a target that gave no proof, the reason, and
+            whether it has answered; it may give one later.
     """
     is_decided = False
 
@@ -41,11 +41,13 @@
             is_decided = True
             on_result(lost_target, reason)
 
-    def wait_for(target: fleet.Target, reason: str) -> None:
+    def wait_for(
+        target: fleet.Target, reason: str, has_answered: bool = True
+    ) -> None:
         nonlocal is_decided
         if not is_decided:
             is_decided = True
-            on_silent(target, reason)
+            on_silent(target, reason, has_answered)
 
     def on_survival(target: fleet.Target) -> None:
         if targets.is_leaving(target):
@@ -70,7 +72,9 @@
         if targets.shows_end(target, failure) or targets.has_ended(target):
             decide(target, failure.reason)
         else:
-            wait_for(target, failure.reason)
+            if not failure.was_answered:
+                targets.probe_suspect(target, failure.reason)
+            wait_for(target, failure.reason, failure.was_answered)
 
     for target in list(unconfirmed.values()):
         if targets.has_ended(target):
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -26,6 +26,7 @@
 REROUTE_AFTER_SILENCE_S = 1.1
 # Pause before a silent target is asked again whether it outlived a stream.
 CONFIRMATION_RETRY_DELAY_S = 0.2
+MAX_CONFIRMATION_RETRY_DELAY_S = 1.0
 # A new path is searched for during this time; after it, the caller has
 # probably timed out.
 RESUME_WINDOW_S = 1.6
@@ -814,6 +815,8 @@
                 path_targets = {
                     stage.target.name: stage.target for stage in self.path
                 }
+                # Its targets are asked now, and need no further probe.
+                self._is_suspected = True
                 self._confirm_end(attempt_number, target, path_targets)
                 return
             if failure is None:
@@ -846,13 +849,20 @@
             return None
         return http_exchange.ExchangeFailure(reason, was_sent=True)
 
-    def _confirm_end(self, attempt_number, first_target, unconfirmed):
+    def _confirm_end(
+        self,
+        attempt_number,
+        first_target,
+        unconfirmed,
+        retry_delay_s=CONFIRMATION_RETRY_DELAY_S,
+    ):
         """Completes a stream that no framing delimits, or resumes it.
 
         Args:
             attempt_number: Number of the attempt that has ended.
             first_target: Target that the attempt began at.
             unconfirmed: See `stream_end.confirm`.
+            retry_delay_s: Pause before targets without proof are asked again.
         """
 
         def on_result(lost_target, reason):
@@ -865,16 +875,19 @@
                 f"closed as {lost_target.name} was lost: {reason}"
             )
 
-        def on_silent(silent_target, reason):
+        def on_silent(silent_target, reason, has_answered):
             if attempt_number != self._attempt_number or self._is_finished:
                 return
-            self._context.targets.probe_suspect(silent_target, reason)
             self._call_after(
-                CONFIRMATION_RETRY_DELAY_S,
+                retry_delay_s,
                 self._confirm_end,
                 attempt_number,
                 first_target,
                 unconfirmed,
+                min(
+                    retry_delay_s * (2 if has_answered else 1),
+                    MAX_CONFIRMATION_RETRY_DELAY_S,
+                ),
             )
             self._seek_replacement(f"{silent_target.name}: {reason}")
 
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -140,6 +140,8 @@
         self._down_since_s: dict[str, float] = {}
         # Ids of the processes that are being probed.
         self._probing: set[str] = set()
+        # Timers of the next probes of targets that are down, by process.
+        self._probe_timers: dict[str, Any] = {}
         self._removal_timers: dict[str, Any] = {}
         self._version_by_name: dict[str, int] = {}
         self._paces: dict[str, float] = {}
@@ -483,7 +485,7 @@
         )
         self.on_health(target, True, reason)
         self._notify_down(target, reason)
-        self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
+        self._probe_down_after(PROBE_INTERVAL_S, target)
         self._notify_changed()
 
     def _is_known_gone(self, stored):
@@ -882,7 +884,7 @@
                 self._down_since_s[target.name] = (
                     self._reactor.seconds() + pause_left_s
                 )
-                self._reactor.callLater(pause_left_s, self._probe_down, target)
+                self._probe_down_after(pause_left_s, target)
             return
         self._probing.add(process_id)
         self._send_probe(
@@ -892,8 +894,19 @@
             lambda failure: self._on_probe_failed(target, failure),
         )
 
+    def _probe_down_after(self, delay_s, target):
+        """Sets the time of the next probe of a target that is down."""
+        process_id = target.process_id
+        timer = self._probe_timers.pop(process_id, None)
+        if timer is not None:
+            timer.cancel()
+        self._probe_timers[process_id] = self._reactor.callLater(
+            delay_s, self._probe_down, target
+        )
+
     def _probe_down(self, target):
         """Probes a target again, if it is still registered and down."""
+        del self._probe_timers[target.process_id]
         if target.name in self._down_since_s:
             self._probe(target)
 
@@ -940,7 +953,7 @@
             self._on_removed_target_failed(target, failure)
             return
         if target.name in self._down_since_s:
-            self._reactor.callLater(PROBE_INTERVAL_S, self._probe_down, target)
+            self._probe_down_after(PROBE_INTERVAL_S, target)
         self.mark_down(target, failure.reason, has_ended=failure.was_refused)
 
     def _on_removed_target_failed(self, target, failure):
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -248,6 +248,37 @@
     assert admitted.caller_request.ending == "whole"
 
 
+def test_reports_of_a_broken_target_after_a_stream_are_few(
+    harness, model_service, stream_route
+):
+    route = stream_route._replace(is_resumable=False)
+    register_chains(harness, "a")
+    end_unframed_stream(harness, model_service, route)
+    report_count = 0
+    for _ in range(100):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            report_count += 1
+            harness.accept_connection().respond(USELESS_ANSWERS["draining"])
+    assert report_count <= 30
+
+
+def test_suspicions_start_no_further_probes_of_a_target_that_is_down(harness):
+    harness.register(make_target("a", first_layer=0, end_layer=80))
+    target = harness.targets.by_name["a"]
+    for _ in range(5):
+        harness.targets.probe_suspect(target, "test")
+        harness.accept_connection().respond(USELESS_ANSWERS["draining"])
+        harness.advance_clock(0.1)
+    probe_count = 0
+    for _ in range(50):
+        harness.advance_clock(0.1)
+        while harness.pending_connection_count():
+            probe_count += 1
+            harness.accept_connection().respond(USELESS_ANSWERS["draining"])
+    assert 8 <= probe_count <= 5.0 / targets_module.PROBE_INTERVAL_S
+
+
 def start_pause(harness, names, pause_s):
     """Lets targets ask for a pause."""
     for name in names:
