Count no pause of an agent as silence of the last alternate

A run was failed although the last alternate of its next stage accepted links: the agent itself had been paused for 2.5 s during the dial. The time-out of the dial then fired before the link was read, and `_on_unreachable` took the time of the pause for silence, more than LAST_STAGE_WAIT_S, and didn't dial again.

It now adds up what was waited in dials, each of which counts for 1 s at most, the default time-out, like the gateway counts checks. So there are at least two dials, and the second one begins after the pause. With a longer `connect_timeout_s` an alternate that answers none is now dialled twice.

--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -36,6 +36,9 @@
 UPSTREAM_GRACE_S = 6.0
 # Longest wait for an answer to dials of a next stage without an alternate.
 LAST_STAGE_WAIT_S = 2.0
+# A dial counts for this time at most: a pause of this process makes its
+# time-out late.
+MAX_COUNTED_DIAL_S = 1.0
 
 REPLACED_STAGES = prometheus_client.Counter(
     "hemlocktiller_stages_replaced", "Stages replaced during a request"
@@ -188,14 +191,22 @@
         run.next_open_sent = False
         if not run.cache_ready:
             return  # Called again once the cache is rebuilt.
-        self._connect_next_stage(run, run.next_stage, self._reactor.seconds())
+        self._connect_next_stage(run, run.next_stage, 0.0)
 
     def _connect_next_stage(
-        self, run: stage_runs.StageRun, stage: Any, started_s: float
+        self, run: stage_runs.StageRun, stage: Any, waited_s: float
     ) -> None:
+        """Dials a next stage, after time waited in earlier dials of it."""
+        started_s = self._reactor.seconds()
+
+        def on_failed(reason: str) -> None:
+            dial_s = self._reactor.seconds() - started_s
+            self._on_unreachable(
+                run, stage, reason, waited_s + min(dial_s, MAX_COUNTED_DIAL_S)
+            )
+
         callbacks = peers_module.ConnectCallbacks(
-            lambda link: self._send_open(run, stage, link),
-            lambda reason: self._on_unreachable(run, stage, reason, started_s),
+            lambda link: self._send_open(run, stage, link), on_failed
         )
         self._peers.connect(stage, callbacks)
 
@@ -204,23 +215,22 @@
         run: stage_runs.StageRun,
         stage: Any,
         reason: str,
-        started_s: float,
+        waited_s: float,
     ) -> None:
         """Replaces a next stage to which no link could be opened.
 
         A refused connection shows that its target is dead. One that only
         answers no dial may be paused: without an alternate it is dialled
-        again, up to `LAST_STAGE_WAIT_S` after `started_s`.
+        again, until `LAST_STAGE_WAIT_S` was waited in dials.
         """
         if not self._is_current_next_stage(run, stage):
             return
-        waited_s = self._reactor.seconds() - started_s
         if (
             reason == peers_module.TIMEOUT
             and waited_s < LAST_STAGE_WAIT_S
             and stage_runs.alternate_for(run) is None
         ):
-            self._connect_next_stage(run, stage, started_s)
+            self._connect_next_stage(run, stage, waited_s)
             return
         if reason == peers_module.REFUSED:
             run.dead_targets.add(stage["target"])
--- a/tests/unit/test_silent_stages.py
+++ b/tests/unit/test_silent_stages.py
@@ -223,6 +223,23 @@
     assert first_stage.sent_types() == ["started", "tokens"]
 
 
+def test_a_pause_of_this_process_is_not_silence_of_the_last_alternate():
+    first_stage = FirstStage(["a", "b"])
+    first_stage.start()
+    first_stage.reserve("a")
+    late = first_stage.later["b"]
+    late.is_silent = True
+    first_stage.later["a"].stop()
+    first_stage.advance(0.3)
+    late.is_silent = False
+    first_stage.clock.advance(2.5)
+    first_stage.advance(0.5)
+    assert first_stage.sent_types() == ["started"]
+    first_stage.reserve("b")
+    first_stage.send_token("b", 0)
+    assert first_stage.sent_types() == ["started", "tokens"]
+
+
 def test_a_run_whose_last_alternate_answers_no_dial_fails_in_time():
     first_stage = FirstStage(["a", "b"])
     first_stage.start()
