Test how many unanswered probes show the end of a removed target

No test guarded MAX_SILENT_PROBES_AFTER_REMOVAL: one probe fewer takes a shorter silence for an end. With 3 the new test fails with "assert True == (3 == 4)", with 5 with "assert False == (4 == 4)"; with 4, the value in force, it passes.

--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -157,6 +157,16 @@
     assert not harness.targets.has_ended(target)
 
 
+def test_a_removed_target_has_ended_after_four_unanswered_probes(harness):
+    target = start_probing_removed(harness)
+    for probe_count in range(1, 5):
+        harness.accept_connection()
+        harness.reactor.pump([targets_module.PROBE_TIMEOUT_S / 3] * 3)
+        assert harness.targets.has_ended(target) == (probe_count == 4)
+        harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    assert harness.pending_connection_count() == 0
+
+
 def test_each_lost_connection_does_not_start_probes_of_its_own(harness):
     target = start_probing_removed(harness)
     for _ in range(5):
