Name what possibly serves and which probes are counted

The comment of MAX_PROBES_AFTER_REMOVAL gave 20 s, which holds only if each probe fails at once; with probes that take up to PROBE_TIMEOUT_S it is 32 s, and longer with pauses of the target.

--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -162,7 +162,9 @@
         """Returns the ready targets of a service that are not lost."""
         return [
             target
-            for target in self._targets.not_lost(service.name, MAX_SILENCE_S)
+            for target in self._targets.possibly_serving(
+                service.name, MAX_SILENCE_S
+            )
             if target.state == fleet.READY
         ]
 
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -37,7 +37,9 @@
 # of timed, as a pause of this process makes a time-out late.
 MAX_SILENT_PROBES_AFTER_REMOVAL = 4
 # After its last registration a target serves for many seconds at most. One
-# that still breaks probes off after this many (20 s) is left alone.
+# that still breaks probes off after this many is left alone: after 20 s if
+# each fails at once, and 32 s if each takes as long as it may, without pauses
+# that the target asks for.
 MAX_PROBES_AFTER_REMOVAL = 40
 # Registrations that expired during an outage of the object store are written
 # again within two seconds after it.
@@ -156,7 +158,7 @@
         self._output_s: dict[str, float] = {}
         # Unanswered probes, since the last output, of the processes without a
         # registration that are being probed.
-        self._removed_probes: dict[str, int] = {}
+        self._unanswered_removal_probes: dict[str, int] = {}
 
     def apply_registrations(
         self,
@@ -234,7 +236,7 @@
             and target.name not in self._down_since_s
         ]
 
-    def not_lost(
+    def possibly_serving(
         self, service: str, max_silence_s: float
     ) -> list[fleet.Target]:
         """Returns the targets of a service that serve or may do so again.
@@ -408,8 +410,8 @@
         """Records that bytes of a response to a request have arrived."""
         process_id = target.process_id
         self._output_s[process_id] = self._reactor.seconds()
-        if process_id in self._removed_probes:
-            self._removed_probes[process_id] = 0
+        if process_id in self._unanswered_removal_probes:
+            self._unanswered_removal_probes[process_id] = 0
         if len(self._output_s) > MAX_OUTPUT_PROCESSES:
             del self._output_s[next(iter(self._output_s))]
 
@@ -772,8 +774,8 @@
         Only a refused connection, another process at its address or silence
         show that it has ended; otherwise it serves on without a registration.
         """
-        if target.process_id not in self._removed_probes:
-            self._removed_probes[target.process_id] = 0
+        if target.process_id not in self._unanswered_removal_probes:
+            self._unanswered_removal_probes[target.process_id] = 0
             self._probe_removed_again(target, MAX_PROBES_AFTER_REMOVAL)
 
     def _probe_removed_again(self, target, probes_left):
@@ -782,7 +784,7 @@
             target
         )
         if not is_unknown or probes_left <= 0:
-            self._removed_probes.pop(target.process_id, None)
+            self._unanswered_removal_probes.pop(target.process_id, None)
             return
         probe_again = functools.partial(
             self._probe_removed_again, target, probes_left - 1
@@ -792,7 +794,7 @@
             return
 
         def on_answer():
-            self._removed_probes.pop(target.process_id, None)
+            self._unanswered_removal_probes.pop(target.process_id, None)
 
         def on_report(report):
             on_answer()
@@ -805,17 +807,19 @@
                 return
             silent_probes = 0
             if failure.has_timed_out:
-                silent_probes = self._removed_probes[target.process_id] + 1
+                silent_probes = (
+                    self._unanswered_removal_probes[target.process_id] + 1
+                )
             if target.name not in self.by_name and (
                 self.shows_end(target, failure)
                 or silent_probes >= MAX_SILENT_PROBES_AFTER_REMOVAL
             ):
-                self._removed_probes.pop(target.process_id, None)
+                self._unanswered_removal_probes.pop(target.process_id, None)
                 self._record_ended(
                     target, f"no longer registered: {failure.reason}"
                 )
                 return
-            self._removed_probes[target.process_id] = silent_probes
+            self._unanswered_removal_probes[target.process_id] = silent_probes
             self._reactor.callLater(PROBE_INTERVAL_S, probe_again)
 
         self._send_probe(target, on_report, on_answer, on_failed)
--- a/src/hemlocktiller/_internal/http_exchange.py
+++ b/src/hemlocktiller/_internal/http_exchange.py
@@ -59,7 +59,7 @@
         was_sent: Whether the target may have received part of the request.
         was_refused: Whether the connection was refused.
         has_timed_out: Whether the target only did not answer in time.
-        was_answered: Whether a whole response came, which is of no use.
+        was_answered: Whether a complete but unusable response came.
     """
 
     reason: str
--- a/tests/unit/gateway/test_pauses.py
+++ b/tests/unit/gateway/test_pauses.py
@@ -144,12 +144,14 @@
     harness.targets.record_response_head(target, 503, [(b"Pause", b"9.0")])
     make_silent(harness, "a")
     while not harness.pending_connection_count():
-        assert harness.targets.not_lost("model", max_silence_s) == [target]
+        assert harness.targets.possibly_serving("model", max_silence_s) == [
+            target
+        ]
         harness.reactor.advance(0.1)
     assert harness.targets.pause_left_s(target) == 0
-    assert harness.targets.not_lost("model", max_silence_s) == [target]
+    assert harness.targets.possibly_serving("model", max_silence_s) == [target]
     stay_silent(harness, max_silence_s + 0.5)
-    assert harness.targets.not_lost("model", max_silence_s) == []
+    assert harness.targets.possibly_serving("model", max_silence_s) == []
 
 
 def test_a_target_that_refused_a_probe_in_a_pause_is_lost(harness):
@@ -158,7 +160,7 @@
     harness.targets.record_response_head(target, 503, [(b"Pause", b"9.0")])
     harness.targets.probe_suspect(target, "silent")
     harness.refuse_connection()
-    assert harness.targets.not_lost("model", 60.0) == []
+    assert harness.targets.possibly_serving("model", 60.0) == []
 
 
 def test_a_target_down_in_a_pause_is_probed_again_after_it(harness):
