Decide by start times again which target at an address came later

The store may carry out an unanswered write seconds later, so the last write of an earlier process (that it drains, say) may come after the registration of the next one at its address, and the living one was removed and counted as ended. A clock that was set back where a target starts is the rarer of the two. Mending both takes a report of the process at the address as proof.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -710,26 +710,12 @@
         for other in list(self.by_name.values()):
             is_same_address = other.address == target.address
             if is_same_address and other.name != target.name:
-                is_target_older = self._is_registered_before(target, other)
+                is_other_older = other.born_ms <= target.born_ms
                 self._remove(
-                    target.name if is_target_older else other.name,
+                    other.name if is_other_older else target.name,
                     is_replaced=True,
                 )
 
-    def _is_registered_before(self, target, other):
-        """Returns whether a target is the older one of two.
-
-        Starts are compared only across a restore of the store, as a clock may
-        have been set back.
-        """
-        version = self._version_by_name[target.name]
-        other_version = self._version_by_name[other.name]
-        if version == other_version or versions.era_of(
-            version
-        ) != versions.era_of(other_version):
-            return target.born_ms < other.born_ms
-        return version < other_version
-
     def _remove_after_grace(self, name):
         """Removes a target, with a delay after an outage of the store.
 
--- a/tests/unit/gateway/test_target_ends.py
+++ b/tests/unit/gateway/test_target_ends.py
@@ -382,6 +382,26 @@
     assert available_names(harness) == ["b"]
 
 
+def test_a_late_write_of_an_ended_target_ends_no_later_one_at_its_address(
+    harness,
+):
+    earlier = make_target("a", born_ms=5, port=4000)
+    harness.register(earlier)
+    later = make_target("b", born_ms=9, port=4000)
+    for version, target in (
+        (2, later),
+        (3, earlier._replace(state=fleet.DRAINING)),
+    ):
+        harness.targets.apply_registrations(
+            [client.StoredObject("t", target.name, version, target)],
+            [],
+            False,
+            version,
+        )
+    assert not harness.targets.has_ended(later)
+    assert harness.targets.available("model") == [later]
+
+
 def test_a_restored_store_ends_no_later_target_at_a_reused_address(harness):
     later = make_target("b", born_ms=9, port=4000)
     harness.register(later)
