--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -26,6 +26,7 @@
 REROUTE_AFTER_SILENCE_S = 1.1
 # Pause before a silent target is asked again whether it outlived a stream.
 CONFIRMATION_RETRY_DELAY_S = 0.2
+# Doubled up to this after each answer that proves nothing, such as an error.
 MAX_CONFIRMATION_RETRY_DELAY_S = 1.0
 # A new path is searched for during this time; after it, the caller has
 # probably timed out.
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -972,3 +972,22 @@
     assert replacement is not None
     replacement.respond(RESPONSE_HEAD)
     go_on(harness, admitted, replacement, 1)
+
+
+def test_a_replacement_that_was_cancelled_counts_as_an_attempt(
+    harness, model_service, stream_route
+):
+    _, connection = start_answered_stream(
+        harness, model_service, stream_route, "abc"
+    )
+    (replacement,) = stay_silent(harness)
+    connection.respond(chunk(event(2)))
+    assert replacement.transport.disconnecting
+    first_targets = {
+        path_target_names(one)[0] for one in (connection, replacement)
+    }
+    make_silent(harness, path_target_names(replacement)[0])
+    first_targets |= {
+        path_target_names(one)[0] for one in stay_silent(harness)
+    }
+    assert len(first_targets) <= stream_route.max_targets, first_targets
