Excuse lost work only by drains of its time in the soak

A later stage that had begun to drain at any time before excused a lost draft. It gets no work any more two seconds later. The test has the case, which was not found before.

--- a/tests/functional/soak_checks.py
+++ b/tests/functional/soak_checks.py
@@ -186,7 +186,7 @@
     """Returns whether a target that a request needed failed meanwhile.
 
     Targets of the path after the first break off their work when they begin
-    to drain.
+    to drain, and get none any more after `DRAIN_TIMEOUT_S`.
     """
     end_s = max([exchange.end_s, *(row["at_s"] for row in executions)])
     addresses = {address for row in executions for address in row["path"]}
@@ -202,7 +202,8 @@
     ) or any(
         row["request"] == exchange.request_id
         if row["what"] == "break_off"
-        else row["address"] in stages and row["at_s"] <= end_s
+        else row["address"] in stages
+        and exchange.at_s - DRAIN_TIMEOUT_S <= row["at_s"] <= end_s
         for row in journal
         if row["what"] in ("break_off", "draining")
     )
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -347,6 +347,7 @@
 
     assert findings("127.0.0.1:2", 2.5) == []
     assert findings("127.0.0.1:2", 3.1)
+    assert findings("127.0.0.1:2", -0.1)
     assert findings("127.0.0.1:1", 2.5)
 
 
