Resume a stream without framing that is closed after a silence

Cause: a stage that is silent makes the first stage of the path wait, give up and close the stream between two events. Once the stage goes on, all targets of the path answer as the same processes, which the gateway took for proof that the stream was complete. They prove that no process ended, not that the stream had.

Evidence: with a single chain, so that no replacement answers earlier, a second stage suspended for 0.8 s and a first stage that waits 0.6 s, the caller got a complete response with fewer than 30 events (test_no_answer_closed_while_a_stage_is_silent_looks_complete). This test and three unit tests failed before.

Change: a target that has sent everything closes at once, so a close more than 0.35 s after the last event counts as a truncation, as one inside an event does: the stream is resumed after its last event, or cut if the route doesn't allow that. A sound stream closed that late costs a resumption without events.

After: all tests of streams and of undelimited answers pass.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -845,13 +845,18 @@
         """Returns the failure of a stream that ended early, or None.
 
         The end of a connection shows only that no more data follows: a target
-        that stops midway closes it as one that has sent everything.
+        that stops midway closes it as one that has sent everything. One that
+        has sent everything closes it at once; one that gives up a later stage
+        waits for that stage before.
         """
+        silence_s = self._context.reactor.seconds() - self._last_activity_s
         reason = ""
         if self._splitter.is_inside_event:
             reason = "ended inside an event"
         elif self._framing == "close" and not self._has_produced_output():
             reason = "closed without an event"
+        elif self._framing == "close" and silence_s > SUSPECT_AFTER_SILENCE_S:
+            reason = "closed after a silence"
         if not reason:
             return None
         return http_exchange.ExchangeFailure(reason, was_sent=True)
--- a/tests/functional/test_undelimited_answers.py
+++ b/tests/functional/test_undelimited_answers.py
@@ -3,16 +3,20 @@
 import http.client
 import json
 import socket
+import threading
+import time
 
 import pytest
 
 from tests.fakes import platform_target
 from tests.functional import gateway_deployment
 from tests.functional import gateway_soak
+from tests.functional import process
 from tests.functional import soak_checks
 
 STREAM_COUNT = 12
 CALLER_TIMEOUT_S = 8.0
+STAGE_TIMEOUT_S = 0.6
 
 
 @pytest.fixture(scope="module")
@@ -113,3 +117,64 @@
     with connection, pytest.raises(ConnectionResetError):
         while connection.recv(65536):
             pass
+
+
+def later_stage_of(deployment, request_id):
+    """Returns the target of the second stage that runs a request."""
+    addresses = [
+        row["path"][1]
+        for row in deployment.read_journal()
+        if row["what"] == "run" and row["request"] == request_id
+    ]
+    return next(
+        (
+            target
+            for target in deployment.targets.values()
+            if deployment.registered_address(target) in addresses
+        ),
+        None,
+    )
+
+
+@pytest.mark.promise(2)
+def test_no_answer_closed_while_a_stage_is_silent_looks_complete(tmp_path):
+    request_id = "silent-stage-1"
+    exchanges = []
+
+    def send_request(gateway):
+        connection = http.client.HTTPConnection(
+            gateway.address.host,
+            gateway.address.port,
+            timeout=CALLER_TIMEOUT_S,
+        )
+        exchanges.append(
+            gateway_soak.send(connection, gateway.name, "draft", request_id)
+        )
+        connection.close()
+
+    deployment = gateway_deployment.Deployment(
+        tmp_path, model_target_count=2, stage_timeout_s=STAGE_TIMEOUT_S
+    )
+    try:
+        deployment.wait_until_serving()
+        break_off(deployment, 0.0)
+        caller = threading.Thread(
+            target=send_request, args=(deployment.gateways[0],)
+        )
+        caller.start()
+        stage = process.poll(
+            lambda: later_stage_of(deployment, request_id),
+            100,
+            "a second stage runs the request",
+        )
+        stage.freeze()
+        time.sleep(STAGE_TIMEOUT_S + 0.2)
+        stage.resume()
+        caller.join()
+    finally:
+        deployment.stop()
+    assert exchanges[0].body == b"".join(
+        platform_target.event_of(request_id, event_number)
+        for event_number in range(1, soak_checks.EVENT_COUNT + 1)
+    )
+    assert exchanges[0].is_whole
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -233,6 +233,56 @@
     accept_attempt(harness)
 
 
+def test_a_stream_closed_after_a_silence_is_not_complete(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    harness.advance_clock(0.4)
+    probes = [
+        harness.accept_connection()
+        for _ in range(harness.pending_connection_count())
+    ]
+    for probe in probes:
+        probe.respond(REPORT_RESPONSE)
+    connection.close()
+    second_attempt = accept_attempt(harness)
+    assert b"Last-Event-Id: 1\r\n" in second_attempt.transport.value()
+    second_attempt.respond(RESPONSE_HEAD + chunk(event(2)) + RESPONSE_END)
+    assert admitted.caller_request.body == event(1) + event(2)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_resumed_stream_without_more_events_may_end_unframed(streaming):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    connection.respond(UNFRAMED_HEAD + event(1))
+    harness.advance_clock(0.4)
+    connection.close()
+    second_attempt = accept_attempt(harness)
+    second_attempt.respond(UNFRAMED_HEAD)
+    second_attempt.close()
+    for _ in range(harness.pending_connection_count()):
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == "whole"
+
+
+def test_a_stream_closed_after_a_silence_is_cut_if_not_resumable(
+    harness, model_service, stream_route
+):
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
+    connection.respond(UNFRAMED_HEAD + event(1))
+    harness.advance_clock(0.4)
+    connection.close()
+    for _ in range(harness.pending_connection_count()):
+        harness.accept_connection().respond(REPORT_RESPONSE)
+    assert admitted.caller_request.ending == "cut"
+
+
 def test_a_stream_closed_inside_an_event_is_not_complete(streaming):
     harness, admitted = streaming
     harness.start_stream(admitted)
