Share the start message of tests, and the agent's upstream grace

Two test files built nearly the same message; it lies with the simulation of the fleet now, and the test of lost links keeps its eight tokens. The agent's pipeline repeated the name of a constant of the next stages. No change of behaviour. Ruled out: nothing to measure. tests/unit/test_pipeline.py, test_lost_target_links.py and test_crashing_prompt_parts.py pass.

--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -33,7 +33,6 @@
     next_stages.CRASHES_TARGETS,
     REPLACED,
 )
-UPSTREAM_GRACE_S = next_stages.UPSTREAM_GRACE_S
 
 REPEATED_HOPS = prometheus_client.Counter(
     "hemlocktiller_hops_repeated", "Hops that came again for a token"
@@ -592,7 +591,7 @@
             stage=run.stage_index,
         )
         run.expiry_timer = self._reactor.callLater(
-            run.time_left_s(run.started_at_s) + UPSTREAM_GRACE_S,
+            run.time_left_s(run.started_at_s) + next_stages.UPSTREAM_GRACE_S,
             self.close,
             run.key,
         )
@@ -624,7 +623,10 @@
         run.upstream_name = ""
         run.lost_upstream_name = peer_name
         self._reactor.callLater(
-            UPSTREAM_GRACE_S, self._release_if_orphaned, run, peer_name
+            next_stages.UPSTREAM_GRACE_S,
+            self._release_if_orphaned,
+            run,
+            peer_name,
         )
 
     def _release_if_orphaned(
--- a/tests/unit/fleet_simulation.py
+++ b/tests/unit/fleet_simulation.py
@@ -421,6 +421,38 @@
         self._connections.append(Connection(dialled, accepted, agent))
 
 
+def start_message(prompt, max_tokens=1):
+    """Returns the message by which an entry sends a request to a target."""
+    return {
+        "type": "start",
+        "request": "other",
+        "attempt": 1,
+        "workspace": WORKSPACE,
+        "plan": "all",
+        "model": MODEL,
+        "config_version": 1,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "generated": [],
+        "cost_tokens": float(max_tokens),
+        "worth": 1.0,
+        "expires_in_s": 30.0,
+        "credit_tokens": 100,
+        "chain": [
+            {
+                "target": "a0",
+                "host": "127.0.0.1",
+                "port": 1000,
+                "first_layer": 0,
+                "end_layer": LAYERS,
+            }
+        ],
+        "alternates": [],
+        "digest": 1,
+        "traceparent": "",
+    }
+
+
 def words(text, count):
     """Returns distinct words that begin with a text."""
     return " ".join(f"{text}{number}" for number in range(count))
--- a/tests/unit/test_crashing_prompt_parts.py
+++ b/tests/unit/test_crashing_prompt_parts.py
@@ -59,38 +59,6 @@
     return crashing, sound
 
 
-def start_message(prompt):
-    """Returns the message by which an entry sends a request to a target."""
-    return {
-        "type": "start",
-        "request": "other",
-        "attempt": 1,
-        "workspace": fleet_simulation.WORKSPACE,
-        "plan": "all",
-        "model": fleet_simulation.MODEL,
-        "config_version": 1,
-        "prompt": prompt,
-        "max_tokens": 1,
-        "generated": [],
-        "cost_tokens": 1.0,
-        "worth": 1.0,
-        "expires_in_s": 10.0,
-        "credit_tokens": 10,
-        "chain": [
-            {
-                "target": "a0",
-                "host": "127.0.0.1",
-                "port": 1000,
-                "first_layer": 0,
-                "end_layer": fleet_simulation.LAYERS,
-            }
-        ],
-        "alternates": [],
-        "digest": 1,
-        "traceparent": "",
-    }
-
-
 @pytest.mark.parametrize("whole_vm_crashes", [False, True])
 def test_different_prompts_with_a_crashing_part_stop_after_few_crashes(
     build_fleet, whole_vm_crashes
@@ -150,7 +118,9 @@
     fleet.run(2 * fleet_simulation.RESTART_S)
     other_entry = fleet.dial("a0")
     begun_before = len(fleet.begun)
-    other_entry.link.send(start_message(crashing_prompt("last")))
+    other_entry.link.send(
+        fleet_simulation.start_message(crashing_prompt("last"))
+    )
     fleet.run(1.0)
     reasons = [
         message["reason"]
--- a/tests/unit/test_lost_target_links.py
+++ b/tests/unit/test_lost_target_links.py
@@ -30,36 +30,8 @@
     end = fleet.dial("a0")
     connection = fleet._connections[-1]
     # What a silent agent finds when it goes on: a start, then a closed link.
-    end.link.send(
-        {
-            "type": "start",
-            "request": "r1",
-            "attempt": 1,
-            "workspace": "w1",
-            "plan": "all",
-            "model": fleet_simulation.MODEL,
-            "config_version": 1,
-            "prompt": "a menu for the hall",
-            "max_tokens": 8,
-            "generated": [],
-            "cost_tokens": 8.0,
-            "worth": 1.0,
-            "expires_in_s": 30.0,
-            "credit_tokens": 100,
-            "chain": [
-                {
-                    "target": "a0",
-                    "host": "127.0.0.1",
-                    "port": 1000,
-                    "first_layer": 0,
-                    "end_layer": fleet_simulation.LAYERS,
-                }
-            ],
-            "alternates": [],
-            "digest": 1,
-            "traceparent": "",
-        }
-    )
+    message = fleet_simulation.start_message("a menu for the hall", 8)
+    end.link.send(message)
     connection.deliver()
     assert agent.admission.running_count == 1
     connection.lose()
--- a/tests/unit/test_pipeline.py
+++ b/tests/unit/test_pipeline.py
@@ -3,7 +3,7 @@
 import cbor2
 import pytest
 
-from hemlocktiller._internal.agent import pipeline as pipeline_module
+from hemlocktiller._internal.agent import next_stages
 from tests.fakes import model
 from tests.unit import pipeline_simulation
 
@@ -475,7 +475,7 @@
     ]
     run_until_finished(simulation, entry_link, faults)
     assert_complete_answer(entry_link)
-    simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
+    simulation.clock.advance(next_stages.UPSTREAM_GRACE_S)
     assert_no_work_left(simulation)
 
 
@@ -494,7 +494,7 @@
     ]
     run_until_finished(simulation, entry_link, faults)
     assert_complete_answer(entry_link)
-    simulation.clock.advance(pipeline_module.UPSTREAM_GRACE_S)
+    simulation.clock.advance(next_stages.UPSTREAM_GRACE_S)
     assert_no_work_left(simulation)
 
 
