Let a second run decide whether a stream closed after a silence is complete

- A pause of the gateway hid the silence: events and close are read at once afterwards.
- A whole stream was cut if the event loop was blocked before its close on a route without resumption, or where no retry was left.
- Runs that each end late were repeated until the dispatches were used up (six runs), and the stream was cut.

Cause: the close was treated as a truncation, which must be resumed at once or fails.

Change: a close more than 0.35 s after the last event, or within 0.35 s of a pause of this process, starts the search for a replacement, as for a silent run. The stream is complete once a second run ends after the same event; if no replacement can be found or answers within the window for resuming, the answers of its targets count as before. So no stream is cut for it, and on routes without resumption nothing changes: a clean close is the end of such an answer by the users' pages.

Ruled out: gaps between events as the measure (a first event that comes late is sound, and a pause hides the first ones).

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -7,12 +7,62 @@
 
 from collections.abc import Callable
 import functools
+import math
 
 from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import fleet
 
+# The targets of a stream send several events in this time, or its end.
+MAX_CLOSE_DELAY_S = 0.35
+
+
+class CloseCheck:
+    """Finds closes that may hide a later stage that was given up.
+
+    A target that has sent everything closes at once. One that gives up a later
+    stage has waited for it, which a pause of this process may hide.
+    """
+
+    def __init__(self) -> None:
+        self._last_tick_s = math.inf
+        self._pause_end_s = -math.inf
+        # Number of events before the last doubtful close.
+        self._doubted_after_event: int | None = None
+
+    def begin(self, now_s: float) -> None:
+        """Begins another run of the stream."""
+        self._last_tick_s = now_s
+        self._pause_end_s = -math.inf
+
+    def record_tick(self, now_s: float) -> None:
+        """Notes that this process runs; called several times a second."""
+        if now_s - self._last_tick_s > MAX_CLOSE_DELAY_S:
+            self._pause_end_s = now_s
+        self._last_tick_s = now_s
+
+    def is_doubtful(
+        self, now_s: float, last_activity_s: float, event_count: int
+    ) -> bool:
+        """Returns whether events may be missing before a close.
+
+        Two runs that end after the same event confirm each other.
+
+        Args:
+            now_s: Time of the close.
+            last_activity_s: Time of the last event before it.
+            event_count: Number of events before it, in all runs.
+        """
+        self.record_tick(now_s)
+        if (
+            now_s - last_activity_s <= MAX_CLOSE_DELAY_S
+            and now_s - self._pause_end_s > MAX_CLOSE_DELAY_S
+        ) or event_count == self._doubted_after_event:
+            return False
+        self._doubted_after_event = event_count
+        return True
+
 
 def confirm(
     targets: targets_module.Targets,
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -130,6 +130,7 @@
         self._last_activity_s = 0.0
         self._silent_checks = 0
         self._is_suspected = False
+        self._close_check = stream_end.CloseCheck()
         # Why a target of the path counts as down; empty if none does.
         self._down_reason = ""
         self._is_finished = False
@@ -169,6 +170,7 @@
         if not self.path or self._is_finished:
             return
         self._silent_checks += 1
+        self._close_check.record_tick(now_s)
         silence_s = self._silence_s(now_s)
         suspect_after_s = (
             SUSPECT_AFTER_SILENCE_S
@@ -381,7 +383,9 @@
         """Resets the state of the response for another attempt."""
         self.path = path
         self._attempt_number += 1
-        self._record_activity(self._context.reactor.seconds())
+        now_s = self._context.reactor.seconds()
+        self._record_activity(now_s)
+        self._close_check.begin(now_s)
         self._is_suspected = False
         self._down_reason = ""
         self._attempt_has_output = False
@@ -609,6 +613,13 @@
             replacement.down_reason and self._has_target_down(replacement.path)
         )
 
+    def _has_pending_replacement(self):
+        """Returns whether a replacement is looked for, or was sent."""
+        return (
+            self._sought_replacement is not None
+            or self._replacement is not None
+        )
+
     def _cancel_replacement(self):
         """Ends the search for a replacement, and one that was sent."""
         self._cancel_search()
@@ -819,12 +830,7 @@
         if failure is None and self._error_head is None:
             failure = self._find_truncation()
             if failure is None and self._framing == "close":
-                path_targets = {
-                    stage.target.name: stage.target for stage in self.path
-                }
-                # Its targets are asked now, and need no further probe.
-                self._is_suspected = True
-                self._confirm_end(attempt_number, target, path_targets)
+                self._confirm_close(attempt_number, target)
                 return
             if failure is None:
                 self._complete(target)
@@ -841,22 +847,33 @@
             return
         self._on_error_response(status, headers, response_head)
 
+    def _confirm_close(self, attempt_number, first_target):
+        """Completes or resumes a stream that ended with its connection."""
+        now_s = self._context.reactor.seconds()
+        path_targets = {stage.target.name: stage.target for stage in self.path}
+        # They are asked now, and need no further probe.
+        self._is_suspected = True
+        doubt_end_s = now_s
+        if self._close_check.is_doubtful(
+            now_s, self._last_activity_s, self._event_count
+        ):
+            doubt_end_s += RESUME_WINDOW_S
+            self._seek_replacement("closed after a silence")
+        self._confirm_end(
+            attempt_number, first_target, path_targets, doubt_end_s
+        )
+
     def _find_truncation(self):
         """Returns the failure of a stream that ended early, or None.
 
         The end of a connection shows only that no more data follows: a target
-        that stops midway closes it as one that has sent everything. One that
-        has sent everything closes it at once; one that gives up a later stage
-        waits for that stage before.
+        that stops midway closes it as one that has sent everything.
         """
-        silence_s = self._context.reactor.seconds() - self._last_activity_s
         reason = ""
         if self._splitter.is_inside_event:
             reason = "ended inside an event"
         elif self._framing == "close" and not self._has_produced_output():
             reason = "closed without an event"
-        elif self._framing == "close" and silence_s > SUSPECT_AFTER_SILENCE_S:
-            reason = "closed after a silence"
         if not reason:
             return None
         return http_exchange.ExchangeFailure(reason, was_sent=True)
@@ -866,6 +883,7 @@
         attempt_number,
         first_target,
         unconfirmed,
+        doubt_end_s,
         retry_delay_s=CONFIRMATION_RETRY_DELAY_S,
     ):
         """Completes a stream that no framing delimits, or resumes it.
@@ -874,32 +892,45 @@
             attempt_number: Number of the attempt that has ended.
             first_target: Target that the attempt began at.
             unconfirmed: See `stream_end.confirm`.
+            doubt_end_s: Until then the answers of the targets don't complete
+                the stream while a replacement may show that events follow.
             retry_delay_s: Pause before targets without proof are asked again.
         """
 
+        def confirm_again(next_delay_s):
+            self._call_after(
+                retry_delay_s,
+                self._confirm_end,
+                attempt_number,
+                first_target,
+                unconfirmed,
+                doubt_end_s,
+                next_delay_s,
+            )
+
         def on_result(lost_target, reason):
             if attempt_number != self._attempt_number or self._is_finished:
                 return
-            if lost_target is None:
+            if lost_target is not None:
+                self._fail_attempt(
+                    f"closed as {lost_target.name} was lost: {reason}"
+                )
+            elif (
+                self._context.reactor.seconds() < doubt_end_s
+                and self._has_pending_replacement()
+            ):
+                confirm_again(retry_delay_s)
+            else:
                 self._complete(first_target)
-                return
-            self._fail_attempt(
-                f"closed as {lost_target.name} was lost: {reason}"
-            )
 
         def on_silent(silent_target, reason, has_answered):
             if attempt_number != self._attempt_number or self._is_finished:
                 return
-            self._call_after(
-                retry_delay_s,
-                self._confirm_end,
-                attempt_number,
-                first_target,
-                unconfirmed,
+            confirm_again(
                 min(
                     retry_delay_s * (2 if has_answered else 1),
                     MAX_CONFIRMATION_RETRY_DELAY_S,
-                ),
+                )
             )
             self._seek_replacement(f"{silent_target.name}: {reason}")
 
