Take a target's word that it leaves after its registration is gone

Cause: whether a target leaves was read from its registration alone. Its own word, which is kept by process, was not asked.

Ruled out: taking each target without a registration for one that leaves. It may serve on for long, and sound streams would be resumed or cut.

Change: the mark of the process counts too.

--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -289,7 +289,9 @@
         return registered is not None and registered.born_ms == target.born_ms
 
     def is_leaving(self, target: fleet.Target) -> bool:
-        """Returns whether a registered target drains or is about to."""
+        """Returns whether a target drains, or has said that it leaves."""
+        if self._leaving_born_ms.get(target.name) == target.born_ms:
+            return True
         registered = self.by_name.get(target.name)
         return registered is not None and registered.state == fleet.DRAINING
 
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -224,6 +224,26 @@
     assert admitted.caller_request.ending == "whole"
 
 
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_leaving_target_without_registration_confirms_no_end(
+    streaming, stage
+):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    connection = harness.accept_connection()
+    names = path_target_names(connection)
+    connection.respond(UNFRAMED_HEAD + event(1))
+    harness.targets.apply_registrations([], [names[stage]], False, 2)
+    connection.respond(event(2))
+    connection.close()
+    for number in range(harness.pending_connection_count()):
+        head = b"\r\nLeaving: 1\r\n" if number == stage else b"\r\n"
+        harness.accept_connection().respond(
+            REPORT_RESPONSE.replace(b"\r\n", head, 1)
+        )
+    assert admitted.caller_request.ending == ""
+
+
 def test_a_stream_closed_as_a_target_is_silent_is_not_complete(streaming):
     harness, admitted = streaming
     _, reports = close_undelimited_stream(harness, admitted, 1)
