Wait for a replacement that refuses a suspect instead of starting anew

Cause: all requests in an engine that dies become suspects, and suspects run one at a time at a target for a second. The stage before the dead one asks each alternate, all but the first few requests are refused with `suspect_apart`, and the chain failed at once. The entry then started a new attempt at the first layer every 0.2 s, although the dead engine had run the token and only its answer was lost.

A stage that has run the request now waits: it asks the stages that refused it again each 0.2 s, for 5 s in all, and keeps what earlier layers computed. The bound is below the six seconds for which a stage without a previous one is kept, and ends the wait of two suspects with ambiguous deaths that hold stages the other one needs. Before each question the stage looks at the evidence: a request that a second crash implicates goes back to its entry, which alone condemns. A request of which nothing has run is refused at once as before, as another chain may be free.

Ruled out: the entry as the place of the fix. It can't tell a refusal after the token ran from one before, and a chain that is released has lost the outputs of its earlier layers.

Not covered: a replaced stage that has run nothing yet and is refused its next one still fails the attempt (docs/PROMISES.md).

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -252,6 +252,7 @@
             self.engine_watch.client,
             self.peers,
             self._stage_refusal_reason,
+            self._may_go_on,
             self.first_stage_runner.callbacks(),
             recorder_module.Recorder(
                 self.process.request_log, self.process.tracer
@@ -395,6 +396,10 @@
             return ""
         return next_stages.SUSPECT_CONFLICT
 
+    def _may_go_on(self, digest: int) -> bool:
+        """Returns whether a request needs no decision of its entry now."""
+        return self.process.suspects.state(digest) in ("clear", "suspect")
+
     def _preempt(self, key: stage_runs.AttemptKey) -> None:
         self.first_stage_runner.preempt(key)
 
--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -27,6 +27,10 @@
 MAX_CRASHED_ENGINES = 2
 MAX_DEAD_TARGETS = 3
 SUSPECT_CONFLICT = "suspect_apart"
+# How often, and how long at most, an attempt asks for a next stage again that
+# refuses it as a suspect. A stage after one that waits is kept for longer.
+SUSPECT_POLL_S = 0.2
+MAX_SUSPECT_WAIT_S = 5.0
 RECONNECT_WAIT_S = 0.3  # Longest wait for a new link to a next stage.
 RECONNECT_TIMEOUT = "reconnect_timeout"
 # Reasons to replace a stage that may still hold its reservation.
@@ -57,10 +61,13 @@
     Attributes:
         is_open: Returns whether a run is still open.
         fail: Ends a run with a reason and the targets that died.
+        may_go_on: Returns whether the request with a digest may go on
+            without a decision of its entry, by the evidence of crashes.
     """
 
     is_open: Callable[[stage_runs.StageRun], bool]
     fail: Callable[[stage_runs.StageRun, str, list[str]], None]
+    may_go_on: Callable[[int], bool]
 
 
 class NextStages:
@@ -120,6 +127,8 @@
         Reconnects once for each target. A peer that went silent, or whose
         link is lost again, is replaced at once.
         """
+        if run.waits_as_suspect:
+            return  # Nothing is reserved there; it is dialled when asked.
         target = run.next_stage["target"]
         if reason == link_module.SILENCE or target in run.reconnected_targets:
             self.replace_next_stage(run, reason)
@@ -150,14 +159,16 @@
     def replace_next_stage(
         self, run: stage_runs.StageRun, reason: str
     ) -> None:
-        """Replaces the next stage by an alternate, or fails the run."""
+        """Replaces the next stage by an alternate, or fails the run.
+
+        A run that was only refused as a suspect may wait instead.
+        """
         STAGE_FAILURES.labels(reason).inc()
         run.tried_targets.add(run.next_stage["target"])
         if reason in LATE_REASONS and run.next_process:
             self.release(run, run.next_stage["target"])
-        run.refused_as_suspect = (
-            run.refused_as_suspect or reason == SUSPECT_CONFLICT
-        )
+        if reason == SUSPECT_CONFLICT:
+            run.suspect_refusals.append(run.next_stage)
         alternate = stage_runs.alternate_for(run)
         if (
             len(run.crashed_targets) >= MAX_CRASHED_ENGINES
@@ -168,10 +179,7 @@
             )
             return
         if alternate is None:
-            final_reason = (
-                SUSPECT_CONFLICT if run.refused_as_suspect else NO_ALTERNATE
-            )
-            self._callbacks.fail(run, final_reason, sorted(run.dead_targets))
+            self._wait_or_fail(run)
             return
         REPLACED_STAGES.inc()
         self._recorder.add_event(
@@ -185,6 +193,41 @@
         run.next_process = ""
         self.reserve_next_stage(run)
 
+    def _wait_or_fail(self, run: stage_runs.StageRun) -> None:
+        """Waits for a stage that refused a suspect, or fails the run.
+
+        A new attempt would run the token under way from the first layer. A
+        run that has not begun fails at once, as another chain may be free.
+        """
+        if not run.suspect_refusals:
+            self._callbacks.fail(run, NO_ALTERNATE, sorted(run.dead_targets))
+        elif (
+            not run.may_have_run
+            or run.waited_as_suspect_s >= MAX_SUSPECT_WAIT_S
+        ):
+            self._fail_as_suspect(run)
+        elif not run.waits_as_suspect:
+            run.waits_as_suspect = True
+            run.waited_as_suspect_s += SUSPECT_POLL_S
+            self._reactor.callLater(SUSPECT_POLL_S, self._ask_again, run)
+
+    def _ask_again(self, run: stage_runs.StageRun) -> None:
+        """Asks the stages again that refused a suspect."""
+        run.waits_as_suspect = False
+        if not self._callbacks.is_open(run) or run.next_reserved:
+            return
+        if not self._callbacks.may_go_on(run.context.digest):
+            self._fail_as_suspect(run)
+            return
+        stages, run.suspect_refusals = run.suspect_refusals, []
+        run.tried_targets -= {stage["target"] for stage in stages}
+        run.chain[run.stage_index + 1] = stages[0]
+        run.next_process = ""
+        self.reserve_next_stage(run)
+
+    def _fail_as_suspect(self, run: stage_runs.StageRun) -> None:
+        self._callbacks.fail(run, SUSPECT_CONFLICT, sorted(run.dead_targets))
+
     def reserve_next_stage(self, run: stage_runs.StageRun) -> None:
         """Connects to the next stage and asks for a reservation."""
         run.next_reserved = False
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -72,6 +72,8 @@
         peers: Links to other agents.
         refusal_reason: Returns why an `open` message must be refused, or an
             empty string.
+        may_go_on: Returns whether the request with a digest may go on
+            without a decision of its entry, by the evidence of crashes.
         callbacks: Callbacks for the requests that start at this agent.
         recorder: Records the events and spans of runs.
 
@@ -85,6 +87,7 @@
         engine: engine_client.EngineClient,
         peers: peers_module.Peers,
         refusal_reason: Callable[[Any], str],
+        may_go_on: Callable[[int], bool],
         callbacks: ChainCallbacks,
         recorder: recorder_module.Recorder,
     ) -> None:
@@ -105,7 +108,7 @@
             reactor,
             peers,
             self._outbox,
-            next_stages.RunCallbacks(self._is_open, self._fail_run),
+            next_stages.RunCallbacks(self._is_open, self._fail_run, may_go_on),
             recorder,
         )
 
--- a/src/hemlocktiller/_internal/agent/stage_runs.py
+++ b/src/hemlocktiller/_internal/agent/stage_runs.py
@@ -68,8 +68,10 @@
         dead_targets: Targets that died while they ran this request.
         crashed_targets: The dead targets whose agent survived and reported
             the failure of its engine.
-        refused_as_suspect: Whether a stage refused this request because
-            another suspect request runs there.
+        suspect_refusals: Stages that refused this request because another
+            suspect request runs there, since they were last asked again.
+        waits_as_suspect: Whether the run waits to ask them again.
+        waited_as_suspect_s: Time spent in such waits.
         expiry_timer: Releases the run after its deadline.
         started_at_s: When this stage was reserved.
         span: Trace span of this stage.
@@ -111,7 +113,9 @@
         self.reconnected_targets: set[str] = set()
         self.dead_targets: set[str] = set()
         self.crashed_targets: set[str] = set()
-        self.refused_as_suspect = False
+        self.suspect_refusals: list[Any] = []
+        self.waits_as_suspect = False
+        self.waited_as_suspect_s = 0.0
         self.expiry_timer: Any = None
         self.started_at_s = 0.0
         self.span: Any = None
--- a/tests/unit/pipeline_simulation.py
+++ b/tests/unit/pipeline_simulation.py
@@ -17,11 +17,13 @@
 
 from hemlocktiller._internal.agent import engine_client
 from hemlocktiller._internal.agent import first_stage
+from hemlocktiller._internal.agent import next_stages
 from hemlocktiller._internal.agent import peers as peers_module
 from hemlocktiller._internal.agent import pipeline as pipeline_module
 from hemlocktiller._internal.agent import recorder as recorder_module
 from hemlocktiller._internal.observe import request_log
 from hemlocktiller._internal.observe import traces
+from hemlocktiller._internal.policy import suspects
 from tests.fakes import model
 
 LAYERS = 6
@@ -130,6 +132,12 @@
             else:
                 completion.callback(self._execute(step))
 
+    def run_pending_steps(self):
+        """Runs the steps of all pending calls without an answer."""
+        for steps, _ in self.pending_calls:
+            for step in steps:
+                self._execute(step)
+
     def fail(self):
         """Drops all caches and fails all pending calls, as a restart does."""
         self.kv_caches.clear()
@@ -199,7 +207,8 @@
             simulation.clock,
             self.engine,
             self.peers,
-            lambda message: "",
+            lambda message: simulation.refusal_reason(name, message),
+            simulation.may_go_on,
             self.first_stage_runner.callbacks(),
             recorder_module.Recorder(
                 request_log.RequestLog(), traces.create(name, 0.0)
@@ -245,8 +254,11 @@
         self.agents = {}
         self.unreachable_targets = set()
         self.paused_targets = set()
+        self.paused_engines = set()
         self.pending_dials = []
         self.process_ids = {}
+        # Shared, as if evidence reached all agents at once.
+        self.suspects = suspects.Suspects({"suspect_ttl_s": 600.0})
         self.stages = []
         layers_per_stage = LAYERS // STAGES
         for stage_index in range(STAGES):
@@ -267,7 +279,9 @@
                     self, name, first_layer, first_layer + layers_per_stage
                 )
 
-    def start_request(self, max_tokens):
+    def start_request(
+        self, max_tokens, request="r1", attempt=1, digest=1, generated=()
+    ):
         """Starts a request on the first replica of each stage.
 
         Returns:
@@ -282,17 +296,17 @@
         link = FakeEntryLink()
         message = {
             "type": "start",
-            "request": "r1",
-            "attempt": 1,
+            "request": request,
+            "attempt": attempt,
             "config_version": 1,
             "prompt": PROMPT,
             "max_tokens": max_tokens,
-            "generated": [],
+            "generated": list(generated),
             "expires_in_s": 1000.0,
             "credit_tokens": 1000,
             "chain": chain,
             "alternates": alternates,
-            "digest": 1,
+            "digest": digest,
             "traceparent": "",
         }
         self.agents["s0r0"].first_stage_runner.begin(message, link, ())
@@ -312,8 +326,8 @@
         ]
         engines = [
             agent.engine
-            for agent in self.agents.values()
-            if agent.engine.pending_calls
+            for name, agent in self.agents.items()
+            if agent.engine.pending_calls and name not in self.paused_engines
         ]
         candidates = [*endpoints_with_messages, *engines]
         if not candidates:
@@ -328,6 +342,30 @@
         self.clock.advance(0)
         return True
 
+    def refusal_reason(self, name, message):
+        """Returns why an agent refuses a stage, or an empty string."""
+        running_s = self.agents[name].pipeline.running_s_by_digest()
+        may_run = self.suspects.may_run_beside(
+            message["digest"], running_s, self.clock.seconds()
+        )
+        return "" if may_run else next_stages.SUSPECT_CONFLICT
+
+    def may_go_on(self, digest):
+        """Returns whether a request needs no decision of its entry."""
+        now_s = self.clock.seconds()
+        return self.suspects.state(digest, now_s) in ("clear", "suspect")
+
+    def crash_engine(self, name):
+        """Crashes an engine that ran its steps, before it answers them."""
+        agent = self.agents[name]
+        self.suspects.record_death(
+            name,
+            agent.pipeline.in_engine_s_by_digest(),
+            self.clock.seconds(),
+        )
+        agent.engine.run_pending_steps()
+        agent.engine.fail()
+
     def kill_agent(self, name):
         """Stops an agent; its peers see closed links."""
         del self.agents[name]
