--- a/tests/unit/test_part_evidence_feed.py
+++ b/tests/unit/test_part_evidence_feed.py
@@ -120,6 +120,22 @@
     assert network.condemned((OTHER,)) == [None] * 5
 
 
+def test_outputs_that_peers_tell_each_other_again_do_not_seem_later():
+    network = Network(2)
+    network.connect_all()
+    network.crash(0, "t0", [(FIRST, CRASHING)])
+    network.feeds[0].record_death("t1", [(FIRST, CRASHING)])
+    network.deliver()
+    known_s = [feed.parts.contrast_s() for feed in network.feeds]
+    assert min(known_s) > 0.0
+    for number in range(2, 22):
+        network.feeds[number % 2].record_death(f"t{number}", [(OTHER,)])
+        network.deliver()
+    assert [feed.parts.contrast_s() for feed in network.feeds] == (
+        pytest.approx(known_s)
+    )
+
+
 def test_output_at_one_process_clears_a_part_at_all():
     network = Network(5)
     network.connect_all()
