Send each release of a stage's run through one function

The pipeline built the same `close` message as the next stages do when they release a run at a peer. It calls them now. No change of behaviour: the unit tests of the pipeline, of silent stages and of suspects in chains pass.

--- a/src/hemlocktiller/_internal/agent/next_stages.py
+++ b/src/hemlocktiller/_internal/agent/next_stages.py
@@ -94,7 +94,7 @@
     def on_peer_up(self, peer_name: str) -> None:
         """Releases the runs that a peer holds since its last link."""
         for run in self._unreleased.pop(peer_name, []):
-            self._send_close(run, peer_name)
+            self.send_close(run, peer_name)
 
     def release(self, run: stage_runs.StageRun, peer_name: str) -> None:
         """Releases a run at a peer that may be silent or not linked now.
@@ -102,7 +102,7 @@
         The message may be lost with a link, so that it is sent again on the
         next one, unless the peer has released the run by itself.
         """
-        self._send_close(run, peer_name)
+        self.send_close(run, peer_name)
         self._unreleased[peer_name].append(run)
         self._reactor.callLater(
             UPSTREAM_GRACE_S, self._forget_release, run, peer_name
@@ -117,7 +117,8 @@
         if not unreleased:
             self._unreleased.pop(peer_name, None)
 
-    def _send_close(self, run: stage_runs.StageRun, peer_name: str) -> None:
+    def send_close(self, run: stage_runs.StageRun, peer_name: str) -> None:
+        """Asks a peer to release a run, if it is linked now."""
         message = {"type": "close", **run.attempt_fields}
         self._peers.send(peer_name, message)
 
--- a/src/hemlocktiller/_internal/agent/pipeline.py
+++ b/src/hemlocktiller/_internal/agent/pipeline.py
@@ -190,8 +190,7 @@
             return
         self._release_sequence(run)
         if not run.is_last:
-            message = {"type": "close", **run.attempt_fields}
-            self._peers.send(run.next_stage["target"], message)
+            self._next_stages.send_close(run, run.next_stage["target"])
 
     def on_close(self, link: link_module.Link, message: Any) -> None:
         """Releases this stage, if the peer runs the stage before it.
