Share what tests of streams and of the soak repeated

Five tests of the soak asserted the same in the same words, one functional test sent its request in a copy of `send_draft`, and two unit test files answered probes in loops of their own. The assertions and the requests are the same. tests/unit/gateway and test_undelimited_answers.py pass.

--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -42,22 +42,24 @@
 STOP_POLLS = 160
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_seeded_faults_break_no_guarantee(seed, tmp_path):
-    problems, exchanges = gateway_soak.run(seed, tmp_path)
+def assert_all_kinds_served(problems, exchanges):
     assert problems == []
     kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
     assert kinds == {"draft", "booking", "lookup"}
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_seeded_faults_break_no_guarantee(seed, tmp_path):
+    problems, exchanges = gateway_soak.run(seed, tmp_path)
+    assert_all_kinds_served(problems, exchanges)
+
+
 @pytest.mark.parametrize("seed", RESTORE_SEEDS)
 def test_restores_of_the_store_break_no_guarantee(seed, tmp_path):
     problems, exchanges = gateway_soak.run(
         seed, tmp_path, gateway_soak.ExtraFaults(restores=1)
     )
-    assert problems == []
-    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
-    assert kinds == {"draft", "booking", "lookup"}
+    assert_all_kinds_served(problems, exchanges)
 
 
 @pytest.mark.parametrize("seed", UNDELIMITED_SEEDS)
@@ -65,27 +67,21 @@
     problems, exchanges = gateway_soak.run(
         seed, tmp_path, gateway_soak.ExtraFaults(undelimited=3)
     )
-    assert problems == []
-    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
-    assert kinds == {"draft", "booking", "lookup"}
+    assert_all_kinds_served(problems, exchanges)
 
 
 @pytest.mark.parametrize("seed", SILENCE_SEEDS)
 def test_silent_targets_neither_lose_nor_multiply_work(seed, tmp_path):
     extra = gateway_soak.ExtraFaults(silences=3, excludes_others=True)
     problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
-    assert problems == []
-    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
-    assert kinds == {"draft", "booking", "lookup"}
+    assert_all_kinds_served(problems, exchanges)
 
 
 @pytest.mark.parametrize("seed", MIXED_SILENCE_SEEDS)
 def test_silences_that_meet_other_events_break_no_guarantee(seed, tmp_path):
     extra = gateway_soak.ExtraFaults(mixed_silences=4, excludes_others=True)
     problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
-    assert problems == []
-    kinds = {exchange.kind for exchange in exchanges if exchange.status == 200}
-    assert kinds == {"draft", "booking", "lookup"}
+    assert_all_kinds_served(problems, exchanges)
 
 
 @pytest.mark.parametrize("seed", CRASH_SEEDS)
--- a/tests/functional/test_undelimited_answers.py
+++ b/tests/functional/test_undelimited_answers.py
@@ -43,6 +43,15 @@
             connection.close()
 
 
+def send_draft(gateway, request_id):
+    connection = http.client.HTTPConnection(
+        gateway.address.host, gateway.address.port, timeout=CALLER_TIMEOUT_S
+    )
+    exchange = gateway_soak.send(connection, gateway.name, "draft", request_id)
+    connection.close()
+    return exchange
+
+
 @pytest.mark.promise(2)
 @pytest.mark.parametrize("ratio", [0.0, 0.4])
 def test_no_answer_broken_off_by_a_target_looks_complete(deployment, ratio):
@@ -50,16 +59,8 @@
     gateway = deployment.gateways[0]
     whole_count = 0
     for number in range(STREAM_COUNT):
-        connection = http.client.HTTPConnection(
-            gateway.address.host,
-            gateway.address.port,
-            timeout=CALLER_TIMEOUT_S,
-        )
         request_id = f"undelimited-{ratio}-{number}"
-        exchange = gateway_soak.send(
-            connection, gateway.name, "draft", request_id
-        )
-        connection.close()
+        exchange = send_draft(gateway, request_id)
         if exchange.is_whole and exchange.status == 200:
             whole_count += 1
             assert exchange.body == b"".join(
@@ -136,15 +137,6 @@
     )
 
 
-def send_draft(gateway, request_id):
-    connection = http.client.HTTPConnection(
-        gateway.address.host, gateway.address.port, timeout=CALLER_TIMEOUT_S
-    )
-    exchange = gateway_soak.send(connection, gateway.name, "draft", request_id)
-    connection.close()
-    return exchange
-
-
 @pytest.mark.promise(2)
 @pytest.mark.parametrize("gateway_pauses", [False, True])
 def test_no_answer_closed_while_a_stage_is_silent_looks_complete(
--- a/tests/unit/gateway/test_silent_targets.py
+++ b/tests/unit/gateway/test_silent_targets.py
@@ -8,6 +8,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.store import client
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_streams import answer_reports
 from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
 from tests.unit.gateway.test_streams import is_probe
@@ -56,16 +57,11 @@
 
 def answer_probes(harness, duration_s):
     """Answers the probes of all targets; returns the last attempt, if any."""
-    attempt = None
+    attempts = []
     for _ in range(round(duration_s / 0.1)):
         harness.advance_clock(0.1)
-        while harness.pending_connection_count():
-            connection = harness.accept_connection()
-            if is_probe(connection):
-                connection.respond(REPORT_RESPONSE)
-            else:
-                attempt = connection
-    return attempt
+        attempts.extend(answer_reports(harness))
+    return attempts[-1] if attempts else None
 
 
 def start_answered_stream(harness, service, route, names):
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -72,6 +72,18 @@
     pytest.fail("no attempt was started")
 
 
+def answer_reports(harness):
+    """Answers pending probes; returns the other pending connections."""
+    attempts = []
+    while harness.pending_connection_count():
+        connection = harness.accept_connection()
+        if is_probe(connection):
+            connection.respond(REPORT_RESPONSE)
+        else:
+            attempts.append(connection)
+    return attempts
+
+
 @pytest.fixture
 def streaming(harness, model_service, stream_route):
     """A harness with two chains, and an admitted stream request."""
@@ -253,18 +265,6 @@
     accept_attempt(harness)
 
 
-def answer_reports(harness):
-    """Answers pending probes; returns the other pending connections."""
-    attempts = []
-    for _ in range(harness.pending_connection_count()):
-        connection = harness.accept_connection()
-        if is_probe(connection):
-            connection.respond(REPORT_RESPONSE)
-        else:
-            attempts.append(connection)
-    return attempts
-
-
 def assert_resumed_after_event_1(harness, admitted):
     (second_attempt,) = answer_reports(harness)
     harness.advance_clock(0.3)
