Tell targets the priority class of requests, where classes differ

Cause: the priority class of a route named a plan of the fair queue and nothing else; targets took every request for the same class, so inside an engine the least urgent request went before the most urgent one if it came earlier. Change: a service is ranked if its routes differ in priority class; requests to it carry their class. Other services' requests are as before. Ruled out: sending the class always, which would change deployments whose routes are alike only in name.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -184,6 +184,7 @@
         """
         self._read_settings = read_settings or (lambda: settings)
         self.catalog: model.Catalog | None = None
+        self._ranked_services: frozenset[str] = frozenset()
         self._reactor = reactor
         self._settings = settings
         self._adapter = adapter
@@ -399,6 +400,7 @@
                 priority,
                 caller_request.read_body(),
                 catalog.version,
+                priority if service.name in self._ranked_services else None,
             )
         )
 
@@ -541,6 +543,7 @@
             return False
         previous_version = self.catalog.version if self.catalog else None
         self.catalog = catalog
+        self._ranked_services = model.ranked_services(catalog)
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
--- a/src/hemlocktiller/_internal/gateway/model.py
+++ b/src/hemlocktiller/_internal/gateway/model.py
@@ -120,6 +120,18 @@
         return None
 
 
+def ranked_services(catalog: Catalog) -> frozenset[str]:
+    """Returns the services whose routes differ in priority class."""
+    priorities: dict[str, set[int]] = {}
+    for routes in catalog.routes.values():
+        for route in routes:
+            for service, _ in route.services:
+                priorities.setdefault(service, set()).add(route.priority)
+    return frozenset(
+        service for service, classes in priorities.items() if len(classes) > 1
+    )
+
+
 class TargetReport(NamedTuple):
     """Status that a target reports about itself.
 
--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -50,6 +50,8 @@
         time_left_s: Time until the deadline.
         workspace: Workspace of the caller; empty if none is required.
         last_event_id: Id of the event after which a stream continues.
+        rank: Priority class in which the target orders the request; 0 is the
+            most urgent, None if all of its service are alike.
     """
 
     target: fleet.Target
@@ -57,6 +59,7 @@
     time_left_s: float
     workspace: str
     last_event_id: str
+    rank: int | None = None
 
 
 class ResponseHead(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -74,6 +74,8 @@
         priority: Its priority class; 0 is the most urgent.
         body: Its body.
         config_version: Version of the configuration that admitted it.
+        rank: Its priority class if the requests of its service differ in
+            it, so that the class decides who is served first; else None.
     """
 
     caller_request: ingress.CallerRequest
@@ -84,6 +86,7 @@
     priority: int
     body: bytes
     config_version: int
+    rank: int | None = None
 
 
 def request_deadline_s(admitted: AdmittedRequest) -> float:
@@ -165,7 +168,12 @@
     headers = context.adapter.encode_request_headers(
         admitted.parsed_headers,
         platform_adapter.DispatchDetails(
-            target, path, remaining_s, admitted.workspace, last_event_id
+            target,
+            path,
+            remaining_s,
+            admitted.workspace,
+            last_event_id,
+            admitted.rank,
         ),
     )
     context.targets.record_request_sent(target)
--- a/src/hemlocktiller/_internal/policy/fleet.py
+++ b/src/hemlocktiller/_internal/policy/fleet.py
@@ -5,6 +5,9 @@
 
 READY = "ready"
 DRAINING = "draining"
+# Ratio of decode times from which one fast target does the work of many slow
+# ones, so that which of them a request runs on decides whether it is in time.
+UNEVEN_DECODE_TIME_RATIO = 10.0
 
 
 class Accelerator(NamedTuple):
@@ -129,3 +132,13 @@
 
 
 Path = tuple[Stage, ...]
+
+
+def is_uneven(engine: Engine | None) -> bool:
+    """Returns whether the accelerators of an engine differ much in speed."""
+    if engine is None or not engine.accelerators:
+        return False
+    factors = [
+        kind.decode_time_factor for kind in engine.accelerators.values()
+    ]
+    return max(factors) >= UNEVEN_DECODE_TIME_RATIO * min(factors)
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -611,3 +611,20 @@
     ]
     failure, _ = call_store(adapter, replies, "GET", ("objects", "servers"))
     assert failure.check(exceptions.StoreUnavailable)
+
+
+@pytest.mark.parametrize(
+    ("rank", "value"), [(0, b"0"), (2, b"2"), (-3, b"0"), (12, b"9")]
+)
+def test_a_ranked_request_carries_its_priority(adapter, rank, value):
+    request_headers = platform_adapter.RequestHeaders(
+        "r", 20.0, "secret", 0, 0, 0, "", []
+    )
+    target = adapter.decoders.decode_target("i-1", TARGET_ENTRY)
+    headers = dict(
+        adapter.exchange_headers.encode_request_headers(
+            request_headers,
+            platform_adapter.DispatchDetails(target, (), 1.5, "t", "", rank),
+        )
+    )
+    assert headers[b"Request-Priority"] == value
