--- a/src/hemlocktiller/_internal/policy/layout.py
+++ b/src/hemlocktiller/_internal/policy/layout.py
@@ -77,7 +77,9 @@
     for data_centre, kind_counts in sorted(by_data_centre.items()):
         chains = [
             members
-            for composition, part_count in _partition(kind_counts).items()
+            for composition, part_count in _partition(
+                kind_counts, engine
+            ).items()
             for members in _best_chains(dict(composition), engine) * part_count
         ]
         for chain_number, members in enumerate(chains):
@@ -286,7 +288,7 @@
 
 
 def _partition(
-    kind_counts: Mapping[str, int],
+    kind_counts: Mapping[str, int], engine: fleet.Engine
 ) -> dict[tuple[tuple[str, int], ...], int]:
     """Splits the targets of a data centre into parts small enough to search.
 
@@ -308,13 +310,11 @@
         > MAX_SEARCH_STATES
     ):
         part_count += 1
+    offsets = _remainder_offsets(kind_counts, engine, part_count)
     parts_by_composition: dict[tuple[tuple[str, int], ...], int] = {}
     for part in range(part_count):
         composition = tuple(
-            (
-                kind,
-                (part + 1) * count // part_count - part * count // part_count,
-            )
+            (kind, _count_in_part(count, part, part_count, offsets[kind]))
             for kind, count in sorted(kind_counts.items())
         )
         parts_by_composition[composition] = (
@@ -323,6 +323,35 @@
     return parts_by_composition
 
 
+def _count_in_part(count, part, part_count, offset):
+    """Returns how many of `count` targets a part gets.
+
+    Targets that can't be spread evenly go to the last parts, or, with an
+    offset, to as many parts before them.
+    """
+    shifted = (part + offset) % part_count
+    return (shifted + 1) * count // part_count - shifted * count // part_count
+
+
+def _remainder_offsets(kind_counts, engine, part_count):
+    """Returns for each kind which parts get what can't be spread evenly.
+
+    Where kinds differ much, one target of a large kind makes or breaks a
+    part, so the remainders of the kinds go to different parts.
+    """
+    offsets = dict.fromkeys(kind_counts, 0)
+    if not fleet.is_uneven(engine):
+        return offsets
+    taken = 0
+    for kind in sorted(
+        kind_counts,
+        key=lambda kind: (-engine.accelerators[kind].memory_mb, kind),
+    ):
+        offsets[kind] = taken
+        taken = (taken + kind_counts[kind] % part_count) % part_count
+    return offsets
+
+
 def _best_chains(
     kind_counts: Mapping[str, int], engine: fleet.Engine
 ) -> list[dict[str, int]]:
@@ -403,6 +432,10 @@
         for kind, first, end in ranges
     )
     concurrent_requests = room_tokens / mean_context_tokens
+    if fleet.is_uneven(engine):
+        # Memory beyond what the first stage can run at once is better used
+        # in another chain.
+        concurrent_requests = min(concurrent_requests, engine.max_sequences)
     if concurrent_requests < MIN_CHAIN_REQUESTS:
         return 0.0
     layer_share = {
