--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -16,6 +16,7 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import layout
 from hemlocktiller._internal.policy import occupancy
+from hemlocktiller._internal.policy import room
 
 # One-way network latency within a data centre and between two, from the
 # platform's figures; only their ratio affects the choice.
@@ -83,6 +84,8 @@
             centre. It differs between requests, so that gateways with the
             same information don't all choose the same path.
         sample: Returns a sample of the given size from a list of targets.
+        more_urgent_ratio: Share of the demand that is more urgent than the
+            request; see `room`.
     """
 
     engine: fleet.Engine
@@ -94,6 +97,7 @@
     sample: Callable[[list[fleet.Target], int], list[fleet.Target]] = (
         lambda targets, size: targets[:size]
     )
+    more_urgent_ratio: float = 0.0
 
 
 class _TargetEstimate(NamedTuple):
@@ -326,12 +330,16 @@
     time_factor = state.pace(target.name) * state.cost_factor(
         target.data_centre
     )
+    capacity = token_layer_capacity(target, engine)
+    kept_ratio = room.kept_ratio(
+        capacity / (target.layers * engine.usual_tokens),
+        state.more_urgent_ratio,
+    )
     free_token_layers = (
-        token_layer_capacity(target, engine) * MAX_MEMORY_RATIO
-        - load.token_layers
+        capacity * (MAX_MEMORY_RATIO - kept_ratio) - load.token_layers
     )
     max_layers = free_token_layers / demand.reserved_tokens
-    if load.sequences >= engine.max_sequences:
+    if _has_no_slot(target, load, kept_ratio, engine):
         max_layers = 0
     context_tokens = load.token_layers / target.layers + demand.prompt_tokens
     decode_step_ms = (
@@ -363,6 +371,18 @@
     )
 
 
+def _has_no_slot(target, load, kept_ratio, engine):
+    """Returns whether a target can't take one more sequence.
+
+    The slots limit what a target runs as the first of a path. Where the
+    accelerators are uneven, later stages are shared by many paths and may run
+    more.
+    """
+    if target.first_layer > 0 and fleet.is_uneven(engine):
+        return False
+    return load.sequences >= engine.max_sequences * (1.0 - kept_ratio)
+
+
 def _hop_costs(previous, target, demand, state):
     """Returns the ms to send the prompt, and one token, to the next stage.
 
--- a/tests/unit/gateway/test_layout.py
+++ b/tests/unit/gateway/test_layout.py
@@ -203,6 +203,8 @@
     assert len(layout.fill_ranges(slots, targets, engine)) == len(slots)
 
 
-def test_a_data_centre_of_many_accelerators_is_split_into_parts():
-    part = layout._partition({f"kind-{number}": 3 for number in range(9)})
+def test_a_data_centre_of_many_accelerators_is_split_into_parts(engine):
+    part = layout._partition(
+        {f"kind-{number}": 3 for number in range(9)}, engine
+    )
     assert sum(part.values()) == 3
