--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -255,12 +255,16 @@
                 self._apply_peer_catalog,
                 self._restart_polls,
                 self._on_watcher_changed,
+                self._dispatcher.full_targets,
             ),
             self._rng,
         )
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
         self.targets.on_health = self._peers.broadcast_health
         self.targets.on_pace = self._peers.broadcast_pace
+        self._dispatcher.full_targets.on_found_full = (
+            self._peers.broadcast_full_target
+        )
         self.targets.on_registration = self._peers.broadcast_registration
         self._startup_queue = startup_queue.StartupQueue(
             reactor,
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -8,6 +8,7 @@
 
 import prometheus_client
 
+from hemlocktiller._internal.gateway import full_targets
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
@@ -27,9 +28,6 @@
     "short_cost_tokens": 1_000_000_000,
 }
 QUEUE_POLL_INTERVAL_S = 0.05
-# A target that rejected a request as full is used again once some of its
-# requests should have ended: a tenth of the time of a typical response.
-FULL_TARGET_BACKOFF_S = 0.2
 # Memory reserved for the output, as a share of its expected tokens: the memory
 # in use grows from none to all of them, with a mean of half.
 OUTPUT_RESERVATION_RATIO = 0.5
@@ -91,6 +89,7 @@
 
     Attributes:
         occupancy: Load of the targets, including the reserved memory.
+        full_targets: Targets that are avoided as they had no room.
         is_outdated: Returns whether no path may be chosen yet, as this
             process was paused and its list of targets is outdated.
     """
@@ -113,6 +112,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self.occupancy = occupancy_module.Occupancy()
+        self.full_targets = full_targets.FullTargets(reactor)
         self.is_outdated: Callable[[], bool] = lambda: False
         self._reactor = reactor
         self._targets = targets
@@ -122,7 +122,6 @@
         self._nonempty_since_s: dict[str, float] = {}
         self._waiting: dict[str, PathRequest] = {}
         self._resuming: dict[str, PathRequest] = {}
-        self._full_until_s: dict[str, float] = {}
         self._arrival_rate = admission.RateWindow()
         self._processing_timer: Any = None
         self._is_processing = False
@@ -159,10 +158,11 @@
         self._update_waiting_gauge()
         self._schedule_processing()
 
-    def mark_full(self, target: fleet.Target) -> None:
+    def mark_full(
+        self, target: fleet.Target, tell_peers: bool = False
+    ) -> None:
         """Sends no requests to a target that had no room, for a short time."""
-        until_s = self._reactor.seconds() + FULL_TARGET_BACKOFF_S
-        self._full_until_s[target.name] = until_s
+        self.full_targets.mark(target, tell_peers)
 
     def submit_resumed(self, path_request: PathRequest) -> None:
         """Finds a new path for a stream, ahead of all queued requests.
@@ -212,7 +212,7 @@
             path_request.service.engine,
             lambda name: self.occupancy.load(name, now_s),
             self._targets.pace,
-            lambda name: self._full_until_s.get(name, 0.0) > now_s,
+            self.full_targets.is_full,
             self.occupancy.inter_dc_mbps(now_s),
             self._make_bias(),
             self._rng.sample,
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -15,6 +15,7 @@
 import prometheus_client
 from twisted.internet import defer
 
+from hemlocktiller._internal.gateway import full_targets as full_targets_module
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.links import dialer
@@ -83,6 +84,7 @@
             outage.
         on_watcher_change: Called when this process becomes a watcher or is
             one no longer, with whether it is one.
+        full_targets: Targets that are avoided as they had no room.
     """
 
     targets: targets_module.Targets
@@ -93,6 +95,7 @@
     apply_catalog: Callable[[StoredCatalog], bool]
     on_store_recovered: Callable[[], None]
     on_watcher_change: Callable[[bool], None]
+    full_targets: full_targets_module.FullTargets
 
 
 class Peers:
@@ -210,6 +213,16 @@
             }
         )
 
+    def broadcast_full_target(self, target: fleet.Target) -> None:
+        """Tells peers of a target that had no room for a request."""
+        self._broadcast(
+            {
+                "type": "full_target",
+                "target": target.name,
+                "born_ms": target.born_ms,
+            }
+        )
+
     def count_gateways(self) -> int:
         """Returns the number of gateways registered, or linked if higher."""
         return max(len(self._registered_names), len(self._links) + 1)
@@ -366,6 +379,10 @@
             self._hooks.targets.apply_peer_pace(
                 message["target"], message["born_ms"], message["pace"]
             )
+        elif message_type == "full_target":
+            target = self._hooks.targets.by_name.get(message["target"])
+            if target is not None and target.born_ms == message["born_ms"]:
+                self._hooks.full_targets.mark_by_peer(target)
         elif message_type == "registration":
             self._store.learn_era(versions.era_of(message["version"]))
             value = json.loads(message["value"]) if message["value"] else None
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -996,7 +996,9 @@
             response_head.failed_stage_address
         )
         faulty_target = faulty_target or path[0].target
-        self._dispatcher.mark_full(faulty_target)
+        self._dispatcher.mark_full(
+            faulty_target, fleet.is_uneven(self._admitted.service.engine)
+        )
         self._context.targets.probe_suspect(
             faulty_target, f"turned down with {status}"
         )
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -55,6 +55,7 @@
         "registration",
         "target_health",
         "target_pace",
+        "full_target",
     )
 )
 RTT_SMOOTHING_FACTOR = 0.2  # Share of a new sample in the moving average.
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -331,13 +331,12 @@
         target.data_centre
     )
     capacity = token_layer_capacity(target, engine)
-    kept_ratio = room.kept_ratio(
-        capacity / (target.layers * engine.usual_tokens),
-        state.more_urgent_ratio,
-    )
-    free_token_layers = (
-        capacity * (MAX_MEMORY_RATIO - kept_ratio) - load.token_layers
-    )
+    requests_that_fit = capacity / (target.layers * engine.usual_tokens)
+    kept_ratio = room.kept_ratio(requests_that_fit, state.more_urgent_ratio)
+    usable_ratio = MAX_MEMORY_RATIO - kept_ratio
+    if fleet.is_uneven(engine):
+        usable_ratio -= room.size_margin_ratio(requests_that_fit)
+    free_token_layers = capacity * usable_ratio - load.token_layers
     max_layers = free_token_layers / demand.reserved_tokens
     if _has_no_slot(target, load, kept_ratio, engine):
         max_layers = 0
--- a/src/hemlocktiller/_internal/policy/room.py
+++ b/src/hemlocktiller/_internal/policy/room.py
@@ -15,6 +15,25 @@
 # Never more than this is kept, so that the least urgent class runs at targets
 # that fit a few requests only, too.
 MAX_KEPT_RATIO = 0.25
+# Standard deviation of the size of a request over its mean: prompts and
+# outputs of chat requests are near exponential, and their sum varies less.
+SIZE_VARIATION = 0.6
+
+
+def size_margin_ratio(requests_that_fit: float) -> float:
+    """Returns the share of room kept for sizes above their mean.
+
+    Memory is reserved for the mean size of running requests. The sum of many
+    stays close to it; at a target of little memory it doesn't, and requests
+    beyond its room are turned away there.
+
+    Args:
+        requests_that_fit: Requests of usual size that the target has memory
+            for.
+    """
+    if requests_that_fit <= 0.0:
+        return MAX_KEPT_RATIO
+    return min(MAX_KEPT_RATIO, SIZE_VARIATION / math.sqrt(requests_that_fit))
 
 
 def kept_ratio(requests_that_fit: float, more_urgent_ratio: float) -> float:
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2529,6 +2529,41 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms', 'pace'], 'properties': {'type': {'const': 'target_pace', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'pace': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_full_target(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms'], 'properties': {'type': {'const': 'full_target', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'target', 'born_ms']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms'], 'properties': {'type': {'const': 'full_target', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'full_target', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'full_target'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: full_target", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'full_target', 'type': 'string'}, rule='const')
+        if "target" in data_keys:
+            data_keys.remove("target")
+            data__target = data["target"]
+            if not isinstance(data__target, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".target must be string", value=data__target, name="" + (name_prefix or "data") + ".target", definition={'type': 'string'}, rule='type')
+        if "born_ms" in data_keys:
+            data_keys.remove("born_ms")
+            data__bornms = data["born_ms"]
+            if not isinstance(data__bornms, (int)) and not (isinstance(data__bornms, float) and data__bornms.is_integer()) or isinstance(data__bornms, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".born_ms must be integer", value=data__bornms, name="" + (name_prefix or "data") + ".born_ms", definition={'type': 'integer'}, rule='type')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms'], 'properties': {'type': {'const': 'full_target', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -2564,6 +2599,7 @@
     'catalog': check_catalog,
     'catalog_wanted': check_catalog_wanted,
     'target_pace': check_target_pace,
+    'full_target': check_full_target,
 }
 
 BYTES_PATHS = {
@@ -2601,4 +2637,5 @@
     'catalog': [],
     'catalog_wanted': [],
     'target_pace': [],
+    'full_target': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -525,6 +525,16 @@
     pace: float
 
 
+class FullTarget(TypedDict, closed=True):
+    """
+    The sender had a request turned away by a target without room.
+    """
+
+    type: Literal['full_target']
+    target: str
+    born_ms: int
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -580,4 +590,5 @@
     | Catalog
     | CatalogWanted
     | TargetPace
+    | FullTarget
 )
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.gateway import full_targets as full_targets_module
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import fleet
@@ -73,6 +74,7 @@
                     harness.reactor.seconds()
                 ),
                 self.watcher_changes.append,
+                harness.dispatcher.full_targets,
             ),
             random.Random(1),
         )
@@ -242,6 +244,36 @@
     assert gateway.harness.targets.pace("a") == 1.0
 
 
+@pytest.mark.parametrize(
+    ("name", "born_ms", "is_avoided"),
+    [("a", 7, True), ("a", 1, False), ("unknown", 7, False)],
+)
+def test_a_target_that_a_peer_found_full_is_avoided_for_a_short_time(
+    gateway, name, born_ms, is_avoided
+):
+    harness = gateway.harness
+    harness.register(make_target("a", born_ms=7))
+    message = {"type": "full_target", "target": name, "born_ms": born_ms}
+    gateway.peers._on_message(gateway.open_link("g1"), message)
+    full_targets = harness.dispatcher.full_targets
+    assert full_targets.is_full("a") == is_avoided
+    harness.reactor.advance(full_targets_module.BACKOFF_S)
+    assert not full_targets.is_full("a")
+
+
+def test_peers_are_told_once_of_a_full_target_of_uneven_services(harness):
+    told = []
+    full_targets = harness.dispatcher.full_targets
+    full_targets.on_found_full = told.append
+    target = make_target("a")
+    full_targets.mark(target, tell_peers=False)
+    assert told == []
+    harness.reactor.advance(full_targets_module.BACKOFF_S)
+    full_targets.mark(target, tell_peers=True)
+    full_targets.mark(target, tell_peers=True)
+    assert told == [target]
+
+
 def test_one_of_all_linked_gateways_polls_a_target(harness):
     stored = peers_module.StoredCatalog(5, {})
     names = ["gateway-1", "gateway-2", "gateway-3"]
