Share demand by class between gateways and admit alike

Cause: each gateway admitted by its own queue and its own few starts a second, so one refused urgent work while another started less urgent. Change: where a service is ranked, requests go through RankedRequests, which acts on the demand of all gateways; the occupancy message carries bounded sums by service and class. Sums that are missing, old or implausible are left out, and below half of the peers a gateway acts on its own sums; both are logged once. A refusal says when room for its class is expected; callers that come back are recognized by the time that they have left. Ruled out: a message of its own (one more frame each interval); a schema that checks the rows, since a bad row would cost the link.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -255,6 +255,7 @@
                 self._apply_peer_catalog,
                 self._restart_polls,
                 self._on_watcher_changed,
+                self._dispatcher.demand,
             ),
             self._rng,
         )
@@ -544,6 +545,11 @@
         previous_version = self.catalog.version if self.catalog else None
         self.catalog = catalog
         self._ranked_services = model.ranked_services(catalog)
+        self._dispatcher.demand.services = frozenset(
+            name
+            for name in self._ranked_services
+            if name in catalog.services and catalog.services[name].engine
+        )
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -8,7 +8,9 @@
 
 import prometheus_client
 
+from hemlocktiller._internal.gateway import demand as demand_module
 from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import ranked_requests
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
@@ -73,6 +75,9 @@
         latency_objective_s: Time in which the first event should come.
         is_replacement: Whether a run of the request is only silent and may
             still go on.
+        rank: Its class where the classes of the service compete, else None.
+        time_left_s: Time that the caller has left.
+        has_waited: Whether the caller was refused before and came back.
     """
 
     request_id: str
@@ -84,6 +89,9 @@
     allowed_first_targets: Callable[[], frozenset[str] | None] = lambda: None
     latency_objective_s: float = math.inf
     is_replacement: bool = False
+    rank: int | None = None
+    time_left_s: float = math.inf
+    has_waited: bool = False
 
 
 class Dispatcher:
@@ -91,6 +99,7 @@
 
     Attributes:
         occupancy: Load of the targets, including the reserved memory.
+        demand: Demand by priority class, of this gateway and its peers.
         is_outdated: Returns whether no path may be chosen yet, as this
             process was paused and its list of targets is outdated.
     """
@@ -124,6 +133,16 @@
         self._resuming: dict[str, PathRequest] = {}
         self._full_until_s: dict[str, float] = {}
         self._arrival_rate = admission.RateWindow()
+        self.demand = demand_module.DemandBoard()
+        self.demand.report_interval_s = self.occupancy.report_interval_s
+        self.demand.count_gateways = lambda: self.occupancy.count_gateways()
+        self._ranked = ranked_requests.RankedRequests(
+            self.demand,
+            ranked_requests.Hooks(
+                self.choose_path, self._start_request, self._reject
+            ),
+            rng,
+        )
         self._processing_timer: Any = None
         self._is_processing = False
         targets.on_change.append(self.process_queues)
@@ -131,6 +150,12 @@
     def submit(self, path_request: PathRequest) -> None:
         """Starts, queues or rejects a request."""
         now_s = self._reactor.seconds()
+        if path_request.rank is not None:
+            if not self._reject_until_pause_ends(path_request, now_s):
+                self._ranked.submit(path_request, now_s)
+                self._update_waiting_gauge()
+                self._schedule_processing()
+            return
         self._arrival_rate.record(now_s)
         queue = self._queue_for(path_request.service.name)
         if not len(queue):
@@ -167,7 +192,8 @@
     def submit_resumed(self, path_request: PathRequest) -> None:
         """Finds a new path for a stream, ahead of all queued requests.
 
-        Streams whose run is lost come before those whose run is silent.
+        Streams whose run is lost come before those whose run is silent; of
+        these, the more urgent come first where classes compete.
         """
         choice = self.choose_path(path_request)
         if choice is not None:
@@ -194,6 +220,8 @@
     def discard(self, request_key: str) -> None:
         """Dequeues a request or releases the memory reserved for it."""
         self._resuming.pop(request_key, None)
+        if self._ranked.discard(request_key):
+            self._update_waiting_gauge()
         path_request = self._waiting.pop(request_key, None)
         if path_request is not None:
             self._queue_for(path_request.service.name).remove(request_key)
@@ -262,7 +290,8 @@
         """Processes resumed streams first, then the queued requests."""
         now_s = self._reactor.seconds()
         resuming = sorted(
-            self._resuming.items(), key=lambda item: item[1].is_replacement
+            self._resuming.items(),
+            key=lambda item: (item[1].is_replacement, item[1].rank or 0),
         )
         for request_key, path_request in resuming:
             if path_request.queue_item.deadline_s < now_s:
@@ -277,8 +306,9 @@
                 self._start_request(path_request, choice)
         for queue in self._queues.values():
             self._process_queue(queue, now_s)
+        self._ranked.process(now_s)
         self._update_waiting_gauge()
-        if self._waiting or self._resuming:
+        if self._waiting or self._resuming or len(self._ranked):
             self._schedule_processing()
 
     def _process_queue(self, queue, now_s):
@@ -336,7 +366,8 @@
             request=path_request.request_id,
             reason=reason,
             retry_after_s=round(retry_after_s, 2),
-            waiting=len(self._waiting),
+            waiting=len(self._waiting) + len(self._ranked),
+            **_rank_fields(path_request),
             rate_per_s=round(
                 self._start_rate.per_s(self._reactor.seconds()), 1
             ),
@@ -359,7 +390,7 @@
         return self._queues[service]
 
     def _update_waiting_gauge(self):
-        WAITING_REQUESTS.set(len(self._waiting))
+        WAITING_REQUESTS.set(len(self._waiting) + len(self._ranked))
 
     def _schedule_processing(self):
         """Schedules another search for paths if any request lacks one."""
@@ -368,12 +399,23 @@
             and self._processing_timer.active()
         ):
             return
-        if self._waiting or self._resuming:
+        if self._waiting or self._resuming or len(self._ranked):
             self._processing_timer = self._reactor.callLater(
                 QUEUE_POLL_INTERVAL_S, self.process_queues
             )
 
 
+def _rank_fields(path_request):
+    """Returns the fields of a log line where classes compete."""
+    if path_request.rank is None:
+        return {}
+    return {
+        "rank": path_request.rank,
+        "workspace": path_request.queue_item.workspace,
+        "has_waited": path_request.has_waited,
+    }
+
+
 def estimate_demand(
     prompt_tokens: float, output_tokens: float, engine: fleet.Engine
 ) -> paths.RequestDemand:
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -15,6 +15,7 @@
 import prometheus_client
 from twisted.internet import defer
 
+from hemlocktiller._internal.gateway import demand as demand_module
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.links import dialer
@@ -83,6 +84,7 @@
             outage.
         on_watcher_change: Called when this process becomes a watcher or is
             one no longer, with whether it is one.
+        demand: Demand by priority class, where classes compete.
     """
 
     targets: targets_module.Targets
@@ -93,6 +95,7 @@
     apply_catalog: Callable[[StoredCatalog], bool]
     on_store_recovered: Callable[[], None]
     on_watcher_change: Callable[[bool], None]
+    demand: demand_module.DemandBoard
 
 
 class Peers:
@@ -125,6 +128,7 @@
         self._is_catalog_request_scheduled = False
         self._registered_names: set[str] = {settings.name}
         self._dialers: dict[str, dialer.Dialer] = {}
+        self._last_sent_demand: list[Any] | None = None
         self._last_sent_loads: dict[str, occupancy_module.Load] = {}
         self._report_count = 0
         self._discovery: watch.Watch | None = None
@@ -329,6 +333,9 @@
         LINKED_PEERS.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
+            self._hooks.demand.apply_peer(
+                link.peer["name"], None, self._reactor.seconds()
+            )
         self._update_watcher_role()
 
     def _linked_names(self):
@@ -383,6 +390,9 @@
 
     def _apply_occupancy(self, link, message):
         """Applies a peer's loads, which the message has in columns."""
+        self._hooks.demand.apply_peer(
+            link.peer["name"], message.get("demand"), self._reactor.seconds()
+        )
         columns = (
             message["targets"],
             message["token_layers"],
@@ -474,12 +484,15 @@
         for name in set(self._last_sent_loads) - set(loads):
             changed[name] = occupancy_module.NO_LOAD
         self._last_sent_loads = loads
-        if changed or is_full_report:
-            self._broadcast(self._occupancy_message(changed, is_full_report))
+        message = self._occupancy_message(changed, is_full_report)
+        demand = message.get("demand")
+        if changed or is_full_report or demand != self._last_sent_demand:
+            self._last_sent_demand = demand
+            self._broadcast(message)
 
     def _occupancy_message(self, load_by_target, is_full_report):
         loads = list(load_by_target.values())
-        return {
+        message = {
             "type": "occupancy",
             "targets": list(load_by_target),
             "token_layers": [round(load.token_layers) for load in loads],
@@ -491,6 +504,11 @@
                 self._reactor.seconds()
             ),
         }
+        if self._hooks.demand.services:
+            message["demand"] = self._hooks.demand.rows(
+                self._reactor.seconds()
+            )
+        return message
 
     def _broadcast(self, message):
         frame = codec.encode(message)
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -99,6 +99,13 @@
         self.digest = request_context.request_digest(admitted)
         self.request_id = admitted.parsed_headers.request_id
         self.prompt_parts = admitted.parsed_headers.prompt_parts
+        # Whether the caller was refused before and came back as told.
+        self._has_waited = (
+            admitted.rank is not None
+            and dispatcher.demand.record_time_left(
+                admitted.route.name, admitted.parsed_headers.time_left_s
+            )
+        )
         self._dispatch_key = f"{id(self):x}/{self.request_id}"
         # The search for a replacement, and one that was sent.
         self._sought_replacement: _Replacement | None = None
@@ -341,6 +348,9 @@
             on_rejected,
             self._allowed_first_targets,
             admitted.route.target_latency_s,
+            rank=admitted.rank,
+            time_left_s=request_context.request_deadline_s(admitted) - now_s,
+            has_waited=self._has_waited,
         )
 
     def _allowed_first_targets(self):
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -471,6 +471,7 @@
     whole: bool
     config_version: int
     crossing_mbps: float
+    demand: NotRequired[Any]
 
 
 class TargetHealth(TypedDict, closed=True):
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.gateway import demand
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import fleet
@@ -55,6 +56,7 @@
         self.recovery_times_s = []
         self.watcher_changes = []
         self.occupancy = occupancy.Occupancy()
+        self.demand = demand.DemandBoard()
         self.suspects = harness.context.crash_evidence.feed
         self.offered_configs = []
         self.stored = stored
@@ -73,6 +75,7 @@
                     harness.reactor.seconds()
                 ),
                 self.watcher_changes.append,
+                self.demand,
             ),
             random.Random(1),
         )
