--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -8,8 +8,10 @@
 
 import prometheus_client
 
+from hemlocktiller._internal.gateway import demand as demand_module
 from hemlocktiller._internal.gateway import full_targets
 from hemlocktiller._internal.gateway import model
+from hemlocktiller._internal.gateway import ranked_requests
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
@@ -17,6 +19,7 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import paths
+from hemlocktiller._internal.policy import room
 
 # `queued` is more than the requests that can be waiting at any measured
 # request rate, given the maximum wait. The other limits never apply.
@@ -71,6 +74,9 @@
         latency_objective_s: Time in which the first event should come.
         is_replacement: Whether a run of the request is only silent and may
             still go on.
+        rank: Its class where the classes of the service compete, else None.
+        time_left_s: Time that the caller has left.
+        has_waited: Whether the caller was refused before and came back.
     """
 
     request_id: str
@@ -82,6 +88,9 @@
     allowed_first_targets: Callable[[], frozenset[str] | None] = lambda: None
     latency_objective_s: float = math.inf
     is_replacement: bool = False
+    rank: int | None = None
+    time_left_s: float = math.inf
+    has_waited: bool = False
 
 
 class Dispatcher:
@@ -90,6 +99,7 @@
     Attributes:
         occupancy: Load of the targets, including the reserved memory.
         full_targets: Targets that are avoided as they had no room.
+        demand: Demand by priority class, of this gateway and its peers.
         is_outdated: Returns whether no path may be chosen yet, as this
             process was paused and its list of targets is outdated.
     """
@@ -123,6 +133,16 @@
         self._waiting: dict[str, PathRequest] = {}
         self._resuming: dict[str, PathRequest] = {}
         self._arrival_rate = admission.RateWindow()
+        self.demand = demand_module.DemandBoard()
+        self.demand.report_interval_s = self.occupancy.report_interval_s
+        self.demand.count_gateways = lambda: self.occupancy.count_gateways()
+        self._ranked = ranked_requests.RankedRequests(
+            self.demand,
+            ranked_requests.Hooks(
+                self._choose_path_in_rank, self._start_request, self._reject
+            ),
+            rng,
+        )
         self._processing_timer: Any = None
         self._is_processing = False
         targets.on_change.append(self.process_queues)
@@ -130,6 +150,12 @@
     def submit(self, path_request: PathRequest) -> None:
         """Starts, queues or rejects a request."""
         now_s = self._reactor.seconds()
+        if path_request.rank is not None:
+            if not self._reject_until_pause_ends(path_request, now_s):
+                self._ranked.submit(path_request, now_s)
+                self._update_waiting_gauge()
+                self._schedule_processing()
+            return
         self._arrival_rate.record(now_s)
         queue = self._queue_for(path_request.service.name)
         if not len(queue):
@@ -167,7 +193,8 @@
     def submit_resumed(self, path_request: PathRequest) -> None:
         """Finds a new path for a stream, ahead of all queued requests.
 
-        Streams whose run is lost come before those whose run is silent.
+        Streams whose run is lost come before those whose run is silent; of
+        these, the more urgent come first where classes compete.
         """
         choice = self.choose_path(path_request)
         if choice is not None:
@@ -194,6 +221,8 @@
     def discard(self, request_key: str) -> None:
         """Dequeues a request or releases the memory reserved for it."""
         self._resuming.pop(request_key, None)
+        if self._ranked.discard(request_key):
+            self._update_waiting_gauge()
         path_request = self._waiting.pop(request_key, None)
         if path_request is not None:
             self._queue_for(path_request.service.name).remove(request_key)
@@ -201,10 +230,28 @@
         self.occupancy.release(request_key)
         self._schedule_processing()
 
+    def _choose_path_in_rank(self, path_request):
+        """Returns a path that leaves room for more urgent requests."""
+        demand = self.demand.demand(
+            path_request.service.name, self._reactor.seconds()
+        )
+        return self.choose_path(
+            path_request,
+            room.more_urgent_ratio(
+                {rank: one.arrivals_per_s for rank, one in demand.items()},
+                path_request.rank,
+            ),
+        )
+
     def choose_path(
-        self, path_request: PathRequest
+        self, path_request: PathRequest, more_urgent_ratio: float = 0.0
     ) -> paths.PathChoice | None:
-        """Returns the fastest path with room for a request, or None."""
+        """Returns the fastest path with room for a request, or None.
+
+        Args:
+            path_request: The request.
+            more_urgent_ratio: Share of the demand that room is kept for.
+        """
         if self.is_outdated():
             return None
         now_s = self._reactor.seconds()
@@ -216,6 +263,7 @@
             self.occupancy.inter_dc_mbps(now_s),
             self._make_bias(),
             self._rng.sample,
+            more_urgent_ratio,
         )
         candidates = self._targets.available(path_request.service.name)
         allowed_first_targets = path_request.allowed_first_targets()
@@ -262,7 +310,8 @@
         """Processes resumed streams first, then the queued requests."""
         now_s = self._reactor.seconds()
         resuming = sorted(
-            self._resuming.items(), key=lambda item: item[1].is_replacement
+            self._resuming.items(),
+            key=lambda item: (item[1].is_replacement, item[1].rank or 0),
         )
         for request_key, path_request in resuming:
             if path_request.queue_item.deadline_s < now_s:
@@ -277,8 +326,9 @@
                 self._start_request(path_request, choice)
         for queue in self._queues.values():
             self._process_queue(queue, now_s)
+        self._ranked.process(now_s)
         self._update_waiting_gauge()
-        if self._waiting or self._resuming:
+        if self._waiting or self._resuming or len(self._ranked):
             self._schedule_processing()
 
     def _process_queue(self, queue, now_s):
@@ -336,7 +386,8 @@
             request=path_request.request_id,
             reason=reason,
             retry_after_s=round(retry_after_s, 2),
-            waiting=len(self._waiting),
+            waiting=len(self._waiting) + len(self._ranked),
+            **_rank_fields(path_request),
             rate_per_s=round(
                 self._start_rate.per_s(self._reactor.seconds()), 1
             ),
@@ -359,7 +410,7 @@
         return self._queues[service]
 
     def _update_waiting_gauge(self):
-        WAITING_REQUESTS.set(len(self._waiting))
+        WAITING_REQUESTS.set(len(self._waiting) + len(self._ranked))
 
     def _schedule_processing(self):
         """Schedules another search for paths if any request lacks one."""
@@ -368,12 +419,23 @@
             and self._processing_timer.active()
         ):
             return
-        if self._waiting or self._resuming:
+        if self._waiting or self._resuming or len(self._ranked):
             self._processing_timer = self._reactor.callLater(
                 QUEUE_POLL_INTERVAL_S, self.process_queues
             )
 
 
+def _rank_fields(path_request):
+    """Returns the fields of a log line where classes compete."""
+    if path_request.rank is None:
+        return {}
+    return {
+        "rank": path_request.rank,
+        "workspace": path_request.queue_item.workspace,
+        "has_waited": path_request.has_waited,
+    }
+
+
 def estimate_demand(
     prompt_tokens: float, output_tokens: float, engine: fleet.Engine
 ) -> paths.RequestDemand:
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.gateway import demand
 from hemlocktiller._internal.gateway import full_targets as full_targets_module
 from hemlocktiller._internal.gateway import peers as peers_module
 from hemlocktiller._internal.links import codec
@@ -56,6 +57,7 @@
         self.recovery_times_s = []
         self.watcher_changes = []
         self.occupancy = occupancy.Occupancy()
+        self.demand = demand.DemandBoard()
         self.suspects = harness.context.crash_evidence.feed
         self.offered_configs = []
         self.stored = stored
@@ -75,6 +77,7 @@
                 ),
                 self.watcher_changes.append,
                 harness.dispatcher.full_targets,
+                self.demand,
             ),
             random.Random(1),
         )
