Let the route's class decide inside the workspace's

Nothing was ordered, and targets were told one class for all. Change: a ranked service orders by the workspace's class first and then by the route's; the rank is the position in that order. Ruled out: the route's class alone, since a workspace's takes precedence.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -184,7 +184,7 @@
         """
         self._read_settings = read_settings or (lambda: settings)
         self.catalog: model.Catalog | None = None
-        self._ranked_services: frozenset[str] = frozenset()
+        self._class_orders: dict[str, model.ClassOrder] = {}
         self._reactor = reactor
         self._settings = settings
         self._adapter = adapter
@@ -391,6 +391,8 @@
         priority = route.priority
         if workspace.priority is not None:
             priority = workspace.priority
+        order = self._class_orders.get(service.name)
+        rank = model.rank_in(order, route, workspace) if order else None
         self._start_handler(
             request_context.AdmittedRequest(
                 caller_request,
@@ -401,7 +403,7 @@
                 priority,
                 caller_request.read_body(),
                 catalog.version,
-                priority if service.name in self._ranked_services else None,
+                rank,
             )
         )
 
@@ -544,10 +546,10 @@
             return False
         previous_version = self.catalog.version if self.catalog else None
         self.catalog = catalog
-        self._ranked_services = model.ranked_services(catalog)
+        self._class_orders = model.class_orders(catalog)
         self._dispatcher.demand.services = frozenset(
             name
-            for name in self._ranked_services
+            for name in self._class_orders
             if name in catalog.services and catalog.services[name].engine
         )
         self._caller_factory.set_limits(catalog.limits)
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -184,6 +184,25 @@
         self._update_waiting_gauge()
         self._schedule_processing()
 
+    def time_to_return_s(
+        self, path_request: PathRequest, retry_after_s: float
+    ) -> float:
+        """Returns when the caller of a request that failed should come back.
+
+        Args:
+            path_request: The request, which has not run.
+            retry_after_s: The least time, which holds where classes don't
+                compete.
+        """
+        if path_request.rank is None:
+            return retry_after_s
+        return max(
+            retry_after_s,
+            self._ranked.time_to_return_s(
+                path_request, "targets failed", self._reactor.seconds()
+            ),
+        )
+
     def mark_full(self, target: fleet.Target) -> None:
         """Sends no requests to a target that had no room, for a short time."""
         until_s = self._reactor.seconds() + FULL_TARGET_BACKOFF_S
--- a/src/hemlocktiller/_internal/gateway/model.py
+++ b/src/hemlocktiller/_internal/gateway/model.py
@@ -132,6 +132,48 @@
     )
 
 
+# Classes of a service by workspace and then by route, the most urgent first.
+ClassOrder = tuple[tuple[int, int], ...]
+MAX_RANK = 9
+
+
+def class_orders(catalog: Catalog) -> dict[str, ClassOrder]:
+    """Returns the order of the classes of each ranked service.
+
+    A workspace's class takes precedence over the route's. Inside it the
+    route's decides, so that it still counts where all workspaces have the
+    same class.
+    """
+    anyone = {Workspace("", None)}
+    callers = {
+        Workspace("", one.priority)
+        for one in (catalog.workspaces or {}).values()
+    }
+    ranked = ranked_services(catalog)
+    classes: dict[str, set[tuple[int, int]]] = {name: set() for name in ranked}
+    for routes in catalog.routes.values():
+        for route in routes:
+            is_open = route.is_public or catalog.workspaces is None
+            found = {
+                _class_of(route, workspace)
+                for workspace in (anyone if is_open else callers)
+            }
+            for service in {name for name, _ in route.services} & ranked:
+                classes[service] |= found
+    return {name: tuple(sorted(found)) for name, found in classes.items()}
+
+
+def rank_in(order: ClassOrder, route: Route, workspace: Workspace) -> int:
+    """Returns the position of a request's class; 0 is the most urgent."""
+    return min(MAX_RANK, order.index(_class_of(route, workspace)))
+
+
+def _class_of(route, workspace):
+    if workspace.priority is None:
+        return route.priority, route.priority
+    return workspace.priority, route.priority
+
+
 class TargetReport(NamedTuple):
     """Status that a target reports about itself.
 
--- a/src/hemlocktiller/_internal/gateway/ranked_requests.py
+++ b/src/hemlocktiller/_internal/gateway/ranked_requests.py
@@ -110,6 +110,32 @@
             self._drop(queue, queue.last(), "displaced", now_s)
         self._board.set_waiting(service, queue.count_by_rank())
 
+    def time_to_return_s(
+        self, path_request: Any, reason: str, now_s: float
+    ) -> float:
+        """Returns when a caller that is refused should come back.
+
+        The caller is counted as due then.
+
+        Args:
+            path_request: The request that is refused.
+            reason: Why, for the metric.
+            now_s: The time.
+        """
+        service, rank = path_request.service.name, path_request.rank
+        if path_request.has_waited:
+            self._board.record_return_outcome(service, rank, True)
+        retry_after_s = admission_level.retry_after_s(
+            rank,
+            self._board.demand(service, now_s),
+            path_request.time_left_s,
+            self._board.own(service, rank).fault_ratio,
+            self._rng.uniform,
+        )
+        self._board.record_due(service, rank, retry_after_s, now_s)
+        REFUSED_BY_RANK.labels(rank, reason).inc()
+        return retry_after_s
+
     def discard(self, request_key: str) -> bool:
         """Dequeues a request; returns whether it waited."""
         path_request = self._requests.pop(request_key, None)
@@ -220,18 +246,7 @@
         self._refuse(self._requests.pop(item.request_id), reason, now_s)
 
     def _refuse(self, path_request, reason, now_s):
-        service, rank = path_request.service.name, path_request.rank
-        if path_request.has_waited:
-            self._board.record_return_outcome(service, rank, True)
-        retry_after_s = admission_level.retry_after_s(
-            rank,
-            self._board.demand(service, now_s),
-            path_request.time_left_s,
-            self._board.own(service, rank).fault_ratio,
-            self._rng.uniform,
-        )
-        self._board.record_due(service, rank, retry_after_s, now_s)
-        REFUSED_BY_RANK.labels(rank, reason).inc()
+        retry_after_s = self.time_to_return_s(path_request, reason, now_s)
         self._hooks.reject(path_request, retry_after_s, reason)
 
 
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -1063,7 +1063,13 @@
                 request_context.STATUS_BAD_GATEWAY, reason
             )
         else:
-            self._reject(retry_after_s, reason)
+            path_request = self._build_path_request(
+                self._dispatch_key, 0.0, self._start_attempt, self._reject
+            )
+            self._reject(
+                self._dispatcher.time_to_return_s(path_request, retry_after_s),
+                reason,
+            )
 
     def _reject_crashing_request(self, reason):
         """Rejects a request that crashes the targets that run it."""
--- a/src/hemlocktiller/_internal/policy/admission_level.py
+++ b/src/hemlocktiller/_internal/policy/admission_level.py
@@ -168,6 +168,9 @@
     before = [one for other, one in demand.items() if other <= rank]
     free_per_s = total - sum(one.arrivals_per_s for one in before)
     backlog = sum(one.waiting for one in before)
+    if backlog < 1.0:
+        # Starts don't show how much room there is while nothing waits.
+        free_per_s = max(free_per_s, LEAST_START_RATIO * total)
     refused_per_s = max(1.0, own.arrivals_per_s - own.starts_per_s)
     rooms = []
     for second in range(RETURN_HORIZON_S):
--- a/tests/unit/gateway/test_ranked_services.py
+++ b/tests/unit/gateway/test_ranked_services.py
@@ -19,6 +19,36 @@
     assert model.ranked_services(catalog) == expected
 
 
+@pytest.mark.parametrize(
+    ("workspace_priorities", "ranks"),
+    [
+        ((1, 1), (0, 1, 0, 1)),
+        ((0, 1), (0, 1, 2, 3)),
+        ((None, 1), (0, 3, 1, 2)),
+    ],
+)
+def test_a_workspaces_class_goes_first_and_the_routes_decides_inside_it(
+    stream_route, workspace_priorities, ranks
+):
+    routes = tuple(
+        stream_route._replace(path_prefix=f"/{priority}/", priority=priority)
+        for priority in (0, 2)
+    )
+    workspaces = {
+        f"key{number}": model.Workspace(f"w{number}", priority)
+        for number, priority in enumerate(workspace_priorities)
+    }
+    catalog = model.Catalog(
+        1, {"drafts.example": routes}, {}, workspaces, None
+    )
+    order = model.class_orders(catalog)["model"]
+    assert ranks == tuple(
+        model.rank_in(order, route, workspace)
+        for workspace in workspaces.values()
+        for route in routes
+    )
+
+
 @pytest.mark.parametrize(
     ("slowest", "is_uneven"), [(13.9, False), (14.0, True)]
 )
