--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -184,9 +184,6 @@
         self._update_waiting_gauge()
         self._schedule_processing()
 
-    def mark_full(
-        self, target: fleet.Target, tell_peers: bool = False
-    ) -> None:
     def time_to_return_s(
         self, path_request: PathRequest, retry_after_s: float
     ) -> float:
@@ -206,7 +203,9 @@
             ),
         )
 
-    def mark_full(self, target: fleet.Target) -> None:
+    def mark_full(
+        self, target: fleet.Target, tell_peers: bool = False
+    ) -> None:
         """Sends no requests to a target that had no room, for a short time."""
         self.full_targets.mark(target, tell_peers)
 
