Tell peers only the outputs that this process has seen itself

Each message about crashing prompt parts said since when several requests have had output, by the sender's own outputs or those that its peers told of. Two gateways told each other's back, and each message made the time later by its delay: by 0.4 s in 21 messages without output.

A process now tells its own. Between gateways each hears from all others. An entry hears from its agents, which see output themselves.

Ruled out: a tolerance below which a told time counts as known, which hides outputs that are new.

--- a/src/hemlocktiller/_internal/links/part_evidence_feed.py
+++ b/src/hemlocktiller/_internal/links/part_evidence_feed.py
@@ -245,7 +245,7 @@
                 for output in outputs
             ],
         }
-        contrast_s = self.parts.contrast_s()
+        contrast_s = self.parts.own_contrast_s()
         if contrast_s > NO_CONTRAST_S:
             message["contrast_age_s"] = max(0.0, now_s - contrast_s)
         return message
--- a/src/hemlocktiller/_internal/policy/crashing_parts.py
+++ b/src/hemlocktiller/_internal/policy/crashing_parts.py
@@ -209,9 +209,17 @@
 
         Minus infinity if there have been fewer.
         """
+        return max(self.own_contrast_s(), self._peers_contrast_s)
+
+    def own_contrast_s(self) -> float:
+        """Returns `contrast_s` by the outputs of this process alone.
+
+        Only this is told to peers: what they told would come back to them,
+        later by the time that messages take.
+        """
         if len(self._latest_outputs_s) < MIN_OTHER_OUTPUTS:
-            return self._peers_contrast_s
-        return max(self._latest_outputs_s[0], self._peers_contrast_s)
+            return float("-inf")
+        return self._latest_outputs_s[0]
 
     def merge(
         self,
@@ -225,7 +233,7 @@
         Args:
             deaths: Deaths that the peer knows.
             outputs: Outputs that the peer knows.
-            contrast_s: The peer's `contrast_s`.
+            contrast_s: The peer's `own_contrast_s`.
             now_s: Current time.
         """
         self._sweep(now_s)
