Repair uneven layouts while the store does not answer

Cause: the lease of the layout runs out 2.7 s after its last renewal in an outage of the store. Nobody then ordered the layers of targets that were lost or left, and no gateway learned what a target had loaded, as only registrations say that.

Change, for services whose accelerators differ tenfold: the last holder goes on with its number while it knows that the store is lost, for a minute at most, and stops at the first 412, at a peer's word of a newer number, in a new era and after a pause of its process. It orders only ranges without a sound holder, and tells peers the layers that targets report. The lease itself and what it promises are unchanged. New message `layout` (link version 1.2).

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -23,6 +23,9 @@
 holder, so any process acquires a lease, also a free one or its own, only after
 it has seen it unchanged for a whole duration in the new era. The number is a
 new one.
+
+While the store doesn't answer, an expired lease permits nothing. What its
+last holder may do then without it is decided by its `outage_permission`.
 """
 
 from collections.abc import Callable
@@ -37,6 +40,7 @@
 from typing_extensions import TypedDict
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.control import outage_permission
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import watch
@@ -88,6 +92,9 @@
         reactor: Twisted reactor that schedules acquisitions and renewals.
         on_change: Called with whether the lease is held, on each change.
         monotonic_s: Clock for the expiry of the lease.
+
+    Attributes:
+        outage_permission: What the last holder may do in an outage.
     """
 
     def __init__(
@@ -105,6 +112,9 @@
         self._reactor = reactor
         self._on_change = on_change
         self._monotonic_s = monotonic_s
+        self.outage_permission = outage_permission.OutagePermission(
+            store.settings, monotonic_s
+        )
         self._observed: client.StoredObject | None = None
         self._needs_read = True
         self._observed_at_s = 0.0
@@ -138,12 +148,14 @@
         self._stopped = True
         self._loop.cancel()
         self._held_until_s = 0.0
+        self.outage_permission.forget()
         self._update_held()
         return defer.Deferred.fromCoroutine(self._release_if_held())
 
     def _on_new_era(self, era):
         """Gives up a lease of the store's state before a restore."""
         self._needs_read = True
+        self.outage_permission.forget()
         self._era_known_since_s(era)
         self._update_held()
 
@@ -168,11 +180,14 @@
     async def _run_loop(self):
         """Acquires or renews the lease until `release` is called."""
         while not self._stopped:
+            began_s = self._monotonic_s()
             try:
                 wait_s = await self._acquire_or_renew()
                 self._consecutive_failures = 0
+                self.outage_permission.record_answer()
             except exceptions.StoreError:
                 self._needs_read = True
+                self.outage_permission.record_failure(began_s)
                 wait_s = watch.backoff_s(
                     self._store.settings, self._consecutive_failures
                 )
@@ -215,6 +230,9 @@
         if await self._compare_and_swap(value):
             duration_s = self._settings["duration_s"] * HOLDER_DURATION_RATIO
             self._held_until_s = sent_at_s + duration_s
+            self.outage_permission.record_held(
+                self._observed.value["fencing_number"], self._held_until_s
+            )
 
     async def _compare_and_swap(self, value):
         """Replaces the observed version; returns whether that succeeded."""
@@ -239,6 +257,7 @@
         self._observed = stored
         if not self._is_recorded_holder():
             self._held_until_s = 0.0
+            self.outage_permission.forget()
 
     def _is_recorded_holder(self):
         """Returns whether the observed lease names this process as holder."""
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -255,10 +255,12 @@
                 self._apply_peer_catalog,
                 self._restart_polls,
                 self._on_watcher_changed,
+                self._layout_controller.apply_word,
             ),
             self._rng,
         )
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
+        self._layout_controller.on_word = self._peers.broadcast_layout
         self.targets.on_health = self._peers.broadcast_health
         self.targets.on_pace = self._peers.broadcast_pace
         self.targets.on_registration = self._peers.broadcast_registration
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -4,8 +4,15 @@
 follows it instead of moving layers to other targets. An order carries the
 lease's fencing number and the count of orders that the target had accepted,
 so that the target rejects an order that is out of date.
+
+In an outage of the store, the last holder goes on with the plan that it knows
+for services with uneven accelerators; see `policy.outage_repair`. It orders
+only layers that have no sound holder, and tells its peers what the targets
+hold then, as they can't register it.
 """
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import functools
 from typing import Any
 
@@ -44,10 +51,19 @@
 # shows within a probe and the pause before it, 0.8 s. For this long after it
 # is marked as down it keeps its layers in the plan.
 MAX_SILENCE_S = 2.5
+# In an outage, the layers of a target that was ordered to load are asked for
+# this often until it has them, so that requests use them at once.
+LAYERS_POLL_INTERVAL_S = 1.0
+STATUS_OUTDATED_NUMBER = 412
 
 ORDERS = prometheus_client.Counter(
     "hemlocktiller_layout_orders", "Layout orders by result", ["result"]
 )
+OUTAGE_ORDERS = prometheus_client.Counter(
+    "hemlocktiller_layout_outage_orders",
+    "Layout orders sent while the store did not answer, by result",
+    ["result"],
+)
 
 
 class LayoutController:
@@ -60,6 +76,10 @@
         targets: Registry of the targets.
         adapter: The platform's adapter.
         services: Returns the configured services.
+
+    Attributes:
+        on_word: Called with the fencing number in use, and with layers that
+            targets hold but can't register, to tell peers.
     """
 
     def __init__(
@@ -86,6 +106,12 @@
         self._first_seen_s: dict[str, float] = {}
         self._pending_orders: dict[str, tuple[layout.Placement, float]] = {}
         self._is_reconciling = False
+        self._is_repairing_in_outage = False
+        self._announced_number = 0
+        self._next_layers_poll_s: dict[str, float] = {}
+        self.on_word: Callable[
+            [int, Sequence[targets_module.ReportedLayers]], None
+        ] = lambda number, layers: None
         self._loop = task.LoopingCall(self._start_reconciling)
         self._loop.clock = reactor
 
@@ -105,13 +131,118 @@
 
     def _start_reconciling(self):
         """Starts a reconciliation, unless one runs or the lease is lost."""
-        if self._is_reconciling or not self._fencing_number():
+        held_number = self._fencing_number()
+        uneven_services = [
+            service
+            for service in self._services()
+            if fleet.is_uneven(service.engine)
+        ]
+        if uneven_services:
+            self._announce_number(held_number)
+            self._repair_in_outage(uneven_services, held_number)
+        if self._is_reconciling or not held_number:
             return
         self._is_reconciling = True
         running = defer.Deferred.fromCoroutine(self._reconcile())
         running.addErrback(self._log_failure)
         running.addBoth(self._finish_reconciling)
 
+    def apply_word(
+        self,
+        peer: str,
+        number: int,
+        layers: Sequence[targets_module.ReportedLayers],
+    ) -> None:
+        """Applies a peer's word on its fencing number and on targets.
+
+        Args:
+            peer: Name of the peer.
+            number: Fencing number that it orders with.
+            layers: Layers that it has seen in reports of targets.
+        """
+        permission = self._lease.outage_permission
+        if permission.record_newer(number):
+            events.emit("layout_number", peer=peer, fencing_number=number)
+        engines = {
+            service.name: service.engine
+            for service in self._services()
+            if fleet.is_uneven(service.engine)
+        }
+        ignored = []
+        for reported in layers:
+            target = self._targets.by_name.get(reported.name)
+            engine = engines.get(target.service) if target else None
+            if engine is None or not (
+                0
+                <= reported.first_layer
+                <= reported.end_layer
+                <= engine.layer_count
+            ):
+                ignored.append(reported.name)
+                continue
+            self._targets.apply_reported_layers(reported)
+        if ignored:
+            events.emit("layers_ignored", peer=peer, targets=ignored[:5])
+
+    def _announce_number(self, held_number):
+        """Tells peers the number of a lease that was acquired."""
+        if held_number and held_number != self._announced_number:
+            self._announced_number = held_number
+            self.on_word(held_number, ())
+
+    def _repair_in_outage(self, services, held_number):
+        """Orders layers that lack a holder while the store is away."""
+        number, reason = self._lease.outage_permission.number()
+        is_repairing = bool(number and not held_number)
+        if is_repairing != self._is_repairing_in_outage:
+            self._is_repairing_in_outage = is_repairing
+            events.emit(
+                "layout_outage",
+                is_repairing=is_repairing,
+                reason=reason,
+                fencing_number=number,
+            )
+        if not is_repairing:
+            return
+        for service in services:
+            plan = self._known_plans.get(service.name)
+            if plan:
+                self._order_missing_layers(service, plan, is_outage=True)
+                self._poll_loading_targets(service)
+
+    def _poll_loading_targets(self, service):
+        """Asks targets for their layers until they have those ordered."""
+        now_s = self._reactor.seconds()
+        for target in self._ready_targets(service):
+            placement, _ = self._pending_orders.get(target.name, (None, 0.0))
+            if (
+                placement is None
+                or placement.target.born_ms != target.born_ms
+                or (placement.first_layer, placement.end_layer)
+                == (target.first_layer, target.end_layer)
+                or self._next_layers_poll_s.get(target.name, 0.0) > now_s
+            ):
+                continue
+            self._next_layers_poll_s[target.name] = (
+                now_s + LAYERS_POLL_INTERVAL_S
+            )
+            self._targets.request_report(
+                target,
+                functools.partial(self._apply_report, target),
+                lambda failure: None,
+            )
+
+    def _apply_report(self, target, report):
+        """Applies the layers in a report, and tells peers of them."""
+        number, _ = self._lease.outage_permission.number()
+        if not number or targets_module.is_other_process(report, target):
+            return
+        reported = targets_module.ReportedLayers(
+            target.name, target.born_ms, report.first_layer, report.end_layer
+        )
+        if self._targets.apply_reported_layers(reported):
+            self.on_word(number, (reported,))
+
     def _finish_reconciling(self, _):
         self._is_reconciling = False
 
@@ -196,11 +327,18 @@
             return self._known_plans[service.name]
         return layout.held_ranges(self._ready_targets(service), service.engine)
 
-    def _order_missing_layers(self, service, plan):
-        """Orders layers for ranges without a holder, or else for spares."""
+    def _order_missing_layers(self, service, plan, is_outage=False):
+        """Orders layers for ranges without a holder, or else for spares.
+
+        Args:
+            service: The service.
+            plan: Its plan.
+            is_outage: Whether to order by the permission for an outage, and
+                nothing for spares.
+        """
         now_s = self._reactor.seconds()
         candidates = [
-            self._with_pending_order(candidate, now_s)
+            self._with_pending_order(candidate, now_s, is_outage)
             for candidate in self._ready_targets(service)
         ]
         silent_names = {
@@ -211,7 +349,7 @@
         placements = layout.fill_ranges(
             plan, candidates, service.engine, silent_names
         )
-        if not placements:
+        if not placements and not is_outage:
             available = [
                 candidate
                 for candidate in candidates
@@ -228,7 +366,7 @@
             self._targets.request_report(
                 placement.target,
                 lambda report, placement=placement: self._send_order(
-                    service, placement, report
+                    service, placement, report, is_outage
                 ),
                 lambda failure, placement=placement: events.emit(
                     "order_waits",
@@ -237,13 +375,20 @@
                 ),
             )
 
-    def _with_pending_order(self, target, now_s):
-        """Returns a target as if its accepted order were executed."""
+    def _with_pending_order(self, target, now_s, is_outage):
+        """Returns a target as if its accepted order were executed.
+
+        In an outage it can't register that, so the time until its order
+        counts as lost starts only at the end of the outage.
+        """
         pending = self._pending_orders.get(target.name)
         if pending is None:
             return target
         placement, accepted_s = pending
         is_same_process = placement.target.born_ms == target.born_ms
+        if is_outage and is_same_process:
+            accepted_s = now_s
+            self._pending_orders[target.name] = (placement, now_s)
         if not is_same_process or now_s - accepted_s > PENDING_ORDER_TTL_S:
             del self._pending_orders[target.name]
             return target
@@ -256,15 +401,21 @@
         first_seen_s = self._first_seen_s.setdefault(target.name, now_s)
         return target.layers > 0 or now_s - first_seen_s >= SPARE_MIN_AGE_S
 
-    def _send_order(self, service, placement, report):
+    def _send_order(self, service, placement, report, is_outage):
         """Sends an order, if the report confirms the state of the target.
 
         The held layers must be those of the registration, no order may be
         in progress, and the process must not have been restarted.
         """
-        held_number = self._fencing_number()
+        held_number = (
+            self._lease.outage_permission.number()[0]
+            if is_outage
+            else self._fencing_number()
+        )
         target = placement.target
         held_range = (report.first_layer, report.end_layer)
+        if is_outage:
+            self._apply_report(target, report)
         if not held_number or held_range != (
             target.first_layer,
             target.end_layer,
@@ -292,7 +443,11 @@
             if result in (200, 202):
                 now_s = self._reactor.seconds()
                 self._pending_orders[target.name] = (placement, now_s)
+            if result == STATUS_OUTDATED_NUMBER and is_outage:
+                self._lease.outage_permission.record_refused(held_number)
             ORDERS.labels(str(result)).inc()
+            if is_outage:
+                OUTAGE_ORDERS.labels(str(result)).inc()
             events.emit(
                 "order",
                 target=target.name,
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import random
 from typing import Any
@@ -40,6 +41,7 @@
 # changes to the others. The largest fault stops a third of the gateways, so
 # that some watchers remain.
 WATCHER_COUNT = 5
+LAYOUT_MESSAGE_TYPE = "layout"
 # The store passes a new configuration to all gateways within milliseconds. A
 # gateway that has not received it by then requests it from a peer.
 CATALOG_REQUEST_DELAY_S = 0.2
@@ -83,6 +85,8 @@
             outage.
         on_watcher_change: Called when this process becomes a watcher or is
             one no longer, with whether it is one.
+        on_layout: Called with a peer's name, the fencing number that it
+            orders layouts with, and layers that it has seen targets report.
     """
 
     targets: targets_module.Targets
@@ -93,6 +97,9 @@
     apply_catalog: Callable[[StoredCatalog], bool]
     on_store_recovered: Callable[[], None]
     on_watcher_change: Callable[[bool], None]
+    on_layout: Callable[
+        [str, int, Sequence[targets_module.ReportedLayers]], None
+    ] = lambda peer, number, layers: None
 
 
 class Peers:
@@ -133,6 +140,7 @@
         self._is_store_lost = False
         self._is_watcher = True
         self._keep_dialers_until_s = 0.0
+        self._layout_number = 0
 
     def listener_factory(self) -> listener.Listener:
         """Returns the protocol factory of accepted links."""
@@ -251,6 +259,21 @@
             }
         )
 
+    def broadcast_layout(
+        self, number: int, layers: Sequence[targets_module.ReportedLayers]
+    ) -> None:
+        """Sends peers the number of this process's layout orders.
+
+        Args:
+            number: Fencing number in use.
+            layers: Layers that targets have reported.
+        """
+        self._layout_number = number
+        message = _layout_message(number, layers)
+        for link in list(self._links):
+            if link.is_open and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+                link.send(message)
+
     async def _discover(self):
         """Lists the gateways, which also detects an outage of the store.
 
@@ -321,6 +344,8 @@
         )
         self._hooks.suspects.on_open(link)
         self._hooks.part_evidence.on_open(link)
+        if self._layout_number and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+            link.send(_layout_message(self._layout_number, ()))
 
     def _on_down(self, link, reason):
         self._links.discard(link)
@@ -376,6 +401,15 @@
             self._hooks.suspects.on_message(link, message)
         elif message_type == "part_evidence":
             self._hooks.part_evidence.on_message(link, message)
+        elif message_type == LAYOUT_MESSAGE_TYPE:
+            self._hooks.on_layout(
+                link.peer["name"],
+                message["fencing_number"],
+                [
+                    targets_module.ReportedLayers(**row)
+                    for row in message["layers"]
+                ],
+            )
         elif message_type == "catalog_wanted":
             self._send_catalog(link)
         elif message_type == "catalog":
@@ -507,5 +541,13 @@
     )
 
 
+def _layout_message(number, layers):
+    return {
+        "type": LAYOUT_MESSAGE_TYPE,
+        "fencing_number": number,
+        "layers": [reported._asdict() for reported in layers],
+    }
+
+
 def _log_failure(reason):
     events.emit("loop_ended", reason=reason.getTraceback())
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -86,6 +86,22 @@
     reason: str
 
 
+class ReportedLayers(NamedTuple):
+    """Layers that a target reported, as a half-open range.
+
+    Attributes:
+        name: Id of its registration.
+        born_ms: Start time of its process, by its clock.
+        first_layer: First layer held.
+        end_layer: Layer after the last one held.
+    """
+
+    name: str
+    born_ms: int
+    first_layer: int
+    end_layer: int
+
+
 class Targets:
     """Registered targets by name, with the state of their health.
 
@@ -610,6 +626,29 @@
         if target is not None and target.born_ms == born_ms:
             self._set_pace(target, pace)
 
+    def apply_reported_layers(self, reported: ReportedLayers) -> bool:
+        """Applies layers that a target reports but can't register.
+
+        Returns:
+            Whether they differ from those known of that process.
+        """
+        target = self.by_name.get(reported.name)
+        if target is None or target.born_ms != reported.born_ms:
+            return False
+        changed = target._replace(
+            first_layer=reported.first_layer, end_layer=reported.end_layer
+        )
+        if changed == target:
+            return False
+        self.by_name[reported.name] = changed
+        events.emit(
+            "target_layers",
+            target=reported.name,
+            layers=[reported.first_layer, reported.end_layer],
+        )
+        self._notify_changed()
+        return True
+
     def poll_reports(self, is_poller: Callable[[str], bool]) -> None:
         """Requests the reports of model targets, to detect slow ones.
 
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -26,8 +26,12 @@
 
 # Newest first. Processes of an older version close the link on messages that
 # it does not have.
-SUBPROTOCOLS = ("hemlocktiller.v1.1", "hemlocktiller.v1")
-MESSAGE_TYPES_SINCE_V1_1 = frozenset(("part_evidence",))
+SUBPROTOCOLS = ("hemlocktiller.v1.2", "hemlocktiller.v1.1", "hemlocktiller.v1")
+# The version that a message type came with; the others are in all versions.
+FIRST_SUBPROTOCOL_BY_TYPE = {
+    "part_evidence": "hemlocktiller.v1.1",
+    "layout": "hemlocktiller.v1.2",
+}
 AUTHORIZATION = "Authorization"
 ACTIVE_WINDOW_S = 20.0  # A link counts as active this long after work.
 IDLE_INTERVAL_FACTOR = 8.0
@@ -38,6 +42,7 @@
         "load",
         "leaving",
         "config",
+        "layout",
         "part_evidence",
         "suspects",
         "targets",
@@ -222,10 +227,10 @@
 
     def peer_accepts(self, message_type: str) -> bool:
         """Returns whether the peer's version has a type of message."""
-        return (
-            message_type not in MESSAGE_TYPES_SINCE_V1_1
-            or self._ws.subprotocol == SUBPROTOCOLS[0]
-        )
+        first = FIRST_SUBPROTOCOL_BY_TYPE.get(message_type, SUBPROTOCOLS[-1])
+        # Newest first; a peer that names none speaks the oldest.
+        agreed = self._ws.subprotocol or SUBPROTOCOLS[-1]
+        return SUBPROTOCOLS.index(agreed) <= SUBPROTOCOLS.index(first)
 
     def close(self) -> None:
         """Closes the link once all sent messages are written."""
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2465,6 +2465,86 @@
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
 
 
+NoneType = type(None)
+
+def check_layout(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'fencing_number', 'layers']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'layout', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'layout'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: layout", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'layout', 'type': 'string'}, rule='const')
+        if "fencing_number" in data_keys:
+            data_keys.remove("fencing_number")
+            data__fencingnumber = data["fencing_number"]
+            if not isinstance(data__fencingnumber, (int)) and not (isinstance(data__fencingnumber, float) and data__fencingnumber.is_integer()) or isinstance(data__fencingnumber, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be integer", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 1}, rule='type')
+            if isinstance(data__fencingnumber, (int, float, Decimal)) and not isinstance(data__fencingnumber, bool):
+                if data__fencingnumber < 1:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be bigger than or equal to 1", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+        if "layers" in data_keys:
+            data_keys.remove("layers")
+            data__layers = data["layers"]
+            if not isinstance(data__layers, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers must be array", value=data__layers, name="" + (name_prefix or "data") + ".layers", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}, rule='type')
+            data__layers_is_list = isinstance(data__layers, (list, tuple))
+            if data__layers_is_list:
+                data__layers_len = len(data__layers)
+                if data__layers_len > 64:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers must contain less than or equal to 64 items", value=data__layers, name="" + (name_prefix or "data") + ".layers", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}, rule='maxItems')
+                for data__layers_x, data__layers_item in enumerate(data__layers):
+                    if not isinstance(data__layers_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + " must be object", value=data__layers_item, name="" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, rule='type')
+                    data__layers_item_is_dict = isinstance(data__layers_item, dict)
+                    if data__layers_item_is_dict:
+                        data__layers_item__missing_keys = set(['name', 'born_ms', 'first_layer', 'end_layer']) - data__layers_item.keys()
+                        if data__layers_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + " must contain " + (str(sorted(data__layers_item__missing_keys)) + " properties"), value=data__layers_item, name="" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, rule='required')
+                        data__layers_item_keys = set(data__layers_item.keys())
+                        if "name" in data__layers_item_keys:
+                            data__layers_item_keys.remove("name")
+                            data__layers_item__name = data__layers_item["name"]
+                            if not isinstance(data__layers_item__name, (str)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].name".format(**locals()) + " must be string", value=data__layers_item__name, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].name".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if "born_ms" in data__layers_item_keys:
+                            data__layers_item_keys.remove("born_ms")
+                            data__layers_item__bornms = data__layers_item["born_ms"]
+                            if not isinstance(data__layers_item__bornms, (int)) and not (isinstance(data__layers_item__bornms, float) and data__layers_item__bornms.is_integer()) or isinstance(data__layers_item__bornms, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].born_ms".format(**locals()) + " must be integer", value=data__layers_item__bornms, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].born_ms".format(**locals()) + "", definition={'type': 'integer'}, rule='type')
+                        if "first_layer" in data__layers_item_keys:
+                            data__layers_item_keys.remove("first_layer")
+                            data__layers_item__firstlayer = data__layers_item["first_layer"]
+                            if not isinstance(data__layers_item__firstlayer, (int)) and not (isinstance(data__layers_item__firstlayer, float) and data__layers_item__firstlayer.is_integer()) or isinstance(data__layers_item__firstlayer, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].first_layer".format(**locals()) + " must be integer", value=data__layers_item__firstlayer, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].first_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__layers_item__firstlayer, (int, float, Decimal)) and not isinstance(data__layers_item__firstlayer, bool):
+                                if data__layers_item__firstlayer < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].first_layer".format(**locals()) + " must be bigger than or equal to 0", value=data__layers_item__firstlayer, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].first_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "end_layer" in data__layers_item_keys:
+                            data__layers_item_keys.remove("end_layer")
+                            data__layers_item__endlayer = data__layers_item["end_layer"]
+                            if not isinstance(data__layers_item__endlayer, (int)) and not (isinstance(data__layers_item__endlayer, float) and data__layers_item__endlayer.is_integer()) or isinstance(data__layers_item__endlayer, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].end_layer".format(**locals()) + " must be integer", value=data__layers_item__endlayer, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].end_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__layers_item__endlayer, (int, float, Decimal)) and not isinstance(data__layers_item__endlayer, bool):
+                                if data__layers_item__endlayer < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}].end_layer".format(**locals()) + " must be bigger than or equal to 0", value=data__layers_item__endlayer, name="" + (name_prefix or "data") + ".layers[{data__layers_x}].end_layer".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if data__layers_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + " must not contain "+str(data__layers_item_keys)+" properties", value=data__layers_item, name="" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
 NoneType = type(None)
 
 def check_catalog_wanted(data, custom_formats={}, name_prefix=None):
@@ -2562,6 +2642,7 @@
     'target_health': check_target_health,
     'registration': check_registration,
     'catalog': check_catalog,
+    'layout': check_layout,
     'catalog_wanted': check_catalog_wanted,
     'target_pace': check_target_pace,
 }
@@ -2599,6 +2680,7 @@
     'target_health': [],
     'registration': [],
     'catalog': [],
+    'layout': [],
     'catalog_wanted': [],
     'target_pace': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -506,6 +506,17 @@
     value: str
 
 
+class HeldLayers(TypedDict, closed=True):
+    """
+    Layers that a target reports.
+    """
+
+    name: str
+    born_ms: int
+    first_layer: int
+    end_layer: int
+
+
 class CatalogWanted(TypedDict, closed=True):
     """
     Asks for the stored configuration; the sender has an older one.
@@ -545,6 +556,16 @@
     contrast_age_s: NotRequired[float]
 
 
+class Layout(TypedDict, closed=True):
+    """
+    The fencing number of the sender's layout orders, and layers that targets report but can't register.
+    """
+
+    type: Literal['layout']
+    fencing_number: int
+    layers: list[HeldLayers]
+
+
 Message: TypeAlias = (
     Hello
     | Heartbeat
@@ -553,6 +574,7 @@
     | ConfigUpdate
     | Suspects
     | PartEvidence
+    | Layout
     | Start
     | Started
     | Refused
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -7,6 +7,7 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import peers as peers_module
+from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy
@@ -115,6 +116,32 @@
     assert all(link.sent_types() == ["occupancy"] for link in links)
 
 
+def test_peers_learn_the_number_and_the_layers_of_layout_orders(gateway):
+    first = gateway.open_link("g1")
+    layers = (targets_module.ReportedLayers("t", 3, 0, 9),)
+    gateway.peers.broadcast_layout(7, layers)
+    second = gateway.open_link("g2")
+    message, later = first.sent[-1], second.sent[-1]
+    assert codec.decode(codec.encode(later)) == {
+        "type": "layout",
+        "fencing_number": 7,
+        "layers": [],
+    }
+    words = []
+    gateway.peers._hooks = gateway.peers._hooks._replace(
+        on_layout=lambda *word: words.append(word)
+    )
+    gateway.peers._on_message(first, codec.decode(codec.encode(message)))
+    assert words == [("g1", 7, list(layers))]
+
+
+def test_a_peer_of_an_earlier_version_gets_no_word_on_layouts(gateway):
+    link = gateway.open_link("g1")
+    link.peer_accepts = lambda message_type: message_type != "layout"
+    gateway.peers.broadcast_layout(7, ())
+    assert "layout" not in link.sent_types()
+
+
 def test_a_newer_configuration_is_requested_from_one_peer(gateway):
     links = [gateway.open_link(f"g{i}") for i in range(30)]
     for link in links:
