Give up a lease at once when the store was restored

Cause: after a restore the holder only waited for the lease object to be of an outdated version. A copy that names the same holder under an earlier number passed that test, so until the trusted time was over the process held the lease under that earlier number. docs/DESIGN-RECOVERY.md says that it permits nothing.

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -155,6 +155,8 @@
     def _on_new_era(self, era):
         """Gives up a lease of the store's state before a restore."""
         self._needs_read = True
+        # The copy may name this process as the holder of an earlier number.
+        self._held_until_s = 0.0
         self.outage_permission.forget()
         self._era_known_since_s(era)
         self._update_held()
--- a/tests/unit/test_lease_history.py
+++ b/tests/unit/test_lease_history.py
@@ -196,3 +196,28 @@
     assert [number for _, number in history._held()] == [1]
     answer_holder(0)
     assert [number for _, number in history._held()] == [1]
+
+
+def test_a_copy_that_names_the_holder_gives_it_no_earlier_number():
+    """It was held in the era between, which the second copy doesn't know."""
+    history = LeaseHistory()
+    objects = history.objects
+
+    def pass_time(duration_s):
+        history._pass_time(duration_s, {0})
+        numbers = []
+        while calls := [
+            call for call in objects.calls if call.store.writer == "0"
+        ]:
+            objects.answer(calls[0], "ok")
+            numbers += [number for number, _ in history._held()]
+        return numbers
+
+    (first,) = set(pass_time(0.5))
+    copied = objects.copy()
+    objects.restore(copied)
+    numbers = [number for _ in range(60) for number in pass_time(1.0)]
+    assert numbers and numbers[-1] > first
+    objects.restore(copied)
+    later = [number for _ in range(60) for number in pass_time(1.0)]
+    assert later and min(later) > numbers[-1]
