Call a failing store by one rule, where services are ranked or uneven

Cause: each of the four callers of the store in a gateway repeated its call 0.25 to 0.5 s after a failure, whatever the others found.

A call that timed out counts its time. In force while a configured service is ranked or uneven; elsewhere waits are as before (tested). Calls are counted by kind and outcome.

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -41,6 +41,8 @@
 
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.control import outage_permission
+from hemlocktiller._internal.policy import store_backoff
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import watch
@@ -95,6 +97,7 @@
 
     Attributes:
         outage_permission: What the last holder may do in an outage.
+        backoff: Gives the waits after failures; exponential if None.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         self.outage_permission = outage_permission.OutagePermission(
             store.settings, monotonic_s
         )
+        self.backoff: backoff.StoreBackoff | None = None
         self._observed: client.StoredObject | None = None
         self._needs_read = True
         self._observed_at_s = 0.0
@@ -125,6 +129,7 @@
         self._stopped = False
         store.on_new_era.append(self._on_new_era)
         self._loop: defer.Deferred = defer.succeed(None)
+        self._pause: defer.Deferred = defer.succeed(None)
 
     def start(self) -> None:
         """Starts to acquire and renew the lease in the background."""
@@ -152,6 +157,22 @@
         self._update_held()
         return defer.Deferred.fromCoroutine(self._release_if_held())
 
+    def retry_now(self) -> None:
+        """Ends the pause after a failure, as the store answers again."""
+        if self._consecutive_failures and not self._stopped:
+            self._pause.cancel()
+
+    def _retry_wait_s(self, error):
+        """Returns the time to wait after a failure."""
+        if self.backoff is None:
+            return watch.backoff_s(
+                self._store.settings, self._consecutive_failures
+            )
+        caller = store_backoff.Caller.PATIENT
+        if self._is_recorded_holder():
+            caller = store_backoff.Caller.HOLDER
+        return self.backoff.wait_s(caller, self._consecutive_failures, error)
+
     def _on_new_era(self, era):
         """Gives up a lease of the store's state before a restore."""
         self._needs_read = True
@@ -187,16 +208,19 @@
                 wait_s = await self._acquire_or_renew()
                 self._consecutive_failures = 0
                 self.outage_permission.record_answer()
-            except exceptions.StoreError:
+            except exceptions.StoreError as error:
                 self._needs_read = True
                 self.outage_permission.record_failure(began_s)
-                wait_s = watch.backoff_s(
-                    self._store.settings, self._consecutive_failures
-                )
+                wait_s = self._retry_wait_s(error)
                 self._consecutive_failures += 1
             if not self._stopped:
                 self._update_held()
-                await task.deferLater(self._reactor, wait_s)
+                self._pause = task.deferLater(self._reactor, wait_s)
+                try:
+                    await self._pause
+                except defer.CancelledError:
+                    if self._stopped:
+                        raise
 
     async def _acquire_or_renew(self):
         """Acquires or renews the lease once; returns the next delay."""
--- a/src/hemlocktiller/_internal/exceptions.py
+++ b/src/hemlocktiller/_internal/exceptions.py
@@ -151,7 +151,26 @@
 
 
 class StoreError(HemlocktillerError):
-    """Base of the errors of the object API client."""
+    """Base of the errors of the object API client.
+
+    Attributes:
+        outcome: How the call ended, for metrics.
+        retry_after_s: Time after which the store wants to be asked again; 0
+            if it named none.
+    """
+
+    outcome = "no answer"
+    retry_after_s = 0.0
+
+    @classmethod
+    def ended(
+        cls, message: str, outcome: str, retry_after_s: float = 0.0
+    ) -> "StoreError":
+        """Returns the error of a call that ended without a result."""
+        error = cls(message)
+        error.outcome = outcome
+        error.retry_after_s = retry_after_s
+        return error
 
 
 class StoreUnavailable(StoreError):
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -30,6 +30,9 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import store_backoff
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
@@ -233,6 +236,8 @@
             reactor,
             self._on_lease_changed,
         )
+        self._store_backoff = backoff.StoreBackoff(store.settings)
+        self._lease.backoff = self._store_backoff
         self._layout_controller = layout_controller.LayoutController(
             reactor,
             store,
@@ -258,6 +263,7 @@
                 self._layout_controller.apply_word,
             ),
             self._rng,
+            self._store_backoff,
         )
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
         self._layout_controller.on_word = self._peers.broadcast_layout
@@ -319,6 +325,9 @@
         ]
         for store_watch in self._watches:
             store_watch.on_failure = self.targets.record_store_outage
+            store_watch.retry_wait = self._store_backoff.retry_wait(
+                store_backoff.Caller.PATIENT
+            )
         self._peers.start()
         self._lease.start()
         self._layout_controller.start()
@@ -546,6 +555,10 @@
         previous_version = self.catalog.version if self.catalog else None
         self.catalog = catalog
         self._ranked_services = model.ranked_services(catalog)
+        self._store_backoff.is_shared = bool(self._ranked_services) or any(
+            fleet.is_uneven(service.engine)
+            for service in catalog.services.values()
+        )
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
@@ -585,7 +598,9 @@
             self._restart_polls()
 
     def _restart_polls(self):
-        """Polls the store for configurations and registrations at once."""
+        """Polls the store at once, after an outage or to watch it."""
+        if self._store_backoff.is_shared:
+            self._lease.retry_now()
         for store_watch in self._watches:
             store_watch.restart_poll()
 
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -27,6 +27,8 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import rendezvous
+from hemlocktiller._internal.policy import store_backoff as policy
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
 from hemlocktiller._internal.store import versions
@@ -112,11 +114,14 @@
         store: client.ObjectStore,
         hooks: PeerHooks,
         rng: random.Random,
+        store_backoff: backoff.StoreBackoff | None = None,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._store = store
         self._hooks = hooks
+        self._backoff = store_backoff or backoff.StoreBackoff(store.settings)
+        self._backoff.count_gateways = self.count_gateways
         self._rng = rng
         self._local = link_module.LocalProcess(
             store.writer,
@@ -156,6 +161,9 @@
             self._store, GATEWAY_KIND, self._discover
         )
         self._discovery.on_failure = self._on_store_lost
+        self._discovery.retry_wait = self._backoff.retry_wait(
+            policy.Caller.PROBER
+        )
         self._report_periodically()
 
     def _register(self):
@@ -167,6 +175,7 @@
                 GATEWAY_KIND,
                 self._settings.name,
                 {"host": address.host, "port": address.port},
+                self._backoff.retry_wait(policy.Caller.PROBER),
             )
         )
         writing.addErrback(_log_failure)
@@ -282,6 +291,10 @@
         listing = await self._store.read_all(GATEWAY_KIND, may_be_stale=True)
         if self._is_store_lost:
             self._is_store_lost = False
+            self._backoff.is_store_lost = False
+            if self._backoff.is_shared:
+                # The last call may have failed some time before its return.
+                self._hooks.targets.record_store_outage()
             events.emit("store_back")
             self._hooks.on_store_recovered()
         self._update_dialers(listing)
@@ -291,6 +304,7 @@
         if not self._is_store_lost:
             events.emit("store_lost")
         self._is_store_lost = True
+        self._backoff.is_store_lost = True
         self._hooks.targets.record_store_outage()
 
     def _update_dialers(self, listing):
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -39,6 +39,11 @@
     "Calls to the platform's store",
     ["method", "kind"],
 )
+_RESULTS = prometheus_client.Counter(
+    "hemlocktiller_store_call_results",
+    "Calls to the platform's store by how they ended",
+    ["kind", "outcome"],
+)
 _ERA = prometheus_client.Gauge(
     "hemlocktiller_store_era",
     "Number of times that the platform's store was restored from a copy",
@@ -328,12 +333,24 @@
     async def _get(self, method, kind, segments, query=None, wait_s=0.0):
         _CALLS.labels(method, kind).inc()
         try:
-            reply = await self._transport.call(
-                "GET", segments, query, wait_s=wait_s
+            reply = await self._call(
+                kind, "GET", segments, query, wait_s=wait_s
             )
             self._check_era(reply, kind)
         except exceptions.WriteOutcomeUnknown as lost_reply:
-            raise exceptions.StoreUnavailable(str(lost_reply)) from lost_reply
+            raise exceptions.StoreUnavailable.ended(
+                str(lost_reply), lost_reply.outcome, lost_reply.retry_after_s
+            ) from lost_reply
+        return reply
+
+    async def _call(self, kind, *call, **options):
+        """Makes a call and counts how it ended."""
+        try:
+            reply = await self._transport.call(*call, **options)
+        except exceptions.StoreError as error:
+            _RESULTS.labels(kind, error.outcome).inc()
+            raise
+        _RESULTS.labels(kind, "answered").inc()
         return reply
 
     def _check_era(self, reply, kind):
@@ -391,8 +408,8 @@
         if write.body is not None:
             headers["Content-Type"] = "application/json"
         segments = ("objects", write.kind, write.name)
-        reply = await self._transport.call(
-            method, segments, headers=headers, body=write.body
+        reply = await self._call(
+            write.kind, method, segments, headers=headers, body=write.body
         )
         self._check_era(reply, write.kind)
         return reply
--- a/src/hemlocktiller/_internal/store/registration.py
+++ b/src/hemlocktiller/_internal/store/registration.py
@@ -6,6 +6,7 @@
 from twisted.internet import task
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
@@ -13,7 +14,11 @@
 
 
 async def register(
-    store: client.ObjectStore, kind: str, name: str, value: dict[str, Any]
+    store: client.ObjectStore,
+    kind: str,
+    name: str,
+    value: dict[str, Any],
+    retry_wait: backoff.RetryWait | None = None,
 ) -> None:
     """Writes the registration of a process, replacing an earlier one.
 
@@ -25,6 +30,8 @@
         kind: Kind of the registration.
         name: Name of the process.
         value: What other processes need to connect to it.
+        retry_wait: Gives the time to wait after a failure; exponential if
+            there is none.
     """
     failures = 0
     while True:
@@ -36,8 +43,12 @@
             await store.update(kind, name, value, version)
         except exceptions.StoreError as error:
             _LOG.info("registration failed, retrying: {}", error)
+            wait_s = (
+                retry_wait(failures, error)
+                if retry_wait
+                else watch.backoff_s(store.settings, failures)
+            )
         else:
             return
-        wait_s = watch.backoff_s(store.settings, failures)
         await task.deferLater(store.reactor, wait_s)
         failures += 1
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -7,6 +7,7 @@
 
 import io
 import json
+import math
 from typing import NamedTuple
 from urllib import parse
 
@@ -48,11 +49,14 @@
         body: JSON object in the body; None if there is none.
         era: Number of times that the store was restored from a backup; 0 if
             the platform does not tell it.
+        retry_after_s: Time after which the platform wants to be asked again;
+            0 if it named none.
     """
 
     status: int
     body: dict | None
     era: int = 0
+    retry_after_s: float = 0.0
 
 
 class Transport:
@@ -117,8 +121,14 @@
                 body,
             )
         )
-        pending_reply.addTimeout(self._timeout_s + wait_s, self._reactor)
-        return pending_reply.addErrback(_raise_store_error)
+        timeout_s = self._timeout_s + wait_s
+        ends_s = self._reactor.seconds() + timeout_s
+        pending_reply.addTimeout(timeout_s, self._reactor)
+        return pending_reply.addErrback(
+            lambda failure: _raise_store_error(
+                failure, self._reactor.seconds() >= ends_s
+            )
+        )
 
     def close(self) -> defer.Deferred:
         """Closes the idle connections."""
@@ -142,7 +152,11 @@
             response, MAX_REPLY_BYTES
         )
         if response.code == HTTP_SERVICE_UNAVAILABLE:
-            raise exceptions.StoreUnavailable("the object API answered 503")
+            raise exceptions.StoreUnavailable.ended(
+                "the object API answered 503",
+                "503",
+                _parse_retry_after_s(response.headers),
+            )
         if response.code >= HTTP_SERVER_ERROR_MIN:
             raise exceptions.WriteOutcomeUnknown(
                 f"the object API answered {response.code}"
@@ -153,7 +167,12 @@
             raise exceptions.WriteOutcomeUnknown(
                 "the object API closed the connection inside its answer"
             )
-        return Reply(response.code, body, era)
+        return Reply(
+            response.code,
+            body,
+            era,
+            _parse_retry_after_s(response.headers),
+        )
 
     def _parse_era(self, headers):
         """Returns the era that a response names.
@@ -187,12 +206,27 @@
     return document if isinstance(document, dict) else None
 
 
-def _raise_store_error(failure):
+def _parse_retry_after_s(headers):
+    """Returns the seconds in `Retry-After`; 0 without a usable number."""
+    value = headers.getRawHeaders("Retry-After", [""])[-1]
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0.0
+    return seconds if math.isfinite(seconds) and seconds > 0.0 else 0.0
+
+
+def _raise_store_error(failure, is_timeout):
     """Raises the store error that a failed call stands for."""
     failure.trap(Exception)
     cause = failure.value
     if isinstance(cause, exceptions.StoreError):
         raise cause
     if isinstance(cause, _NOT_SENT_ERRORS):
-        raise exceptions.StoreUnavailable(str(cause)) from cause
-    raise exceptions.WriteOutcomeUnknown(f"no reply: {cause!r}") from cause
+        raise exceptions.StoreUnavailable.ended(
+            str(cause), "not sent"
+        ) from cause
+    outcome = "timeout" if is_timeout else "no answer"
+    raise exceptions.WriteOutcomeUnknown.ended(
+        f"no reply: {cause!r}", outcome
+    ) from cause
--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-import random
 from typing import Any
 from typing import Protocol
 
@@ -15,7 +14,9 @@
 from twisted.internet import task
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.policy import store_backoff
 from hemlocktiller._internal.schemas import entry_settings
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 
 _LOG = logbook.Logger(__name__)
@@ -24,7 +25,6 @@
     "Watch calls that the object API did not answer",
     ["subject"],
 )
-_MAX_BACKOFF_EXPONENT = 16
 _NO_VERSION = -1
 # Many objects of a kind change together when a rack or a data centre recovers;
 # the delay lets one poll return them all.
@@ -60,11 +60,7 @@
         settings: Settings of the object API.
         failures: Number of failures in a row before this one.
     """
-    exponent = min(failures, _MAX_BACKOFF_EXPONENT)
-    max_wait_s = min(
-        settings["retry_max_s"], settings["retry_min_s"] * 2**exponent
-    )
-    return random.uniform(max_wait_s / 2, max_wait_s)
+    return store_backoff.exponential_wait_s(settings, failures)
 
 
 class Watch:
@@ -72,6 +68,7 @@
 
     Attributes:
         on_failure: Called after each failed poll.
+        retry_wait: Gives the time to wait after a failed poll.
     """
 
     def __init__(
@@ -96,6 +93,9 @@
         self._current_poll: defer.Deferred = defer.succeed(None)
         self._current_pause: defer.Deferred = defer.succeed(None)
         self.on_failure: Callable[[], None] = lambda: None
+        self.retry_wait: backoff.RetryWait = lambda failures, error: backoff_s(
+            store.settings, failures
+        )
         self._loop = defer.Deferred.fromCoroutine(self._poll_until_stopped())
         self._loop.addErrback(self._log_unexpected_end)
 
@@ -151,7 +151,7 @@
             _LOG.warning(
                 "watch of {} failed, retrying: {}", self._subject, error
             )
-        wait_s = backoff_s(self._store.settings, self._consecutive_failures)
+        wait_s = self.retry_wait(self._consecutive_failures, error)
         self._consecutive_failures += 1
         return wait_s
 
--- a/tests/unit/gateway/test_app.py
+++ b/tests/unit/gateway/test_app.py
@@ -266,3 +266,17 @@
     gateway._on_watcher_changed(True)
     assert timeouts_s == {}
     assert pauses_s == {}
+
+
+def test_the_shared_rule_of_calls_to_the_store_follows_the_configuration(
+    gateway, catalog, booking_route
+):
+    gateway._apply_config(catalog)
+    assert not gateway._store_backoff.is_shared
+    routes = (booking_route, booking_route._replace(name="b", priority=7))
+    gateway._apply_config(
+        catalog._replace(version=4, routes={"drafts.example": routes})
+    )
+    assert gateway._store_backoff.is_shared
+    gateway._apply_config(catalog._replace(version=5))
+    assert not gateway._store_backoff.is_shared
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -553,11 +553,13 @@
     """The error says that the call was not carried out."""
     failure, _ = call_store(
         adapter,
-        [transport.Reply(429, None)],
+        [transport.Reply(429, None, retry_after_s=1.5)],
         "GET",
         ("objects", "config", "m"),
     )
     assert failure.check(exceptions.StoreUnavailable)
+    assert failure.value.outcome == "429"
+    assert failure.value.retry_after_s == 1.5
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_store_transport.py
+++ b/tests/unit/test_store_transport.py
@@ -21,7 +21,8 @@
 class UnframedAgent:
     """An HTTP agent whose responses have neither length nor chunks."""
 
-    def __init__(self, status, body):
+    def __init__(self, status, body, headers=None):
+        self._headers = http_headers.Headers(headers)
         self._status = status
         self._body = body
 
@@ -31,7 +32,7 @@
             SimpleNamespace(
                 code=self._status,
                 phrase=b"",
-                headers=http_headers.Headers(),
+                headers=self._headers,
                 deliverBody=self._deliver,
             )
         )
@@ -71,6 +72,27 @@
         call(503, b"", "PUT")
 
 
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [
+        (b"1.5", 1.5),
+        (b"-1", 0.0),
+        (b"nan", 0.0),
+        (b"inf", 0.0),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+    ],
+)
+def test_the_time_that_a_refusal_names_is_read(value, seconds):
+    agent = UnframedAgent(503, b"", {b"Retry-After": [value]})
+    store_transport = transport.Transport(
+        memory.STORE_SETTINGS, task.Clock(), agent
+    )
+    results = []
+    store_transport.call("GET", ("objects",)).addErrback(results.append)
+    assert results[0].value.retry_after_s == seconds
+    assert results[0].value.outcome == "503"
+
+
 def test_a_number_that_may_be_a_part_is_no_reply():
     with pytest.raises(exceptions.WriteOutcomeUnknown):
         call(200, b"12")
