Hand the repair of layouts over when the holder stops in an outage

Change: a gateway that stops tells its peers, and names one that doesn't as successor. That one goes on with the number if the store has last named it as the lease's, under the same conditions; all gateways of uneven services read the plan ahead. At most one process uses a number at a time.

Ruled out: taking over from a holder whose link is lost, as it may live.

The new tests of the hand-over fail without it, as they call what is new.

--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -157,6 +157,23 @@
         self._update_held()
         return defer.Deferred.fromCoroutine(self._release_if_held())
 
+    def take_over_in_outage(self, number: int) -> bool:
+        """Acts in an outage for a holder that stops and named this process.
+
+        Returns:
+            Whether the number is that of the lease, by the store's last word.
+        """
+        if (
+            self._stopped
+            or self._observed is None
+            or self._observed.value["fencing_number"] != number
+            or not self._store.is_current(self._observed.version)
+        ):
+            return False
+        self.outage_permission.take_over(number)
+        self.retry_now()
+        return True
+
     def retry_now(self) -> None:
         """Ends the pause after a failure, as the store answers again."""
         if self._consecutive_failures and not self._stopped:
@@ -169,7 +186,7 @@
                 self._store.settings, self._consecutive_failures
             )
         caller = store_backoff.Caller.PATIENT
-        if self._is_recorded_holder():
+        if self.outage_permission.has_number():
             caller = store_backoff.Caller.HOLDER
         return self.backoff.wait_s(caller, self._consecutive_failures, error)
 
--- a/src/hemlocktiller/_internal/control/outage_permission.py
+++ b/src/hemlocktiller/_internal/control/outage_permission.py
@@ -43,6 +43,17 @@
         """
         self._evidence = _NOTHING._replace(number=number, expired_s=until_s)
 
+    def take_over(self, number: int) -> None:
+        """Records that a holder that stops has handed its number over."""
+        if number > max(self._evidence.number, self._refused_number):
+            self._evidence = _NOTHING._replace(
+                number=number, expired_s=self._monotonic_s()
+            )
+
+    def has_number(self) -> bool:
+        """Returns whether this process may act if the store is lost."""
+        return self._evidence.number > 0
+
     def forget(self) -> None:
         """Ends the permission until this process holds the lease again."""
         self._evidence = _NOTHING
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -261,6 +261,7 @@
                 self._restart_polls,
                 self._on_watcher_changed,
                 self._layout_controller.apply_word,
+                self._layout_controller.take_over,
             ),
             self._rng,
             self._store_backoff,
@@ -685,8 +686,11 @@
         """
         grace_s = self._settings.stop_grace_s
         stop_started_s = self._reactor.seconds()
-        await self._lease.release()
+        layout_number = self._layout_controller.number_to_hand_over()
         self._layout_controller.stop()
+        if layout_number is not None:
+            self._peers.announce_stop(layout_number)
+        await self._lease.release()
         self._caller_factory.start_draining()
         while (
             self._reactor.seconds() < stop_started_s + STOP_ACCEPT_DURATION_S
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -55,6 +55,9 @@
 # this often until it has them, so that requests use them at once.
 LAYERS_POLL_INTERVAL_S = 1.0
 STATUS_OUTDATED_NUMBER = 412
+# Gateways without the lease read the plan ahead, to repair by it if the
+# holder stops in an outage.
+PLAN_READ_INTERVAL_S = 5.0
 
 ORDERS = prometheus_client.Counter(
     "hemlocktiller_layout_orders", "Layout orders by result", ["result"]
@@ -109,6 +112,7 @@
         self._is_repairing_in_outage = False
         self._announced_number = 0
         self._next_layers_poll_s: dict[str, float] = {}
+        self._next_plan_read_s: dict[str, float] = {}
         self.on_word: Callable[
             [int, Sequence[targets_module.ReportedLayers]], None
         ] = lambda number, layers: None
@@ -140,6 +144,8 @@
         if uneven_services:
             self._announce_number(held_number)
             self._repair_in_outage(uneven_services, held_number)
+            if not held_number:
+                self._read_plans_ahead(uneven_services)
         if self._is_reconciling or not held_number:
             return
         self._is_reconciling = True
@@ -147,6 +153,52 @@
         running.addErrback(self._log_failure)
         running.addBoth(self._finish_reconciling)
 
+    def number_to_hand_over(self) -> int | None:
+        """Returns the number that a successor may use when this one stops.
+
+        0 if this process has none; None without a service that needs one.
+        """
+        if not any(
+            fleet.is_uneven(service.engine) for service in self._services()
+        ):
+            return None
+        number, _ = self._lease.outage_permission.number()
+        return self._fencing_number() or number
+
+    def take_over(self, peer: str, number: int) -> None:
+        """Repairs in an outage for a holder that stops."""
+        events.emit(
+            "layout_handed_over",
+            peer=peer,
+            fencing_number=number,
+            is_taken=self._lease.take_over_in_outage(number),
+        )
+
+    def _read_plans_ahead(self, services):
+        """Reads the plans that this process doesn't know, now and then."""
+        now_s = self._reactor.seconds()
+        for service in services:
+            if (
+                service.name in self._known_plans
+                or self._next_plan_read_s.get(service.name, 0.0) > now_s
+            ):
+                continue
+            self._next_plan_read_s[service.name] = now_s + PLAN_READ_INTERVAL_S
+            reading = self._store.read(
+                PLAN_KIND, service.name, may_be_stale=True
+            )
+            reading.addCallbacks(
+                functools.partial(self._keep_plan, service.name),
+                self._log_failure,
+            )
+
+    def _keep_plan(self, name, stored):
+        if stored is not None:
+            self._known_plans.setdefault(
+                name,
+                tuple(layout.PlannedRange(*row) for row in stored.value),
+            )
+
     def apply_word(
         self,
         peer: str,
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -89,6 +89,8 @@
             one no longer, with whether it is one.
         on_layout: Called with a peer's name, the fencing number that it
             orders layouts with, and layers that it has seen targets report.
+        on_layout_handed_over: Called with a peer's name and the number that
+            this process may order with, as the peer stops.
     """
 
     targets: targets_module.Targets
@@ -102,6 +104,9 @@
     on_layout: Callable[
         [str, int, Sequence[targets_module.ReportedLayers]], None
     ] = lambda peer, number, layers: None
+    on_layout_handed_over: Callable[[str, int], None] = lambda peer, number: (
+        None
+    )
 
 
 class Peers:
@@ -146,6 +151,7 @@
         self._is_watcher = True
         self._keep_dialers_until_s = 0.0
         self._layout_number = 0
+        self._stopping_names: set[str] = set()
 
     def listener_factory(self) -> listener.Listener:
         """Returns the protocol factory of accepted links."""
@@ -283,6 +289,40 @@
             if link.is_open and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
                 link.send(message)
 
+    def announce_stop(self, number: int) -> None:
+        """Tells peers that this process stops, and which one succeeds it.
+
+        Args:
+            number: Fencing number of its layout orders; 0 without one.
+        """
+        self._layout_number = 0
+        names = sorted(set(self._linked_names()) - self._stopping_names)
+        message = {
+            **_layout_message(number, ()),
+            "successor": names[0] if names and number else "",
+        }
+        for link in list(self._links):
+            if link.is_open and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+                link.send(message)
+
+    def _apply_layout(self, link, message):
+        """Applies a peer's word on layouts, or on its stop."""
+        name = link.peer["name"]
+        successor = message.get("successor")
+        if successor is None:
+            self._hooks.on_layout(
+                name,
+                message["fencing_number"],
+                [
+                    targets_module.ReportedLayers(**row)
+                    for row in message["layers"]
+                ],
+            )
+            return
+        self._stopping_names.add(name)
+        if successor == self._settings.name:
+            self._hooks.on_layout_handed_over(name, message["fencing_number"])
+
     async def _discover(self):
         """Lists the gateways, which also detects an outage of the store.
 
@@ -367,6 +407,7 @@
         self._hooks.part_evidence.on_down(link)
         LINKED_PEERS.set(len(self._links))
         if link.peer:
+            self._stopping_names.discard(link.peer["name"])
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
         self._update_watcher_role()
 
@@ -416,14 +457,7 @@
         elif message_type == "part_evidence":
             self._hooks.part_evidence.on_message(link, message)
         elif message_type == LAYOUT_MESSAGE_TYPE:
-            self._hooks.on_layout(
-                link.peer["name"],
-                message["fencing_number"],
-                [
-                    targets_module.ReportedLayers(**row)
-                    for row in message["layers"]
-                ],
-            )
+            self._apply_layout(link, message)
         elif message_type == "catalog_wanted":
             self._send_catalog(link)
         elif message_type == "catalog":
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2469,12 +2469,12 @@
 
 def check_layout(data, custom_formats={}, name_prefix=None):
     if not isinstance(data, (dict)):
-        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='type')
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 0}, 'successor': {'type': 'string'}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='type')
     data_is_dict = isinstance(data, dict)
     if data_is_dict:
         data__missing_keys = set(['type', 'fencing_number', 'layers']) - data.keys()
         if data__missing_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='required')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 0}, 'successor': {'type': 'string'}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='required')
         data_keys = set(data.keys())
         if "type" in data_keys:
             data_keys.remove("type")
@@ -2487,10 +2487,15 @@
             data_keys.remove("fencing_number")
             data__fencingnumber = data["fencing_number"]
             if not isinstance(data__fencingnumber, (int)) and not (isinstance(data__fencingnumber, float) and data__fencingnumber.is_integer()) or isinstance(data__fencingnumber, bool):
-                raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be integer", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 1}, rule='type')
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be integer", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 0}, rule='type')
             if isinstance(data__fencingnumber, (int, float, Decimal)) and not isinstance(data__fencingnumber, bool):
-                if data__fencingnumber < 1:
-                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be bigger than or equal to 1", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 1}, rule='minimum')
+                if data__fencingnumber < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".fencing_number must be bigger than or equal to 0", value=data__fencingnumber, name="" + (name_prefix or "data") + ".fencing_number", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+        if "successor" in data_keys:
+            data_keys.remove("successor")
+            data__successor = data["successor"]
+            if not isinstance(data__successor, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".successor must be string", value=data__successor, name="" + (name_prefix or "data") + ".successor", definition={'type': 'string'}, rule='type')
         if "layers" in data_keys:
             data_keys.remove("layers")
             data__layers = data["layers"]
@@ -2539,7 +2544,7 @@
                         if data__layers_item_keys:
                             raise JsonSchemaValueException("" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + " must not contain "+str(data__layers_item_keys)+" properties", value=data__layers_item, name="" + (name_prefix or "data") + ".layers[{data__layers_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, rule='additionalProperties')
         if data_keys:
-            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 1}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='additionalProperties')
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'fencing_number', 'layers'], 'properties': {'type': {'const': 'layout', 'type': 'string'}, 'fencing_number': {'type': 'integer', 'minimum': 0}, 'successor': {'type': 'string'}, 'layers': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['name', 'born_ms', 'first_layer', 'end_layer'], 'properties': {'name': {'type': 'string'}, 'born_ms': {'type': 'integer'}, 'first_layer': {'type': 'integer', 'minimum': 0}, 'end_layer': {'type': 'integer', 'minimum': 0}}}, 'maxItems': 64}}}, rule='additionalProperties')
     return data
 from decimal import Decimal
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -563,6 +563,7 @@
 
     type: Literal['layout']
     fencing_number: int
+    successor: NotRequired[str]
     layers: list[HeldLayers]
 
 
--- a/tests/unit/gateway/test_layout_outage.py
+++ b/tests/unit/gateway/test_layout_outage.py
@@ -215,6 +215,30 @@
     assert order[3] > number
 
 
+def test_a_holder_that_stops_in_an_outage_hands_the_repair_over(
+    platform, serving, uneven_service
+):
+    second = Gateway(platform, serving.harness, uneven_service, "second")
+    second.target_report = serving.target_report
+    number = serving.lease.fencing_number()
+    second.advance(8.0)
+    platform.faults(outage="refuse")
+    second.advance(REPAIR_DELAY_S)
+    assert serving.controller.number_to_hand_over() == number
+    serving.controller.stop()
+    serving.lease.release()
+    # A number that the store has not named is of no use.
+    second.controller.take_over("bad", 2**60)
+    second.lose("b")
+    assert second.advance(1.0) == []
+    second.controller.take_over("first", number)
+    orders = second.advance(2.0)
+    assert [order[1:4] for order in orders] == [(25, 60, number)]
+    platform.faults()
+    second.advance(8.0)
+    assert second.lease.fencing_number() > number
+
+
 def turn_away(platform, serving, service):
     """Has the store turn the holder away; returns the new one."""
     second = Gateway(platform, serving.harness, service, "second")
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -135,6 +135,23 @@
     assert words == [("g1", 7, list(layers))]
 
 
+def test_one_peer_that_does_not_stop_succeeds_a_process_that_stops(gateway):
+    links = [gateway.open_link(name) for name in ("g1", "g2", "g3")]
+    words = []
+    gateway.peers._hooks = gateway.peers._hooks._replace(
+        on_layout_handed_over=lambda *word: words.append(word)
+    )
+    stop = {"type": "layout", "fencing_number": 0, "layers": []}
+    gateway.peers._on_message(links[0], {**stop, "successor": ""})
+    gateway.peers.announce_stop(7)
+    sent = [codec.decode(codec.encode(link.sent[-1])) for link in links]
+    assert {message["successor"] for message in sent} == {"g2"}
+    gateway.peers._on_message(links[1], {**sent[0], "successor": "other"})
+    assert words == []
+    gateway.peers._on_message(links[2], {**sent[0], "successor": "gateway-1"})
+    assert words == [("g3", 7)]
+
+
 def test_a_peer_of_an_earlier_version_gets_no_word_on_layouts(gateway):
     link = gateway.open_link("g1")
     link.peer_accepts = lambda message_type: message_type != "layout"
