--- a/src/hemlocktiller/_internal/control/lease.py
+++ b/src/hemlocktiller/_internal/control/lease.py
@@ -23,6 +23,9 @@
 holder, so any process acquires a lease, also a free one or its own, only after
 it has seen it unchanged for a whole duration in the new era. The number is a
 new one.
+
+While the store doesn't answer, an expired lease permits nothing. What its
+last holder may do then without it is decided by its `outage_permission`.
 """
 
 from collections.abc import Callable
@@ -37,6 +40,9 @@
 from typing_extensions import TypedDict
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal.control import outage_permission
+from hemlocktiller._internal.policy import store_backoff
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
 from hemlocktiller._internal.store import watch
@@ -88,6 +94,10 @@
         reactor: Twisted reactor that schedules acquisitions and renewals.
         on_change: Called with whether the lease is held, on each change.
         monotonic_s: Clock for the expiry of the lease.
+
+    Attributes:
+        outage_permission: What the last holder may do in an outage.
+        backoff: Gives the waits after failures; exponential if None.
     """
 
     def __init__(
@@ -105,6 +115,10 @@
         self._reactor = reactor
         self._on_change = on_change
         self._monotonic_s = monotonic_s
+        self.outage_permission = outage_permission.OutagePermission(
+            store.settings, monotonic_s
+        )
+        self.backoff: backoff.StoreBackoff | None = None
         self._observed: client.StoredObject | None = None
         self._needs_read = True
         self._observed_at_s = 0.0
@@ -115,6 +129,7 @@
         self._stopped = False
         store.on_new_era.append(self._on_new_era)
         self._loop: defer.Deferred = defer.succeed(None)
+        self._pause: defer.Deferred = defer.succeed(None)
 
     def start(self) -> None:
         """Starts to acquire and renew the lease in the background."""
@@ -138,12 +153,49 @@
         self._stopped = True
         self._loop.cancel()
         self._held_until_s = 0.0
+        self.outage_permission.forget()
         self._update_held()
         return defer.Deferred.fromCoroutine(self._release_if_held())
 
+    def take_over_in_outage(self, number: int) -> bool:
+        """Acts in an outage for a holder that stops and named this process.
+
+        Returns:
+            Whether the number is that of the lease, by the store's last word.
+        """
+        if (
+            self._stopped
+            or self._observed is None
+            or self._observed.value["fencing_number"] != number
+            or not self._store.is_current(self._observed.version)
+        ):
+            return False
+        self.outage_permission.take_over(number)
+        self.retry_now()
+        return True
+
+    def retry_now(self) -> None:
+        """Ends the pause after a failure, as the store answers again."""
+        if self._consecutive_failures and not self._stopped:
+            self._pause.cancel()
+
+    def _retry_wait_s(self, error):
+        """Returns the time to wait after a failure."""
+        if self.backoff is None:
+            return watch.backoff_s(
+                self._store.settings, self._consecutive_failures
+            )
+        caller = store_backoff.Caller.PATIENT
+        if self.outage_permission.has_number():
+            caller = store_backoff.Caller.HOLDER
+        return self.backoff.wait_s(caller, self._consecutive_failures, error)
+
     def _on_new_era(self, era):
         """Gives up a lease of the store's state before a restore."""
         self._needs_read = True
+        # The copy may name this process as the holder of an earlier number.
+        self._held_until_s = 0.0
+        self.outage_permission.forget()
         self._era_known_since_s(era)
         self._update_held()
 
@@ -168,18 +220,24 @@
     async def _run_loop(self):
         """Acquires or renews the lease until `release` is called."""
         while not self._stopped:
+            began_s = self._monotonic_s()
             try:
                 wait_s = await self._acquire_or_renew()
                 self._consecutive_failures = 0
-            except exceptions.StoreError:
+                self.outage_permission.record_answer()
+            except exceptions.StoreError as error:
                 self._needs_read = True
-                wait_s = watch.backoff_s(
-                    self._store.settings, self._consecutive_failures
-                )
+                self.outage_permission.record_failure(began_s)
+                wait_s = self._retry_wait_s(error)
                 self._consecutive_failures += 1
             if not self._stopped:
                 self._update_held()
-                await task.deferLater(self._reactor, wait_s)
+                self._pause = task.deferLater(self._reactor, wait_s)
+                try:
+                    await self._pause
+                except defer.CancelledError:
+                    if self._stopped:
+                        raise
 
     async def _acquire_or_renew(self):
         """Acquires or renews the lease once; returns the next delay."""
@@ -215,6 +273,9 @@
         if await self._compare_and_swap(value):
             duration_s = self._settings["duration_s"] * HOLDER_DURATION_RATIO
             self._held_until_s = sent_at_s + duration_s
+            self.outage_permission.record_held(
+                self._observed.value["fencing_number"], self._held_until_s
+            )
 
     async def _compare_and_swap(self, value):
         """Replaces the observed version; returns whether that succeeded."""
@@ -239,6 +300,7 @@
         self._observed = stored
         if not self._is_recorded_holder():
             self._held_until_s = 0.0
+            self.outage_permission.forget()
 
     def _is_recorded_holder(self):
         """Returns whether the observed lease names this process as holder."""
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -30,6 +30,9 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import store_backoff
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
@@ -233,6 +236,8 @@
             reactor,
             self._on_lease_changed,
         )
+        self._store_backoff = backoff.StoreBackoff(store.settings)
+        self._lease.backoff = self._store_backoff
         self._layout_controller = layout_controller.LayoutController(
             reactor,
             store,
@@ -257,10 +262,14 @@
                 self._on_watcher_changed,
                 self._dispatcher.full_targets,
                 self._dispatcher.demand,
+                self._layout_controller.apply_word,
+                self._layout_controller.take_over,
             ),
             self._rng,
+            self._store_backoff,
         )
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
+        self._layout_controller.on_word = self._peers.broadcast_layout
         self.targets.on_health = self._peers.broadcast_health
         self.targets.on_pace = self._peers.broadcast_pace
         self._dispatcher.full_targets.on_found_full = (
@@ -322,6 +331,9 @@
         ]
         for store_watch in self._watches:
             store_watch.on_failure = self.targets.record_store_outage
+            store_watch.retry_wait = self._store_backoff.retry_wait(
+                store_backoff.Caller.PATIENT
+            )
         self._peers.start()
         self._lease.start()
         self._layout_controller.start()
@@ -556,6 +568,10 @@
             for name in self._class_orders
             if name in catalog.services and catalog.services[name].engine
         )
+        self._store_backoff.is_shared = bool(self._class_orders) or any(
+            fleet.is_uneven(service.engine)
+            for service in catalog.services.values()
+        )
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
@@ -595,7 +611,9 @@
             self._restart_polls()
 
     def _restart_polls(self):
-        """Polls the store for configurations and registrations at once."""
+        """Polls the store at once, after an outage or to watch it."""
+        if self._store_backoff.is_shared:
+            self._lease.retry_now()
         for store_watch in self._watches:
             store_watch.restart_poll()
 
@@ -680,8 +698,11 @@
         """
         grace_s = self._settings.stop_grace_s
         stop_started_s = self._reactor.seconds()
-        await self._lease.release()
+        layout_number = self._layout_controller.number_to_hand_over()
         self._layout_controller.stop()
+        if layout_number is not None:
+            self._peers.announce_stop(layout_number)
+        await self._lease.release()
         self._caller_factory.start_draining()
         while (
             self._reactor.seconds() < stop_started_s + STOP_ACCEPT_DURATION_S
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import random
 from typing import Any
@@ -28,6 +29,8 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 from hemlocktiller._internal.policy import rendezvous
+from hemlocktiller._internal.policy import store_backoff as policy
+from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
 from hemlocktiller._internal.store import versions
@@ -42,6 +45,7 @@
 # changes to the others. The largest fault stops a third of the gateways, so
 # that some watchers remain.
 WATCHER_COUNT = 5
+LAYOUT_MESSAGE_TYPE = "layout"
 # The store passes a new configuration to all gateways within milliseconds. A
 # gateway that has not received it by then requests it from a peer.
 CATALOG_REQUEST_DELAY_S = 0.2
@@ -87,6 +91,10 @@
             one no longer, with whether it is one.
         full_targets: Targets that are avoided as they had no room.
         demand: Demand by priority class, where classes compete.
+        on_layout: Called with a peer's name, the fencing number that it
+            orders layouts with, and layers that it has seen targets report.
+        on_layout_handed_over: Called with a peer's name and the number that
+            this process may order with, as the peer stops.
     """
 
     targets: targets_module.Targets
@@ -99,6 +107,12 @@
     on_watcher_change: Callable[[bool], None]
     full_targets: full_targets_module.FullTargets
     demand: demand_module.DemandBoard
+    on_layout: Callable[
+        [str, int, Sequence[targets_module.ReportedLayers]], None
+    ] = lambda peer, number, layers: None
+    on_layout_handed_over: Callable[[str, int], None] = lambda peer, number: (
+        None
+    )
 
 
 class Peers:
@@ -111,11 +125,14 @@
         store: client.ObjectStore,
         hooks: PeerHooks,
         rng: random.Random,
+        store_backoff: backoff.StoreBackoff | None = None,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._store = store
         self._hooks = hooks
+        self._backoff = store_backoff or backoff.StoreBackoff(store.settings)
+        self._backoff.count_gateways = self.count_gateways
         self._rng = rng
         self._local = link_module.LocalProcess(
             store.writer,
@@ -140,6 +157,8 @@
         self._is_store_lost = False
         self._is_watcher = True
         self._keep_dialers_until_s = 0.0
+        self._layout_number = 0
+        self._stopping_names: set[str] = set()
 
     def listener_factory(self) -> listener.Listener:
         """Returns the protocol factory of accepted links."""
@@ -155,6 +174,9 @@
             self._store, GATEWAY_KIND, self._discover
         )
         self._discovery.on_failure = self._on_store_lost
+        self._discovery.retry_wait = self._backoff.retry_wait(
+            policy.Caller.PROBER
+        )
         self._report_periodically()
 
     def _register(self):
@@ -166,6 +188,7 @@
                 GATEWAY_KIND,
                 self._settings.name,
                 {"host": address.host, "port": address.port},
+                self._backoff.retry_wait(policy.Caller.PROBER),
             )
         )
         writing.addErrback(_log_failure)
@@ -268,6 +291,55 @@
             }
         )
 
+    def broadcast_layout(
+        self, number: int, layers: Sequence[targets_module.ReportedLayers]
+    ) -> None:
+        """Sends peers the number of this process's layout orders.
+
+        Args:
+            number: Fencing number in use.
+            layers: Layers that targets have reported.
+        """
+        self._layout_number = number
+        message = _layout_message(number, layers)
+        for link in list(self._links):
+            if link.is_open and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+                link.send(message)
+
+    def announce_stop(self, number: int) -> None:
+        """Tells peers that this process stops, and which one succeeds it.
+
+        Args:
+            number: Fencing number of its layout orders; 0 without one.
+        """
+        self._layout_number = 0
+        names = sorted(set(self._linked_names()) - self._stopping_names)
+        message = {
+            **_layout_message(number, ()),
+            "successor": names[0] if names and number else "",
+        }
+        for link in list(self._links):
+            if link.is_open and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+                link.send(message)
+
+    def _apply_layout(self, link, message):
+        """Applies a peer's word on layouts, or on its stop."""
+        name = link.peer["name"]
+        successor = message.get("successor")
+        if successor is None:
+            self._hooks.on_layout(
+                name,
+                message["fencing_number"],
+                [
+                    targets_module.ReportedLayers(**row)
+                    for row in message["layers"]
+                ],
+            )
+            return
+        self._stopping_names.add(name)
+        if successor == self._settings.name:
+            self._hooks.on_layout_handed_over(name, message["fencing_number"])
+
     async def _discover(self):
         """Lists the gateways, which also detects an outage of the store.
 
@@ -276,6 +348,10 @@
         listing = await self._store.read_all(GATEWAY_KIND, may_be_stale=True)
         if self._is_store_lost:
             self._is_store_lost = False
+            self._backoff.is_store_lost = False
+            if self._backoff.is_shared:
+                # The last call may have failed some time before its return.
+                self._hooks.targets.record_store_outage()
             events.emit("store_back")
             self._hooks.on_store_recovered()
         self._update_dialers(listing)
@@ -285,6 +361,7 @@
         if not self._is_store_lost:
             events.emit("store_lost")
         self._is_store_lost = True
+        self._backoff.is_store_lost = True
         self._hooks.targets.record_store_outage()
 
     def _update_dialers(self, listing):
@@ -338,6 +415,8 @@
         )
         self._hooks.suspects.on_open(link)
         self._hooks.part_evidence.on_open(link)
+        if self._layout_number and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
+            link.send(_layout_message(self._layout_number, ()))
 
     def _on_down(self, link, reason):
         self._links.discard(link)
@@ -345,6 +424,7 @@
         self._hooks.part_evidence.on_down(link)
         LINKED_PEERS.set(len(self._links))
         if link.peer:
+            self._stopping_names.discard(link.peer["name"])
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
             self._hooks.demand.apply_peer(
                 link.peer["name"], None, self._reactor.seconds()
@@ -400,6 +480,8 @@
             self._hooks.suspects.on_message(link, message)
         elif message_type == "part_evidence":
             self._hooks.part_evidence.on_message(link, message)
+        elif message_type == LAYOUT_MESSAGE_TYPE:
+            self._apply_layout(link, message)
         elif message_type == "catalog_wanted":
             self._send_catalog(link)
         elif message_type == "catalog":
@@ -542,5 +624,13 @@
     )
 
 
+def _layout_message(number, layers):
+    return {
+        "type": LAYOUT_MESSAGE_TYPE,
+        "fencing_number": number,
+        "layers": [reported._asdict() for reported in layers],
+    }
+
+
 def _log_failure(reason):
     events.emit("loop_ended", reason=reason.getTraceback())
