--- a/tests/unit/test_part_evidence_feed.py
+++ b/tests/unit/test_part_evidence_feed.py
@@ -136,6 +136,21 @@
     )
 
 
+@pytest.mark.parametrize("relays", [False, True])
+def test_output_that_peers_tell_each_other_again_drops_no_later_death(relays):
+    network = Network(2, relays)
+    network.connect_all()
+    network.feeds[0].record_output((OTHER,))
+    network.clock.advance(LATENCY_S)
+    network.feeds[1].record_death("t0", [(OTHER,)])
+    network.deliver()
+    for number in range(1, 21):
+        network.feeds[number % 2].record_death(f"t{number}", [(OTHER,)])
+        network.deliver()
+    counts = [feed.parts.death_count(OTHER) for feed in network.feeds]
+    assert counts == [21, 21]
+
+
 def test_output_at_one_process_clears_a_part_at_all():
     network = Network(5)
     network.connect_all()
