--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -48,6 +48,7 @@
         service,
         choose_path_factory=None,
         latency_objective_s=math.inf,
+        gateway_count=GATEWAY_COUNT,
     ):
         self.harness = harness
         self.service = service
@@ -88,10 +89,10 @@
                 list(ACCELERATOR_COUNTS)[number % len(ACCELERATOR_COUNTS)],
                 random.Random(number),
             )
-            for number in range(GATEWAY_COUNT)
+            for number in range(gateway_count)
         ]
         for gateway in self.gateways:
-            gateway.occupancy.count_gateways = lambda: GATEWAY_COUNT
+            gateway.occupancy.count_gateways = lambda: gateway_count
             if choose_path_factory is not None:
                 gateway.choose_path = choose_path_factory(gateway, service)
 
@@ -108,9 +109,7 @@
                 self._submit_request(rng)
             self.targets.advance()
             self.harness.reactor.advance(simulated_targets.STEP_S)
-            self._broadcast_loads(
-                (step * GATEWAY_COUNT // steps_per_report) % GATEWAY_COUNT
-            )
+            self._broadcast_due(step, steps_per_report)
 
     def in_time_ratio(self):
         """Returns the share of requests with a first event in time."""
@@ -172,6 +171,14 @@
             )  # fmt: skip
         )
 
+    def _broadcast_due(self, step, steps_per_report):
+        """Sends the loads of the gateways whose turn it is."""
+        count = len(self.gateways)
+        first = step * count // steps_per_report
+        last = (step + 1) * count // steps_per_report
+        for turn in range(first, max(last, first + 1)):
+            self._broadcast_loads(turn % count)
+
     def _broadcast_loads(self, gateway_index):
         load_by_target = dict(
             self.gateways[gateway_index].occupancy.own_loads()
