Weigh what a target holds of a prompt by whom reading delays

One pure decision in policy/held_prompts.py replaces it: the expected time, plus what reading costs those that wait or come before the queue is empty; what is held counts by the probability that it still is, and not at all where callers wait over 1.25 times as long as elsewhere, besides what they save. Keys hold the workspace. CachedPrefixes becomes HeldPrompts, which keeps what a target read since, per process and layers; the test of gaps and expiry is the same with its names.

--- a/benchmarks/policy_costs.py
+++ b/benchmarks/policy_costs.py
@@ -14,6 +14,7 @@
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import chains
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import load_estimates
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import rendezvous
@@ -60,21 +61,21 @@
 def rank_cpu_s(target_count):
     """Returns the CPU time of ranking a number of targets.
 
-    A third of the targets have a prefix of the prompt cached.
+    A third of the targets hold a beginning of the prompt.
     """
     entry_state = routing.EntryState(
         load_estimates.Loads(),
-        prefixes.CachedPrefixes(),
+        held_prompts.HeldPrompts(),
         breaker.CircuitBreakers(),
     )
     prompt = " ".join(str(number) for number in range(500))
-    digests = prefixes.digests(prompt)
+    beginnings = prefixes.describe("m", "w", prompt).beginnings
     for number in range(0, target_count, 3):
-        entry_state.cached.record(f"t{number}", digests[:3], 0.0)
+        entry_state.held.record_sent(f"t{number}", beginnings[:3], 0.0)
     candidates = [
         routing.Candidate(f"t{number}") for number in range(target_count)
     ]
-    request = routing.RequestInfo("p", 500, 100, digests, 10.0)
+    request = routing.RequestInfo("p", 500, 100, beginnings, 10.0)
     rng = random.Random(1)
     return mean_cpu_s(
         lambda: routing.rank(candidates, request, entry_state, 1.0, rng), 300
--- a/benchmarks/policy_fleet.py
+++ b/benchmarks/policy_fleet.py
@@ -17,9 +17,9 @@
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import costs
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import load_estimates
 from hemlocktiller._internal.policy import preemption
-from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
 
 ENTRY_COUNT = 3
@@ -144,7 +144,7 @@
         self.rng = random.Random(seed)
         self.routing_state = routing.EntryState(
             load_estimates.Loads(),
-            prefixes.CachedPrefixes(),
+            held_prompts.HeldPrompts(),
             breaker.CircuitBreakers(),
         )
         self.cost_estimator = costs.Estimator()
@@ -212,10 +212,25 @@
 
 
 class FleetSimulation:
-    """State of all simulated processes and the scheduled events."""
+    """State of all simulated processes and the scheduled events.
 
-    def __init__(self, policy, seed, requests, speeds):
+    Attributes:
+        max_cached_prefixes: Prefixes that an engine has memory for.
+        shared_words: Words of shared prefixes in all prompts started.
+        held_words: Those of them that engines still had.
+    """
+
+    def __init__(
+        self,
+        policy,
+        seed,
+        requests,
+        speeds,
+        max_cached_prefixes=model.MAX_CACHED_PREFIXES,
+    ):
         self.policy = policy
+        self.max_cached_prefixes = max_cached_prefixes
+        self.shared_words = self.held_words = 0
         self.rng = random.Random(f"fleet {seed}")
         names = [f"t{number}" for number in range(len(speeds))]
         self.engines = {
@@ -304,7 +319,7 @@
             self.now_s,
         )
         routing_state.circuit_breakers.record_sent(target, self.now_s)
-        routing_state.cached.record(target, request.prefix_digests, self.now_s)
+        routing_state.held.record_sent(target, request.parts, self.now_s)
         self.schedule_after(
             LINK_LATENCY_S, self.receive_request, state, self.engines[target]
         )
@@ -469,20 +484,23 @@
         request = state.request
         words = request.suffix_words + state.generated_tokens
         if request.template not in engine.cached_templates:
-            words += model.SHARED_PREFIX_WORDS
+            words += request.shared_words
+        else:
+            self.held_words += request.shared_words
+        self.shared_words += request.shared_words
         engine.cached_templates[request.template] = True
         engine.cached_templates.move_to_end(request.template)
-        if len(engine.cached_templates) > model.MAX_CACHED_PREFIXES:
+        if len(engine.cached_templates) > self.max_cached_prefixes:
             engine.cached_templates.popitem(last=False)
         if self.rng.random() >= CACHE_EVENT_LOSS_RATIO:
             for entry in self.entries:
-                record = entry.routing_state.cached.record
+                record = entry.routing_state.held.record_reported
                 received_s = self.now_s + CACHE_EVENT_DELAY_S
                 self.schedule_after(
                     CACHE_EVENT_DELAY_S,
                     record,
                     engine.name,
-                    request.prefix_digests,
+                    [part.key for part in request.parts],
                     received_s,
                 )
         prefill_s = words * model.PROMPT_WORD_S
--- a/benchmarks/policy_goodput.py
+++ b/benchmarks/policy_goodput.py
@@ -16,6 +16,7 @@
 from benchmarks import policy_fleet as fleet
 from benchmarks import policy_model as model
 from hemlocktiller._internal.policy import fair_queue
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import routing
 
 WARMUP_RATIO = 0.25
@@ -38,7 +39,14 @@
     long_in_time_ratio: float
 
 
-def choose_ranked(entry, request, state, now_s, prefix_affinity=True):
+def choose_ranked(
+    entry,
+    request,
+    state,
+    now_s,
+    prefix_affinity=True,
+    weigh=held_prompts.weigh,
+):
     """Chooses the target that the policy ranks first."""
     candidates = [
         routing.Candidate(name, cost_s=entry.target_token_s[name])
@@ -48,11 +56,16 @@
         request.plan,
         request.prompt_words,
         state.expected_output_tokens,
-        request.prefix_digests if prefix_affinity else (),
+        request.parts if prefix_affinity else (),
         request.deadline_s - now_s,
     )
     choices = routing.rank(
-        candidates, request_info, entry.routing_state, now_s, entry.rng
+        candidates,
+        request_info,
+        entry.routing_state,
+        now_s,
+        entry.rng,
+        weigh=weigh,
     )
     return choices[0].candidate.target if choices else None
 
--- a/benchmarks/policy_model.py
+++ b/benchmarks/policy_model.py
@@ -10,6 +10,9 @@
 import random
 from typing import NamedTuple
 
+from hemlocktiller._internal.policy import held_prompts
+from hemlocktiller._internal.policy import prefixes
+
 ENGINE_SLOTS = 16
 STEP_BASE_S = 0.02
 STEP_PER_SEQUENCE_S = 0.0005
@@ -17,11 +20,27 @@
 FULL_BATCH_TOKEN_S = STEP_BASE_S / ENGINE_SLOTS + STEP_PER_SEQUENCE_S
 RELATIVE_SPEEDS = (1.0, 0.8, 0.5)
 MAX_CACHED_PREFIXES = 24
-SHARED_PREFIX_WORDS = 256
 TEMPLATES_PER_WORKSPACE = 4
 SHORT_REQUEST_RATIO = 0.7
 
 
+class PromptShape(NamedTuple):
+    """Lengths of prompts, in words.
+
+    Attributes:
+        shared_words: Words that prompts of one template begin with.
+        min_suffix_words: Fewest words after them.
+        max_suffix_words: Most words after them.
+    """
+
+    shared_words: int = 256
+    min_suffix_words: int = 20
+    max_suffix_words: int = 120
+
+
+DEFAULT_PROMPTS = PromptShape()
+
+
 class Plan(NamedTuple):
     """A plan of the workload.
 
@@ -60,6 +79,7 @@
         max_tokens: Maximum length of the answer.
         output_tokens: Actual length of the answer; unknown to the policy
             until the answer is complete.
+        shared_words: Words of the shared prefix.
     """
 
     request_id: str
@@ -70,6 +90,7 @@
     suffix_words: int
     max_tokens: int
     output_tokens: int
+    shared_words: int = DEFAULT_PROMPTS.shared_words
 
     @property
     def worth(self):
@@ -84,15 +105,16 @@
     @property
     def prompt_words(self):
         """Number of words in the prompt."""
-        return SHARED_PREFIX_WORDS + self.suffix_words
+        return self.shared_words + self.suffix_words
 
     @property
-    def prefix_digests(self):
-        """Digests of the shared prefix, shortest first.
-
-        There are five, as the policy computes for a prefix of 256 words.
-        """
-        return tuple(self.template * 8 + index for index in range(5))
+    def parts(self):
+        """Beginnings of the shared prefix, shortest first."""
+        return tuple(
+            held_prompts.Part(self.template * 8 + index, words)
+            for index, words in enumerate(prefixes.PREFIX_WORD_COUNTS)
+            if words <= self.shared_words
+        )
 
     @property
     def work_s(self):
@@ -131,7 +153,9 @@
     ]
 
 
-def _random_request(rng, plan_name, plan, workspace, arrival_s, number):
+def _random_request(
+    rng, plan_name, plan, workspace, arrival_s, number, prompts
+):
     """Returns a request with random template and lengths."""
     is_short = rng.random() < SHORT_REQUEST_RATIO
     max_tokens = rng.randint(30, 100) if is_short else rng.randint(160, 500)
@@ -143,13 +167,16 @@
         (list(PLANS).index(plan_name) * 8 + workspace)
         * TEMPLATES_PER_WORKSPACE
         + rng.randrange(TEMPLATES_PER_WORKSPACE),
-        rng.randint(20, 120),
+        rng.randint(prompts.min_suffix_words, prompts.max_suffix_words),
         max_tokens,
         max(1, round(max_tokens * rng.uniform(0.4, 0.8))),
+        prompts.shared_words,
     )
 
 
-def generate_workload(seed, capacity, duration_s, plan_loads):
+def generate_workload(
+    seed, capacity, duration_s, plan_loads, prompts=DEFAULT_PROMPTS
+):
     """Returns random requests in order of arrival.
 
     The requests of each plan arrive as a Poisson process.
@@ -159,13 +186,14 @@
         capacity: Capacity of the fleet, in engine seconds per second.
         duration_s: Time during which requests arrive.
         plan_loads: Offered load of each plan, as a fraction of the capacity.
+        prompts: Lengths of the prompts.
     """
     requests = []
     for plan_name, load in plan_loads.items():
         rng = random.Random(f"{seed} {plan_name}")
         plan = PLANS[plan_name]
         sample = [
-            _random_request(rng, plan_name, plan, 0, 0.0, 0)
+            _random_request(rng, plan_name, plan, 0, 0.0, 0, prompts)
             for _ in range(4000)
         ]
         mean_work_s = sum(request.work_s for request in sample) / len(sample)
@@ -178,7 +206,7 @@
             workspace = rng.choices(workspaces, plan.workspace_weights)[0]
             requests.append(
                 _random_request(
-                    rng, plan_name, plan, workspace, arrival_s, number
+                    rng, plan_name, plan, workspace, arrival_s, number, prompts
                 )
             )
             arrival_s += rng.expovariate(rate_per_s)
--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -386,7 +386,7 @@
         does not hold for the parts of prompts, as output clears sound ones.
         """
         if message["type"] == "start":
-            parts = _describe_prompt(message["model"], message["prompt"]).parts
+            parts = _describe_prompt(message).parts
             if self.process.part_evidence.condemned_part(parts) is not None:
                 return next_stages.CRASHES_TARGETS
         digest = message["digest"]
@@ -407,8 +407,10 @@
         if message["type"] == "call":
             self.services.start_call(message, link)
             return
-        prompt_info = _describe_prompt(message["model"], message["prompt"])
-        self._load_reports.record_prefixes(prompt_info.prefixes)
+        prompt_info = _describe_prompt(message)
+        self._load_reports.record_prefixes(
+            part.key for part in prompt_info.beginnings
+        )
         self.first_stage_runner.begin(message, link, prompt_info.parts)
 
     def _on_link_open(self, link: link_module.Link) -> None:
@@ -538,6 +540,11 @@
 
 
 # The check of a request and its start follow each other.
-@functools.lru_cache(maxsize=1)
-def _describe_prompt(model: str, prompt: str) -> prefixes_module.PromptInfo:
-    return prefixes_module.describe(model, prompt)
+_describe_cached = functools.lru_cache(maxsize=1)(prefixes_module.describe)
+
+
+def _describe_prompt(start: Any) -> prefixes_module.PromptInfo:
+    """Returns what is to be known of the prompt in a start message."""
+    return _describe_cached(
+        start["model"], start["workspace"], start["prompt"]
+    )
--- a/src/hemlocktiller/_internal/entry/model_requests.py
+++ b/src/hemlocktiller/_internal/entry/model_requests.py
@@ -43,7 +43,11 @@
     ) -> None:
         super().__init__(context, call, sink.on_error)
         self.tokens: list[int] = []
-        self._prompt_info = prefixes.describe(call.model, call.prompt)
+        self._prompt_info = prefixes.describe(
+            call.model,
+            call.caller.workspace_view.workspace,
+            call.prompt,
+        )
         self._sink = sink
         self._ungranted_tokens = 0
         self._last_attempt_with_output = 0
--- a/src/hemlocktiller/_internal/entry/routes.py
+++ b/src/hemlocktiller/_internal/entry/routes.py
@@ -54,7 +54,7 @@
     Args:
         context: Components of the entry.
         call: The model request.
-        prompt_info: Length and prefixes of its prompt.
+        prompt_info: Length and beginnings of its prompt.
         remaining_work: Expected work of the attempt.
         excluded: Names of targets that must not be used.
     """
@@ -79,7 +79,7 @@
         call.caller.workspace_view.plan["plan"],
         prompt_info.word_count,
         remaining_work.output_tokens,
-        prompt_info.prefixes,
+        prompt_info.beginnings,
         remaining_work.remaining_s,
     )
     now_s = context.reactor.seconds()
@@ -91,8 +91,8 @@
     best = ranked[0]
     first_target = usable_targets[best.candidate.target]
     chain = best.candidate.chain
-    context.targets.routing_state.cached.record(
-        first_target.name, request.prefixes, now_s
+    context.targets.routing_state.held.record_sent(
+        first_target.name, request.parts, now_s
     )
     return Route(
         first_target,
--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -15,8 +15,8 @@
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import chains
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import load_estimates
-from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
 from hemlocktiller._internal.store import vms as vms_module
 
@@ -121,7 +121,7 @@
         self.by_name: dict[str, Target] = {}
         self.routing_state = routing.EntryState(
             load_estimates.Loads(),
-            prefixes.CachedPrefixes(),
+            held_prompts.HeldPrompts(),
             breaker.CircuitBreakers(),
         )
         self.latency_averages = chains.LatencyAverages()
@@ -250,7 +250,7 @@
             self._removed_targets.add(target)
         target.dialer.stop_reconnecting()
         self.routing_state.loads.forget(name)
-        self.routing_state.cached.forget(name)
+        self.routing_state.held.forget(name)
         self.routing_state.circuit_breakers.forget(name)
 
     def _handlers(self, target: Target) -> link_module.Handlers:
@@ -288,7 +288,7 @@
             target.is_unready = message["leaving"]
             self._update_chain_cache(target)
         self.routing_state.loads.record_report(message, now_s)
-        self.routing_state.cached.record(
+        self.routing_state.held.record_reported(
             target.name, message["prefixes"], now_s
         )
 
@@ -316,7 +316,7 @@
 
     def _on_process_died(self, target: Target) -> None:
         TARGET_DEATHS.inc()
-        self.routing_state.cached.forget(target.name)
+        self.routing_state.held.forget(target.name)
         self._callbacks.on_target_died(target)
 
     def _mark_leaving(self, target: Target) -> None:
--- a/src/hemlocktiller/_internal/policy/prefixes.py
+++ b/src/hemlocktiller/_internal/policy/prefixes.py
@@ -1,14 +1,12 @@
-"""Digests of prompt prefixes, and the targets that have them cached."""
+"""Digests of the beginnings of prompts, in words."""
 
-from collections.abc import Iterable
-from collections.abc import Sequence
 from typing import NamedTuple
 
 import xxhash
 
+from hemlocktiller._internal.policy import held_prompts
+
 PREFIX_WORD_COUNTS = (16, 32, 64, 128, 256, 512, 1024)
-CACHED_PREFIX_TTL_S = 300.0
-MAX_PREFIXES_PER_TARGET = 4096
 
 
 class PromptInfo(NamedTuple):
@@ -16,31 +14,38 @@
 
     Attributes:
         word_count: Length of the prompt in words.
-        prefixes: Digests of its prefixes, see `digests`.
+        beginnings: Its beginnings that a target may hold, shortest first.
         parts: Ids of its parts that other prompts for the same model may
             have; see `crashing_parts`.
     """
 
     word_count: int
-    prefixes: list[int]
+    beginnings: tuple[held_prompts.Part, ...]
     parts: tuple[int, ...]
 
 
-def describe(model: str, prompt: str) -> PromptInfo:
-    """Returns the length, the prefixes and the parts of a prompt.
+def describe(model: str, workspace: str, prompt: str) -> PromptInfo:
+    """Returns the length, the beginnings and the parts of a prompt.
 
     The parts are the prefixes that the prompt goes on after. Their ids differ
-    by model, as a part that crashes the targets of one may suit another.
+    by model, as a part that crashes the targets of one may suit another. The
+    keys of the beginnings differ by workspace: how fast an answer comes must
+    not tell one workspace what another one asks.
     """
     word_count = len(prompt.split())
     prefixes = digests(prompt)
     model_digest = xxhash.xxh64_intdigest(model.encode())
+    workspace_digest = xxhash.xxh64_intdigest(f"held by {workspace}".encode())
     parts = tuple(
         prefix ^ model_digest
         for prefix, length in zip(prefixes, PREFIX_WORD_COUNTS, strict=False)
         if length < word_count
     )
-    return PromptInfo(word_count, prefixes, parts)
+    beginnings = tuple(
+        held_prompts.Part(prefix ^ workspace_digest, length)
+        for prefix, length in zip(prefixes, PREFIX_WORD_COUNTS, strict=False)
+    )
+    return PromptInfo(word_count, beginnings, parts)
 
 
 def digests(prompt: str) -> list[int]:
@@ -63,49 +68,3 @@
         prefix_digests.append(hasher.intdigest())
         start = count
     return prefix_digests
-
-
-class CachedPrefixes:
-    """Prefixes that each target has probably cached.
-
-    Reports lag and may be incomplete. A prefix that is missing from a report
-    is therefore kept until it expires, and the prefixes of a prompt count as
-    cached once it is sent to a target.
-    """
-
-    def __init__(self) -> None:
-        self._seen_s: dict[str, dict[int, float]] = {}
-
-    def record(
-        self, target: str, prefixes: Iterable[int], now_s: float
-    ) -> None:
-        """Records prefixes that a target reported or received."""
-        seen = self._seen_s.setdefault(target, {})
-        for prefix in prefixes:
-            seen.pop(prefix, None)
-            seen[prefix] = now_s
-        while len(seen) > MAX_PREFIXES_PER_TARGET:
-            del seen[next(iter(seen))]
-
-    def forget(self, target: str) -> None:
-        """Drops a target that left or lost its cache."""
-        self._seen_s.pop(target, None)
-
-    def cached_words(
-        self, target: str, prefixes: Sequence[int], now_s: float
-    ) -> int:
-        """Returns the length of the longest cached prefix, in words.
-
-        Args:
-            target: Name of the target.
-            prefixes: Digests of the prompt, shortest first.
-            now_s: The time.
-        """
-        seen = self._seen_s.get(target)
-        if not seen:
-            return 0
-        for index in range(len(prefixes) - 1, -1, -1):
-            seen_s = seen.get(prefixes[index])
-            if seen_s is not None and now_s - seen_s <= CACHED_PREFIX_TTL_S:
-                return PREFIX_WORD_COUNTS[index]
-        return 0
--- a/src/hemlocktiller/_internal/policy/routing.py
+++ b/src/hemlocktiller/_internal/policy/routing.py
@@ -1,5 +1,6 @@
 """Ranks the chains that can run a request by expected time."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import math
 import random
@@ -7,12 +8,11 @@
 
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import costs
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import load_estimates
-from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.schemas import messages
 
 SAMPLE_SIZE = 4
-BUSY_PROMPT_WEIGHT = 100.0
 DEADLINE_SAFETY_FACTOR = 1.5
 
 
@@ -37,14 +37,14 @@
         plan: Plan that the request is charged to.
         prompt_words: Words of the prompt.
         output_tokens: Expected tokens of the answer.
-        prefixes: Digests of the prompt's prefixes, shortest first.
+        parts: Beginnings of the prompt, shortest first, in words.
         remaining_s: Time to the deadline.
     """
 
     plan: str
     prompt_words: int = 0
     output_tokens: int = 0
-    prefixes: Sequence[int] = ()
+    parts: Sequence[held_prompts.Part] = ()
     remaining_s: float = math.inf
 
 
@@ -68,7 +68,7 @@
     """State of an entry that affects routing."""
 
     loads: load_estimates.Loads
-    cached: prefixes.CachedPrefixes
+    held: held_prompts.HeldPrompts
     circuit_breakers: breaker.CircuitBreakers
 
 
@@ -79,11 +79,12 @@
     now_s: float,
     rng: random.Random,
     sample_size: int = SAMPLE_SIZE,
+    weigh: Callable[..., held_prompts.Worth] = held_prompts.weigh,
 ) -> list[Choice]:
     """Ranks a few candidates, best first.
 
-    Considers a random sample, and the candidates with the longest cached
-    prefix of the prompt. Without the sample, all entries with the same stale
+    Considers a random sample, and the candidates that hold most of the
+    prompt. Without the sample, all entries with the same stale
     load reports would choose the same target.
 
     Args:
@@ -93,6 +94,7 @@
         now_s: The time.
         rng: Source of the sample.
         sample_size: Size of the sample.
+        weigh: See `held_prompts.weigh`.
     """
     usable = [
         candidate
@@ -100,74 +102,97 @@
         if entry_state.circuit_breakers.allows(candidate.target, now_s)
         and not entry_state.loads.is_leaving(candidate.target)
     ]
-    cached_words = {
-        candidate.target: entry_state.cached.cached_words(
-            candidate.target, request.prefixes, now_s
+    beliefs = {
+        candidate.target: entry_state.held.belief(
+            candidate.target, request.parts, now_s
         )
         for candidate in usable
     }
-    considered = _sample(usable, cached_words, rng, sample_size)
+    considered = _sample(usable, beliefs, rng, sample_size)
+    estimates = [
+        entry_state.loads.estimate(candidate.target, request.plan)
+        for candidate in considered
+    ]
+    waits_s = [_wait_tokens(one) / one.tokens_per_s for one in estimates]
+    mean_wait_s = sum(waits_s) / max(1, len(waits_s))
     choices = [
         _evaluate(
-            candidate, request, entry_state, cached_words[candidate.target]
+            candidate,
+            request,
+            estimate,
+            beliefs[candidate.target],
+            mean_wait_s,
+            weigh,
         )
-        for candidate in considered
+        for candidate, estimate in zip(considered, estimates, strict=True)
     ]
     return sorted(choices, key=lambda choice: choice.score)
 
 
 def _sample(
     usable: list[Candidate],
-    cached_words: dict[str, int],
+    beliefs: dict[str, held_prompts.Belief],
     rng: random.Random,
     sample_size: int,
 ) -> list[Candidate]:
-    """Returns a random sample and some with the longest cached prefix."""
+    """Returns a random sample and some that hold most of the prompt."""
     sampled_candidates = rng.sample(usable, min(sample_size, len(usable)))
-    longest = max(cached_words.values(), default=0)
-    if longest == 0:
+    longest = max((belief.tokens for belief in beliefs.values()), default=0.0)
+    if longest == 0.0:
         return sampled_candidates
     sampled_targets = {candidate.target for candidate in sampled_candidates}
-    best_cached = [
+    holders = [
         candidate
         for candidate in usable
-        if cached_words[candidate.target] == longest
+        if beliefs[candidate.target].tokens == longest
         and candidate.target not in sampled_targets
     ]
     return sampled_candidates + rng.sample(
-        best_cached, min(sample_size, len(best_cached))
+        holders, min(sample_size, len(holders))
     )
 
 
+def _wait_tokens(estimate: load_estimates.Estimate) -> float:
+    """Returns the cost of what a target serves before a new request."""
+    return 0.0 if estimate.has_free_slot else estimate.backlog_tokens
+
+
 def _evaluate(
     candidate: Candidate,
     request: RequestInfo,
-    entry_state: EntryState,
-    cached_words: int,
+    estimate: load_estimates.Estimate,
+    belief: held_prompts.Belief,
+    mean_wait_s: float,
+    weigh: Callable[..., held_prompts.Worth],
 ) -> Choice:
     """Returns a candidate with its expected time and its score.
 
     On a target that can run the request at once, the score is the expected
-    time. On a busy target, each uncached word of the prompt also delays all
-    requests that wait there, so the time of the prompt has a high weight
-    relative to the wait. Candidates that would probably miss the deadline
+    time. On a busy target, reading the prompt also delays the requests there,
+    which the score adds. Candidates that would probably miss the deadline
     come last.
     """
-    estimate = entry_state.loads.estimate(candidate.target, request.plan)
-    wait_tokens = 0.0 if estimate.has_free_slot else estimate.backlog_tokens
+    wait_tokens = _wait_tokens(estimate)
     wait_s = wait_tokens / estimate.tokens_per_s
-    uncached_words = max(0, request.prompt_words - cached_words)
-    prompt_tokens = costs.PROMPT_WORD_TOKENS * uncached_words
-    prompt_s = prompt_tokens / estimate.tokens_per_s
+    offer = held_prompts.Offer(
+        wait_s,
+        costs.PROMPT_WORD_TOKENS / estimate.tokens_per_s,
+        0 if estimate.has_free_slot else estimate.requests,
+        belief,
+    )
+    worth = weigh((offer,), request.prompt_words, mean_wait_s)
     output_s = request.output_tokens * candidate.cost_s
-    expected_s = wait_s + prompt_s + output_s
+    expected_s = wait_s + worth.read_s + output_s
     is_late = DEADLINE_SAFETY_FACTOR * expected_s > request.remaining_s
-    prompt_weight = 0.0 if estimate.has_free_slot else BUSY_PROMPT_WEIGHT
-    score = (is_late, expected_s + prompt_weight * prompt_s)
     explanation = (
         f"{candidate.target}: wait {wait_s:.3f} s"
         f" ({estimate.requests} requests, {wait_tokens:.0f} tokens)"
-        f" + prompt {prompt_s:.3f} s ({cached_words} words cached)"
+        f" + prompt {worth.read_s:.3f} s ({worth.held_tokens:.0f} words held)"
         f" + output {output_s:.3f} s"
     )
-    return Choice(candidate, expected_s, score, explanation)
+    return Choice(
+        candidate,
+        expected_s,
+        (is_late, expected_s + worth.price_s),
+        explanation,
+    )
--- a/tests/unit/test_policy_routing.py
+++ b/tests/unit/test_policy_routing.py
@@ -6,18 +6,20 @@
 import pytest
 
 from hemlocktiller._internal.policy import breaker
+from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import load_estimates
 from hemlocktiller._internal.policy import prefixes
 from hemlocktiller._internal.policy import routing
 
 PROMPT = " ".join(f"word{number}" for number in range(200))
+PARTS = prefixes.describe("small", "w", PROMPT).beginnings
 
 
 @pytest.fixture
 def view():
     return routing.EntryState(
         load_estimates.Loads(),
-        prefixes.CachedPrefixes(),
+        held_prompts.HeldPrompts(),
         breaker.CircuitBreakers(),
     )
 
@@ -77,10 +79,10 @@
 
 
 def test_cached_prefix_is_preferred_until_the_queue_outweighs_it(view, rng):
-    request = routing.RequestInfo("p", 200, 10, prefixes.digests(PROMPT))
+    request = routing.RequestInfo("p", 200, 10, PARTS)
     for number in range(20):
         view.loads.record_report(make_load(f"t{number}"), 0.0)
-    view.cached.record("t7", request.prefixes, 0.0)
+    view.held.record_sent("t7", request.parts, 0.0)
     choice = best_choice(view, rng, make_candidates(20), request)
     assert choice.candidate.target == "t7"
     view.loads.record_report(make_load("t7", 1, 10.0), 1.0)
@@ -92,24 +94,48 @@
 
 
 def test_cached_prefix_does_not_outweigh_the_deadline(view, rng):
-    request = routing.RequestInfo("p", 200, 10, prefixes.digests(PROMPT), 1.0)
+    request = routing.RequestInfo("p", 200, 10, PARTS, 1.0)
     for number in range(4):
         view.loads.record_report(make_load(f"t{number}"), 0.0)
-    view.cached.record("t1", request.prefixes, 0.0)
+    view.held.record_sent("t1", request.parts, 0.0)
     view.loads.record_report(make_load("t1", 3, 120.0), 0.0)
     choice = best_choice(view, rng, make_candidates(4), request)
     assert choice.candidate.target != "t1"
 
 
-def test_cached_prefixes_may_have_gaps_and_expire(view):
-    prompt_digests = prefixes.digests(PROMPT)
-    assert len(prompt_digests) == 4
-    view.cached.record("t", prompt_digests[2:3], 0.0)
-    assert view.cached.cached_words("t", prompt_digests, 1.0) == 64
-    view.cached.record("t", [], 2.0)
-    assert view.cached.cached_words("t", prompt_digests, 3.0) == 64
-    expired_at_s = prefixes.CACHED_PREFIX_TTL_S + 1.0
-    assert view.cached.cached_words("t", prompt_digests, expired_at_s) == 0
+def test_reported_parts_may_have_gaps_and_expire(view):
+    assert len(PARTS) == 4
+    view.held.record_reported("t", [PARTS[2].key], 0.0)
+    assert view.held.belief("t", PARTS, 1.0).tokens == 64
+    view.held.record_reported("t", [], 2.0)
+    assert view.held.belief("t", PARTS, 3.0).tokens == 64
+    expired_at_s = held_prompts.HELD_TTL_S + 1.0
+    assert view.held.belief("t", PARTS, expired_at_s).tokens == 0
+
+
+def test_what_one_workspace_sent_is_not_held_for_another(view):
+    others_parts = prefixes.describe("small", "other", PROMPT).beginnings
+    view.held.record_sent("t", others_parts, 0.0)
+    assert view.held.belief("t", others_parts, 1.0).tokens == 128
+    assert view.held.belief("t", PARTS, 1.0).tokens == 0
+
+
+def test_a_popular_part_does_not_make_a_hot_spot_of_its_holder(view, rng):
+    """Only the holder's wait grows; the bound is that of bounded loads."""
+    request = routing.RequestInfo("p", 200, 10, PARTS)
+    for number in range(8):
+        view.loads.record_report(make_load(f"t{number}", 1, 100.0), 0.0)
+    view.held.record_sent("t3", PARTS, 0.0)
+    sent = collections.Counter()
+    for number in range(200):
+        target = best_choice(
+            view, rng, make_candidates(8), request
+        ).candidate.target
+        view.loads.record_sent(target, str(number), "p", 30.0, 0.5)
+        view.held.record_sent(target, PARTS, 0.5)
+        sent[target] += 1
+    assert sent["t3"] >= 1
+    assert max(sent.values()) <= held_prompts.MAX_WAIT_RATIO * 200 / 8 + 1
 
 
 def test_outdated_load_report_does_not_attract_all_requests(view, rng):
@@ -183,11 +209,11 @@
 def test_ranking_is_of_distinct_candidates(count, seed):
     view = routing.EntryState(
         load_estimates.Loads(),
-        prefixes.CachedPrefixes(),
+        held_prompts.HeldPrompts(),
         breaker.CircuitBreakers(),
     )
-    request = routing.RequestInfo("p", 200, 1, prefixes.digests(PROMPT))
-    view.cached.record("t0", request.prefixes, 0.0)
+    request = routing.RequestInfo("p", 200, 1, PARTS)
+    view.held.record_sent("t0", request.parts, 0.0)
     choices = routing.rank(
         make_candidates(count), request, view, 0.0, random.Random(seed)
     )
@@ -198,16 +224,16 @@
 
 def test_the_parts_of_a_prompt_leave_out_the_whole_prompt():
     first_32_words = " ".join(PROMPT.split()[:32])
-    whole = prefixes.describe("small", first_32_words)
-    longer = prefixes.describe("small", f"{first_32_words} more")
-    assert (whole.word_count, len(whole.prefixes)) == (32, 2)
-    assert (longer.word_count, len(longer.prefixes)) == (33, 2)
+    whole = prefixes.describe("small", "w", first_32_words)
+    longer = prefixes.describe("small", "w", f"{first_32_words} more")
+    assert (whole.word_count, len(whole.beginnings)) == (32, 2)
+    assert (longer.word_count, len(longer.beginnings)) == (33, 2)
     assert whole.parts == longer.parts[:1]
     assert len(longer.parts) == 2
 
 
 def test_the_parts_of_a_prompt_differ_by_model():
-    small = prefixes.describe("small", PROMPT)
-    large = prefixes.describe("large", PROMPT)
-    assert small.prefixes == large.prefixes
+    small = prefixes.describe("small", "w", PROMPT)
+    large = prefixes.describe("large", "w", PROMPT)
+    assert small.beginnings == large.beginnings
     assert not set(small.parts) & set(large.parts)
