--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -178,6 +178,24 @@
     assert catalog.services["p"].engine is None
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, False),
+        ({"retains_prompts": True}, True),
+        ({"retains_prompts": "false"}, False),
+    ],
+)
+def test_targets_retain_prompts_only_if_the_engine_says_so(
+    adapter, fields, expected
+):
+    row = {**CONFIG_DOCUMENT["backends"][0], "engine": ENGINE_SPEC | fields}
+    catalog = adapter.decoders.decode_catalog(
+        {**CONFIG_DOCUMENT, "backends": [row]}
+    )
+    assert catalog.services["m"].engine.retains_prompts is expected
+
+
 def test_a_configuration_without_tenants_requires_no_api_keys(adapter):
     value = {
         key: row for key, row in CONFIG_DOCUMENT.items() if key != "tenants"
