--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -178,6 +178,24 @@
     assert catalog.services["p"].engine is None
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, False),
+        ({"retains_prompts": True}, True),
+        ({"retains_prompts": "false"}, False),
+    ],
+)
+def test_targets_retain_prompts_only_if_the_engine_says_so(
+    adapter, fields, expected
+):
+    row = {**CONFIG_DOCUMENT["backends"][0], "engine": ENGINE_SPEC | fields}
+    catalog = adapter.decoders.decode_catalog(
+        {**CONFIG_DOCUMENT, "backends": [row]}
+    )
+    assert catalog.services["m"].engine.retains_prompts is expected
+
+
 def test_a_configuration_without_tenants_requires_no_api_keys(adapter):
     value = {
         key: row for key, row in CONFIG_DOCUMENT.items() if key != "tenants"
@@ -306,6 +324,29 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("values", "lengths"),
+    [
+        (
+            ["5c:800, 91BD:410", "e4:2"],
+            ((0x5C, 800), (0x91BD, 410), (0xE4, 2)),
+        ),
+        (["5c:800,91bd,e4:2"], ((0x5C, 800),)),
+        (["5c:-1"], ()),
+        (["5c:1,,6:2"], ((0x5C, 1),)),
+        ([], ()),
+        (["f00000000000000001:1"], ((1, 1),)),
+        ([",".join(["1:1"] * 100)], ((1, 1),) * 32),
+    ],
+)
+def test_lengths_of_parts_are_decoded_up_to_a_malformed_one(
+    adapter, values, lengths
+):
+    headers = http_headers.Headers({"Prompt-Prefix": values})
+    request_headers = adapter.exchange_headers.decode_request(headers)
+    assert request_headers.prompt_lengths == lengths
+
+
 def test_a_request_to_a_target_carries_path_workspace_and_deadline(adapter):
     request_headers = platform_adapter.RequestHeaders(
         "r", 20.0, "secret", 0, 0, 0, "", []
