Let tests of load set their targets and lengths

A test of targets of unequal speed needs other counts of targets, gateways and lengths than the simulation of five gateways has. They become attributes and methods that a test replaces; the existing tests draw the same numbers from the same seeds.

--- a/tests/unit/gateway/test_load.py
+++ b/tests/unit/gateway/test_load.py
@@ -40,8 +40,13 @@
         response_times_s: Times from dispatch to the end of the response.
         rejected: Number of rejected requests.
         submitted: Number of submitted requests.
+        accelerator_counts: Targets by data centre and accelerator.
+        gateway_count: Number of gateways.
     """
 
+    accelerator_counts = ACCELERATOR_COUNTS
+    gateway_count = GATEWAY_COUNT
+
     def __init__(
         self,
         harness,
@@ -67,7 +72,7 @@
                 end_layer=0,
             )
             for data_centre_index, (data_centre, kinds) in enumerate(
-                ACCELERATOR_COUNTS.items()
+                self.accelerator_counts.items()
             )
             for kind_index, (kind, count) in enumerate(kinds.items())
             for number in range(count)
@@ -85,13 +90,15 @@
             dispatcher_module.Dispatcher(
                 harness.reactor,
                 harness.targets,
-                list(ACCELERATOR_COUNTS)[number % len(ACCELERATOR_COUNTS)],
+                list(self.accelerator_counts)[
+                    number % len(self.accelerator_counts)
+                ],
                 random.Random(number),
             )
-            for number in range(GATEWAY_COUNT)
+            for number in range(self.gateway_count)
         ]
         for gateway in self.gateways:
-            gateway.occupancy.count_gateways = lambda: GATEWAY_COUNT
+            gateway.occupancy.count_gateways = lambda: self.gateway_count
             if choose_path_factory is not None:
                 gateway.choose_path = choose_path_factory(gateway, service)
 
@@ -109,7 +116,8 @@
             self.targets.advance()
             self.harness.reactor.advance(simulated_targets.STEP_S)
             self._broadcast_loads(
-                (step * GATEWAY_COUNT // steps_per_report) % GATEWAY_COUNT
+                (step * self.gateway_count // steps_per_report)
+                % self.gateway_count
             )
 
     def in_time_ratio(self):
@@ -120,27 +128,36 @@
         )
         return in_time_count / self.submitted
 
-    def _submit_request(self, rng):
-        self.submitted += 1
-        key = f"r{self.submitted}"
-        gateway = rng.choice(self.gateways)
+    def draw_lengths(self, rng):
+        """Returns the tokens of a prompt, its output and the caller's hint."""
         prompt = min(
             2280.0, rng.lognormvariate(0.0, 0.8) * PROMPT_TOKENS / 1.4
         )
         output = min(590.0, rng.lognormvariate(0.0, 0.7) * OUTPUT_TOKENS / 1.3)
-        expected = output * rng.lognormvariate(0.0, 0.5)
-        demand = dispatcher_module.estimate_demand(
+        return prompt, output, output * rng.lognormvariate(0.0, 0.5)
+
+    def estimate_demand(self, gateway, prompt, expected):
+        """Returns the demand that a gateway expects of a request."""
+        return dispatcher_module.estimate_demand(
             prompt, expected, self.service.engine
         )
+
+    def record_end(self, gateway, request, response_time_s):
+        """Handles the end of a response."""
+        self.response_times_s.append(response_time_s)
+        gateway.discard(request.key)
+
+    def _submit_request(self, rng):
+        self.submitted += 1
+        key = f"r{self.submitted}"
+        gateway = rng.choice(self.gateways)
+        prompt, output, expected = self.draw_lengths(rng)
+        demand = self.estimate_demand(gateway, prompt, expected)
         now_s = self.harness.reactor.seconds()
         item = fair_queue.QueuedRequest(
             key, "p", "w", prompt + expected, 1.0, now_s + 1
         )
 
-        def on_end(response_time_s):
-            self.response_times_s.append(response_time_s)
-            gateway.discard(key)
-
         def on_first(first_event_s):
             self.first_event_times_s.append(first_event_s)
             gateway.occupancy.record_prefill_done(key)
@@ -150,7 +167,7 @@
             request = simulated_targets.Request(
                 key, choice.path, prompt, output,
                 lambda first_s: on_first(dispatched_s - now_s + first_s),
-                on_end,
+                lambda took_s: self.record_end(gateway, request, took_s),
             )  # fmt: skip
             if not self.targets.accept(request):
                 gateway.mark_full(choice.path[0].target)
