Avoid plain targets that answer slowly, by what all gateways saw

Calls to plain services chose by the number of own requests at a target. At the users' rates (7.4 calls a second over nine gateways) that number is nearly always 0, so a target that has become slow gets its third of all calls.

Gateways now keep the mean time of each plain target's recent answers and put it into the occupancy message, in two optional columns. A target counts as more loaded by the power of two by which it is slower than the fastest. An attempt that lost against its hedge counts with the time it was waited for. This takes effect where a service is uneven or ranked; messages and choices are as before elsewhere. Reports that can't be right have no effect and one line a link.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -30,6 +30,8 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
+from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import watch
 
@@ -212,7 +214,7 @@
             reactor, self.targets, settings.data_centre, self._rng
         )
         self._dispatcher.is_outdated = self._pause_guard.is_outdated
-        self._outstanding = calls.OutstandingRequests()
+        self._plain_loads = plain_loads.PlainLoads()
         self._caller_factory = ingress.CallerHTTPFactory(reactor, self.serve)
         self._context = request_context.RequestContext(
             reactor,
@@ -255,6 +257,7 @@
                 self._apply_peer_catalog,
                 self._restart_polls,
                 self._on_watcher_changed,
+                self._plain_loads,
             ),
             self._rng,
         )
@@ -454,7 +457,7 @@
         else:
             handler = calls.Call(
                 self._context,
-                self._outstanding,
+                self._plain_loads,
                 self._rng,
                 admitted,
                 self._on_handler_finished,
@@ -544,6 +547,10 @@
         previous_version = self.catalog.version if self.catalog else None
         self.catalog = catalog
         self._ranked_services = model.ranked_services(catalog)
+        self._plain_loads.has_times = bool(self._ranked_services) or any(
+            fleet.is_uneven(service.engine)
+            for service in catalog.services.values()
+        )
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -10,6 +10,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import plain_service
 
 # A repeatable call is sent to a second target once the first has taken this
@@ -35,8 +36,9 @@
 class _Attempt:
     """A dispatch of the call to one target and the response so far."""
 
-    def __init__(self, target: fleet.Target) -> None:
+    def __init__(self, target: fleet.Target, sent_at_s: float) -> None:
         self.target = target
+        self.sent_at_s = sent_at_s
         self.exchange: http_exchange.Exchange | None = None
         self.status = 0
         self.headers: platform_adapter.Headers = []
@@ -45,25 +47,6 @@
         self.was_silent = False
 
 
-class OutstandingRequests:
-    """Counts this process's outstanding requests at each plain target."""
-
-    def __init__(self) -> None:
-        self._counts: dict[str, int] = {}
-
-    def count(self, target_name: str) -> int:
-        """Returns the number of outstanding requests at a target."""
-        return self._counts.get(target_name, 0)
-
-    def adjust(self, target_name: str, delta: int) -> None:
-        """Adds a difference to the count of a target."""
-        count = self._counts.get(target_name, 0) + delta
-        if count > 0:
-            self._counts[target_name] = count
-        else:
-            self._counts.pop(target_name, None)
-
-
 class Call:
     """Handles one request to a plain service.
 
@@ -78,13 +61,13 @@
     def __init__(
         self,
         context: request_context.RequestContext,
-        outstanding: OutstandingRequests,
+        loads: plain_loads.PlainLoads,
         rng: Any,
         admitted: request_context.AdmittedRequest,
         on_finished: Any,
     ) -> None:
         self._context = context
-        self._outstanding = outstanding
+        self._loads = loads
         self._rng = rng
         self._admitted = admitted
         self._on_finished = on_finished
@@ -159,18 +142,20 @@
         """Sends the call to one more target; returns whether one was free."""
         context = self._context
         admitted = self._admitted
+        now_s = context.reactor.seconds()
         candidates = context.targets.available(admitted.service.name)
         target = plain_service.choose_target(
             candidates,
-            self._outstanding.count,
+            self._loads.count,
             context.targets.failure_ratio,
             context.data_centre,
             self._tried_targets,
             self._rng,
+            lambda name: self._loads.answer_ms(name, now_s),
         )
         if target is None:
             return False
-        now_s = context.reactor.seconds()
+        answer_ms = self._loads.answer_ms(target.name, now_s)
         events.emit(
             "dispatch",
             request=self.request_id,
@@ -180,12 +165,13 @@
                 (now_s - admitted.caller_request.received_at_s) * 1000
             ),
             config=admitted.config_version,
+            **({"answer_ms": round(answer_ms)} if answer_ms else {}),
         )
-        attempt = _Attempt(target)
+        attempt = _Attempt(target, now_s)
         self._dispatch_count += 1
         self._tried_targets.add(target.name)
         self._active_attempts[target.name] = attempt
-        self._outstanding.adjust(target.name, 1)
+        self._loads.adjust(target.name, 1)
         attempt.exchange = request_context.send_to_target(
             context,
             admitted,
@@ -279,6 +265,10 @@
             self._retry_or_finish(f"answered {attempt.status}")
         else:
             self._context.targets.record_request_success(attempt.target)
+            now_s = self._context.reactor.seconds()
+            self._loads.record_answer(
+                attempt.target.name, now_s - attempt.sent_at_s, now_s
+            )
             self._forward_response(response)
 
     def _on_unusable_response(self, attempt):
@@ -427,7 +417,7 @@
 
     def _cancel_attempt(self, attempt):
         if self._active_attempts.pop(attempt.target.name, None) is not None:
-            self._outstanding.adjust(attempt.target.name, -1)
+            self._loads.adjust(attempt.target.name, -1)
             attempt.exchange.cancel()
 
     def _close(self):
@@ -436,6 +426,10 @@
         for timer in (self._deadline_timer, self._hedge_timer):
             if timer is not None and timer.active():
                 timer.cancel()
+        now_s = self._context.reactor.seconds()
         for attempt in list(self._active_attempts.values()):
+            self._loads.record_unanswered(
+                attempt.target.name, now_s - attempt.sent_at_s, now_s
+            )
             self._cancel_attempt(attempt)
         self._on_finished(self)
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -25,6 +25,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
@@ -83,6 +84,7 @@
             outage.
         on_watcher_change: Called when this process becomes a watcher or is
             one no longer, with whether it is one.
+        plain_loads: Load of plain targets by this process and its peers.
     """
 
     targets: targets_module.Targets
@@ -93,6 +95,7 @@
     apply_catalog: Callable[[StoredCatalog], bool]
     on_store_recovered: Callable[[], None]
     on_watcher_change: Callable[[bool], None]
+    plain_loads: plain_loads.PlainLoads
 
 
 class Peers:
@@ -122,6 +125,7 @@
             self._on_open, self._on_message, self._on_down
         )
         self._links: set[link_module.Link] = set()
+        self._bad_plain_times: set[str] = set()
         self._is_catalog_request_scheduled = False
         self._registered_names: set[str] = {settings.name}
         self._dialers: dict[str, dialer.Dialer] = {}
@@ -326,6 +330,9 @@
         self._links.discard(link)
         self._hooks.suspects.on_down(link)
         self._hooks.part_evidence.on_down(link)
+        if link.peer:
+            self._hooks.plain_loads.forget_peer(link.peer["name"])
+            self._bad_plain_times.discard(link.peer["name"])
         LINKED_PEERS.set(len(self._links))
         if link.peer:
             events.emit("peer_lost", peer=link.peer["name"], reason=reason)
@@ -402,12 +409,25 @@
             self._reactor.seconds(),
             message["whole"],
         )
+        if not self._hooks.plain_loads.apply_peer_times(
+            link.peer["name"],
+            message.get("plain_targets", ()),
+            message.get("plain_answer_ms", ()),
+            self._reactor.seconds(),
+        ):
+            self._log_bad_plain_times(link.peer["name"])
         self._hooks.occupancy.apply_peer_inter_dc_mbps(
             link.peer["name"],
             message["crossing_mbps"],
             self._reactor.seconds(),
         )
 
+    def _log_bad_plain_times(self, peer):
+        """Logs once a link that a peer's times of answers can't be right."""
+        if peer not in self._bad_plain_times:
+            self._bad_plain_times.add(peer)
+            events.emit("bad_plain_times", peer=peer)
+
     def _apply_catalog(self, link, message):
         stored = StoredCatalog(
             message["version"], json.loads(message["value"])
@@ -474,9 +494,21 @@
         for name in set(self._last_sent_loads) - set(loads):
             changed[name] = occupancy_module.NO_LOAD
         self._last_sent_loads = loads
-        if changed or is_full_report:
+        if changed or is_full_report or self._plain_columns():
             self._broadcast(self._occupancy_message(changed, is_full_report))
 
+    def _plain_columns(self):
+        """Returns the columns of plain targets; empty if there are none."""
+        times_ms = self._hooks.plain_loads.own_times_ms(
+            self._reactor.seconds()
+        )
+        if not times_ms:
+            return {}
+        return {
+            "plain_targets": list(times_ms),
+            "plain_answer_ms": [round(one) for one in times_ms.values()],
+        }
+
     def _occupancy_message(self, load_by_target, is_full_report):
         loads = list(load_by_target.values())
         return {
@@ -490,6 +522,7 @@
             "crossing_mbps": self._hooks.occupancy.own_inter_dc_mbps(
                 self._reactor.seconds()
             ),
+            **self._plain_columns(),
         }
 
     def _broadcast(self, message):
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -458,6 +458,9 @@
 PrefillToken: TypeAlias = int
 
 
+PlainAnswerM: TypeAlias = int
+
+
 class Occupancy(TypedDict, closed=True):
     """
     Load of a gateway's requests on their targets, by column.
@@ -471,6 +474,8 @@
     whole: bool
     config_version: int
     crossing_mbps: float
+    plain_targets: NotRequired[list[str]]
+    plain_answer_ms: NotRequired[list[PlainAnswerM]]
 
 
 class TargetHealth(TypedDict, closed=True):
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -20,6 +20,7 @@
 from hemlocktiller._internal.gateway import targets as targets_module
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.store import client
 from tests.fakes import connections
 
@@ -194,7 +195,7 @@
         """Starts a call to a plain service."""
         call = calls.Call(
             self.context,
-            calls.OutstandingRequests(),
+            plain_loads.PlainLoads(),
             random.Random(1),
             admitted,
             self.finished.append,
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -10,6 +10,7 @@
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
@@ -55,6 +56,8 @@
         self.recovery_times_s = []
         self.watcher_changes = []
         self.occupancy = occupancy.Occupancy()
+        self.plain_loads = plain_loads.PlainLoads()
+        self.plain_loads.has_times = True
         self.suspects = harness.context.crash_evidence.feed
         self.offered_configs = []
         self.stored = stored
@@ -73,6 +76,7 @@
                     harness.reactor.seconds()
                 ),
                 self.watcher_changes.append,
+                self.plain_loads,
             ),
             random.Random(1),
         )
@@ -420,3 +424,40 @@
         },
     )
     assert gateway.store.learned_eras == [2]
+
+
+def test_times_of_plain_answers_are_exchanged_until_they_expire(gateway):
+    link = gateway.open_link("g1")
+    message = make_occupancy_message() | {
+        "plain_targets": ["p"],
+        "plain_answer_ms": [110],
+    }
+    codec.encode(message)
+    gateway.peers._on_message(link, message)
+    now_s = gateway.harness.reactor.seconds()
+    gateway.plain_loads.record_answer("p", 0.03, now_s)
+    assert gateway.plain_loads.answer_ms("p", now_s) == 70.0
+    sent = gateway.peers._occupancy_message({}, True)
+    assert (sent["plain_targets"], sent["plain_answer_ms"]) == (["p"], [30])
+    codec.encode(sent)
+    later_s = now_s + plain_loads.TIMES_TTL_S
+    assert gateway.plain_loads.answer_ms("p", later_s) == 0.0
+
+
+@pytest.mark.parametrize("times_ms", [[], [0], [10**9]])
+def test_times_of_plain_answers_that_no_target_has_are_ignored(
+    gateway, times_ms
+):
+    gateway.peers._on_message(
+        gateway.open_link("g1"),
+        make_occupancy_message()
+        | {"plain_targets": ["p"], "plain_answer_ms": times_ms},
+    )
+    now_s = gateway.harness.reactor.seconds()
+    assert gateway.plain_loads.answer_ms("p", now_s) == 0.0
+
+
+def test_messages_are_as_before_where_times_of_answers_do_not_count(gateway):
+    gateway.plain_loads.has_times = False
+    gateway.plain_loads.record_answer("p", 0.03, 0.0)
+    assert "plain_targets" not in gateway.peers._occupancy_message({}, True)
