--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -15,6 +15,7 @@
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.policy import output_lengths
 from hemlocktiller._internal.policy import paths
 
 # `queued` is more than the requests that can be waiting at any measured
@@ -33,6 +34,9 @@
 # Memory reserved for the output, as a share of its expected tokens: the memory
 # in use grows from none to all of them, with a mean of half.
 OUTPUT_RESERVATION_RATIO = 0.5
+# The delay of those that run at a target counts as the request's own, where
+# fast targets could fill up with requests that slow ones serve in time.
+DELAY_WEIGHT = 1.0
 
 # The predicted time at each data centre is multiplied by a random factor of up
 # to this, so that gateways that act on the same load reports don't all choose
@@ -91,6 +95,7 @@
 
     Attributes:
         occupancy: Load of the targets, including the reserved memory.
+        output_lengths: Lengths of answers so far.
         is_outdated: Returns whether no path may be chosen yet, as this
             process was paused and its list of targets is outdated.
     """
@@ -113,6 +118,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self.occupancy = occupancy_module.Occupancy()
+        self.output_lengths = output_lengths.OutputLengths()
         self.is_outdated: Callable[[], bool] = lambda: False
         self._reactor = reactor
         self._targets = targets
@@ -216,6 +222,9 @@
             self.occupancy.inter_dc_mbps(now_s),
             self._make_bias(),
             self._rng.sample,
+            DELAY_WEIGHT
+            if fleet.is_uneven(path_request.service.engine)
+            else 0.0,
         )
         candidates = self._targets.available(path_request.service.name)
         allowed_first_targets = path_request.allowed_first_targets()
@@ -392,3 +401,19 @@
         expected_prompt_tokens
         + expected_output_tokens * OUTPUT_RESERVATION_RATIO,
     )
+
+
+def demand_left(
+    context_tokens: float, output_tokens_left: float
+) -> paths.RequestDemand:
+    """Returns the demand of a request that may be half done.
+
+    Args:
+        context_tokens: Length of the prompt and of what is written so far.
+        output_tokens_left: Tokens that are expected to be written yet.
+    """
+    return paths.RequestDemand(
+        context_tokens,
+        output_tokens_left,
+        context_tokens + output_tokens_left * OUTPUT_RESERVATION_RATIO,
+    )
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import prometheus_client
+
 from hemlocktiller._internal import http_exchange
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import dispatcher as dispatcher_module
@@ -14,6 +16,7 @@
 from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fair_queue
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import output_lengths
 
 # After this long without an event the targets of a stream are suspected to be
 # down; the slowest accelerator under load sends several events in this time.
@@ -46,6 +49,15 @@
 # An event holds a few tokens; one that grows beyond this has no end.
 MAX_EVENT_BYTES = 262_144
 MAX_ERROR_BODY_BYTES = 65_536
+# The memory reserved for a stream follows what it has written at steps of so
+# many events: a few steps in the answers of usual length.
+EVENTS_PER_RESERVATION = 8
+
+PREDICTION_RATIO = prometheus_client.Histogram(
+    "hemlocktiller_gateway_output_prediction_ratio",
+    "Length of an answer relative to the predicted one",
+    buckets=(0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0),
+)
 
 
 class _Replacement:
@@ -108,6 +120,10 @@
         # What delimits the current response; see `http_exchange.Exchange`.
         self._framing = "none"
         self._last_event_id = admitted.parsed_headers.last_event_id
+        self._continues_earlier_stream = self._last_event_id != ""
+        # What is expected of the length of the answer; None where that has
+        # no effect, as all accelerators are about as fast.
+        self._prediction: output_lengths.Prediction | None = None
         self._event_count = 0
         self._attempt_has_output = False
         # Attempts that a target is known to have started.
@@ -332,6 +348,13 @@
         token_demand = dispatcher_module.estimate_demand(
             parsed_headers.prompt_tokens, expected_tokens, engine
         )
+        if fleet.is_uneven(engine):
+            self._prediction = self._dispatcher.output_lengths.predict(
+                admitted.route.name,
+                self._hinted_tokens(),
+                parsed_headers.max_output_tokens,
+            )
+            token_demand = self._demand_left()
         return dispatcher_module.PathRequest(
             self.request_id,
             queue_item,
@@ -343,6 +366,56 @@
             admitted.route.target_latency_s,
         )
 
+    def _hinted_tokens(self):
+        """Returns the length expected without knowledge of the route."""
+        parsed_headers = self._admitted.parsed_headers
+        return (
+            parsed_headers.expected_output_tokens
+            or parsed_headers.max_output_tokens
+            or self._admitted.service.engine.usual_output_tokens
+        )
+
+    def _written_tokens(self):
+        """Returns the tokens of the events so far; the last may hold less."""
+        return self._event_count * self._admitted.service.engine.stride
+
+    def _demand_left(self):
+        """Returns the demand of the part of the answer not written yet."""
+        written_tokens = self._written_tokens()
+        prompt_tokens = (
+            self._admitted.parsed_headers.prompt_tokens
+            or self._admitted.service.engine.usual_prompt_tokens
+        )
+        return dispatcher_module.demand_left(
+            prompt_tokens + written_tokens,
+            self._prediction.remaining_tokens(written_tokens),
+        )
+
+    def _update_reserved(self):
+        """Reserves more once the context exceeds what was reserved."""
+        if (
+            self._prediction is None
+            or self._event_count % EVENTS_PER_RESERVATION
+        ):
+            return
+        demand = self._demand_left()
+        self._dispatcher.occupancy.raise_reserved(
+            self._dispatch_key, demand.prompt_tokens
+        )
+
+    def _record_length(self):
+        """Records the length of the answer, unless its begin is unknown."""
+        if self._prediction is None or self._continues_earlier_stream:
+            return
+        predicted_tokens = self._prediction.remaining_tokens(0.0)
+        if self._event_count and predicted_tokens:
+            PREDICTION_RATIO.observe(self._written_tokens() / predicted_tokens)
+        self._dispatcher.output_lengths.record(
+            self._admitted.route.name,
+            self._hinted_tokens(),
+            self._written_tokens(),
+        )
+
     def _allowed_first_targets(self):
         """Returns the targets that an attempt may begin at; None for any.
 
@@ -805,6 +878,7 @@
         self._event_count += 1
         if event.event_id:
             self._last_event_id = event.event_id
+        self._update_reserved()
         self._admitted.caller_request.write(event.raw)
 
     def _record_activity(self, now_s):
@@ -946,6 +1020,7 @@
         trailing_blank_lines = self._splitter.buffer
         if trailing_blank_lines:
             caller_request.write(trailing_blank_lines)
+        self._record_length()
         self._finish("ok")
         caller_request.finish_response()
 
--- a/src/hemlocktiller/_internal/policy/occupancy.py
+++ b/src/hemlocktiller/_internal/policy/occupancy.py
@@ -157,6 +157,16 @@
         self._reservations[request] = reservation
         self._add_to_own(reservation, 1)
 
+    def raise_reserved(self, request: str, tokens: float) -> None:
+        """Reserves memory for at least so many tokens of a request."""
+        reservation = self._reservations.get(request)
+        if reservation is None or reservation.tokens >= tokens:
+            return
+        self._add_to_own(reservation, -1)
+        reservation = reservation._replace(tokens=tokens)
+        self._reservations[request] = reservation
+        self._add_to_own(reservation, 1)
+
     def release(self, request: str) -> None:
         """Releases the memory reserved for a request."""
         reservation = self._reservations.pop(request, None)
--- a/src/hemlocktiller/_internal/policy/paths.py
+++ b/src/hemlocktiller/_internal/policy/paths.py
@@ -83,6 +83,8 @@
             centre. It differs between requests, so that gateways with the
             same information don't all choose the same path.
         sample: Returns a sample of the given size from a list of targets.
+        delay_weight: Weight of the time that a request costs those that run
+            at its targets, relative to its own; 0 if it doesn't count.
     """
 
     engine: fleet.Engine
@@ -94,6 +96,7 @@
     sample: Callable[[list[fleet.Target], int], list[fleet.Target]] = (
         lambda targets, size: targets[:size]
     )
+    delay_weight: float = 0.0
 
 
 class _TargetEstimate(NamedTuple):
@@ -339,6 +342,10 @@
         + (load.sequences + 1) * engine.sequence_ms
         + context_tokens / 1000.0 * engine.context_ms_per_1k
     )
+    if state.delay_weight:
+        decode_step_ms += state.delay_weight * _delay_of_others_ms(
+            load, demand, engine
+        )
     prefill_ms_per_token_layer = (
         kind.prefill_time_factor
         * time_factor
@@ -363,6 +370,18 @@
     )
 
 
+def _delay_of_others_ms(load, demand, engine):
+    """Returns the ms that a request adds to the steps of others, in sum.
+
+    Sequences that end during its answer are replaced by others.
+    """
+    mean_context_tokens = demand.prompt_tokens + demand.output_tokens / 2.0
+    return load.sequences * (
+        engine.sequence_ms
+        + mean_context_tokens / 1000.0 * engine.context_ms_per_1k
+    )
+
+
 def _hop_costs(previous, target, demand, state):
     """Returns the ms to send the prompt, and one token, to the next stage.
 
--- a/tests/fakes/simulated_targets.py
+++ b/tests/fakes/simulated_targets.py
@@ -92,6 +92,10 @@
         self._add_usage(request.path, request.prompt_tokens)
         return True
 
+    def progress(self) -> list[tuple[Request, float]]:
+        """Returns the running requests and the tokens they have written."""
+        return [(run.request, run.output_tokens_done) for run in self._running]
+
     def advance(self) -> None:
         """Advances the simulation by `STEP_S`."""
         self._now_s += STEP_S
--- a/tests/unit/gateway/test_paths.py
+++ b/tests/unit/gateway/test_paths.py
@@ -125,6 +125,24 @@
     )
 
 
+@pytest.mark.parametrize(("weight", "chosen"), [(0.0, "f0"), (4.0, "s0")])
+def test_the_delay_of_those_that_run_at_a_target_counts_by_weight(
+    engine, weight, chosen
+):
+    load = occupancy.Load(sequences=60)
+    fast = make_chain("f", "fast", [0, 80])
+    slower = make_chain("s", "middle", [0, 80])
+    state = paths.TargetsState(
+        engine._replace(layer_mb=100.0),
+        lambda name: load if name == "f0" else occupancy.NO_LOAD,
+        lambda name: 1.0,
+        lambda name: False,
+        delay_weight=weight,
+    )
+    choice = paths.find_fastest_path(fast + slower, DEMAND, state)
+    assert path_target_names(choice) == [chosen]
+
+
 def test_a_target_with_waiting_prompts_is_avoided(engine):
     one = make_chain("a", "middle", [0, 16, 32, 48, 64, 80])
     two = make_chain("b", "middle", [0, 16, 32, 48, 64, 80])
