--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -31,6 +31,7 @@
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import store_backoff
 from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
@@ -215,7 +216,7 @@
             reactor, self.targets, settings.data_centre, self._rng
         )
         self._dispatcher.is_outdated = self._pause_guard.is_outdated
-        self._outstanding = calls.OutstandingRequests()
+        self._plain_loads = plain_loads.PlainLoads()
         self._caller_factory = ingress.CallerHTTPFactory(reactor, self.serve)
         self._context = request_context.RequestContext(
             reactor,
@@ -262,6 +263,7 @@
                 self._on_watcher_changed,
                 self._dispatcher.full_targets,
                 self._dispatcher.demand,
+                self._plain_loads,
                 self._layout_controller.apply_word,
                 self._layout_controller.take_over,
             ),
@@ -473,7 +475,7 @@
         else:
             handler = calls.Call(
                 self._context,
-                self._outstanding,
+                self._plain_loads,
                 self._rng,
                 admitted,
                 self._on_handler_finished,
@@ -568,10 +570,12 @@
             for name in self._class_orders
             if name in catalog.services and catalog.services[name].engine
         )
-        self._store_backoff.is_shared = bool(self._class_orders) or any(
+        is_ranked_or_uneven = bool(self._class_orders) or any(
             fleet.is_uneven(service.engine)
             for service in catalog.services.values()
         )
+        self._store_backoff.is_shared = is_ranked_or_uneven
+        self._plain_loads.has_times = is_ranked_or_uneven
         self._caller_factory.set_limits(catalog.limits)
         CONFIG_VERSION_GAUGE.set(catalog.version)
         events.emit(
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -20,6 +20,7 @@
 from hemlocktiller._internal.policy import held_paths
 from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.policy import output_lengths
 from hemlocktiller._internal.policy import paths
 from hemlocktiller._internal.policy import room
 
@@ -111,6 +112,7 @@
         occupancy: Load of the targets, including the reserved memory.
         full_targets: Targets that are avoided as they had no room.
         demand: Demand by priority class, of this gateway and its peers.
+        output_lengths: Lengths of answers so far.
         is_outdated: Returns whether no path may be chosen yet, as this
             process was paused and its list of targets is outdated.
     """
@@ -137,6 +139,7 @@
         self._held_paths = held_paths.HeldPaths(
             lambda: self.occupancy.count_gateways()
         )
+        self.output_lengths = output_lengths.OutputLengths()
         self.is_outdated: Callable[[], bool] = lambda: False
         self._reactor = reactor
         self._targets = targets
@@ -519,3 +522,19 @@
         expected_prompt_tokens
         + expected_output_tokens * OUTPUT_RESERVATION_RATIO,
     )
+
+
+def demand_left(
+    context_tokens: float, output_tokens_left: float
+) -> paths.RequestDemand:
+    """Returns the demand of a request that may be half done.
+
+    Args:
+        context_tokens: Length of the prompt and of what is written so far.
+        output_tokens_left: Tokens that are expected to be written yet.
+    """
+    return paths.RequestDemand(
+        context_tokens,
+        output_tokens_left,
+        context_tokens + output_tokens_left * OUTPUT_RESERVATION_RATIO,
+    )
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -28,6 +28,7 @@
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import occupancy as occupancy_module
+from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.policy import store_backoff as policy
 from hemlocktiller._internal.store import backoff
@@ -91,6 +92,7 @@
             one no longer, with whether it is one.
         full_targets: Targets that are avoided as they had no room.
         demand: Demand by priority class, where classes compete.
+        plain_loads: Load of plain targets by this process and its peers.
         on_layout: Called with a peer's name, the fencing number that it
             orders layouts with, and layers that it has seen targets report.
         on_layout_handed_over: Called with a peer's name and the number that
@@ -107,6 +109,7 @@
     on_watcher_change: Callable[[bool], None]
     full_targets: full_targets_module.FullTargets
     demand: demand_module.DemandBoard
+    plain_loads: plain_loads.PlainLoads
     on_layout: Callable[
         [str, int, Sequence[targets_module.ReportedLayers]], None
     ] = lambda peer, number, layers: None
@@ -145,6 +148,7 @@
             self._on_open, self._on_message, self._on_down
         )
         self._links: set[link_module.Link] = set()
+        self._bad_plain_times: set[str] = set()
         self._is_catalog_request_scheduled = False
         self._registered_names: set[str] = {settings.name}
         self._dialers: dict[str, dialer.Dialer] = {}
@@ -422,6 +426,9 @@
         self._links.discard(link)
         self._hooks.suspects.on_down(link)
         self._hooks.part_evidence.on_down(link)
+        if link.peer:
+            self._hooks.plain_loads.forget_peer(link.peer["name"])
+            self._bad_plain_times.discard(link.peer["name"])
         LINKED_PEERS.set(len(self._links))
         if link.peer:
             self._stopping_names.discard(link.peer["name"])
@@ -511,12 +518,25 @@
             self._reactor.seconds(),
             message["whole"],
         )
+        if not self._hooks.plain_loads.apply_peer_times(
+            link.peer["name"],
+            message.get("plain_targets", ()),
+            message.get("plain_answer_ms", ()),
+            self._reactor.seconds(),
+        ):
+            self._log_bad_plain_times(link.peer["name"])
         self._hooks.occupancy.apply_peer_inter_dc_mbps(
             link.peer["name"],
             message["crossing_mbps"],
             self._reactor.seconds(),
         )
 
+    def _log_bad_plain_times(self, peer):
+        """Logs once a link that a peer's times of answers can't be right."""
+        if peer not in self._bad_plain_times:
+            self._bad_plain_times.add(peer)
+            events.emit("bad_plain_times", peer=peer)
+
     def _apply_catalog(self, link, message):
         stored = StoredCatalog(
             message["version"], json.loads(message["value"])
@@ -585,10 +605,27 @@
         self._last_sent_loads = loads
         message = self._occupancy_message(changed, is_full_report)
         demand = message.get("demand")
-        if changed or is_full_report or demand != self._last_sent_demand:
+        if (
+            changed
+            or is_full_report
+            or demand != self._last_sent_demand
+            or "plain_targets" in message
+        ):
             self._last_sent_demand = demand
             self._broadcast(message)
 
+    def _plain_columns(self):
+        """Returns the columns of plain targets; empty if there are none."""
+        times_ms = self._hooks.plain_loads.own_times_ms(
+            self._reactor.seconds()
+        )
+        if not times_ms:
+            return {}
+        return {
+            "plain_targets": list(times_ms),
+            "plain_answer_ms": [round(one) for one in times_ms.values()],
+        }
+
     def _occupancy_message(self, load_by_target, is_full_report):
         loads = list(load_by_target.values())
         message = {
@@ -602,6 +639,7 @@
             "crossing_mbps": self._hooks.occupancy.own_inter_dc_mbps(
                 self._reactor.seconds()
             ),
+            **self._plain_columns(),
         }
         if self._hooks.demand.services:
             message["demand"] = self._hooks.demand.rows(
