Bound what is remembered of routes, and add up sums once

Cause: the times that callers of a route have were kept for every route name ever seen, and the sums of a class were computed for each request although they were known. Change: at most 1,024 routes; sums only of classes that have none yet.

--- a/src/hemlocktiller/_internal/gateway/demand.py
+++ b/src/hemlocktiller/_internal/gateway/demand.py
@@ -13,17 +13,20 @@
 
 import prometheus_client
 
+from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import admission
 from hemlocktiller._internal.policy import admission_level
 from hemlocktiller._internal.policy import occupancy as occupancy_module
 
-MAX_RANK = 9
+MAX_RANK = model.MAX_RANK
 # Bounds of what a peer may tell, so that a message stays small and a faulty
 # peer can't displace what the others know.
 MAX_ROWS = 64
 TOLD_WORKSPACES = 4
 MAX_TOLD_COUNT = 100_000
+# Routes of which the time that callers have is remembered.
+MAX_ROUTES = 1024
 # A peer that tells more than this many times the mean of the others, and
 # more than a gateway usually serves, is not believed.
 IMPLAUSIBLE_RATIO = 20.0
@@ -157,6 +160,8 @@
         """
         if time_left_s is None:
             return False
+        if len(self._longest_time_left_s) > MAX_ROUTES:
+            self._longest_time_left_s.clear()
         longest_s = max(time_left_s, self._longest_time_left_s.get(route, 0.0))
         self._longest_time_left_s[route] = longest_s
         shortest_s, furthest_s = RETURN_SHORTFALL_S
@@ -288,7 +293,8 @@
         """Adds up the sums of all gateways again, if these are too old."""
         if now_s - self._totals_at_s < TOTALS_TTL_S:
             for key, own in self._own.items():
-                self._totals.setdefault(key, own.sums(now_s))
+                if key not in self._totals:
+                    self._totals[key] = own.sums(now_s)
             return
         self._totals_at_s = now_s
         ttl_s = self.report_interval_s() * SUMS_TTL_INTERVALS
