--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
+from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import transport
 
@@ -185,6 +186,28 @@
     assert adapter.decoders.decode_catalog(value).workspaces is None
 
 
+@pytest.mark.parametrize(
+    "bad", [-1, 10, 1.5, float("nan"), "urgent", [], True]
+)
+def test_a_bad_priority_counts_as_missing_with_one_line(
+    adapter, monkeypatch, bad
+):
+    lines = []
+    monkeypatch.setattr(
+        events, "emit", lambda kind, **fields: lines.append((kind, fields))
+    )
+    catalog = adapter.decoders.decode_catalog(
+        {
+            **CONFIG_DOCUMENT,
+            "routes": [{**ROUTE_SPEC, "priority": bad}],
+            "tenants": [{"name": "t", "api_keys": ["k1"], "priority": bad}],
+        }
+    )
+    assert catalog.route("drafts.example", "/a/").priority == 0
+    assert catalog.workspaces["k1"] == model.Workspace("t", None)
+    assert lines == [("bad_priority", {"names": ["r-1", "t"], "count": 2})]
+
+
 @pytest.mark.parametrize("value", [None, [], {}, {"version": 1}, "x", 7])
 def test_an_invalid_configuration_is_rejected(adapter, value):
     with pytest.raises(ValueError, match="not a configuration"):
