--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -514,6 +514,21 @@
     assert admitted.caller_request.ending == "whole"
 
 
+def test_a_ranked_request_that_was_turned_down_is_due_again(streaming):
+    harness, admitted = streaming
+    admitted = admitted._replace(rank=1)
+    harness.start_stream(admitted)
+    spend_retries(harness, 2)
+    harness.accept_connection().respond(
+        b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    retry_after_s = float(admitted.caller_request.header(b"Retry-After"))
+    demand = harness.dispatcher.demand.demand(
+        "model", harness.reactor.seconds() + 0.1
+    )
+    assert demand[1].due[int(retry_after_s - 0.1)] == 1.0
+
+
 def test_the_last_retries_are_reserved_for_streams_in_progress(streaming):
     harness, admitted = streaming
     harness.start_stream(admitted)
