Order callers that came back one class up

A caller returns once, so a second refusal loses the request for good. Change: a request whose caller was refused before is admitted, ordered and given room as one of the next more urgent class. Ruled out: admitting all of them at once, which would let a closed class return as a whole a moment later.

--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -23,6 +23,7 @@
 from hemlocktiller._internal.policy import output_lengths
 from hemlocktiller._internal.policy import paths
 from hemlocktiller._internal.policy import room
+from hemlocktiller._internal.policy import urgency
 
 # `queued` is more than the requests that can be waiting at any measured
 # request rate, given the maximum wait. The other limits never apply.
@@ -275,7 +276,7 @@
             path_request,
             room.more_urgent_ratio(
                 {rank: one.arrivals_per_s for rank, one in demand.items()},
-                path_request.rank,
+                urgency.order_of(path_request.rank, path_request.has_waited),
             ),
         )
 
--- a/src/hemlocktiller/_internal/gateway/ranked_requests.py
+++ b/src/hemlocktiller/_internal/gateway/ranked_requests.py
@@ -189,7 +189,8 @@
 
     def _admitted_order(self, path_request, now_s):
         """Returns the order in which a request may wait; None to refuse it."""
-        service, rank = path_request.service.name, path_request.rank
+        service = path_request.service.name
+        rank = urgency.order_of(path_request.rank, path_request.has_waited)
         demand = self._board.demand(service, now_s)
         closed_from = admission_level.closed_from(
             demand, self._useful_waits_s[service]
--- a/src/hemlocktiller/_internal/policy/urgency.py
+++ b/src/hemlocktiller/_internal/policy/urgency.py
@@ -51,6 +51,15 @@
     return min(RETURN_WAIT_S, latency_objective_s * USEFUL_WAIT_RATIO)
 
 
+def order_of(rank: int, has_waited: bool) -> int:
+    """Returns the class that a request is ordered in.
+
+    A caller that came back as told goes one class up: it is not asked a third
+    time, so a second refusal would lose its request for good.
+    """
+    return max(0, rank - 1) if has_waited else rank
+
+
 class UrgencyQueue:
     """Waiting requests of one service by class, workspace and time left."""
 
--- a/tests/unit/test_policy_urgency.py
+++ b/tests/unit/test_policy_urgency.py
@@ -145,3 +145,11 @@
     assert min(drawn_times_s(0, free, faults=1.0)) > max(
         admission_level.RETRY_AFTER_MIN_S, min(drawn_times_s(0, free))
     )
+
+
+@pytest.mark.parametrize(
+    ("rank", "has_waited", "expected"),
+    [(2, False, 2), (2, True, 1), (1, True, 0), (0, True, 0)],
+)
+def test_a_caller_that_came_back_goes_one_class_up(rank, has_waited, expected):
+    assert urgency.order_of(rank, has_waited) == expected
