--- a/src/hemlocktiller/_internal/control/outage_permission.py
+++ b/src/hemlocktiller/_internal/control/outage_permission.py
@@ -39,7 +39,7 @@
     def record_held(self, number: int, until_s: float) -> None:
         """Records that the store granted or renewed the lease.
 
-        The store's word goes before that of peers.
+        What the store says goes before what peers say.
         """
         self._evidence = _NOTHING._replace(number=number, expired_s=until_s)
 
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -264,14 +264,14 @@
                 self._dispatcher.full_targets,
                 self._dispatcher.demand,
                 self._plain_loads,
-                self._layout_controller.apply_word,
+                self._layout_controller.apply_announcement,
                 self._layout_controller.take_over,
             ),
             self._rng,
             self._store_backoff,
         )
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
-        self._layout_controller.on_word = self._peers.broadcast_layout
+        self._layout_controller.on_announcement = self._peers.broadcast_layout
         self.targets.on_health = self._peers.broadcast_health
         self.targets.on_pace = self._peers.broadcast_pace
         self._dispatcher.full_targets.on_found_full = (
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -81,8 +81,8 @@
         services: Returns the configured services.
 
     Attributes:
-        on_word: Called with the fencing number in use, and with layers that
-            targets hold but can't register, to tell peers.
+        on_announcement: Called with the fencing number in use, and with the
+            layers that targets hold but can't register, to tell peers.
     """
 
     def __init__(
@@ -113,7 +113,7 @@
         self._announced_number = 0
         self._next_layers_poll_s: dict[str, float] = {}
         self._next_plan_read_s: dict[str, float] = {}
-        self.on_word: Callable[
+        self.on_announcement: Callable[
             [int, Sequence[targets_module.ReportedLayers]], None
         ] = lambda number, layers: None
         self._loop = task.LoopingCall(self._start_reconciling)
@@ -199,13 +199,13 @@
                 tuple(layout.PlannedRange(*row) for row in stored.value),
             )
 
-    def apply_word(
+    def apply_announcement(
         self,
         peer: str,
         number: int,
         layers: Sequence[targets_module.ReportedLayers],
     ) -> None:
-        """Applies a peer's word on its fencing number and on targets.
+        """Applies what a peer announced of its orders and of targets.
 
         Args:
             peer: Name of the peer.
@@ -240,7 +240,7 @@
         """Tells peers the number of a lease that was acquired."""
         if held_number and held_number != self._announced_number:
             self._announced_number = held_number
-            self.on_word(held_number, ())
+            self.on_announcement(held_number, ())
 
     def _repair_in_outage(self, services, held_number):
         """Orders layers that lack a holder while the store is away."""
@@ -293,7 +293,7 @@
             target.name, target.born_ms, report.first_layer, report.end_layer
         )
         if self._targets.apply_reported_layers(reported):
-            self.on_word(number, (reported,))
+            self.on_announcement(number, (reported,))
 
     def _finish_reconciling(self, _):
         self._is_reconciling = False
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -327,7 +327,7 @@
                 link.send(message)
 
     def _apply_layout(self, link, message):
-        """Applies a peer's word on layouts, or on its stop."""
+        """Applies a peer's announcement on layouts, or of its stop."""
         name = link.peer["name"]
         successor = message.get("successor")
         if successor is None:
--- a/tests/unit/gateway/test_layout_outage.py
+++ b/tests/unit/gateway/test_layout_outage.py
@@ -40,7 +40,7 @@
         super().__init__(harness, [service])
         self.platform = platform
         self.is_turned_away = False
-        self.words = []
+        self.announcements = []
         self.store = platform.store(name)
         self.store.settings = {**memory.STORE_SETTINGS, "retry_max_s": 0.5}
         send = self.store._transport.call
@@ -59,11 +59,13 @@
         )
         self.controller._store = self.store
         self.controller._lease = self.lease
-        self.controller.on_word = lambda *word: self.words.append(word)
+        self.controller.on_announcement = lambda *announcement: (
+            self.announcements.append(announcement)
+        )
         self.lease.start()
 
     def die(self):
-        """Ends the process, without a word to the store."""
+        """Ends the process, without telling the store."""
         self.controller.stop()
         self.lease._stopped = True
         self.lease._loop.cancel()
@@ -148,7 +150,7 @@
     serving.advance(REPAIR_DELAY_S)
     serving.lose("b")
     assert serving.advance(10.0) == []
-    assert serving.words == []
+    assert serving.announcements == []
 
 
 def test_an_outage_moves_no_spare(platform, serving):
@@ -190,7 +192,7 @@
     serving.advance(1.5)
     loaded = serving.harness.targets.by_name["d"]
     assert (loaded.first_layer, loaded.end_layer) == (25, 60)
-    assert [layers for _, layers in serving.words if layers] == [
+    assert [layers for _, layers in serving.announcements if layers] == [
         (targets_module.ReportedLayers("d", 1, 25, 60),)
     ]
 
@@ -265,18 +267,18 @@
 ):
     second = turn_away(platform, serving, uneven_service)
     number = second.lease.fencing_number()
-    serving.controller.apply_word("second", number, ())
+    serving.controller.apply_announcement("second", number, ())
     serving.lose("b")
     assert serving.advance(30.0) == []
 
 
 def test_a_holder_tells_its_number_once(platform, serving):
     serving.advance(10.0)
-    assert serving.words == [(serving.lease.fencing_number(), ())]
+    assert serving.announcements == [(serving.lease.fencing_number(), ())]
 
 
 def test_an_absurd_number_of_a_peer_ends_one_outage_only(platform, serving):
-    serving.controller.apply_word("bad", 2**60, ())
+    serving.controller.apply_announcement("bad", 2**60, ())
     serving.advance(3.0)
     platform.faults(outage="refuse")
     serving.advance(REPAIR_DELAY_S)
@@ -287,7 +289,7 @@
 def test_a_peers_word_on_unknown_layers_has_no_effect(serving):
     before = dict(serving.harness.targets.by_name)
     rows = [("d", 1, 60, 81), ("d", 1, 9, 3), ("d", 2, 0, 5), ("x", 1, 0, 5)]
-    serving.controller.apply_word(
+    serving.controller.apply_announcement(
         "bad", 1, [targets_module.ReportedLayers(*row) for row in rows]
     )
     assert serving.harness.targets.by_name == before
--- a/tests/unit/gateway/test_uneven_layout.py
+++ b/tests/unit/gateway/test_uneven_layout.py
@@ -6,7 +6,7 @@
 
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import layout
-from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_layout import make_fleet
 
 ACCELERATORS = {
     kind.name: kind
@@ -35,19 +35,6 @@
     )  # fmt: skip
 
 
-def make_fleet(counts_by_data_centre):
-    return [
-        make_target(
-            f"{data_centre}-{kind}-{number}",
-            data_centre=data_centre,
-            accelerator=kind,
-        )
-        for data_centre, counts in counts_by_data_centre.items()
-        for kind, count in counts.items()
-        for number in range(count)
-    ]
-
-
 def throughput_by_chain(plan, engine):
     """Returns the requests per second of each chain, by Little's law."""
     context_tokens = (
