--- a/src/hemlocktiller/_internal/gateway/ranked_requests.py
+++ b/src/hemlocktiller/_internal/gateway/ranked_requests.py
@@ -171,9 +171,8 @@
             if self._is_held(service, order, now_s):
                 return
             while True:
-                rank = order
                 item = queue.first(
-                    order, self._board.used_tokens(service, rank, now_s)
+                    order, self._board.used_tokens(service, order, now_s)
                 )
                 if item is None:
                     break
