Don't predict what is left of an answer to know what is written

Cause: every eighth event of a stream took a quantile of the lengths of its route only to read the context's length beside it. Change: the context's length is a function of its own. The value that is reserved is the same. Ruled out: keeping the length as state, as the events give it.

--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -405,16 +405,19 @@
         """Returns the tokens of the events so far; the last may hold less."""
         return self._event_count * self._admitted.service.engine.stride
 
-    def _demand_left(self):
-        """Returns the demand of the part of the answer not written yet."""
-        written_tokens = self._written_tokens()
+    def _context_tokens(self):
+        """Returns the tokens of the prompt and of the answer so far."""
         prompt_tokens = (
             self._admitted.parsed_headers.prompt_tokens
             or self._admitted.service.engine.usual_prompt_tokens
         )
+        return prompt_tokens + self._written_tokens()
+
+    def _demand_left(self):
+        """Returns the demand of the part of the answer not written yet."""
         return dispatcher_module.demand_left(
-            prompt_tokens + written_tokens,
-            self._prediction.remaining_tokens(written_tokens),
+            self._context_tokens(),
+            self._prediction.remaining_tokens(self._written_tokens()),
         )
 
     def _update_reserved(self):
@@ -424,9 +427,8 @@
             or self._event_count % EVENTS_PER_RESERVATION
         ):
             return
-        demand = self._demand_left()
         self._dispatcher.occupancy.raise_reserved(
-            self._dispatch_key, demand.prompt_tokens
+            self._dispatch_key, self._context_tokens()
         )
 
     def _record_length(self):
