Decode, log and count the limits that targets name

What callers saw: nothing; the logs had no line on a limit, so that none of the hypotheses of the incident could be told from the others. The adapter decodes Server-Limit (a decimal number; anything else names a limit that can't be read), target_limit logs each change, and hemlocktiller_limited_target_sends_total counts requests and probes to targets that name one. No decision uses it yet.

--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -82,6 +82,10 @@
             get no new requests.
         pause_s: Time for which the target wants no requests; None if it does
             not say so.
+        names_limit: Whether the target names a limit, readable or not.
+        limit_per_s: Requests a second that the target takes from all
+            processes together; None if it names no limit, or one that can't
+            be read.
     """
 
     request_id: str
@@ -92,6 +96,8 @@
     is_unencoded: bool
     is_leaving: bool = False
     pause_s: float | None = None
+    names_limit: bool = False
+    limit_per_s: float | None = None
 
 
 class PlatformAdapter(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -65,6 +65,15 @@
     "hemlocktiller_target_pauses",
     "Answers of targets that ask for a pause without requests",
 )
+LIMITED = prometheus_client.Gauge(
+    "hemlocktiller_targets_limited",
+    "Processes of targets that name a limit of requests a second",
+)
+LIMITED_SENDS = prometheus_client.Counter(
+    "hemlocktiller_limited_target_sends",
+    "Requests and probes sent to targets that name a limit",
+    ["kind"],
+)
 PROBES = prometheus_client.Counter(
     "hemlocktiller_target_probes", "Probes of targets by result", ["result"]
 )
@@ -166,6 +175,8 @@
         self._paces: dict[str, float] = {}
         self._failure_ratios: dict[str, float] = {}
         self._pauses = target_pauses.TargetPauses()
+        # Requests a second that processes of targets take, as they name it.
+        self._limits_per_s: dict[str, float] = {}
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
         # Ends of processes by their ids, oldest first.
@@ -324,6 +335,8 @@
         self._circuit_breakers.record_sent(
             target.name, self._reactor.seconds()
         )
+        if target.process_id in self._limits_per_s:
+            LIMITED_SENDS.labels("request").inc()
 
     def record_response_head(
         self, target: fleet.Target, status: int, headers: Any
@@ -342,6 +355,7 @@
             self._record_leaving(target)
         if response_head.pause_s is not None:
             self._record_pause(target, response_head.pause_s)
+        self._record_limit(target, response_head)
 
     def pause_left_s(self, target: fleet.Target) -> float:
         """Returns how long a target still wants no requests; 0 if not."""
@@ -384,6 +398,22 @@
         PAUSES.inc()
         events.emit("target_pause", target=target.name, pause_s=pause_s)
 
+    def _record_limit(self, target, response_head):
+        """Logs the limit that a target begins or ceases to name."""
+        process_id = target.process_id
+        limit_per_s = response_head.limit_per_s
+        is_unreadable = response_head.names_limit and limit_per_s is None
+        if is_unreadable or limit_per_s == self._limits_per_s.get(process_id):
+            return
+        if limit_per_s is None:
+            del self._limits_per_s[process_id]
+        else:
+            self._limits_per_s[process_id] = limit_per_s
+        LIMITED.set(len(self._limits_per_s))
+        events.emit(
+            "target_limit", target=target.name, limit_per_s=limit_per_s
+        )
+
     def _record_leaving(self, target):
         """Sends no new requests to a process that has said that it leaves.
 
@@ -949,6 +979,8 @@
 
     def _send_probe(self, target, on_report, on_health, on_failed):
         """Requests the report of a model target, or a plain one's health."""
+        if target.process_id in self._limits_per_s:
+            LIMITED_SENDS.labels("probe").inc()
         if target.accelerator:
             self.request_report(target, on_report, on_failed)
             return
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -446,6 +446,34 @@
     assert response_head.pause_s == pause_s
 
 
+@pytest.mark.parametrize(
+    ("headers", "names_limit", "limit_per_s"),
+    [
+        ([(b"Server-Limit", b"2.2")], True, 2.2),
+        ([(b"server-limit", b" 40 ")], True, 40.0),
+        ([(b"Server-Limit", b"0")], True, 0.0),
+        ([(b"Server-Limit", b"999999999.5")], True, 999_999_999.5),
+        ([(b"Server-Limit", b"9999999999")], True, None),
+        ([(b"Server-Limit", b"-1")], True, None),
+        ([(b"Server-Limit", b"1e3")], True, None),
+        ([(b"Server-Limit", b"inf")], True, None),
+        ([(b"Server-Limit", b"2.")], True, None),
+        ([(b"Server-Limit", b"2, 3")], True, None),
+        ([(b"Server-Limit", b"")], True, None),
+        ([], False, None),
+    ],
+)
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_an_answer_may_name_a_limit(
+    adapter, status, headers, names_limit, limit_per_s
+):
+    response_head = adapter.exchange_headers.decode_response_head(
+        status, headers
+    )
+    assert response_head.names_limit == names_limit
+    assert response_head.limit_per_s == limit_per_s
+
+
 def test_an_order_carries_the_fencing_token_and_order_count(adapter):
     body = json.loads(adapter.exchange_headers.encode_order(20, 31, 9, 2))
     assert body == {
