--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -286,6 +286,8 @@
         True,
         b"Leaving" in by_name,
         float(by_name[b"Pause"]) if b"Pause" in by_name else None,
+        b"Limit" in by_name,
+        float(by_name[b"Limit"]) if b"Limit" in by_name else None,
     )
 
 
