Take turns at targets that name a limit of requests a second

What callers saw: nothing; the target that asked for fewer requests got as many as before: 23 and 28 in 4 s where 19 and 18 were allowed.

What a gateway knows by itself can't: a share of the limit for each of five gateways would hold, but with hundreds of them it is far below one request a second, and what idle gateways save up is sent by all at once.

Change: policy/target_limits.py numbers the requests that a target takes, at the rate of its limit; each number is the turn of one gateway, and can be used until two later ones have begun. Gateways tell each other the limit and the turns that have begun; the highest number counts, and turns of an earlier order of the gateways are gone. A limit ends with an answer to a later request that names none. Where all targets of a service name limits, calls wait by class and workspace for as long as a start in time is possible, model requests by the shares of their queue; the rest is rejected at once, each with its own time to return.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -27,6 +27,7 @@
 from hemlocktiller._internal.gateway import startup_queue
 from hemlocktiller._internal.gateway import streams
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import waiting_calls
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.observe import metrics
 from hemlocktiller._internal.policy import budget
@@ -226,6 +227,7 @@
             crashes.CrashEvidence(reactor),
             settings.data_centre,
             settings.name,
+            waiting_calls.WaitingCalls(reactor, self.targets),
         )
         self.targets.on_survival.append(
             self._context.crash_evidence.record_survival
@@ -274,6 +276,8 @@
         self._layout_controller.on_announcement = self._peers.broadcast_layout
         self.targets.on_health = self._peers.broadcast_health
         self.targets.on_pace = self._peers.broadcast_pace
+        self.targets.limits.turns.turn_order = self._peers.turn_order
+        self.targets.limits.on_announcement = self._peers.broadcast_limit
         self._dispatcher.full_targets.on_found_full = (
             self._peers.broadcast_full_target
         )
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -7,6 +7,7 @@
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import request_context
+from hemlocktiller._internal.gateway import waiting_calls as waiting
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import attempts
 from hemlocktiller._internal.policy import fleet
@@ -83,6 +84,7 @@
         self._is_finished = False
         self._silence_hedge_count = 0
         self._hedge_timer: Any = None
+        self._waiting_key = f"{id(self):x}/{self.request_id}"
         admitted.caller_request.on_disconnect = self._on_disconnect
         remaining_s = (
             request_context.request_deadline_s(admitted)
@@ -103,15 +105,38 @@
                 crashes.CONDEMNED_REASON, crashes.CONDEMNATION_DELAY_S
             )
             return
-        if not self._dispatch():
+        service = self._admitted.service.name
+        waiting_calls = self._context.waiting_calls
+        has_turn = not waiting_calls.has_waiting(service)
+        if has_turn and self._start_at_target():
+            return
+        if self._context.targets.limited_room(service) is None:
             self._reject("no target has a free place")
             return
+        now_s = self._context.reactor.seconds()
+        waiting_calls.submit(
+            waiting.WaitingCall(
+                self._waiting_key,
+                service,
+                self._admitted.priority,
+                self._admitted.workspace,
+                request_context.request_deadline_s(self._admitted) - now_s,
+                self._start_at_target,
+                self._reject,
+            )
+        )
+
+    def _start_at_target(self):
+        """Sends the call to its first target; returns whether one was free."""
+        if not self._dispatch():
+            return False
         route = self._admitted.route
         if route.may_repeat and route.max_targets > 1:
             hedge_delay_s = route.target_latency_s * HEDGE_DELAY_RATIO
             self._hedge_timer = self._context.reactor.callLater(
                 hedge_delay_s, self._send_hedge
             )
+        return True
 
     def check_progress(self, now_s: float) -> None:
         """Looks for a second target again if that of an attempt is silent."""
@@ -370,11 +395,12 @@
     def _reject(self, reason, retry_after_s=RETRY_AFTER_S):
         """Responds that the caller may retry, as the call has not run.
 
-        Not before a target takes requests again, if all asked for a pause.
+        Not before a target takes requests again, if all asked for a pause or
+        have a limit.
         """
         retry_after_s = max(
             retry_after_s,
-            self._context.targets.service_pause_s(self._admitted.service.name),
+            self._context.targets.service_wait_s(self._admitted.service.name),
         )
         self._respond_with_error(
             request_context.STATUS_SERVICE_UNAVAILABLE, reason, retry_after_s
@@ -426,6 +452,7 @@
         for timer in (self._deadline_timer, self._hedge_timer):
             if timer is not None and timer.active():
                 timer.cancel()
+        self._context.waiting_calls.discard(self._waiting_key)
         now_s = self._context.reactor.seconds()
         for attempt in list(self._active_attempts.values()):
             self._loads.record_unanswered(
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -23,6 +23,7 @@
 from hemlocktiller._internal.policy import output_lengths
 from hemlocktiller._internal.policy import paths
 from hemlocktiller._internal.policy import room
+from hemlocktiller._internal.policy import target_limits
 from hemlocktiller._internal.policy import urgency
 
 # `queued` is more than the requests that can be waiting at any measured
@@ -47,6 +48,8 @@
 # which also spreads their choices.
 REMOTE_BIAS_FACTOR = 1.1
 
+LIMITED_REASON = "limits of targets"
+
 WAITING_REQUESTS = prometheus_client.Gauge(
     "hemlocktiller_gateway_waiting", "Model requests that wait for a path"
 )
@@ -169,7 +172,7 @@
         """Starts, queues or rejects a request."""
         now_s = self._reactor.seconds()
         if path_request.rank is not None:
-            if not self._reject_until_pause_ends(path_request, now_s):
+            if not self._reject_without_targets(path_request, now_s):
                 self._ranked.submit(path_request, now_s)
                 self._update_waiting_gauge()
                 self._schedule_processing()
@@ -182,7 +185,11 @@
             if choice is not None:
                 self._start_request(path_request, choice)
                 return
-        if self._reject_until_pause_ends(path_request, now_s):
+        if self._reject_without_targets(path_request, now_s):
+            return
+        if self._targets.limited_room(path_request.service.name) is not None:
+            self._enqueue(path_request, queue)
+            self._displace_excess(path_request.service.name, now_s)
             return
         decision = admission.decide_wait(
             self._measure_queue(queue)._replace(
@@ -197,11 +204,39 @@
                 path_request, decision.retry_after_s, "queue too long"
             )
             return
+        self._enqueue(path_request, queue)
+
+    def _enqueue(self, path_request, queue):
         self._waiting[path_request.queue_item.request_id] = path_request
         queue.push(path_request.queue_item)
         self._update_waiting_gauge()
         self._schedule_processing()
 
+    def _displace_excess(self, service, now_s):
+        """Rejects what can't start in time, where all targets have limits.
+
+        These are the last requests of those that are furthest over their
+        share of the queue.
+        """
+        limited_room = self._targets.limited_room(service)
+        if limited_room is None:
+            return
+        queue = self._queue_for(service)
+        starts = target_limits.count_starts(limited_room, admission.MAX_WAIT_S)
+        while len(queue) > starts:
+            path_request = self._waiting.pop(queue.displace().request_id)
+            self._reject(
+                path_request,
+                self._targets.limits.return_after_s(
+                    service,
+                    limited_room,
+                    len(queue),
+                    path_request.time_left_s,
+                ),
+                LIMITED_REASON,
+            )
+        self._update_waiting_gauge()
+
     def time_to_return_s(
         self, path_request: PathRequest, retry_after_s: float
     ) -> float:
@@ -238,21 +273,33 @@
             self._start_request(path_request, choice)
             return
         now_s = self._reactor.seconds()
-        if self._reject_until_pause_ends(path_request, now_s):
+        if self._reject_without_targets(path_request, now_s):
             return
         self._resuming[path_request.queue_item.request_id] = path_request
         self._schedule_processing()
 
-    def _reject_until_pause_ends(self, path_request, now_s):
+    def _reject_without_targets(self, path_request, now_s):
         """Rejects a request that no target takes before its deadline.
 
         Returns:
-            Whether all first targets have asked for a pause that is longer.
+            Whether all first targets have asked for a pause that is longer,
+            or have limits that leave no request to this process until then.
         """
-        pause_s = self._targets.service_pause_s(path_request.service.name)
-        if pause_s <= max(0.0, path_request.queue_item.deadline_s - now_s):
+        service = path_request.service.name
+        wait_s = self._targets.service_wait_s(service)
+        if wait_s <= max(0.0, path_request.queue_item.deadline_s - now_s):
             return False
-        self._reject(path_request, pause_s, "targets asked for a pause")
+        limited_room = self._targets.limited_room(service)
+        if limited_room is None:
+            self._reject(path_request, wait_s, "targets asked for a pause")
+        else:
+            self._reject(
+                path_request,
+                self._targets.limits.return_after_s(
+                    service, limited_room, 0, path_request.time_left_s
+                ),
+                LIMITED_REASON,
+            )
         return True
 
     def discard(self, request_key: str) -> None:
@@ -389,8 +436,10 @@
             if choice is not None:
                 del self._resuming[request_key]
                 self._start_request(path_request, choice)
-        for queue in self._queues.values():
+        for service, queue in self._queues.items():
             self._process_queue(queue, now_s)
+            if len(queue):
+                self._displace_excess(service, now_s)
         self._ranked.process(now_s)
         self._update_waiting_gauge()
         if self._waiting or self._resuming or len(self._ranked):
--- a/src/hemlocktiller/_internal/gateway/layout_controller.py
+++ b/src/hemlocktiller/_internal/gateway/layout_controller.py
@@ -516,5 +516,5 @@
             ORDER_TIMEOUT_S,
             lambda status, _: on_result(status),
             lambda failure: on_result(failure.reason),
-            functools.partial(self._targets.record_response_head, target),
+            self._targets.probe_head_recorder(target),
         )
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -6,6 +6,7 @@
 those that this process has.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Sequence
 import json
@@ -31,6 +32,7 @@
 from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.policy import store_backoff as policy
+from hemlocktiller._internal.policy import target_limits
 from hemlocktiller._internal.store import backoff
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import registration
@@ -47,6 +49,7 @@
 # that some watchers remain.
 WATCHER_COUNT = 5
 LAYOUT_MESSAGE_TYPE = "layout"
+LIMIT_MESSAGE_TYPE = "target_limit"
 # The store passes a new configuration to all gateways within milliseconds. A
 # gateway that has not received it by then requests it from a peer.
 CATALOG_REQUEST_DELAY_S = 0.2
@@ -158,6 +161,7 @@
         self._discovery: watch.Watch | None = None
         self._report_timer: Any = None
         self._is_poller_by_target: dict[str, bool] = {}
+        self._turn_order: target_limits.TurnOrder | None = None
         self._is_store_lost = False
         self._is_watcher = True
         self._keep_dialers_until_s = 0.0
@@ -254,6 +258,32 @@
             }
         )
 
+    def broadcast_limit(
+        self, announcement: target_limits.Announcement
+    ) -> None:
+        """Tells peers of the limit of a target, or that it has ended."""
+        message = _limit_message(announcement)
+        frame = codec.encode(message)
+        for link in list(self._links):
+            if link.is_open and link.peer_accepts(LIMIT_MESSAGE_TYPE):
+                link.send(message, frame)
+
+    def turn_order(self) -> target_limits.TurnOrder:
+        """Returns the place of this process at targets with limits.
+
+        Gateways that can't be told of a limit take no turns.
+        """
+        if self._turn_order is None:
+            names = sorted(
+                link.peer["name"]
+                for link in self._links
+                if link.is_open and link.peer_accepts(LIMIT_MESSAGE_TYPE)
+            )
+            self._turn_order = target_limits.TurnOrder(
+                bisect.bisect(names, self._settings.name), len(names) + 1
+            )
+        return self._turn_order
+
     def count_gateways(self) -> int:
         """Returns the number of gateways registered, or linked if higher."""
         return max(len(self._registered_names), len(self._links) + 1)
@@ -421,6 +451,9 @@
         self._hooks.part_evidence.on_open(link)
         if self._layout_number and link.peer_accepts(LAYOUT_MESSAGE_TYPE):
             link.send(_layout_message(self._layout_number, ()))
+        if link.peer_accepts(LIMIT_MESSAGE_TYPE):
+            for announcement in self._hooks.targets.limits.announcements():
+                link.send(_limit_message(announcement))
 
     def _on_down(self, link, reason):
         self._links.discard(link)
@@ -445,6 +478,7 @@
     def _update_watcher_role(self):
         """Decides whether this process is a watcher, after links changed."""
         self._is_poller_by_target.clear()
+        self._turn_order = None
         names = self._linked_names()
         is_watcher = rendezvous.is_chosen(
             self._settings.name, names, GATEWAY_KIND, WATCHER_COUNT
@@ -487,6 +521,14 @@
             self._hooks.suspects.on_message(link, message)
         elif message_type == "part_evidence":
             self._hooks.part_evidence.on_message(link, message)
+        elif message_type == LIMIT_MESSAGE_TYPE:
+            self._hooks.targets.limits.apply_announcement(
+                target_limits.Announcement(
+                    message["process"],
+                    message.get("limit_per_s"),
+                    message["turns"],
+                )
+            )
         elif message_type == LAYOUT_MESSAGE_TYPE:
             self._apply_layout(link, message)
         elif message_type == "catalog_wanted":
@@ -670,5 +712,16 @@
     }
 
 
+def _limit_message(announcement):
+    message = {
+        "type": LIMIT_MESSAGE_TYPE,
+        "process": announcement.process_id,
+        "turns": announcement.turns,
+    }
+    if announcement.limit_per_s is not None:
+        message["limit_per_s"] = announcement.limit_per_s
+    return message
+
+
 def _log_failure(reason):
     events.emit("loop_ended", reason=reason.getTraceback())
--- a/src/hemlocktiller/_internal/gateway/request_context.py
+++ b/src/hemlocktiller/_internal/gateway/request_context.py
@@ -16,6 +16,7 @@
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import waiting_calls as waiting
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
@@ -51,6 +52,7 @@
         crash_evidence: Tracks requests that crash targets.
         data_centre: Where this process runs.
         node: Name of this process.
+        waiting_calls: Calls that wait for a target with a limit.
     """
 
     reactor: Any
@@ -60,6 +62,7 @@
     crash_evidence: crashes_module.CrashEvidence
     data_centre: str
     node: str
+    waiting_calls: waiting.WaitingCalls
 
 
 class AdmittedRequest(NamedTuple):
@@ -177,10 +180,13 @@
         ),
     )
     context.targets.record_request_sent(target)
+    sent_s = context.reactor.seconds()
 
     def on_head(status: int, response_headers: http_exchange.Headers) -> None:
         context.targets.record_output(target)
-        context.targets.record_response_head(target, status, response_headers)
+        context.targets.record_response_head(
+            target, status, response_headers, sent_s
+        )
         callbacks.on_head(status, response_headers)
 
     def on_data(data: bytes) -> None:
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -17,12 +17,14 @@
 import prometheus_client
 
 from hemlocktiller._internal import http_exchange
+from hemlocktiller._internal.gateway import limited_targets
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
 from hemlocktiller._internal.gateway import upstream
 from hemlocktiller._internal.observe import events
 from hemlocktiller._internal.policy import breaker
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.policy import target_limits
 from hemlocktiller._internal.policy import target_pauses
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import versions
@@ -65,15 +67,6 @@
     "hemlocktiller_target_pauses",
     "Answers of targets that ask for a pause without requests",
 )
-LIMITED = prometheus_client.Gauge(
-    "hemlocktiller_targets_limited",
-    "Processes of targets that name a limit of requests a second",
-)
-LIMITED_SENDS = prometheus_client.Counter(
-    "hemlocktiller_limited_target_sends",
-    "Requests and probes sent to targets that name a limit",
-    ["kind"],
-)
 PROBES = prometheus_client.Counter(
     "hemlocktiller_target_probes", "Probes of targets by result", ["result"]
 )
@@ -136,6 +129,7 @@
             version is that of the store afterwards.
         is_loaded: Whether the registrations have been read from the store.
         last_outage_s: Time of the last failure to reach the store.
+        limits: Targets that name a limit of requests a second.
     """
 
     def __init__(
@@ -175,8 +169,7 @@
         self._paces: dict[str, float] = {}
         self._failure_ratios: dict[str, float] = {}
         self._pauses = target_pauses.TargetPauses()
-        # Requests a second that processes of targets take, as they name it.
-        self._limits_per_s: dict[str, float] = {}
+        self.limits = limited_targets.LimitedTargets(reactor)
         # Start of the processes that have said that they leave, by name.
         self._leaving_born_ms: dict[str, int] = {}
         # Ends of processes by their ids, oldest first.
@@ -241,7 +234,8 @@
         """Returns the targets of a service that may get new requests.
 
         Draining targets, those that are down, being probed or in a pause that
-        they asked for, and those with an open circuit breaker are left out.
+        they asked for, those whose limit leaves no request to this process
+        now, and those with an open circuit breaker are left out.
         """
         now_s = self._reactor.seconds()
         return [
@@ -251,7 +245,7 @@
             and target.state == fleet.READY
             and target.name not in self._down_since_s
             and target.process_id not in self._probing
-            and self.pause_left_s(target) <= 0
+            and self.request_wait_s(target) <= 0
             and self._circuit_breakers.allows(target.name, now_s)
         ]
 
@@ -335,11 +329,15 @@
         self._circuit_breakers.record_sent(
             target.name, self._reactor.seconds()
         )
-        if target.process_id in self._limits_per_s:
-            LIMITED_SENDS.labels("request").inc()
+        self.limits.record_request_sent(target)
 
     def record_response_head(
-        self, target: fleet.Target, status: int, headers: Any
+        self,
+        target: fleet.Target,
+        status: int,
+        headers: Any,
+        sent_s: float | None = None,
+        is_probe: bool = False,
     ) -> None:
         """Applies what a target says of itself in a response.
 
@@ -347,6 +345,8 @@
             target: The target that the request was sent to.
             status: HTTP status.
             headers: Headers of the response.
+            sent_s: When the request was sent; None for now.
+            is_probe: Whether the request was a probe.
         """
         response_head = self._adapter.decode_response_head(status, headers)
         if response_head.is_wrong_target:
@@ -355,7 +355,22 @@
             self._record_leaving(target)
         if response_head.pause_s is not None:
             self._record_pause(target, response_head.pause_s)
-        self._record_limit(target, response_head)
+        if sent_s is None:
+            sent_s = self._reactor.seconds()
+        self.limits.record_response_head(
+            target, response_head, sent_s, is_probe
+        )
+
+    def probe_head_recorder(
+        self, target: fleet.Target
+    ) -> Callable[[int, http_exchange.Headers], None]:
+        """Returns what records the head of the answer to a probe sent now."""
+        return functools.partial(
+            self.record_response_head,
+            target,
+            sent_s=self._reactor.seconds(),
+            is_probe=True,
+        )
 
     def pause_left_s(self, target: fleet.Target) -> float:
         """Returns how long a target still wants no requests; 0 if not."""
@@ -372,20 +387,55 @@
             target.process_id, self._reactor.seconds()
         )
 
-    def service_pause_s(self, service: str) -> float:
-        """Returns how long no target of a service wants requests.
+    def request_wait_s(self, target: fleet.Target) -> float:
+        """Returns the time until a target takes a request; 0 if it does now.
+
+        A limit holds for requests that are sent to its target; as a later
+        stage of a path it gets none.
+        """
+        wait_s = self.pause_left_s(target)
+        if target.first_layer > 0:
+            return wait_s
+        return max(wait_s, self.limits.wait_s(target))
+
+    def service_wait_s(self, service: str) -> float:
+        """Returns the time until a target of a service takes a request.
 
-        Only the first targets of paths are asked, so it is 0 if one of them
-        takes requests, or if there is none.
+        It is 0 if one of them does now, or if there is none.
         """
-        pauses_s = [
-            self.pause_left_s(target)
+        waits_s = [
+            self.request_wait_s(target)
+            for target in self._first_targets(service)
+        ]
+        return min(waits_s, default=0.0)
+
+    def limited_room(self, service: str) -> target_limits.Room | None:
+        """Returns what this process may start at a service under limits.
+
+        It is None unless all targets that requests are sent to name a limit.
+        """
+        if not self.limits.turns:
+            return None
+        targets = self._first_targets(service)
+        if not targets or not all(map(self.limits.is_limited, targets)):
+            return None
+        return self.limits.turns.room(
+            (
+                (target.process_id, self.pause_left_s(target))
+                for target in targets
+            ),
+            self._reactor.seconds(),
+        )
+
+    def _first_targets(self, service):
+        """Returns the targets of a service that requests are sent to."""
+        return [
+            target
             for target in self.live(service)
             if target.state == fleet.READY
             and target.first_layer == 0
             and (target.layers > 0 or not target.accelerator)
         ]
-        return min(pauses_s, default=0.0)
 
     def _record_pause(self, target, pause_s):
         """Sends no requests to a target for the time that it asked for."""
@@ -398,22 +448,6 @@
         PAUSES.inc()
         events.emit("target_pause", target=target.name, pause_s=pause_s)
 
-    def _record_limit(self, target, response_head):
-        """Logs the limit that a target begins or ceases to name."""
-        process_id = target.process_id
-        limit_per_s = response_head.limit_per_s
-        is_unreadable = response_head.names_limit and limit_per_s is None
-        if is_unreadable or limit_per_s == self._limits_per_s.get(process_id):
-            return
-        if limit_per_s is None:
-            del self._limits_per_s[process_id]
-        else:
-            self._limits_per_s[process_id] = limit_per_s
-        LIMITED.set(len(self._limits_per_s))
-        events.emit(
-            "target_limit", target=target.name, limit_per_s=limit_per_s
-        )
-
     def _record_leaving(self, target):
         """Sends no new requests to a process that has said that it leaves.
 
@@ -600,7 +634,7 @@
             PROBE_TIMEOUT_S,
             on_done,
             on_failed,
-            functools.partial(self.record_response_head, target),
+            self.probe_head_recorder(target),
         )
 
     def verify_peer_health(
@@ -608,13 +642,15 @@
     ) -> None:
         """Probes a target whose health a peer sees differently.
 
-        Only a probe of this process changes the state of the target.
+        Only a probe of this process changes the state of the target. One with
+        a limit isn't probed by all gateways at once.
         """
         target = self.by_name.get(name)
         if target is None or target.born_ms != born_ms:
             return
         if is_down and name not in self._down_since_s:
-            self.probe_suspect(target, reason)
+            if not self.limits.is_limited(target):
+                self.probe_suspect(target, reason)
         elif not is_down and name in self._down_since_s:
             self._probe(target)
 
@@ -691,7 +727,12 @@
                 and target.name not in self._down_since_s
                 and self.pause_left_s(target) <= 0
             )
-            if should_poll and is_poller(target.name):
+            if (
+                should_poll
+                and is_poller(target.name)
+                and self.limits.try_poll(target)
+            ):
+                self.limits.record_probe_sent(target)
                 self.request_report(
                     target,
                     lambda report: None,
@@ -979,8 +1020,7 @@
 
     def _send_probe(self, target, on_report, on_health, on_failed):
         """Requests the report of a model target, or a plain one's health."""
-        if target.process_id in self._limits_per_s:
-            LIMITED_SENDS.labels("probe").inc()
+        self.limits.record_probe_sent(target)
         if target.accelerator:
             self.request_report(target, on_report, on_failed)
             return
@@ -991,7 +1031,7 @@
             PROBE_TIMEOUT_S,
             lambda status, body: on_health(),
             on_failed,
-            functools.partial(self.record_response_head, target),
+            self.probe_head_recorder(target),
         )
 
     def _on_report_probe_answered(self, target, report):
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -26,11 +26,17 @@
 
 # Newest first. Processes of an older version close the link on messages that
 # it does not have.
-SUBPROTOCOLS = ("hemlocktiller.v1.2", "hemlocktiller.v1.1", "hemlocktiller.v1")
+SUBPROTOCOLS = (
+    "hemlocktiller.v1.3",
+    "hemlocktiller.v1.2",
+    "hemlocktiller.v1.1",
+    "hemlocktiller.v1",
+)
 # The version that a message type came with; the others are in all versions.
 FIRST_SUBPROTOCOL_BY_TYPE = {
     "part_evidence": "hemlocktiller.v1.1",
     "layout": "hemlocktiller.v1.2",
+    "target_limit": "hemlocktiller.v1.3",
 }
 AUTHORIZATION = "Authorization"
 ACTIVE_WINDOW_S = 20.0  # A link counts as active this long after work.
@@ -59,6 +65,7 @@
         "occupancy",
         "registration",
         "target_health",
+        "target_limit",
         "target_pace",
         "full_target",
     )
--- a/src/hemlocktiller/_internal/policy/fair_queue.py
+++ b/src/hemlocktiller/_internal/policy/fair_queue.py
@@ -97,13 +97,22 @@
         self._insert(item)
         if len(self._entries) <= self._limits["queued"]:
             return PushResult(True)
-        displaced = self._last_of_plan_over_share()
-        DISPLACED.labels(displaced.plan).inc()
-        self.remove(displaced.request_id)
+        displaced = self.displace()
         if displaced is item:
             return PushResult(False)
         return PushResult(True, displaced)
 
+    def displace(self) -> QueuedRequest:
+        """Removes and returns the item that has the least claim to a place.
+
+        It is the last one of the plan that is furthest over its share of the
+        queue, which must not be empty.
+        """
+        displaced = self._last_of_plan_over_share()
+        DISPLACED.labels(displaced.plan).inc()
+        self.remove(displaced.request_id)
+        return displaced
+
     def pop(
         self, now_s: float, running_short: int, running_long: int
     ) -> QueuedRequest | None:
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -2681,6 +2681,52 @@
         if data_keys:
             raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'target', 'born_ms'], 'properties': {'type': {'const': 'full_target', 'type': 'string'}, 'target': {'type': 'string'}, 'born_ms': {'type': 'integer'}}}, rule='additionalProperties')
     return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
+NoneType = type(None)
+
+def check_target_limit(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'turns'], 'properties': {'type': {'const': 'target_limit', 'type': 'string'}, 'process': {'type': 'string'}, 'limit_per_s': {'type': 'number', 'minimum': 0}, 'turns': {'type': 'number', 'minimum': 0}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'process', 'turns']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'turns'], 'properties': {'type': {'const': 'target_limit', 'type': 'string'}, 'process': {'type': 'string'}, 'limit_per_s': {'type': 'number', 'minimum': 0}, 'turns': {'type': 'number', 'minimum': 0}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_limit', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'target_limit'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: target_limit", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'target_limit', 'type': 'string'}, rule='const')
+        if "process" in data_keys:
+            data_keys.remove("process")
+            data__process = data["process"]
+            if not isinstance(data__process, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".process must be string", value=data__process, name="" + (name_prefix or "data") + ".process", definition={'type': 'string'}, rule='type')
+        if "limit_per_s" in data_keys:
+            data_keys.remove("limit_per_s")
+            data__limitpers = data["limit_per_s"]
+            if not isinstance(data__limitpers, (int, float, Decimal)) or isinstance(data__limitpers, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_per_s must be number", value=data__limitpers, name="" + (name_prefix or "data") + ".limit_per_s", definition={'type': 'number', 'minimum': 0}, rule='type')
+            if isinstance(data__limitpers, (int, float, Decimal)) and not isinstance(data__limitpers, bool):
+                if data__limitpers < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".limit_per_s must be bigger than or equal to 0", value=data__limitpers, name="" + (name_prefix or "data") + ".limit_per_s", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+        if "turns" in data_keys:
+            data_keys.remove("turns")
+            data__turns = data["turns"]
+            if not isinstance(data__turns, (int, float, Decimal)) or isinstance(data__turns, bool):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".turns must be number", value=data__turns, name="" + (name_prefix or "data") + ".turns", definition={'type': 'number', 'minimum': 0}, rule='type')
+            if isinstance(data__turns, (int, float, Decimal)) and not isinstance(data__turns, bool):
+                if data__turns < 0:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".turns must be bigger than or equal to 0", value=data__turns, name="" + (name_prefix or "data") + ".turns", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'process', 'turns'], 'properties': {'type': {'const': 'target_limit', 'type': 'string'}, 'process': {'type': 'string'}, 'limit_per_s': {'type': 'number', 'minimum': 0}, 'turns': {'type': 'number', 'minimum': 0}}}, rule='additionalProperties')
+    return data
 CHECKS = {
     'hello': check_hello,
     'heartbeat': check_heartbeat,
@@ -2718,6 +2764,7 @@
     'catalog_wanted': check_catalog_wanted,
     'target_pace': check_target_pace,
     'full_target': check_full_target,
+    'target_limit': check_target_limit,
 }
 
 BYTES_PATHS = {
@@ -2757,4 +2804,5 @@
     'catalog_wanted': [],
     'target_pace': [],
     'full_target': [],
+    'target_limit': [],
 }
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -552,6 +552,17 @@
     born_ms: int
 
 
+class TargetLimit(TypedDict, closed=True):
+    """
+    A limit of requests a second that a target names, or its end.
+    """
+
+    type: Literal['target_limit']
+    process: str
+    limit_per_s: NotRequired[float]
+    turns: float
+
+
 class Suspects(TypedDict, closed=True):
     """
     Digests of requests that were in flight when targets died.
@@ -620,4 +631,5 @@
     | CatalogWanted
     | TargetPace
     | FullTarget
+    | TargetLimit
 )
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -18,6 +18,7 @@
 from hemlocktiller._internal.gateway import request_context
 from hemlocktiller._internal.gateway import streams
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.gateway import waiting_calls
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import plain_loads
@@ -132,6 +133,7 @@
             crashes.CrashEvidence(self.reactor),
             "dc-a",
             "gateway-1",
+            waiting_calls.WaitingCalls(self.reactor, self.targets),
         )
         self.dispatcher = dispatcher_module.Dispatcher(
             self.reactor, self.targets, "dc-a", random.Random(1)
--- a/tests/unit/gateway/named_limit_fleet.py
+++ b/tests/unit/gateway/named_limit_fleet.py
@@ -83,6 +83,9 @@
             ),
             random.Random(name),
         )
+        limits = self.harness.targets.limits
+        limits.turns.turn_order = self.peers.turn_order
+        limits.on_announcement = self.peers.broadcast_limit
 
 
 class Fleet:
@@ -180,23 +183,35 @@
     return make_target(name, service="plain", accelerator="", slots=6)
 
 
-def starts_calls(service, route, count=1):
-    """Returns a function that starts calls at a gateway."""
+def starts_calls(service, route, *callers):
+    """Returns a function that starts calls at a gateway.
+
+    Args:
+        service: The service.
+        route: The route.
+        callers: Fields of the admitted calls that are started at each step;
+            one call without any by default.
+    """
 
     def start(gateway):
-        for _ in range(count):
-            admitted = gateway.harness.admit(service, route)
-            gateway.calls.append(admitted.caller_request)
+        for fields in callers or ({},):
+            admitted = gateway.harness.admit(service, route)._replace(**fields)
+            gateway.calls.append(admitted)
             gateway.harness.start_call(admitted)
 
     return start
 
 
-def statuses(fleet):
-    """Returns the statuses of all calls that have ended, in order."""
+def ended_calls(fleet):
+    """Returns the calls that have ended, in order for each gateway."""
     return [
-        call.status
+        call
         for gateway in fleet.gateways.values()
         for call in gateway.calls
-        if call.ending
+        if call.caller_request.ending
     ]
+
+
+def statuses(calls):
+    """Returns the statuses of calls."""
+    return [call.caller_request.status for call in calls]
