Keep reading registrations beside one that can't be read

What callers saw (a report of another operator): one odd entry, nested very deeply, with a number too large or a port out of range, made processes end or stop following the list.

Cause, found here with tests: the parser of the store's replies fails as a whole (RecursionError, numbers of thousands of digits, bytes that are no UTF-8), so that the watch retried for ever and no change of any target came through; 1e999 in a field raised OverflowError out of the decoder, and the rest of the listing was not applied; a port of 70000 or a host with a line break failed each request that chose it. The entry with agents had the same: a record without a field stopped the rest of its listing.

Change: store/reply_parser.py drops only the value that can't be read; values nested more than 64 levels aren't passed on; the platform's decoder and the entry check ranges; reports of targets, and gateways' own registrations, too.

--- a/src/hemlocktiller/_internal/entry/targets.py
+++ b/src/hemlocktiller/_internal/entry/targets.py
@@ -9,6 +9,7 @@
 from typing import Any
 from typing import NamedTuple
 
+import logbook
 import prometheus_client
 
 from hemlocktiller._internal.links import dialer
@@ -20,13 +21,40 @@
 from hemlocktiller._internal.policy import routing
 from hemlocktiller._internal.store import vms as vms_module
 
+log = logbook.Logger(__name__)
+
 TARGET_KIND = "target"
+# Larger numbers in a registration are of no target, and some can't be computed
+# with.
+MAX_RECORD_NUMBER = 1_000_000
+_RECORD_TEXTS = (
+    "target",
+    "host",
+    "admin_host",
+    "data_centre",
+    "vm",
+    "model",
+    "accelerator_kind",
+    "service",
+)
+_RECORD_NUMBERS = (
+    "port",
+    "admin_port",
+    "first_layer",
+    "end_layer",
+    "layer_count",
+    "max_running",
+)
 # A sound target goes on within this time after its silence is noticed.
 MAX_SILENCE_S = 2.0
 
 LIVE_TARGETS = prometheus_client.Gauge(
     "hemlocktiller_live_targets", "Targets with an open link"
 )
+REGISTRATIONS_IGNORED = prometheus_client.Counter(
+    "hemlocktiller_registrations_ignored",
+    "Stored registrations of targets that are none",
+)
 TARGET_DEATHS = prometheus_client.Counter(
     "hemlocktiller_target_deaths", "Targets seen to have died"
 )
@@ -145,12 +173,18 @@
         for name in deleted:
             self._remove(name)
         for stored in changed:
-            self._add_or_update(stored.value)
+            if is_valid_record(stored.value):
+                self._add_or_update(stored.value)
+            else:
+                REGISTRATIONS_IGNORED.inc()
+                log.warning("registration {} is ignored", stored.name)
 
     def add_peer_records(self, records: list[Any]) -> None:
         """Adds the targets that a peer knows and this entry doesn't."""
         for record in records:
-            if record["target"] not in self.by_name:
+            if record["target"] not in self.by_name and is_valid_record(
+                record
+            ):
                 self._add_or_update(record)
 
     def on_vms(self, vms: dict[str, vms_module.Vm]) -> None:
@@ -340,6 +374,28 @@
         LIVE_TARGETS.set(live_count)
 
 
+def is_valid_record(record: Any) -> bool:
+    """Returns whether a stored value is the registration of a target.
+
+    Any process may write objects of their kind.
+    """
+    return (
+        isinstance(record, dict)
+        and all(
+            isinstance(record.get(name), str) and record[name].isprintable()
+            for name in _RECORD_TEXTS
+        )
+        and all(
+            type(record.get(name)) is int
+            and 0 <= record[name] <= MAX_RECORD_NUMBER
+            for name in _RECORD_NUMBERS
+        )
+        and record["target"] != ""
+        and record["host"] != ""
+        and record["port"] in dialer.PORTS
+    )
+
+
 def chain_target(target: Target) -> chains.Target:
     """Returns the fields of a target from which chains are chosen."""
     record = target.record
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -700,7 +700,10 @@
     return (
         isinstance(value, dict)
         and isinstance(value.get("host"), str)
-        and isinstance(value.get("port"), int)
+        and value["host"].isprintable()
+        and value["host"] != ""
+        and type(value.get("port")) is int
+        and value["port"] in dialer.PORTS
     )
 
 
--- a/src/hemlocktiller/_internal/links/dialer.py
+++ b/src/hemlocktiller/_internal/links/dialer.py
@@ -15,6 +15,9 @@
 BACKOFF_FACTOR = 2.0
 
 
+PORTS = range(1, 65_536)
+
+
 class Address(NamedTuple):
     """Address at which a peer accepts links."""
 
--- a/src/hemlocktiller/_internal/store/objects.py
+++ b/src/hemlocktiller/_internal/store/objects.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from hemlocktiller._internal.store import reply_parser
 from hemlocktiller._internal.store import versions
 
 _ENVELOPE_FIELDS = {"writer", "nonce", "base_version", "data"}
@@ -89,6 +90,8 @@
 def parse_object(kind: str, body: dict, era: int = 0) -> StoredObject:
     """Converts an object of a reply, removing the envelope of its value.
 
+    A value that is nested too deeply to be passed on is None.
+
     Args:
         kind: Kind of the object.
         body: JSON object that the platform sent.
@@ -97,6 +100,8 @@
     value = body["value"]
     if _has_envelope(value):
         value = value["data"]
+    if isinstance(value, (dict, list)) and reply_parser.is_too_deep(value):
+        value = None
     version = versions.join(era, body["version"])
     return StoredObject(kind, body["name"], version, value)
 
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -6,7 +6,6 @@
 """
 
 import io
-import json
 import math
 from typing import NamedTuple
 from urllib import parse
@@ -21,6 +20,7 @@
 from hemlocktiller._internal import http_client
 from hemlocktiller._internal.schemas import entry_settings
 from hemlocktiller._internal.store import endpoints
+from hemlocktiller._internal.store import reply_parser
 
 MAX_IDLE_CONNECTIONS = 16
 # A listing of some thousand objects; a longer reply has no end.
@@ -162,7 +162,7 @@
                 f"the object API answered {response.code}"
             )
         era = self._parse_era(response.headers)
-        body = _parse_object(content)
+        body = reply_parser.parse_object(content)
         if body is None and not is_delimited:
             raise exceptions.WriteOutcomeUnknown(
                 "the object API closed the connection inside its answer"
@@ -194,18 +194,6 @@
     return http_headers.Headers(raw)
 
 
-def _parse_object(content):
-    """Returns the JSON object in a body, or None.
-
-    A part of an encoded object is never an object.
-    """
-    try:
-        document = json.loads(content)
-    except ValueError:
-        return None
-    return document if isinstance(document, dict) else None
-
-
 def _parse_retry_after_s(headers):
     """Returns the seconds in `Retry-After`; 0 without a usable number."""
     value = headers.getRawHeaders("Retry-After", [""])[-1]
