Check that an engine's results are those of the steps sent

Cause, found here: calls of an agent to its engine go over kept connections, and an answer was matched by its place alone. A second copy of an answer gave the next call the tokens of the one before, and the answer that was due came for the call after. Gateways open a connection for each request, and match Request-Id; the entry's services have connections of their own as well: no fault was found there.

Change: a result that names another sequence or token fails its call, any call that fails closes the idle connections, and orders go over their own. Engines that name neither are taken at their word, as before.

--- a/src/hemlocktiller/_internal/agent/engine_client.py
+++ b/src/hemlocktiller/_internal/agent/engine_client.py
@@ -114,7 +114,8 @@
         self._reactor = reactor
         self._settings = settings
         self._on_call_failed = on_call_failed
-        self._http = http_client.create_agent(reactor)
+        self._pool = http_client.create_pool(reactor)
+        self._http = http_client.create_agent(reactor, self._pool)
         self._pending_steps: list[_PendingStep] = []
         self._batch_running = False
         self._batch_scheduled = False
@@ -164,7 +165,10 @@
     def forward_order(
         self, kind: str, fencing_number: int, arguments: dict[str, str]
     ) -> defer.Deferred[http_client.Reply]:
-        """Forwards a control order to the engine, with its fencing number."""
+        """Forwards a control order to the engine, with its fencing number.
+
+        It uses a connection of its own, as the reply doesn't name the order.
+        """
         body = json.dumps(
             {
                 "kind": kind,
@@ -172,9 +176,8 @@
                 "arguments": arguments,
             }
         )
-        return http_client.send(
+        return http_client.send_once(
             self._reactor,
-            self._http,
             http_client.Request(
                 "POST",
                 self._url("orders"),
@@ -218,7 +221,12 @@
                 raise EngineFailed(
                     f"{len(results)} results for {len(batch)} steps"
                 )
+            for pending, result in zip(batch, results, strict=True):
+                _check_step(pending.step, result)
         except Exception as error:
+            # One of them may hold a second copy of an answer, or the answer
+            # that was due instead of one.
+            self._pool.closeCachedConnections()
             self._fail_batch(batch, str(error))
             return
         for pending, result in zip(batch, results, strict=True):
@@ -249,6 +257,21 @@
         return f"{self._settings['url']}/v1/{endpoint}"
 
 
+def _check_step(step: Step, result: Any) -> None:
+    """Checks that a result is that of a step, as far as it names one.
+
+    Raises:
+        EngineFailed: It is that of another step.
+    """
+    sequence = result.get("sequence", step.sequence)
+    token_index = result.get("token_index", step.token_index)
+    if (sequence, token_index) != (step.sequence, step.token_index):
+        raise EngineFailed(
+            f"the result of step {token_index} of {sequence} answers step"
+            f" {step.token_index} of {step.sequence}"
+        )
+
+
 def _resolve_step(done: defer.Deferred, result: Any) -> None:
     """Fires the Deferred of a step with its output or its error."""
     if "error" in result:
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -172,15 +172,22 @@
         pass
 
 
-def create_agent(reactor: Any) -> client.Agent:
-    """Returns an HTTP agent with a pool of persistent connections.
+def create_pool(reactor: Any) -> client.HTTPConnectionPool:
+    """Returns a pool of persistent connections.
 
-    The agent never retries a request, since only the caller knows whether it
-    may be repeated.
+    No request is retried, since only the caller knows whether it may be
+    repeated.
     """
     pool = client.HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
     pool.retryAutomatically = False
+    return pool
+
+
+def create_agent(
+    reactor: Any, pool: client.HTTPConnectionPool
+) -> client.Agent:
+    """Returns an HTTP agent that uses the connections of a pool."""
     return client.Agent(reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S)
 
 
@@ -192,7 +199,8 @@
 
     Args:
         reactor: Reactor that schedules the timeout.
-        http_agent: Agent that sends the request; see `create_agent`.
+        http_agent: Agent that sends the request; see `create_agent`. Its
+            connections may hold bytes of an earlier response.
         request: The request.
 
     Raises:
