--- a/tests/unit/gateway/test_calls.py
+++ b/tests/unit/gateway/test_calls.py
@@ -135,3 +135,40 @@
     admitted.caller_request.on_disconnect()
     assert connection.transport.disconnecting
     assert harness.finished
+
+
+def test_a_refusal_that_is_written_once_more_ends_no_other_call(
+    harness, plain_service, lookup_route, booking_route
+):
+    harness.register(make_plain_target("a"), make_plain_target("b"))
+    refused = harness.admit(plain_service, lookup_route)
+    harness.start_call(refused)
+    first = harness.accept_connection()
+    first.respond(NOT_RUN_RESPONSE)
+    harness.accept_connection().respond(OK_RESPONSE)
+    assert refused.caller_request.status == 200
+    running = harness.admit(plain_service, booking_route)
+    harness.start_call(running)
+    second = harness.accept_connection()
+    # Each call has a connection of its own.
+    first.respond(NOT_RUN_RESPONSE)
+    assert not running.caller_request.ending
+    assert harness.pending_connection_count() == 0
+    second.respond(OK_RESPONSE + NOT_RUN_RESPONSE)
+    assert running.caller_request.status == 200
+
+
+def test_a_refusal_of_another_request_is_no_proof_that_a_call_did_not_run(
+    harness, plain_service, booking_route
+):
+    harness.register(make_plain_target("a"), make_plain_target("b"))
+    admitted = harness.admit(plain_service, booking_route)
+    harness.start_call(admitted)
+    harness.accept_connection().respond(
+        NOT_RUN_RESPONSE.replace(b"Not-Run", b"Request-Id: r0\r\nNot-Run")
+    )
+    assert admitted.caller_request.status == 502
+    # The target is probed, and the call sent nowhere else.
+    while harness.pending_connection_count():
+        probe = harness.accept_connection()
+        assert probe.transport.value().startswith(b"GET")
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -647,3 +647,92 @@
     )
     assert admitted.caller_request.status == 502
     assert b"Signature" not in dict(admitted.caller_request.headers)
+
+
+ERROR_TEXT = b"HTTP/1.1 500 data: the whole head"
+
+
+@pytest.mark.parametrize("is_resumable", [True, False])
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+@pytest.mark.parametrize(
+    "status_and_headers",
+    [
+        b"500 Failed\r\nSignature: s\r\n",
+        b"500 Failed\r\n",
+        b"502 Bad\r\nSignature: s\r\n",
+        b"404 None\r\nSignature: s\r\n",
+        b"200 OK\r\n",
+        b"206 Part\r\nSignature: s\r\n",
+        b"204 Empty\r\nSignature: s\r\n",
+        b"301 Moved\r\nLocation: /\r\nSignature: s\r\n",
+        b"503 Busy\r\nNot-Run: 1\r\n",
+        b"503 Busy\r\nSignature: s\r\n",
+        b"421 Wrong\r\n",
+        b"200 OK\r\nSignature: s\r\nRequest-Id: r0\r\n",
+    ],
+)
+def test_an_error_of_the_next_target_never_shows_in_a_begun_stream(
+    harness,
+    model_service,
+    stream_route,
+    status_and_headers,
+    framing,
+    is_resumable,
+):
+    harness.register(*make_two_chains())
+    route = stream_route._replace(is_resumable=is_resumable)
+    admitted = harness.admit(model_service, route)
+    caller = admitted.caller_request
+    harness.start_stream(admitted)
+    first = harness.accept_connection()
+    first.respond(RESPONSE_HEAD + chunk(event(1)) + chunk(b"id: 2\nda"))
+    first.reset()
+    head = b"HTTP/1.1 " + status_and_headers
+    answers = {
+        "length": head
+        + b"Content-Length: %d\r\n\r\n" % len(ERROR_TEXT)
+        + ERROR_TEXT,
+        "chunked": head
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + chunk(ERROR_TEXT)
+        + RESPONSE_END,
+        "close": head + b"\r\n" + ERROR_TEXT,
+    }
+    for _ in range(40):
+        for connection in answer_reports(harness):
+            # What the next one sends comes in two parts.
+            data = answers[framing]
+            connection.respond(data[:60])
+            if not connection.transport.disconnecting:
+                connection.respond(data[60:])
+            if framing == "close" and not connection.transport.disconnecting:
+                connection.close()
+        harness.advance_clock(0.1)
+    assert caller.body == event(1)
+    assert caller.ending == "cut"
+
+
+def test_a_stream_goes_on_after_an_error_of_the_next_target(
+    harness, model_service, stream_route
+):
+    harness.register(*make_two_chains())
+    admitted = harness.admit(
+        model_service, stream_route._replace(max_targets=3)
+    )
+    caller = admitted.caller_request
+    harness.start_stream(admitted)
+    first = harness.accept_connection()
+    first.respond(RESPONSE_HEAD + chunk(event(1)) + chunk(b"id: 2\nda"))
+    first.reset()
+    second = accept_attempt(harness, answering=["a0", "a40", "b0", "b40"])
+    second.respond(
+        b"HTTP/1.1 500 Failed\r\nSignature: s\r\nContent-Length: %d\r\n\r\n"
+        % len(ERROR_TEXT)
+        + ERROR_TEXT
+    )
+    third = accept_attempt(harness, answering=["a0", "a40", "b0", "b40"])
+    third.respond(
+        RESPONSE_HEAD + chunk(event(2)) + chunk(event(3)) + RESPONSE_END
+    )
+    assert caller.body == event(1) + event(2) + event(3)
+    assert caller.ending == "whole"
