Play targets that name limits in the soak of the gateways

One target or all of a service name a limit for 5 to 7 s beside the other faults, and the history is checked against the rule; gateways that were restarted or suspended are excused, and those that no answer has told.

--- a/tests/fakes/platform_target.py
+++ b/tests/fakes/platform_target.py
@@ -4,6 +4,7 @@
 before each event it calls every other stage of the path. Its streams can be
 made to end with their connection, some of them inside an event. Some parts of
 a prompt crash it before its first event. A plain target handles single calls.
+Both can be made to name a limit of requests a second, which they only count.
 Each run is appended to a journal file, which outlives a kill of the process.
 On SIGTERM the target registers as draining and stops after a delay.
 """
@@ -66,6 +67,8 @@
         self._heartbeat_count = 0
         # Share of streams that are broken off; None while streams have chunks.
         self._break_off_ratio = None
+        # Requests a second that it says it takes; None if it names no limit.
+        self._limit_per_s = None
         self._agent = client.Agent(reactor, connectTimeout=0.5)
 
     def send_heartbeat(self):
@@ -110,14 +113,15 @@
         """Handles a request of any method."""
         if self._is_draining:
             request.setHeader("Server-Leaving", "1")
+        if self._limit_per_s is not None:
+            request.setHeader("Server-Limit", str(self._limit_per_s))
         path = parse.urlsplit(request.uri.decode()).path
         if path == "/api/report":
             return _json_body(request, self._report_body())
         if path == "/api/order":
             return self._apply_order(request)
         if path == "/faults":
-            faults = json.loads(request.content.read())
-            self._break_off_ratio = faults["break_off_ratio"]
+            self._set_faults(json.loads(request.content.read()))
             return b""
         if path == "/health":
             request.setHeader("Instance-Id", self.id)
@@ -135,12 +139,22 @@
             return b""
         if not self._accepts(request):
             return b""
+        if self._limit_per_s is not None:
+            request_id = request.getHeader("Request-Id")
+            self._append_journal("limited_arrival", request_id, 0)
         if self._options.service == "model":
             stream = defer.Deferred.fromCoroutine(self._stream(request))
             stream.addErrback(lambda _: request.loseConnection())
             return server.NOT_DONE_YET
         return self._handle_call(request)
 
+    def _set_faults(self, faults):
+        if "break_off_ratio" in faults:
+            self._break_off_ratio = faults["break_off_ratio"]
+        if "limit_per_s" in faults:
+            self._limit_per_s = faults["limit_per_s"]
+            self._append_journal("limit", "", 0, per_s=self._limit_per_s)
+
     def _accepts(self, request):
         expected_id = request.getHeader("Target-Instance")
         if expected_id and expected_id != self.id:
--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -58,6 +58,11 @@
 CRASH_DURATION_S = 18.0
 CRASH_RATIO = 0.25
 CRASH_RESTART_DELAY_S = 1.0
+LIMIT_FAULT = "limit_targets"
+LIMITS_PER_S = (0.4, 1.2, 3.0)
+# Limits begin early and outlast `CONTACT_S`, as they are checked after it.
+LIMIT_START_RANGE_S = (0.3, 1.5)
+LIMIT_DURATION_RANGE_S = (5.0, 7.0)
 # Share of the streams that targets then break off inside an event.
 BREAK_OFF_RATIO = 0.3
 ONE_WAY_MODES = ("no_requests", "no_answers")
@@ -93,6 +98,7 @@
         excludes_others: Whether all other faults are left out.
         mixed_silences: Times at which silences meet other events, each of a
             kind in `soak_silences.KINDS`.
+        limits: Times at which targets name a limit of requests a second.
     """
 
     restores: int = 0
@@ -101,6 +107,7 @@
     crashing_parts: int = 0
     excludes_others: bool = False
     mixed_silences: int = 0
+    limits: int = 0
 
 
 NO_EXTRA_FAULTS = ExtraFaults()
@@ -141,6 +148,13 @@
         )
         for _ in range(extra.mixed_silences)
     ]
+    faults += [
+        _draw_fault(rng, (LIMIT_FAULT,))._replace(
+            at_s=rng.uniform(*LIMIT_START_RANGE_S),
+            duration_s=rng.uniform(*LIMIT_DURATION_RANGE_S),
+        )
+        for _ in range(extra.limits)
+    ]
     return sorted(faults)
 
 
@@ -283,6 +297,7 @@
         paused: Links to targets that were suspended for any duration.
         disturbed_gateways: Gateways that were killed, suspended or had their
             clock stepped.
+        restarted: Names of the gateways that were started again.
         deployment: The deployment.
         silencing: Held while targets are silent.
         errors: Messages of faults that could not be injected.
@@ -294,6 +309,7 @@
         self.ended: list[soak_checks.ImpairedLink] = []
         self.paused: list[soak_checks.ImpairedLink] = []
         self.disturbed_gateways: list[soak_checks.DisturbedGateway] = []
+        self.restarted: set[str] = set()
         self.errors: list[str] = []
         self.deployment = deployment
         self._numbers = itertools.count(1)
@@ -364,6 +380,7 @@
         )
 
     def _restart(self, gateway):
+        self.restarted.add(gateway.name)
         with self._restarting:
             while not gateway.running():
                 try:
@@ -557,6 +574,23 @@
                 self.replace_target(name)
         self._crashing_parts.remove(part)
 
+    def _limit_targets(self, fault):
+        """Lets one target, or all of a service, name a limit."""
+        name, target = self.select_target(fault)
+        targets = [target]
+        if fault.selector % 4:
+            service = "plain" if fault.selector % 2 else "model"
+            targets = [
+                target
+                for name, target in sorted(self.deployment.targets.items())
+                if name.startswith(service)
+            ]
+        limit_per_s = LIMITS_PER_S[fault.selector % len(LIMITS_PER_S)]
+        for limit, pause_s in ((limit_per_s, fault.duration_s), (None, 0.0)):
+            for target in targets:
+                _set_faults(target, limit_per_s=limit)
+            time.sleep(pause_s)
+
     def _undelimited_targets(self, fault):
         """Lets streams end with their connection, some inside an event."""
         models = [
@@ -566,7 +600,7 @@
         ]
         for ratio in (BREAK_OFF_RATIO, None):
             for target in models:
-                _set_break_off_ratio(target, ratio)
+                _set_faults(target, break_off_ratio=ratio)
             time.sleep(fault.duration_s)
 
     def _config(self, fault):
@@ -578,7 +612,7 @@
             return
 
 
-def _set_break_off_ratio(target, ratio):
+def _set_faults(target, **faults):
     """Sets the faults of a target, unless another fault has stopped it."""
     connection = http.client.HTTPConnection(
         target.address.host,
@@ -586,8 +620,7 @@
         timeout=soak_checks.CALLER_TIMEOUT_S,
     )
     try:
-        body = json.dumps({"break_off_ratio": ratio})
-        connection.request("POST", "/faults", body)
+        connection.request("POST", "/faults", json.dumps(faults))
         connection.getresponse().read()
     except (OSError, http.client.HTTPException):
         return
@@ -670,6 +703,14 @@
             problems.extend(
                 soak_checks.check_crashes(callers.exchanges, journal)
             )
+        disturbed_names = {one.name for one in injector.disturbed_gateways}
+        problems.extend(
+            soak_checks.check_limits(
+                callers.exchanges,
+                deployment.read_journal(),
+                disturbed_names | injector.restarted,
+            )
+        )
         problems.extend(injector.errors)
         problems.extend(_check_recovery(deployment))
         return problems, callers.exchanges
@@ -776,6 +817,12 @@
         default=0,
         help="parts of prompts a seed that crash targets",
     )
+    parser.add_argument(
+        "--limits",
+        type=int,
+        default=0,
+        help="times a seed at which targets name a limit",
+    )
     parser.add_argument(
         "--only",
         action="store_true",
@@ -794,6 +841,7 @@
         options.crashing_parts,
         options.only,
         options.mixed_silences,
+        options.limits,
     )
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         results = list(
--- a/tests/functional/soak_checks.py
+++ b/tests/functional/soak_checks.py
@@ -23,6 +23,13 @@
     route["name"]: route["attempts"]
     for route in gateway_deployment.configuration(1)["routes"]
 }
+# Of a limit that a target names: the window in which requests are counted, the
+# share of it and the requests beyond it that are allowed, and the age of the
+# answer that has told a gateway.
+LIMIT_WINDOW_S = 4.0
+ALLOWED_LIMIT_RATIO = 1.5
+ALLOWED_EXTRA_REQUESTS = 5
+TOLD_AFTER_S = 0.5
 # Time in which bytes that a relay held back arrive after its fault ends.
 RELAY_FLUSH_S = 1.0
 
@@ -308,3 +315,52 @@
     return (
         row["address"] == link.address and link.from_s < row["at_s"] < until_s
     )
+
+
+def check_limits(exchanges, journal, excused_gateways) -> list[str]:
+    """Returns the targets that got more requests than the limit they named.
+
+    This is a pure function.
+
+    Args:
+        exchanges: Requests with their responses.
+        journal: What the targets recorded.
+        excused_gateways: Names of gateways that were restarted or suspended.
+    """
+    gateways = {one.request_id: one.gateway for one in exchanges}
+    limits: dict[str, tuple[float, float]] = {}
+    told_s: dict[tuple[str, str], float] = {}
+    counted_s: dict[tuple[str, float], list[float]] = {}
+    for row in sorted(journal, key=lambda row: row["at_s"]):
+        target = row["target"]
+        if row["what"] == "limit" and row["per_s"] is None:
+            limits.pop(target, None)
+        elif row["what"] == "limit":
+            limits[target] = row["at_s"], row["per_s"]
+        elif row["what"] == "limited_arrival" and target in limits:
+            gateway = gateways.get(row["request"])
+            at_s = row["at_s"]
+            named_s, per_s = limits[target]
+            since_s = told_s.setdefault((target, gateway), at_s)
+            if (
+                gateway not in excused_gateways
+                and at_s >= since_s + TOLD_AFTER_S
+                and at_s >= named_s + CONTACT_S
+            ):
+                counted_s.setdefault((target, per_s), []).append(at_s)
+    problems = []
+    for (target, per_s), times_s in counted_s.items():
+        most = max(
+            sum(first <= one < first + LIMIT_WINDOW_S for one in times_s)
+            for first in times_s
+        )
+        allowed = (
+            ALLOWED_LIMIT_RATIO * per_s * LIMIT_WINDOW_S
+            + ALLOWED_EXTRA_REQUESTS
+        )
+        if most > allowed:
+            problems.append(
+                f"{target} named a limit of {per_s} a second and got {most}"
+                f" requests in {LIMIT_WINDOW_S:.0f} s, {allowed:.0f} allowed"
+            )
+    return problems
--- a/tests/functional/test_gateway_soak.py
+++ b/tests/functional/test_gateway_soak.py
@@ -38,6 +38,9 @@
 # Each plays a part of prompts that crashes targets, and no other fault.
 CRASH_SEEDS = (900, 901)
 
+# Each plays targets that name limits, beside other faults.
+LIMIT_SEEDS = (1200, 1201)
+
 # An idle gateway stops within its grace period of 8 s.
 STOP_POLLS = 160
 
@@ -92,6 +95,35 @@
     assert any(exchange.crashing_part for exchange in exchanges)
 
 
+@pytest.mark.parametrize("seed", LIMIT_SEEDS)
+def test_gateways_keep_to_the_limits_of_targets(seed, tmp_path):
+    extra = gateway_soak.ExtraFaults(limits=2)
+    problems, exchanges = gateway_soak.run(seed, tmp_path, extra)
+    assert_all_kinds_served(problems, exchanges)
+
+
+def test_more_requests_than_a_limit_allows_are_a_violation():
+    journal = [
+        {"what": "limit", "target": "i-1", "at_s": 0.0, "per_s": 1.0},
+        *(
+            {
+                "what": "limited_arrival",
+                "target": "i-1",
+                "at_s": 0.1 + number * 0.3,
+                "request": f"r{number}",
+            }
+            for number in range(30)
+        ),
+    ]
+    exchanges = [
+        soak_checks.Exchange("lookup", f"r{number}", "g", 0, 200, b"", True)
+        for number in range(30)
+    ]
+    (finding,) = soak_checks.check_limits(exchanges, journal, ())
+    assert "named a limit of 1.0 a second and got 14" in finding
+    assert soak_checks.check_limits(exchanges, journal, {"g"}) == []
+
+
 def test_wall_clock_steps_have_no_effect(tmp_path):
     deployment = gateway_deployment.Deployment(tmp_path)
     try:
