Let limits decide only while they bind, and turns last a second longer

What callers would have seen: a target that names a limit far above what it serves (5000 a second) took the place of the check of the queue's length, so that requests waited for memory until they timed out.

Change: a limit decides on waiting and rejecting only while no target takes a request of this gateway now. A turn may be used for a second and until two later ones have begun, so that a gateway with few requests uses more of its turns; the most in 4 s is 5 times the limit and 3.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -107,12 +107,12 @@
             return
         service = self._admitted.service.name
         waiting_calls = self._context.waiting_calls
-        has_turn = not waiting_calls.has_waiting(service)
-        if has_turn and self._start_at_target():
-            return
-        if self._context.targets.limited_room(service) is None:
-            self._reject("no target has a free place")
-            return
+        if not waiting_calls.has_waiting(service):
+            if self._start_at_target():
+                return
+            if self._context.targets.binding_room(service) is None:
+                self._reject(waiting.FULL_REASON)
+                return
         now_s = self._context.reactor.seconds()
         waiting_calls.submit(
             waiting.WaitingCall(
--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -187,9 +187,9 @@
                 return
         if self._reject_without_targets(path_request, now_s):
             return
-        if self._targets.limited_room(path_request.service.name) is not None:
+        if self._targets.binding_room(path_request.service.name) is not None:
             self._enqueue(path_request, queue)
-            self._displace_excess(path_request.service.name, now_s)
+            self._displace_excess(path_request.service.name)
             return
         decision = admission.decide_wait(
             self._measure_queue(queue)._replace(
@@ -212,24 +212,24 @@
         self._update_waiting_gauge()
         self._schedule_processing()
 
-    def _displace_excess(self, service, now_s):
+    def _displace_excess(self, service):
         """Rejects what can't start in time, where all targets have limits.
 
         These are the last requests of those that are furthest over their
         share of the queue.
         """
-        limited_room = self._targets.limited_room(service)
-        if limited_room is None:
+        binding_room = self._targets.binding_room(service)
+        if binding_room is None:
             return
         queue = self._queue_for(service)
-        starts = target_limits.count_starts(limited_room, admission.MAX_WAIT_S)
+        starts = target_limits.count_starts(binding_room, admission.MAX_WAIT_S)
         while len(queue) > starts:
             path_request = self._waiting.pop(queue.displace().request_id)
             self._reject(
                 path_request,
                 self._targets.limits.return_after_s(
                     service,
-                    limited_room,
+                    binding_room,
                     len(queue),
                     path_request.time_left_s,
                 ),
@@ -289,14 +289,14 @@
         wait_s = self._targets.service_wait_s(service)
         if wait_s <= max(0.0, path_request.queue_item.deadline_s - now_s):
             return False
-        limited_room = self._targets.limited_room(service)
-        if limited_room is None:
+        binding_room = self._targets.binding_room(service)
+        if binding_room is None:
             self._reject(path_request, wait_s, "targets asked for a pause")
         else:
             self._reject(
                 path_request,
                 self._targets.limits.return_after_s(
-                    service, limited_room, 0, path_request.time_left_s
+                    service, binding_room, 0, path_request.time_left_s
                 ),
                 LIMITED_REASON,
             )
@@ -439,7 +439,7 @@
         for service, queue in self._queues.items():
             self._process_queue(queue, now_s)
             if len(queue):
-                self._displace_excess(service, now_s)
+                self._displace_excess(service)
         self._ranked.process(now_s)
         self._update_waiting_gauge()
         if self._waiting or self._resuming or len(self._ranked):
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -409,23 +409,25 @@
         ]
         return min(waits_s, default=0.0)
 
-    def limited_room(self, service: str) -> target_limits.Room | None:
+    def binding_room(self, service: str) -> target_limits.Room | None:
         """Returns what this process may start at a service under limits.
 
-        It is None unless all targets that requests are sent to name a limit.
+        It is None unless all targets that requests are sent to name a limit,
+        and none of them takes a request of this process now.
         """
         if not self.limits.turns:
             return None
         targets = self._first_targets(service)
         if not targets or not all(map(self.limits.is_limited, targets)):
             return None
-        return self.limits.turns.room(
+        room = self.limits.turns.room(
             (
                 (target.process_id, self.pause_left_s(target))
                 for target in targets
             ),
             self._reactor.seconds(),
         )
+        return room if room.wait_s > 0 else None
 
     def _first_targets(self, service):
         """Returns the targets of a service that requests are sent to."""
--- a/src/hemlocktiller/_internal/gateway/waiting_calls.py
+++ b/src/hemlocktiller/_internal/gateway/waiting_calls.py
@@ -20,7 +20,8 @@
 MAX_WAIT_S = 1.2
 MAX_WAIT_RATIO = 0.5
 POLL_INTERVAL_S = 0.05
-REASON = "limits of targets"
+LIMIT_REASON = "limits of targets"
+FULL_REASON = "no target has a free place"
 
 WAITING = prometheus_client.Gauge(
     "hemlocktiller_gateway_waiting_calls",
@@ -38,8 +39,8 @@
         workspace: Workspace that sent it.
         time_left_s: Time until its deadline.
         try_start: Sends it to a target; returns whether one took it.
-        reject: Rejects it, with the reason and the time to retry after, in
-            seconds.
+        reject: Rejects it, with the reason and, if limits are, the time to
+            retry after in seconds.
     """
 
     key: str
@@ -48,7 +49,7 @@
     workspace: str
     time_left_s: float
     try_start: Callable[[], bool]
-    reject: Callable[[str, float], None]
+    reject: Callable[..., None]
 
 
 class WaitingCalls:
@@ -117,7 +118,7 @@
             started[call.workspace] += 1
         if not len(queue):
             self._started.pop(service, None)
-        room = self._targets.limited_room(service)
+        room = self._targets.binding_room(service)
         starts = target_limits.count_starts(room, MAX_WAIT_S) if room else 0
         while len(queue) > starts:
             self._reject(self._calls[queue.last().request_id])
@@ -125,15 +126,15 @@
     def _reject(self, call):
         """Rejects a call, for its caller to return when there is room."""
         self._remove(call)
-        service = call.service
-        room = self._targets.limited_room(service)
-        retry_after_s = 0.0
-        if room is not None:
-            waiting = len(self._queues.get(service, ()))
-            retry_after_s = self._targets.limits.return_after_s(
-                service, room, waiting, call.time_left_s
-            )
-        call.reject(REASON, retry_after_s)
+        room = self._targets.binding_room(call.service)
+        if room is None:
+            call.reject(FULL_REASON)
+            return
+        waiting = len(self._queues.get(call.service, ()))
+        retry_after_s = self._targets.limits.return_after_s(
+            call.service, room, waiting, call.time_left_s
+        )
+        call.reject(LIMIT_REASON, retry_after_s)
 
     def _remove(self, call):
         del self._calls[call.key]
--- a/src/hemlocktiller/_internal/policy/target_limits.py
+++ b/src/hemlocktiller/_internal/policy/target_limits.py
@@ -6,10 +6,11 @@
 
 The requests that a target takes are numbered from the moment at which it named
 its limit, at the rate of the limit. Each number is the turn of one gateway, in
-the order of their names, and may be used until `SAVED_TURNS` later ones have
-begun. So any time has at most the turns that begin in it and these few,
-however many gateways there are. Gateways tell each other which turn has begun,
-and the highest one counts; a gateway that restarts learns it with the limit.
+the order of their names, and may be used for `SAVED_S` and until `SAVED_TURNS`
+later ones have begun. So any time has at most the turns that begin in it and
+these few, however many gateways there are. Gateways tell each other which turn
+has begun, and the highest one counts; a gateway that restarts learns it with
+the limit.
 
 A limit begins with the first answer that names it, and ends with an answer to
 a later request that names none. One that can't be read does neither. The
@@ -28,8 +29,9 @@
 MIN_LIMIT_PER_S = 1 / 60
 # No target serves as many, so the share of each gateway is no limit any more.
 MAX_LIMIT_PER_S = 100_000.0
-# Turns that have begun and may still be used, as a gateway may have no request
-# at the moment of its turn.
+# How long a turn may be used, as a gateway may have no request at the moment
+# when it begins: this time, and until so many later turns have begun.
+SAVED_S = 1.0
 SAVED_TURNS = 2
 MAX_PROCESSES = 10_000
 # Shortest time between two announcements of a limit, and the same for each
@@ -119,8 +121,9 @@
                     self.last_used_turn, math.floor(turns)
                 )
             self._order = order
+        saved_turns = SAVED_TURNS + SAVED_S * (self.per_s or 0.0)
         earliest = max(
-            self.last_used_turn + 1, math.floor(turns - SAVED_TURNS) + 1
+            self.last_used_turn + 1, math.floor(turns - saved_turns) + 1
         )
         return earliest + (order.index - earliest - self.offset) % order.count
 
--- a/tests/unit/gateway/test_named_limits.py
+++ b/tests/unit/gateway/test_named_limits.py
@@ -1,7 +1,11 @@
 """Targets that name the requests a second that they take."""
 
+import random
+
 import pytest
 
+from hemlocktiller._internal.gateway import calls as calls_module
+from hemlocktiller._internal.policy import plain_loads
 from tests.unit.gateway.conftest import make_target
 from tests.unit.gateway.named_limit_fleet import allowed_requests
 from tests.unit.gateway.named_limit_fleet import CONTACT_S
@@ -367,3 +371,55 @@
     assert [
         gateway.peers.turn_order().count for gateway in fleet.gateways.values()
     ] == [1, 2, 2]
+
+
+def test_the_more_urgent_stream_gets_the_next_turn(
+    harness, model_service, stream_route
+):
+    harness.register(*make_two_chains()[:2])
+    harness.start_stream(harness.admit(model_service, stream_route))
+    harness.accept_connection().respond(LIMITED_HEAD.replace(b"0.5", b"1.0"))
+    # It uses the turn that began as the limit was named.
+    harness.start_stream(
+        harness.admit(model_service, stream_route, prompt_tokens=10)
+    )
+    harness.reactor.advance(0.85)
+    started = harness.pending_connection_count()
+    for rank in (1, 0):
+        admitted = harness.admit(
+            model_service,
+            stream_route,
+            request_id=f"rank-{rank}",
+            prompt_tokens=10,
+            expected_output_tokens=10,
+            forwarded=[(b"Host", b"h"), (b"Rank", b"%d" % rank)],
+        )
+        harness.start_stream(admitted._replace(rank=rank))
+    assert harness.pending_connection_count() == started
+    harness.reactor.advance(0.2)
+    assert harness.pending_connection_count() == started + 1
+    for _ in range(started):
+        harness.accept_connection()
+    request = harness.accept_connection().transport.value()
+    assert b"Rank: 0" in request
+
+
+def test_a_limit_above_what_targets_serve_keeps_no_request_waiting(
+    harness, plain_service, lookup_route
+):
+    harness.register(plain_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.record_response_head(target, 200, [(b"Limit", b"5000")])
+    harness.reactor.advance(1.0)
+    slots = 2 * target.slots
+    calls = [
+        harness.admit(plain_service, lookup_route) for _ in range(slots + 5)
+    ]
+    loads = plain_loads.PlainLoads()
+    for number, admitted in enumerate(calls):
+        calls_module.Call(
+            harness.context, loads, random.Random(1), admitted, id
+        ).start()
+        harness.reactor.advance(0.001)
+        is_rejected = admitted.caller_request.status == 503
+        assert is_rejected == (number >= slots)
