--- a/src/hemlocktiller/_internal/gateway/limited_targets.py
+++ b/src/hemlocktiller/_internal/gateway/limited_targets.py
@@ -10,9 +10,6 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import target_limits
 
-# Pause between two polls of the report of a target with a limit.
-POLL_INTERVAL_S = 4.0
-
 LIMITED = prometheus_client.Gauge(
     "hemlocktiller_targets_limited",
     "Processes of targets that name a limit of requests a second",
@@ -43,7 +40,6 @@
         )
         self._reactor = reactor
         self._return_times = target_limits.ReturnTimes()
-        self._polled_s: dict[str, float] = {}
 
     def is_limited(self, target: fleet.Target) -> bool:
         """Returns whether a target names a limit."""
@@ -89,15 +85,7 @@
 
     def try_poll(self, target: fleet.Target) -> bool:
         """Returns whether a target's report may be polled now."""
-        if not self.is_limited(target):
-            self._polled_s.pop(target.process_id, None)
-            return True
-        now_s = self._reactor.seconds()
-        polled_s = self._polled_s.get(target.process_id)
-        if polled_s is not None and now_s - polled_s < POLL_INTERVAL_S:
-            return False
-        self._polled_s[target.process_id] = now_s
-        return True
+        return self.turns.try_poll(target.process_id, self._reactor.seconds())
 
     def record_response_head(
         self,
--- a/src/hemlocktiller/_internal/policy/target_limits.py
+++ b/src/hemlocktiller/_internal/policy/target_limits.py
@@ -38,6 +38,8 @@
 # gateway: an announcement goes to all of them.
 MIN_ANNOUNCEMENT_INTERVAL_S = 1.0
 ANNOUNCEMENT_INTERVAL_PER_GATEWAY_S = 0.1
+# Pause between two polls of the report of a process with a limit.
+POLL_INTERVAL_S = 4.0
 # Callers that are rejected are told to return after this time at most.
 MAX_RETURN_S = 60.0
 
@@ -96,6 +98,7 @@
         self.is_named_to_probes = False
         self.announced_per_s: float | None = None
         self.announced_s = -math.inf
+        self.polled_s = -math.inf
 
     def count_turns(self, now_s: float) -> float:
         """Returns the turns that have begun by now."""
@@ -249,6 +252,16 @@
                 self.turn_order(), limit.count_turns(now_s)
             )
 
+    def try_poll(self, process_id: str, now_s: float) -> bool:
+        """Returns whether a process may be polled now, and counts the poll."""
+        limit = self._limits.get(process_id)
+        if limit is None or limit.per_s is None:
+            return True
+        if now_s - limit.polled_s < POLL_INTERVAL_S:
+            return False
+        limit.polled_s = now_s
+        return True
+
     def room(self, waits_s: Iterable[tuple[str, float]], now_s: float) -> Room:
         """Returns what this gateway may start at processes with limits.
 
