--- a/tests/unit/test_policy_limits.py
+++ b/tests/unit/test_policy_limits.py
@@ -50,6 +50,17 @@
     assert workspace_limits.running("w") == 8
 
 
+@pytest.mark.parametrize("entries", [4, 420])
+def test_entries_together_admit_no_more_than_the_burst_of_a_workspace(
+    entries,
+):
+    admitted = sum(
+        len(admit_many(limits.WorkspaceLimits(), 2, 0.0, entries))
+        for _ in range(entries)
+    )
+    assert admitted <= LIMITS["burst_requests"]
+
+
 def test_each_entry_admits_at_least_one_request(workspace_limits):
     small_limits = {**LIMITS, "burst_requests": 1.0, "running_requests": 1}
     assert workspace_limits.admit("w", small_limits, 100, 0.0).allowed
