--- a/src/hemlocktiller/_internal/gateway/dispatcher.py
+++ b/src/hemlocktiller/_internal/gateway/dispatcher.py
@@ -436,7 +436,7 @@
             if choice is not None:
                 del self._resuming[request_key]
                 self._start_request(path_request, choice)
-        for service, queue in self._queues.items():
+        for service, queue in list(self._queues.items()):
             self._process_queue(queue, now_s)
             if len(queue):
                 self._displace_excess(service)
