--- a/tests/functional/gateway_soak.py
+++ b/tests/functional/gateway_soak.py
@@ -297,7 +297,7 @@
         paused: Links to targets that were suspended for any duration.
         disturbed_gateways: Gateways that were killed, suspended or had their
             clock stepped.
-        restarted: Names of the gateways that were started again.
+        restarted: Names of the gateways that were told to stop.
         deployment: The deployment.
         silencing: Held while targets are silent.
         errors: Messages of faults that could not be injected.
@@ -354,6 +354,7 @@
 
     def _term_gateway(self, fault):
         gateway = self._select_gateway(fault)
+        self.restarted.add(gateway.name)
         gateway.terminate()
         try:
             gateway.wait(180)
@@ -380,7 +381,6 @@
         )
 
     def _restart(self, gateway):
-        self.restarted.add(gateway.name)
         with self._restarting:
             while not gateway.running():
                 try:
