Bear requests that come while waiting calls are rejected

A caller's next request on its connection may be served inside the answer that rejects the one before, and change the queue that is being worked off. Found by reading; the new test of such callers passes before and after, so no failure was shown.

--- a/src/hemlocktiller/_internal/gateway/waiting_calls.py
+++ b/src/hemlocktiller/_internal/gateway/waiting_calls.py
@@ -101,11 +101,17 @@
         self._schedule()
 
     def _process_service(self, service):
-        """Starts what has its turn, and rejects what can't start in time."""
+        """Starts what has its turn, and rejects what can't start in time.
+
+        The next request on a connection may come as one on it is rejected.
+        """
         now_s = self._reactor.seconds()
-        queue = self._queues[service]
+        queue = self._queues.get(service, ())
+        if not queue:
+            return
         for item in queue.expired(now_s):
-            self._reject(self._calls[item.request_id])
+            if item.request_id in self._calls:
+                self._reject(self._calls[item.request_id])
         while len(queue):
             item = queue.first(
                 queue.orders()[0], self._started.get(service, {})
--- a/tests/unit/gateway/test_named_limits.py
+++ b/tests/unit/gateway/test_named_limits.py
@@ -423,3 +423,37 @@
         harness.reactor.advance(0.001)
         is_rejected = admitted.caller_request.status == 503
         assert is_rejected == (number >= slots)
+
+
+def test_calls_that_follow_rejected_ones_at_once_are_answered(
+    harness, plain_service, lookup_route
+):
+    harness.register(plain_target("a"))
+    target = harness.targets.by_name["a"]
+    harness.targets.record_response_head(target, 200, [(b"Limit", b"1")])
+    harness.start_call(harness.admit(plain_service, lookup_route))
+    calls = []
+
+    def start_follower(left):
+        admitted = harness.admit(plain_service, lookup_route)
+        caller = admitted.caller_request
+        calls.append(caller)
+        respond = caller.respond
+
+        def respond_and_follow(*response):
+            respond(*response)
+            if left:
+                start_follower(left - 1)
+
+        caller.respond = respond_and_follow
+        harness.start_call(admitted)
+
+    for _ in range(6):
+        start_follower(5)
+    harness.reactor.advance(0.3)
+    for _ in range(6):
+        start_follower(5)
+    for _ in range(60):
+        harness.reactor.advance(0.1)
+    assert not harness.context.waiting_calls.has_waiting("plain")
+    assert all(caller.status for caller in calls)
