--- a/review/support/lab.py
+++ b/review/support/lab.py
@@ -183,9 +183,7 @@
 
     def start(self, name, command):
         """Starts a stand-in."""
-        child = Child(
-            self, name, command, {"PYTHONPATH": self._python_path}
-        )
+        child = Child(self, name, command, {"PYTHONPATH": self._python_path})
         self.children.append(child)
         return child
 
--- a/review/support/replica.py
+++ b/review/support/replica.py
@@ -129,7 +129,9 @@
         if path == "/control":
             return await self.apply_control(json.loads(body), writer)
         if path == "/health":
-            return await self.answer(writer, 200, b"", {"Instance-Id": self.id})
+            return await self.answer(
+                writer, 200, b"", {"Instance-Id": self.id}
+            )
         if path.startswith("/api/"):
             return await self.answer(writer, 404, b"", {})
         return await self.run(method, path, headers, writer)
@@ -200,7 +202,8 @@
     server = await asyncio.start_server(
         replica.serve_connection, "127.0.0.1", replica.options.port
     )
-    replica.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    port = server.sockets[0].getsockname()[1]
+    replica.address = f"127.0.0.1:{port}"
     replica.record("start", id=replica.id, pid=os.getpid())
     print(f"listening {replica.address}", flush=True)
     await replica.beat_forever()
