Log condemned requests, evidence of peers and delayed removals

Hypotheses for DENIED, written before any change of logic: 1. Gateways that don't serve a path add up the deaths that a peer reports, and never learn of its successes. Then they log reports of one peer, one for each death, far apart, and the peer itself condemns nothing. 2. The gateways see the deaths by their own probes and blame the request for them. Then they log deaths of their own under its digest. 3. The serving gateway condemns the path for a moment and passes that on. Then it logs the condemnation too.

Hypotheses for DRAIN: 1. The store or the link to it fails as a gateway stops. Then polls of the other kinds and of other gateways fail too. 3. The new watcher polls late: its pause of a follower goes on. Then the removal is applied late, and not delayed.

--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -71,7 +71,10 @@
 
     def __init__(self, reactor: Any) -> None:
         self.feed = suspects_feed.SuspectsFeed(
-            reactor, SUSPECT_SETTINGS, relays=False
+            reactor,
+            SUSPECT_SETTINGS,
+            relays=False,
+            on_condemned=_log_condemned_request,
         )
         self.part_feed = part_evidence_feed.PartEvidenceFeed(
             reactor,
@@ -215,6 +218,12 @@
                 del self._failures_by_process[process_id]
 
 
+def _log_condemned_request(request_digest, targets):
+    events.emit(
+        "request_condemned", digest=f"{request_digest:x}", targets=targets
+    )
+
+
 def digest(workspace: str, uri: bytes, body: bytes) -> int:
     """Returns the digest that identifies repeats of the same request."""
     return suspects.digest(workspace, uri + b"\0" + body)
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -846,6 +846,9 @@
         if delay_s <= 0 or self.by_name[name].state != fleet.READY:
             self._remove(name)
             return
+        events.emit(
+            "target_removal_delayed", target=name, delay_s=round(delay_s, 3)
+        )
         self._removal_timers[name] = self._reactor.callLater(
             delay_s, self._on_grace_over, name
         )
--- a/src/hemlocktiller/_internal/links/suspects_feed.py
+++ b/src/hemlocktiller/_internal/links/suspects_feed.py
@@ -4,6 +4,7 @@
 that is asked to run a suspect has therefore received the evidence against it.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
@@ -30,12 +31,17 @@
         settings: Time for which evidence is kept.
         relays: Whether a peer's evidence is forwarded to the other links;
             not needed where each process is linked to all others.
+        on_condemned: See `Suspects`.
     """
 
     def __init__(
-        self, reactor: Any, settings: Any, relays: bool = True
+        self,
+        reactor: Any,
+        settings: Any,
+        relays: bool = True,
+        on_condemned: Callable[[int, list[str]], None] | None = None,
     ) -> None:
-        self.suspects = suspects.Suspects(settings)
+        self.suspects = suspects.Suspects(settings, on_condemned=on_condemned)
         self._relays_evidence = relays
         self._reactor = reactor
         self._links: set[link_module.Link] = set()
@@ -95,6 +101,13 @@
         """Merges a peer's evidence and forwards the new entries."""
         now_s = self._reactor.seconds()
         new_entries = self.suspects.merge(message["entries"], now_s)
+        for entry in new_entries:
+            log.info(
+                "{} reports the death of {} under request {:x}",
+                link.peer["name"],
+                ", ".join(entry["targets"]),
+                entry["digest"],
+            )
         if self._relays_evidence:
             self._broadcast(new_entries, link)
 
--- a/src/hemlocktiller/_internal/policy/suspects.py
+++ b/src/hemlocktiller/_internal/policy/suspects.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Literal
@@ -73,11 +74,17 @@
     Args:
         settings: Time for which evidence is kept.
         max_records: Maximum number of digests; the oldest are dropped first.
+        on_condemned: Called with a digest and the targets whose deaths
+            condemn it, before the delay.
     """
 
     def __init__(
-        self, settings: entry_settings.Retries, max_records: int = MAX_RECORDS
+        self,
+        settings: entry_settings.Retries,
+        max_records: int = MAX_RECORDS,
+        on_condemned: Callable[[int, list[str]], None] | None = None,
     ) -> None:
+        self._on_condemned = on_condemned
         self._ttl_s = settings["suspect_ttl_s"]
         self._max_records = max_records
         self._records: dict[int, _Record] = {}
@@ -215,7 +222,7 @@
         record = record or self._add_record(entry["digest"])
         ttl_s = min(self._ttl_s, entry["expires_in_s"])
         record.expires_at_s = max(record.expires_at_s, now_s + ttl_s)
-        _add_targets(record, targets, now_s)
+        self._add_targets(entry["digest"], record, targets, now_s)
         return True
 
     def _add_death(
@@ -230,12 +237,27 @@
         if target in record.targets:
             return
         if implicated:
-            _add_targets(record, {target}, now_s)
+            self._add_targets(digest, record, {target}, now_s)
             return
         record.ambiguous_targets.add(target)
         if len(record.ambiguous_targets) >= AMBIGUOUS_DEATHS_TO_IMPLICATE:
             record.ambiguous_targets.clear()
-            _add_targets(record, {target}, now_s)
+            self._add_targets(digest, record, {target}, now_s)
+
+    def _add_targets(
+        self, digest: int, record: _Record, targets: set[str], now_s: float
+    ) -> None:
+        """Adds deaths that implicate a request; enough of them condemn it.
+
+        The request counts as condemned after `CONDEMNATION_DELAY_S`.
+        """
+        count_before = len(record.targets)
+        record.targets |= targets
+        if count_before < DEATHS_TO_CONDEMN <= len(record.targets):
+            record.condemned_at_s = now_s + CONDEMNATION_DELAY_S
+            CONDEMNED.inc()
+            if self._on_condemned is not None:
+                self._on_condemned(digest, sorted(record.targets))
 
     def _must_run_apart(
         self, digest: int, other: int, other_running_s: float, now_s: float
@@ -296,18 +318,6 @@
         return record
 
 
-def _add_targets(record: _Record, targets: set[str], now_s: float) -> None:
-    """Adds deaths that implicate a request; enough of them condemn it.
-
-    The request counts as condemned after `CONDEMNATION_DELAY_S`.
-    """
-    count_before = len(record.targets)
-    record.targets |= targets
-    if count_before < DEATHS_TO_CONDEMN <= len(record.targets):
-        record.condemned_at_s = now_s + CONDEMNATION_DELAY_S
-        CONDEMNED.inc()
-
-
 def _is_condemned(record: _Record, now_s: float) -> bool:
     """Returns whether a request has enough deaths and the delay is over."""
     has_enough_deaths = len(record.targets) >= DEATHS_TO_CONDEMN
--- a/src/hemlocktiller/_internal/process.py
+++ b/src/hemlocktiller/_internal/process.py
@@ -91,7 +91,9 @@
         settings,
         local_identity,
         feed,
-        suspects_feed.SuspectsFeed(reactor, suspect_settings),
+        suspects_feed.SuspectsFeed(
+            reactor, suspect_settings, on_condemned=_log_condemned_request
+        ),
         part_evidence_feed.PartEvidenceFeed(
             reactor, suspect_settings, on_condemned=_log_condemned_part
         ),
@@ -102,6 +104,14 @@
     )
 
 
+def _log_condemned_request(digest: int, targets: list[str]) -> None:
+    log.warning(
+        "request {:016x} condemned after the deaths of {}",
+        digest,
+        ", ".join(targets),
+    )
+
+
 def _log_condemned_part(part: int, death_count: int) -> None:
     log.warning(
         "prompt part {:016x} condemned after the deaths of {} targets",
