Tell peers of responses, and try a popular request before rejecting it

Cause: deaths of targets are told to all peers, responses to none. A popular request is under way on whatever target dies. The gateway that serves it clears it with the next response; each other one adds up the deaths of ten minutes, condemns it at the second, sends nothing from then on, and so never learns better. With no response between two deaths (both of two targets die at once) the serving gateway condemns it as well.

Change: a response drops the evidence at all peers. It names the deaths that it follows instead of its time: times told by peers grow by the latency of each hop, and would drop later deaths. A process that knows a response to a request that is reported tells the reporter, which passes that on. A request that had a response anywhere is not condemned by deaths: it is half-open, and one trial at once, after 10 s and after 60 s decides, by turns of the processes. All others get 503 with the time to return. A request that never had a response is condemned as before. Both builds share the feed.

A larger number of deaths was ruled out: longer runs or more targets reach any number.

--- a/src/hemlocktiller/_internal/agent/app.py
+++ b/src/hemlocktiller/_internal/agent/app.py
@@ -29,6 +29,7 @@
 from hemlocktiller._internal.links import listener
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import prefixes as prefixes_module
+from hemlocktiller._internal.policy import suspects as suspects_module
 
 LOAD_REPORT_INTERVAL_S = 1.0
 CONFIG_CHECK_INTERVAL_S = 2.0
@@ -398,7 +399,8 @@
 
     def _may_go_on(self, digest: int) -> bool:
         """Returns whether a request needs no decision of its entry now."""
-        return self.process.suspects.state(digest) in ("clear", "suspect")
+        state = self.process.suspects.state(digest)
+        return state in suspects_module.STATES_TO_RUN
 
     def _preempt(self, key: stage_runs.AttemptKey) -> None:
         self.first_stage_runner.preempt(key)
@@ -482,6 +484,7 @@
                 "heartbeat": process.feed.on_message,
                 "config": process.feed.on_message,
                 "suspects": process.suspects.on_message,
+                "responses_seen": process.suspects.on_message,
                 "part_evidence": process.part_evidence.on_message,
                 "vm_leaving": self._on_vm_leaving,
                 "order": self._orders.on_order,
--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -18,6 +18,7 @@
 from hemlocktiller._internal.observe import admin
 from hemlocktiller._internal.policy import budget
 from hemlocktiller._internal.policy import costs
+from hemlocktiller._internal.policy import rendezvous
 from hemlocktiller._internal.store import client
 from hemlocktiller._internal.store import vms as vms_module
 from hemlocktiller._internal.store import watch
@@ -103,6 +104,11 @@
             self.settings["name"]: self.settings["data_centre"]
         }
         self.registry.entry_count = lambda: len(self._entry_data_centres)
+        self.process.suspects.trial_turn = lambda digest: rendezvous.rank(
+            self.settings["name"],
+            self._entry_data_centres,
+            f"trial/{digest:x}",
+        )
         self.registry.context = request_context.RequestContext(
             self.reactor,
             self.settings,
@@ -336,7 +342,7 @@
         link = target.dialer.link
         if message["type"] in ("heartbeat", "config"):
             self.process.feed.on_message(link, message)
-        elif message["type"] == "suspects":
+        elif message["type"] in ("suspects", "responses_seen"):
             self.process.suspects.on_message(link, message)
         elif message["type"] == "part_evidence":
             self.process.part_evidence.on_message(link, message)
--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -53,6 +53,7 @@
         self._on_error = on_error
         self._excluded_targets: set[str] = set()
         self._may_have_run = False
+        self._is_trial = False
         self._failed_attempts = 0
         self._retry_after_s = DEFAULT_RETRY_AFTER_S
         plan = call.caller.workspace_view.plan
@@ -184,7 +185,7 @@
         """
         state = self._context.suspects.state(self.call.request_digest)
         part = self._context.part_evidence.condemned_part(self.prompt_parts)
-        if part is not None or state in ("condemned", "undecided"):
+        if part is not None or state not in suspects.STATES_TO_RUN:
             return False
         try:
             self.call = request_context.reauthorize(self._context, self.call)
@@ -225,16 +226,45 @@
     def _is_blocked_as_suspect(self) -> bool:
         """Returns whether suspicion of crashing targets blocks the request.
 
-        Fails the request if it is condemned, and schedules another attempt
-        if this is undecided.
+        Fails the request if it is condemned, or half-open and not the next
+        trial, and schedules another attempt if this is undecided.
         """
-        state = self._context.suspects.state(self.call.request_digest)
+        digest = self.call.request_digest
+        state = self._context.suspects.state(digest)
         if state == "condemned":
             self._fail_as_crashing("targets died while they ran this request")
         elif state == "undecided":
             self._schedule_attempt(suspects.CONDEMNATION_DELAY_S)
+        elif state == "half_open":
+            return not self._try_trial(digest)
         return state in ("condemned", "undecided")
 
+    def _try_trial(self, digest: int) -> bool:
+        """Fails a half-open request unless it is the next trial.
+
+        While a trial is under way its result is soon known. A trial that no
+        target has begun goes on.
+
+        Returns:
+            Whether it is the trial.
+        """
+        if self._is_trial and not self._may_have_run:
+            return True
+        if self._context.suspects.try_trial(digest):
+            self._is_trial = True
+            return True
+        self._finish_with_error(
+            exceptions.Overloaded(
+                "targets died while they ran this request; it is on trial",
+                self._run_status,
+                max(
+                    suspects.CONDEMNATION_DELAY_S,
+                    self._context.suspects.trial_wait_s(digest),
+                ),
+            )
+        )
+        return False
+
     def _send(self, route: routes.Route) -> None:
         """Sends the next attempt to the target of a route."""
         self.attempt_number += 1
@@ -294,7 +324,7 @@
         """Records a success of the request and its target, and ends it."""
         now_s = self._context.reactor.seconds()
         self._context.retry_budget.record_success(now_s)
-        self._context.suspects.record_success(self.call.request_digest)
+        self._context.suspects.record_response(self.call.request_digest)
         self._context.targets.routing_state.circuit_breakers.record_success(
             self.target.name
         )
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -272,6 +272,7 @@
             self._rng,
             self._store_backoff,
         )
+        self._context.crash_evidence.feed.trial_turn = self._peers.trial_turn
         self._dispatcher.occupancy.count_gateways = self._peers.count_gateways
         self._layout_controller.on_announcement = self._peers.broadcast_layout
         self.targets.on_health = self._peers.broadcast_health
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -13,6 +13,7 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import plain_loads
 from hemlocktiller._internal.policy import plain_service
+from hemlocktiller._internal.policy import suspects
 
 # A repeatable call is sent to a second target once the first has taken this
 # share of the route's target latency; the second may still respond in time.
@@ -96,7 +97,8 @@
 
     def start(self) -> None:
         """Sends the call, unless it is known to crash targets."""
-        state = self._context.crash_evidence.state(self.digest)
+        evidence = self._context.crash_evidence
+        state = evidence.state(self.digest)
         if state == "condemned":
             self._reject_crashing_call()
             return
@@ -105,6 +107,11 @@
                 crashes.CONDEMNED_REASON, crashes.CONDEMNATION_DELAY_S
             )
             return
+        if state == "half_open" and not evidence.try_trial(self.digest):
+            self._reject(
+                crashes.HALF_OPEN_REASON, evidence.trial_wait_s(self.digest)
+            )
+            return
         service = self._admitted.service.name
         waiting_calls = self._context.waiting_calls
         if not waiting_calls.has_waiting(service):
@@ -237,8 +244,9 @@
             self._silence_hedge_count += 1
 
     def _may_run_again(self):
-        """Returns whether the route allows another run of the call."""
-        return attempts.may_run_again(
+        """Returns whether the route and crashes allow another run."""
+        state = self._context.crash_evidence.state(self.digest)
+        return state in suspects.STATES_TO_RUN and attempts.may_run_again(
             self._admitted.route.allowance,
             self._executed_attempts + len(self._active_attempts),
         )
@@ -352,14 +360,11 @@
         """
         if self._active_attempts:
             return
-        state = self._context.crash_evidence.state(self.digest)
-        if state == "condemned":
+        if self._context.crash_evidence.state(self.digest) == "condemned":
             self._reject_crashing_call()
             return
-        if state == "undecided":
-            # The time limit of a call is too short to wait for the decision.
-            self._finish_without_retry(reason)
-            return
+        # The time limit of a call is too short to wait for a decision or a
+        # trial.
         now_s = self._context.reactor.seconds()
         if (
             self._may_run_again()
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -34,6 +34,7 @@
 CONDEMNATION_DELAY_S = suspects.CONDEMNATION_DELAY_S
 CONDEMNED_STATUS = exceptions.CrashesTargets.http_status
 CONDEMNED_REASON = "targets went down as they began to run this request"
+HALF_OPEN_REASON = "targets went down under this request; it is on trial"
 CONDEMNED_PART_REASON = "targets went down on a part of this prompt"
 # Evidence is kept for as long as in an entry process, since callers retry
 # requests in the same way.
@@ -89,6 +90,17 @@
         """Returns the state of a request; see `Suspects.state`."""
         return self.feed.state(digest)
 
+    def try_trial(self, digest: int) -> bool:
+        """Returns whether a half-open request may run now, and counts it."""
+        return self.feed.try_trial(digest)
+
+    def trial_wait_s(self, digest: int) -> float:
+        """Returns when a caller of a half-open request should return, in s.
+
+        While a trial is under way its result is soon known.
+        """
+        return max(CONDEMNATION_DELAY_S, self.feed.trial_wait_s(digest))
+
     def has_condemned_part(self, prompt_parts: Sequence[int]) -> bool:
         """Returns whether a part of a prompt is known to crash targets."""
         return self.part_feed.condemned_part(prompt_parts) is not None
@@ -118,8 +130,7 @@
 
     def record_first_data(self, digest: int) -> None:
         """Clears a request that a target has returned data for."""
-        if len(self.feed.suspects):
-            self.feed.record_success(digest)
+        self.feed.record_response(digest)
 
     def record_output(self, prompt_parts: Sequence[int]) -> None:
         """Clears the parts of a prompt that a target has begun to answer."""
--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -296,6 +296,12 @@
             )
         return self._is_poller_by_target[target]
 
+    def trial_turn(self, digest: int) -> int:
+        """Returns the place of this process in the turns of a trial."""
+        return rendezvous.rank(
+            self._settings.name, self._linked_names(), f"trial/{digest:x}"
+        )
+
     def announce_config(self) -> None:
         """Tells peers the version of a configuration that was applied.
 
@@ -517,7 +523,7 @@
             self._hooks.targets.apply_peer_registration(
                 message["target"], message["version"], value
             )
-        elif message_type == "suspects":
+        elif message_type in ("suspects", "responses_seen"):
             self._hooks.suspects.on_message(link, message)
         elif message_type == "part_evidence":
             self._hooks.part_evidence.on_message(link, message)
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -18,6 +18,7 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import held_prompts
 from hemlocktiller._internal.policy import output_lengths
+from hemlocktiller._internal.policy import suspects
 
 # After this long without an event the targets of a stream are suspected to be
 # down; the slowest accelerator under load sends several events in this time.
@@ -288,7 +289,8 @@
     def _stopped_by_crash_evidence(self, proceed, *arguments):
         """Rejects a request that crashes targets, by itself or by a part.
 
-        While the evidence is undecided, `proceed` is called again later.
+        While the evidence is undecided, `proceed` is called again later. A
+        half-open request goes on only as its trial.
 
         Returns:
             Whether the caller of this method must stop.
@@ -300,8 +302,22 @@
             self._reject_crashing_request(crashes.CONDEMNED_REASON)
         elif state == "undecided":
             self._call_after(crashes.CONDEMNATION_DELAY_S, proceed, *arguments)
+        elif state == "half_open":
+            return self._stopped_without_trial()
         return state in ("condemned", "undecided")
 
+    def _stopped_without_trial(self):
+        """Ends a half-open request, unless it is the next trial."""
+        evidence = self._context.crash_evidence
+        if evidence.try_trial(self.digest):
+            return False
+        self._fail(
+            crashes.HALF_OPEN_REASON,
+            may_have_run=bool(self._started_at_targets),
+            retry_after_s=evidence.trial_wait_s(self.digest),
+        )
+        return True
+
     def _has_condemned_part(self):
         return self._context.crash_evidence.has_condemned_part(
             self.prompt_parts
@@ -603,7 +619,7 @@
             or not self._admitted.route.may_repeat
             or not self._may_dispatch_again(is_lost=False)
             or not self._may_spend_retry(now_s, is_lost=False)
-            or self._crash_state() in ("condemned", "undecided")
+            or self._crash_state() not in suspects.STATES_TO_RUN
         ):
             return
         dispatch_key = f"{self._dispatch_key}/{self._dispatch_count}"
@@ -625,7 +641,7 @@
         replacement = self._sought_replacement
         now_s = self._context.reactor.seconds()
         if (
-            self._crash_state() in ("condemned", "undecided")
+            self._crash_state() not in suspects.STATES_TO_RUN
             or self._has_condemned_part()
             or not self._spend_retry(now_s, is_lost=False)
         ):
--- a/src/hemlocktiller/_internal/links/link.py
+++ b/src/hemlocktiller/_internal/links/link.py
@@ -27,6 +27,7 @@
 # Newest first. Processes of an older version close the link on messages that
 # it does not have.
 SUBPROTOCOLS = (
+    "hemlocktiller.v1.4",
     "hemlocktiller.v1.3",
     "hemlocktiller.v1.2",
     "hemlocktiller.v1.1",
@@ -37,6 +38,7 @@
     "part_evidence": "hemlocktiller.v1.1",
     "layout": "hemlocktiller.v1.2",
     "target_limit": "hemlocktiller.v1.3",
+    "responses_seen": "hemlocktiller.v1.4",
 }
 AUTHORIZATION = "Authorization"
 ACTIVE_WINDOW_S = 20.0  # A link counts as active this long after work.
@@ -50,6 +52,7 @@
         "config",
         "layout",
         "part_evidence",
+        "responses_seen",
         "suspects",
         "targets",
         "targets_wanted",
--- a/src/hemlocktiller/_internal/policy/rendezvous.py
+++ b/src/hemlocktiller/_internal/policy/rendezvous.py
@@ -69,6 +69,21 @@
     )
 
 
+def rank(name: str, others: Iterable[str], duty: str) -> int:
+    """Returns the place of a process, from 0, in the order for a duty.
+
+    Args:
+        name: Name of the process.
+        others: Names of the other processes that it knows.
+        duty: Name of the duty.
+    """
+    own_score = score(name, duty), name
+    return sum(
+        (score(other, duty), other) > own_score
+        for other in set(others) - {name}
+    )
+
+
 def _highest_scored(
     name: str, others: Iterable[str], count: int, name_is_agent: bool = False
 ) -> set[str]:
--- a/src/hemlocktiller/_internal/policy/suspects.py
+++ b/src/hemlocktiller/_internal/policy/suspects.py
@@ -10,13 +10,22 @@
 suspects ran on the target, the suspect had been running for long, or many
 targets died at once. A suspect with ambiguous deaths runs apart from all
 other suspects.
+
+A response of any target, at whichever process, shows that a request crashes
+no targets: it drops all deaths before it. A popular request is under way on
+whatever target dies, so deaths alone don't condemn one that had responses not
+long ago. It is half-open, as a circuit breaker: a single trial after each wait
+shows whether it crashes targets now, and all others are rejected meanwhile. It
+is condemned once all trials have ended with the death of their target.
 """
 
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Literal
+from typing import NamedTuple
 
 from prometheus_client import Counter
 import xxhash
@@ -35,9 +44,33 @@
 PROBATION_S = 1.0
 CONDEMNATION_DELAY_S = 0.5
 MAX_RECORDS = 10_000
+MAX_RESPONSES = 10_000
+# Waits before the first and each further trial of a half-open request. Few,
+# as each trial of a request that does crash targets costs one.
+TRIAL_WAITS_S = (0.0, 10.0, 60.0)
+# A trial without a result, as its caller has left, gives way to another.
+TRIAL_TIMEOUT_S = 5.0
+# Processes take turns: a death is known to all of them within this time.
+TRIAL_TURN_S = 0.5
+
+
+State = Literal["clear", "suspect", "undecided", "half_open", "condemned"]
+STATES_TO_RUN: tuple[State, ...] = ("clear", "suspect")
+
 
+class Response(NamedTuple):
+    """The latest response of a target to a request.
+
+    Attributes:
+        digest: Digest of the request.
+        time_s: Time of the response.
+        cleared_targets: Targets whose deaths came before a response. They are
+            named, as times of two processes can't be compared closely.
+    """
 
-State = Literal["clear", "suspect", "undecided", "condemned"]
+    digest: int
+    time_s: float
+    cleared_targets: tuple[str, ...]
 
 
 class _Record:
@@ -47,8 +80,11 @@
         targets: Targets whose death implicates the request.
         ambiguous_targets: Targets whose death may have another cause.
         cleared_targets: Targets whose death the request did not cause, as it
-            completed later; reports of peers on them are ignored.
+            had a response later; reports of peers on them are ignored.
+        is_own: Whether this process has recorded a death of its own.
+        peer_response_s: Time of the latest response that a peer told.
         condemned_at_s: Time from which the request counts as condemned.
+        next_trial_s: Time of the next trial while it is half-open.
         expires_at_s: Time at which the evidence expires.
     """
 
@@ -56,7 +92,10 @@
         self.targets: set[str] = set()
         self.ambiguous_targets: set[str] = set()
         self.cleared_targets: set[str] = set()
+        self.is_own = False
+        self.peer_response_s = -math.inf
         self.condemned_at_s = 0.0
+        self.next_trial_s = 0.0
         self.expires_at_s = 0.0
 
 
@@ -91,6 +130,9 @@
         self._deaths: collections.deque[tuple[float, str]] = (
             collections.deque()
         )
+        # Times of the latest responses at this process by digest, oldest
+        # first.
+        self._response_s: dict[int, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -100,14 +142,40 @@
 
         A condemned request must be answered with an error. For an
         undecided one, the caller waits `CONDEMNATION_DELAY_S` and asks
-        again. A suspect may run where `may_run_beside` allows it.
+        again. A half-open one may run as `try_trial` allows. A suspect may
+        run where `may_run_beside` allows it.
         """
         record = self._valid_record(digest, now_s)
         if record is None or not record.targets:
             return "clear"
         if len(record.targets) < DEATHS_TO_CONDEMN:
             return "suspect"
-        return "condemned" if record.condemned_at_s <= now_s else "undecided"
+        if record.condemned_at_s > now_s:
+            return "undecided"
+        response_s = self._latest_response_s(digest, now_s)
+        had_response = now_s < response_s + self._ttl_s
+        if had_response and not _is_tried(record):
+            return "half_open"
+        return "condemned"
+
+    def try_trial(self, digest: int, turn: int, now_s: float) -> bool:
+        """Returns whether a half-open request may run now, and counts it.
+
+        Args:
+            digest: Digest of the request.
+            turn: Place of this process among those that may run it, from 0.
+            now_s: Current time.
+        """
+        if self.trial_wait_s(digest, turn, now_s) > 0:
+            return False
+        self._records[digest].next_trial_s = now_s + TRIAL_TIMEOUT_S
+        return True
+
+    def trial_wait_s(self, digest: int, turn: int, now_s: float) -> float:
+        """Returns the time until a half-open request may run; 0 if now."""
+        record = self._records[digest]
+        trial_s = record.next_trial_s + turn * TRIAL_TURN_S
+        return max(0.0, trial_s - now_s)
 
     def may_run_beside(
         self, digest: int, running_s: Mapping[int, float], now_s: float
@@ -143,6 +211,11 @@
             now_s: Current time.
         """
         is_mass_failure = self._detect_mass_failure(target, now_s)
+        on_trial = {
+            digest
+            for digest in running_s
+            if self.state(digest, now_s) == "half_open"
+        }
         prior_suspects = [
             digest
             for digest in running_s
@@ -165,17 +238,68 @@
                 implicated = True
             else:
                 implicated = False
-            self._add_death(
-                digest, target, implicated and not is_mass_failure, now_s
-            )
+            # Trials are apart, so they end with any death of their target.
+            if is_mass_failure and digest not in on_trial:
+                implicated = False
+            self._add_death(digest, target, implicated, now_s)
+
+    def record_response(self, digest: int, now_s: float) -> list[Response]:
+        """Clears a request that a target has responded to.
 
-    def record_success(self, digest: int, now_s: float) -> None:
-        """Clears a request that completed, unless it is condemned."""
+        Returns:
+            The response, if it drops evidence; else nothing.
+        """
+        self._response_s.pop(digest, None)
+        if len(self._response_s) >= MAX_RESPONSES:
+            del self._response_s[next(iter(self._response_s))]
+        self._response_s[digest] = now_s
         record = self._valid_record(digest, now_s)
-        if record is not None and not _is_condemned(record, now_s):
-            record.cleared_targets |= record.targets | record.ambiguous_targets
-            record.targets = set()
-            record.ambiguous_targets = set()
+        if record is None or not record.targets | record.ambiguous_targets:
+            return []
+        targets = tuple(sorted(record.targets | record.ambiguous_targets))
+        _clear(record, targets)
+        return [Response(digest, now_s, targets)]
+
+    def responses(
+        self, entries: Iterable[messages.Suspect], now_s: float
+    ) -> list[Response]:
+        """Returns the responses to some requests, where known.
+
+        Args:
+            entries: Evidence against the requests; its targets are named if
+                they died before the response.
+            now_s: Current time.
+        """
+        known = []
+        for entry in entries:
+            time_s = self._latest_response_s(entry["digest"], now_s)
+            if now_s < time_s + self._ttl_s:
+                record = self._valid_record(entry["digest"], now_s)
+                cleared = record.cleared_targets if record else set()
+                names = tuple(
+                    one for one in entry["targets"] if one in cleared
+                )
+                known.append(Response(entry["digest"], time_s, names))
+        return known
+
+    def merge_responses(
+        self, responses: Iterable[Response], now_s: float
+    ) -> list[Response]:
+        """Merges responses that a peer knows.
+
+        Returns:
+            Those that drop evidence, or that are the first known ones.
+        """
+        return [
+            response
+            for response in responses
+            if self._merge_response(response, now_s)
+        ]
+
+    def is_reporter(self, digest: int, now_s: float) -> bool:
+        """Returns whether this process saw a death under a request."""
+        record = self._valid_record(digest, now_s)
+        return record is not None and record.is_own
 
     def record_survival(self, target: str) -> None:
         """Withdraws the death of a target that answers again.
@@ -185,9 +309,7 @@
         """
         for record in self._records.values():
             if target in record.targets | record.ambiguous_targets:
-                record.targets.discard(target)
-                record.ambiguous_targets.discard(target)
-                record.cleared_targets.add(target)
+                _clear(record, (target,))
 
     def export(self, now_s: float) -> list[messages.Suspect]:
         """Returns the evidence to send to a peer."""
@@ -211,20 +333,54 @@
         """Merges a peer's evidence on one digest; tells if it was new."""
         if entry["expires_in_s"] <= 0:
             return False
+        digest = entry["digest"]
+        ttl_s = min(self._ttl_s, entry["expires_in_s"])
         mass_failed = self._mass_failure_targets(now_s)
-        record = self._valid_record(entry["digest"], now_s)
+        record = self._valid_record(digest, now_s)
         known_targets = (
             record.targets | record.cleared_targets if record else set()
         )
-        targets = set(entry["targets"]) - known_targets - mass_failed
+        targets = set(entry["targets"]) - known_targets
+        if self.state(digest, now_s) != "half_open":
+            targets -= mass_failed
         if not targets:
             return False
-        record = record or self._add_record(entry["digest"])
-        ttl_s = min(self._ttl_s, entry["expires_in_s"])
+        record = record or self._add_record(digest)
         record.expires_at_s = max(record.expires_at_s, now_s + ttl_s)
-        self._add_targets(entry["digest"], record, targets, now_s)
+        # The evidence expires a certain time after the last death.
+        died_s = now_s + ttl_s - self._ttl_s
+        if died_s < self._response_s.get(digest, -math.inf):
+            record.cleared_targets |= targets
+            return False
+        self._add_targets(digest, record, targets, now_s)
         return True
 
+    def _merge_response(self, response: Response, now_s: float) -> bool:
+        """Merges a response that a peer knows; tells if it was news."""
+        digest = response.digest
+        known_s = self._latest_response_s(digest, now_s)
+        record = self._valid_record(digest, now_s)
+        if record is None:
+            # Evidence may still come that was sent before.
+            record = self._add_record(digest)
+            record.expires_at_s = now_s + self._ttl_s
+        record.peer_response_s = max(
+            record.peer_response_s, min(response.time_s, now_s)
+        )
+        is_implicated = any(
+            one in record.targets for one in response.cleared_targets
+        )
+        _clear(record, response.cleared_targets)
+        return is_implicated or known_s == -math.inf
+
+    def _latest_response_s(self, digest: int, now_s: float) -> float:
+        """Returns the time of the latest response known, or minus infinity."""
+        record = self._valid_record(digest, now_s)
+        return max(
+            self._response_s.get(digest, -math.inf),
+            record.peer_response_s if record else -math.inf,
+        )
+
     def _add_death(
         self, digest: int, target: str, implicated: bool, now_s: float
     ) -> None:
@@ -234,6 +390,7 @@
         """
         record = self._valid_record(digest, now_s) or self._add_record(digest)
         record.expires_at_s = now_s + self._ttl_s
+        record.is_own = True
         if target in record.targets:
             return
         if implicated:
@@ -245,14 +402,24 @@
             self._add_targets(digest, record, {target}, now_s)
 
     def _add_targets(
-        self, digest: int, record: _Record, targets: set[str], now_s: float
+        self,
+        digest: int,
+        record: _Record,
+        targets: set[str],
+        now_s: float,
     ) -> None:
         """Adds deaths that implicate a request; enough of them condemn it.
 
-        The request counts as condemned after `CONDEMNATION_DELAY_S`.
+        The request counts as condemned, or is half-open, after
+        `CONDEMNATION_DELAY_S`. A further death ends a trial.
         """
         count_before = len(record.targets)
         record.targets |= targets
+        trial_count = len(record.targets) - DEATHS_TO_CONDEMN
+        if 0 <= trial_count < len(TRIAL_WAITS_S):
+            record.next_trial_s = (
+                now_s + CONDEMNATION_DELAY_S + TRIAL_WAITS_S[trial_count]
+            )
         if count_before < DEATHS_TO_CONDEMN <= len(record.targets):
             record.condemned_at_s = now_s + CONDEMNATION_DELAY_S
             CONDEMNED.inc()
@@ -318,6 +485,18 @@
         return record
 
 
+def _clear(record: _Record, targets: Iterable[str]) -> None:
+    """Drops the deaths of targets; reports on them are ignored from now on."""
+    record.targets.difference_update(targets)
+    record.ambiguous_targets.difference_update(targets)
+    record.cleared_targets.update(targets)
+
+
+def _is_tried(record: _Record) -> bool:
+    """Returns whether no trial of a half-open request is left."""
+    return len(record.targets) >= DEATHS_TO_CONDEMN + len(TRIAL_WAITS_S)
+
+
 def _is_condemned(record: _Record, now_s: float) -> bool:
     """Returns whether a request has enough deaths and the delay is over."""
     has_enough_deaths = len(record.targets) >= DEATHS_TO_CONDEMN
--- a/src/hemlocktiller/_internal/schemas/message_checks.py
+++ b/src/hemlocktiller/_internal/schemas/message_checks.py
@@ -361,6 +361,79 @@
 from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
 
 
+NoneType = type(None)
+
+def check_responses_seen(data, custom_formats={}, name_prefix=None):
+    if not isinstance(data, (dict)):
+        raise JsonSchemaValueException("" + (name_prefix or "data") + " must be object", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'responses'], 'properties': {'type': {'const': 'responses_seen', 'type': 'string'}, 'responses': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, 'maxItems': 1024}}}, rule='type')
+    data_is_dict = isinstance(data, dict)
+    if data_is_dict:
+        data__missing_keys = set(['type', 'responses']) - data.keys()
+        if data__missing_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must contain " + (str(sorted(data__missing_keys)) + " properties"), value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'responses'], 'properties': {'type': {'const': 'responses_seen', 'type': 'string'}, 'responses': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, 'maxItems': 1024}}}, rule='required')
+        data_keys = set(data.keys())
+        if "type" in data_keys:
+            data_keys.remove("type")
+            data__type = data["type"]
+            if not isinstance(data__type, (str)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be string", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'responses_seen', 'type': 'string'}, rule='type')
+            if not (isinstance(data__type, str) and data__type == 'responses_seen'):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".type must be same as const definition: responses_seen", value=data__type, name="" + (name_prefix or "data") + ".type", definition={'const': 'responses_seen', 'type': 'string'}, rule='const')
+        if "responses" in data_keys:
+            data_keys.remove("responses")
+            data__responses = data["responses"]
+            if not isinstance(data__responses, (list, tuple)):
+                raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses must be array", value=data__responses, name="" + (name_prefix or "data") + ".responses", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, 'maxItems': 1024}, rule='type')
+            data__responses_is_list = isinstance(data__responses, (list, tuple))
+            if data__responses_is_list:
+                data__responses_len = len(data__responses)
+                if data__responses_len > 1024:
+                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses must contain less than or equal to 1024 items", value=data__responses, name="" + (name_prefix or "data") + ".responses", definition={'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, 'maxItems': 1024}, rule='maxItems')
+                for data__responses_x, data__responses_item in enumerate(data__responses):
+                    if not isinstance(data__responses_item, (dict)):
+                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + " must be object", value=data__responses_item, name="" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, rule='type')
+                    data__responses_item_is_dict = isinstance(data__responses_item, dict)
+                    if data__responses_item_is_dict:
+                        data__responses_item__missing_keys = set(['digest', 'age_s', 'cleared_targets']) - data__responses_item.keys()
+                        if data__responses_item__missing_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + " must contain " + (str(sorted(data__responses_item__missing_keys)) + " properties"), value=data__responses_item, name="" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, rule='required')
+                        data__responses_item_keys = set(data__responses_item.keys())
+                        if "digest" in data__responses_item_keys:
+                            data__responses_item_keys.remove("digest")
+                            data__responses_item__digest = data__responses_item["digest"]
+                            if not isinstance(data__responses_item__digest, (int)) and not (isinstance(data__responses_item__digest, float) and data__responses_item__digest.is_integer()) or isinstance(data__responses_item__digest, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].digest".format(**locals()) + " must be integer", value=data__responses_item__digest, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].digest".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='type')
+                            if isinstance(data__responses_item__digest, (int, float, Decimal)) and not isinstance(data__responses_item__digest, bool):
+                                if data__responses_item__digest < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].digest".format(**locals()) + " must be bigger than or equal to 0", value=data__responses_item__digest, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].digest".format(**locals()) + "", definition={'type': 'integer', 'minimum': 0}, rule='minimum')
+                        if "age_s" in data__responses_item_keys:
+                            data__responses_item_keys.remove("age_s")
+                            data__responses_item__ages = data__responses_item["age_s"]
+                            if not isinstance(data__responses_item__ages, (int, float, Decimal)) or isinstance(data__responses_item__ages, bool):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].age_s".format(**locals()) + " must be number", value=data__responses_item__ages, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='type')
+                            if isinstance(data__responses_item__ages, (int, float, Decimal)) and not isinstance(data__responses_item__ages, bool):
+                                if data__responses_item__ages < 0:
+                                    raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].age_s".format(**locals()) + " must be bigger than or equal to 0", value=data__responses_item__ages, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].age_s".format(**locals()) + "", definition={'type': 'number', 'minimum': 0}, rule='minimum')
+                        if "cleared_targets" in data__responses_item_keys:
+                            data__responses_item_keys.remove("cleared_targets")
+                            data__responses_item__clearedtargets = data__responses_item["cleared_targets"]
+                            if not isinstance(data__responses_item__clearedtargets, (list, tuple)):
+                                raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].cleared_targets".format(**locals()) + " must be array", value=data__responses_item__clearedtargets, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].cleared_targets".format(**locals()) + "", definition={'type': 'array', 'items': {'type': 'string'}}, rule='type')
+                            data__responses_item__clearedtargets_is_list = isinstance(data__responses_item__clearedtargets, (list, tuple))
+                            if data__responses_item__clearedtargets_is_list:
+                                data__responses_item__clearedtargets_len = len(data__responses_item__clearedtargets)
+                                for data__responses_item__clearedtargets_x, data__responses_item__clearedtargets_item in enumerate(data__responses_item__clearedtargets):
+                                    if not isinstance(data__responses_item__clearedtargets_item, (str)):
+                                        raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}].cleared_targets[{data__responses_item__clearedtargets_x}]".format(**locals()) + " must be string", value=data__responses_item__clearedtargets_item, name="" + (name_prefix or "data") + ".responses[{data__responses_x}].cleared_targets[{data__responses_item__clearedtargets_x}]".format(**locals()) + "", definition={'type': 'string'}, rule='type')
+                        if data__responses_item_keys:
+                            raise JsonSchemaValueException("" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + " must not contain "+str(data__responses_item_keys)+" properties", value=data__responses_item, name="" + (name_prefix or "data") + ".responses[{data__responses_x}]".format(**locals()) + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, rule='additionalProperties')
+        if data_keys:
+            raise JsonSchemaValueException("" + (name_prefix or "data") + " must not contain "+str(data_keys)+" properties", value=data, name="" + (name_prefix or "data") + "", definition={'type': 'object', 'additionalProperties': False, 'required': ['type', 'responses'], 'properties': {'type': {'const': 'responses_seen', 'type': 'string'}, 'responses': {'type': 'array', 'items': {'type': 'object', 'additionalProperties': False, 'required': ['digest', 'age_s', 'cleared_targets'], 'properties': {'digest': {'type': 'integer', 'minimum': 0}, 'age_s': {'type': 'number', 'minimum': 0}, 'cleared_targets': {'type': 'array', 'items': {'type': 'string'}}}}, 'maxItems': 1024}}}, rule='additionalProperties')
+    return data
+from decimal import Decimal
+from fastjsonschema import JsonSchemaValueException, JsonSchemaValuesException
+
+
 NoneType = type(None)
 
 def check_part_evidence(data, custom_formats={}, name_prefix=None):
@@ -2734,6 +2807,7 @@
     'leaving': check_leaving,
     'config': check_config,
     'suspects': check_suspects,
+    'responses_seen': check_responses_seen,
     'part_evidence': check_part_evidence,
     'start': check_start,
     'started': check_started,
@@ -2774,6 +2848,7 @@
     'leaving': [],
     'config': [('body',)],
     'suspects': [],
+    'responses_seen': [],
     'part_evidence': [],
     'start': [],
     'started': [],
--- a/src/hemlocktiller/_internal/schemas/messages.py
+++ b/src/hemlocktiller/_internal/schemas/messages.py
@@ -95,6 +95,16 @@
     expires_in_s: float
 
 
+class ResponseSeen(TypedDict, closed=True):
+    """
+    The latest response of a target to a request.
+    """
+
+    digest: int
+    age_s: float
+    cleared_targets: list[str]
+
+
 PromptItem: TypeAlias = int
 
 
@@ -572,6 +582,15 @@
     entries: list[Suspect]
 
 
+class ResponsesSeen(TypedDict, closed=True):
+    """
+    Responses of targets that clear suspected requests.
+    """
+
+    type: Literal['responses_seen']
+    responses: list[ResponseSeen]
+
+
 class PartEvidence(TypedDict, closed=True):
     """
     Evidence on prompt parts that crash the targets that begin to answer them.
@@ -601,6 +620,7 @@
     | Leaving
     | ConfigUpdate
     | Suspects
+    | ResponsesSeen
     | PartEvidence
     | Layout
     | Start
--- a/tests/unit/gateway/test_crashes.py
+++ b/tests/unit/gateway/test_crashes.py
@@ -7,7 +7,9 @@
 from hemlocktiller._internal.gateway import crashes
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import targets as targets_module
+from hemlocktiller._internal.policy import suspects
 from tests.unit.gateway.conftest import make_target
+from tests.unit.gateway.test_calls import OK_RESPONSE
 from tests.unit.gateway.test_peers import FakeLink
 from tests.unit.gateway.test_streams import chunk
 from tests.unit.gateway.test_streams import event
@@ -124,9 +126,10 @@
 def test_the_evidence_of_a_peer_counts(streaming):
     harness, admitted = streaming
     message = {
+        "type": "suspects",
         "entries": [
             {"digest": DIGEST, "targets": ["x/1", "y/1"], "expires_in_s": 9.0}
-        ]
+        ],
     }
     harness.context.crash_evidence.feed.on_message(
         FakeLink("gateway-2"), message
@@ -145,7 +148,7 @@
     record_crash(harness, "a0")
     (message,) = links[0].sent
     assert message == links[1].sent[0]
-    feed.on_message(links[0], {"entries": message["entries"]})
+    feed.on_message(links[0], message)
     assert len(links[1].sent) == 1
 
 
@@ -265,3 +268,116 @@
     harness.reactor.advance(crashes.CONDEMNATION_DELAY_S)
     harness.start_stream(admitted)
     assert admitted.caller_request.status == 422
+
+
+def make_popular(harness, digest=DIGEST):
+    """Lets a request with earlier responses be under way at two crashes."""
+    harness.context.crash_evidence.record_first_data(digest)
+    condemn_request(harness)
+
+
+def accept_calls(harness):
+    """Accepts pending connections and answers health probes.
+
+    Returns:
+        Those with the request.
+    """
+    calls = []
+    for connection in accept_attempts(harness):
+        if b" /drafts/1 " in connection.transport.value():
+            calls.append(connection)
+        else:
+            connection.respond(OK_RESPONSE)
+    return calls
+
+
+@pytest.fixture
+def popular_lookup(harness, plain_service, lookup_route):
+    """A harness with plain targets, and an admitted popular lookup."""
+    harness.register(
+        *make_chains("ab"),
+        make_target("p", service="plain", accelerator="", port=4500),
+        make_target("q", service="plain", accelerator="", port=4501),
+    )
+    make_popular(harness)
+    return harness, lambda: harness.admit(plain_service, lookup_route)
+
+
+def test_one_lookup_is_the_trial_and_the_others_get_a_retry_after(
+    popular_lookup,
+):
+    """Guards against review/3 where no response comes between crashes."""
+    harness, admit = popular_lookup
+    trial, other = admit(), admit()
+    harness.start_call(trial)
+    harness.start_call(other)
+    assert other.caller_request.status == 503
+    assert float(other.caller_request.header(b"Retry-After")) > 0
+    (connection,) = accept_calls(harness)
+    connection.respond(OK_RESPONSE)
+    assert trial.caller_request.status == 200
+    assert harness.context.crash_evidence.state(DIGEST) == "clear"
+    later = admit()
+    harness.start_call(later)
+    assert len(accept_calls(harness)) == 1
+
+
+def test_a_trial_is_neither_hedged_nor_retried(popular_lookup):
+    harness, admit = popular_lookup
+    trial = admit()
+    harness.start_call(trial)
+    (connection,) = accept_calls(harness)
+    harness.reactor.advance(0.3)
+    assert not harness.pending_connection_count()
+    connection.reset()
+    assert trial.caller_request.status == 502
+    assert not accept_calls(harness)
+
+
+def test_a_lookup_is_rejected_for_good_once_its_trials_crashed_targets(
+    popular_lookup,
+):
+    harness, admit = popular_lookup
+    trial_count = 0
+    for number in range(40):
+        admitted = admit()
+        harness.start_call(admitted)
+        for connection in accept_calls(harness):
+            trial_count += 1
+            connection.reset()
+            restarted = harness.targets.by_name["p"]._replace(
+                born_ms=number + 2
+            )
+            harness.context.crash_evidence.record_target_down(
+                restarted, {DIGEST: "r1"}
+            )
+        accept_calls(harness)
+        harness.reactor.advance(5.0)
+    assert trial_count == len(suspects.TRIAL_WAITS_S)
+    assert admitted.caller_request.status == 422
+
+
+def test_one_popular_stream_is_the_trial_and_others_get_a_retry_after(
+    harness, model_service, stream_route
+):
+    harness.register(*make_chains("abcde"))
+    make_popular(harness)
+    trial = harness.admit(model_service, stream_route)
+    other = harness.admit(model_service, stream_route, request_id="r2")
+    harness.start_stream(trial)
+    harness.start_stream(other)
+    assert other.caller_request.status == 503
+    (attempt,) = accept_attempts(harness)
+    attempt.respond(RESPONSE_HEAD + chunk(event(1)))
+    assert harness.context.crash_evidence.state(DIGEST) == "clear"
+
+
+def test_a_stream_that_crashed_its_trial_is_not_sent_again(
+    harness, model_service, stream_route
+):
+    harness.register(*make_chains("abcde"))
+    make_popular(harness)
+    trial = harness.admit(model_service, stream_route)
+    harness.start_stream(trial)
+    assert len(crash_targets(harness)) == 1
+    assert trial.caller_request.status == 502
--- a/tests/unit/test_part_evidence_feed.py
+++ b/tests/unit/test_part_evidence_feed.py
@@ -8,67 +8,23 @@
 from hemlocktiller._internal.links import codec
 from hemlocktiller._internal.links import link as link_module
 from hemlocktiller._internal.links import part_evidence_feed
+from tests.unit import feed_network
 from tests.unit import memory_links
 
 SETTINGS = {"suspect_ttl_s": 600.0}
 CRASHING, FIRST, OTHER = 1, 2, 3
-LATENCY_S = 0.02
 
 
-class QueueLink:
-    """An open link in one direction; a network delivers what it sends."""
-
-    def __init__(self, network, receiver):
-        self.is_open = True
-        self.reverse = None
-        self.network = network
-        self.receiver = receiver
-
-    def peer_accepts(self, message_type):
-        """Returns whether the peer has a type of message: it has all."""
-        return True
-
-    def send(self, message):
-        """Sends a message, which must be valid."""
-        self.network.append((self, codec.decode(codec.encode(message))))
-
-
-class Network:
-    """Feeds of several processes and the messages between them."""
+class Network(feed_network.Network):
+    """Processes that exchange evidence on prompt parts."""
 
     def __init__(self, size, relays=False):
-        self.clock = task.Clock()
-        self.messages = []
-        self.message_count = 0
-        self.feeds = [
-            part_evidence_feed.PartEvidenceFeed(self.clock, SETTINGS, relays)
-            for _ in range(size)
-        ]
-
-    def connect(self, first, second):
-        """Opens a link between two processes."""
-        there = QueueLink(self.messages, self.feeds[second])
-        back = QueueLink(self.messages, self.feeds[first])
-        there.reverse, back.reverse = back, there
-        self.feeds[first].on_open(there)
-        self.feeds[second].on_open(back)
-        return there, back
-
-    def connect_all(self):
-        """Opens links between all processes."""
-        for first in range(len(self.feeds)):
-            for second in range(first):
-                self.connect(first, second)
-
-    def deliver(self):
-        """Delivers messages until no more are sent."""
-        while self.messages:
-            self.clock.advance(LATENCY_S)
-            sent, self.messages[:] = list(self.messages), []
-            self.message_count += len(sent)
-            assert self.message_count < 100_000
-            for link, message in sent:
-                link.receiver.on_message(link.reverse, message)
+        super().__init__(
+            size,
+            lambda clock: part_evidence_feed.PartEvidenceFeed(
+                clock, SETTINGS, relays
+            ),
+        )
 
     def crash(self, index, target, prompts):
         """Records a death at one process, with sound output after it."""
@@ -141,7 +97,7 @@
     network = Network(2, relays)
     network.connect_all()
     network.feeds[0].record_output((OTHER,))
-    network.clock.advance(LATENCY_S)
+    network.clock.advance(feed_network.LATENCY_S)
     network.feeds[1].record_death("t0", [(OTHER,)])
     network.deliver()
     for number in range(1, 21):
--- a/tests/unit/test_policy_suspects.py
+++ b/tests/unit/test_policy_suspects.py
@@ -89,7 +89,7 @@
 def test_complete_answer_clears_a_suspect(tracker):
     record_target_death(tracker, "a", [CRASHING_DIGEST, 2], 0.0)
     evidence = tracker.export(0.0)
-    tracker.record_success(2, 1.0)
+    tracker.record_response(2, 1.0)
     assert tracker.state(2, 1.0) == "clear"
     tracker.merge(evidence, 2.0)
     assert tracker.state(2, 2.0) == "clear"
--- a/tests/unit/test_silent_agents.py
+++ b/tests/unit/test_silent_agents.py
@@ -424,6 +424,36 @@
     assert len(entry_run.usages) == 1
 
 
+def crash_under(entry_run, digest, names):
+    """Records deaths of targets under a request at the entry."""
+    for name in names:
+        entry_run.entry.process.suspects.record_death(name, {digest: 0.5})
+    entry_run.advance(0.6)
+
+
+def test_one_popular_request_is_the_trial_and_others_are_rejected(
+    entry_run, monkeypatch
+):
+    """Guards against review/3 at entries: all but one trial are rejected."""
+    digest = 5
+    monkeypatch.setattr(entry_simulation, "_digest", lambda request: digest)
+    agent = entry_run.add_engine("a")
+    entry_run.complete()
+    entry_simulation.finish(agent, 0)
+    entry_run.advance(entry_simulation.STEP_S)
+    crash_under(entry_run, digest, ("gone1", "gone2"))
+    assert entry_run.suspect_state() == "half_open"
+    entry_run.complete("r2")
+    assert len(agent.requests("start")) == 2
+    entry_run.complete("r3")
+    (error,) = entry_run.errors
+    assert (error.http_status, error.ran) == (503, "no")
+    assert error.retry_after_s > 0
+    entry_simulation.finish(agent, 0)
+    entry_run.advance(entry_simulation.STEP_S)
+    assert entry_run.suspect_state() == "clear"
+
+
 def test_a_draining_entry_waits_for_the_call_of_a_silent_agent(entry_run):
     agent = entry_run.add_service("a")
     entry_run.call()
