Keep a cancelled call to the store apart from one that failed

A follower that becomes a watcher cancels its waiting polls to start others. The transport took that for a call without an answer, since twisted reports the lost connection of a cancelled request, and the watch recorded an outage of the store. For 2.4 s each removed registration then passed for one that had only expired. The same happened each time a gateway read again after an outage, which prolonged the outage by 2.4 s and delayed the poll that was to start at once by a wait after a failure.

Ruled out: an outage beside the stop (2) - the test has none, and the failed polls are those of the gateway that changed its part; a late poll (3) - the removal was known and its timer running.

Change: a call that its caller cancels fails with CancelledError, whatever phase it is in, and is counted as cancelled. How a watcher's part changes hands doesn't matter: stop, kill, freeze and join end in the same restart of polls.

--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -350,6 +350,9 @@
         except exceptions.StoreError as error:
             _RESULTS.labels(kind, error.outcome).inc()
             raise
+        except defer.CancelledError:
+            _RESULTS.labels(kind, "cancelled").inc()
+            raise
         _RESULTS.labels(kind, "answered").inc()
         return reply
 
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -2,7 +2,8 @@
 
 A call that was certainly not sent, or that the platform answered with status
 503, fails with `StoreUnavailable`. A call that may have taken effect although
-its reply is missing fails with `WriteOutcomeUnknown`.
+its reply is missing fails with `WriteOutcomeUnknown`. A call that its caller
+has cancelled says nothing of the platform: it fails with `CancelledError`.
 """
 
 import io
@@ -112,7 +113,23 @@
         Raises:
             StoreUnavailable: The call had no effect.
             WriteOutcomeUnknown: The call may have taken effect.
+            CancelledError: The caller has cancelled the call, which may have
+                taken effect.
         """
+        is_cancelled = False
+
+        def cancel(reply):
+            nonlocal is_cancelled
+            is_cancelled = True
+            pending_reply.cancel()
+
+        def translate(failure):
+            # The failure of a cancelled request names no cancellation once
+            # it was sent, but a lost connection.
+            if is_cancelled:
+                raise defer.CancelledError from failure.value
+            _raise_store_error(failure, self._reactor.seconds() >= ends_s)
+
         pending_reply = defer.Deferred.fromCoroutine(
             self._send(
                 method.encode(),
@@ -124,11 +141,10 @@
         timeout_s = self._timeout_s + wait_s
         ends_s = self._reactor.seconds() + timeout_s
         pending_reply.addTimeout(timeout_s, self._reactor)
-        return pending_reply.addErrback(
-            lambda failure: _raise_store_error(
-                failure, self._reactor.seconds() >= ends_s
-            )
-        )
+        pending_reply.addErrback(translate)
+        reply: defer.Deferred[Reply] = defer.Deferred(cancel)
+        pending_reply.chainDeferred(reply)
+        return reply
 
     def close(self) -> defer.Deferred:
         """Closes the idle connections."""
--- a/tests/unit/test_store_transport.py
+++ b/tests/unit/test_store_transport.py
@@ -4,7 +4,9 @@
 
 import pytest
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
+from twisted.internet.testing import MemoryReactorClock
 from twisted.internet.testing import StringTransport
 from twisted.python import failure
 from twisted.web import client
@@ -160,3 +162,64 @@
     open_call.clock.advance(memory.STORE_SETTINGS["timeout_s"])
     assert open_call.results[0].check(exceptions.WriteOutcomeUnknown)
     assert open_call.connection.disconnecting
+
+
+class PendingCall:
+    """A call over a connection of `twisted.web`, before its reply is whole.
+
+    Attributes:
+        results: Result or failure of the call, once there is one.
+    """
+
+    def __init__(self, phase, method="GET"):
+        self.reactor = MemoryReactorClock()
+        self.results = []
+        store_transport = transport.Transport(
+            memory.STORE_SETTINGS,
+            self.reactor,
+            client.Agent(self.reactor, pool=client.HTTPConnectionPool(None)),
+        )
+        self.call = store_transport.call(method, ("objects",), wait_s=9.0)
+        self.call.addBoth(self.results.append)
+        if phase == "connecting":
+            return
+        factory = self.reactor.tcpClients[0][2]
+        self.connection = factory.buildProtocol(None)
+        self.connection.makeConnection(StringTransport())
+        if phase in ("head", "body"):
+            self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n")
+        if phase == "body":
+            self.connection.dataReceived(b"Content-Length: 9\r\n\r\n{")
+
+
+PHASES = ("connecting", "waiting", "head", "body")
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+@pytest.mark.parametrize("phase", PHASES)
+def test_a_call_that_its_caller_cancels_shows_no_outage(phase, method):
+    """Guards against review/2: a cancelled watch passed for an outage."""
+    pending = PendingCall(phase, method)
+    pending.call.cancel()
+    (result,) = pending.results
+    assert result.check(defer.CancelledError)
+    pending.reactor.advance(60.0)
+    assert pending.results == [result]
+
+
+@pytest.mark.parametrize("phase", PHASES)
+def test_a_call_that_times_out_is_not_taken_for_a_cancelled_one(phase):
+    pending = PendingCall(phase)
+    pending.reactor.advance(memory.STORE_SETTINGS["timeout_s"] + 9.0)
+    (result,) = pending.results
+    assert result.check(exceptions.StoreError)
+
+
+@pytest.mark.parametrize("phase", PHASES[1:])
+def test_a_call_whose_connection_is_lost_is_not_taken_for_a_cancelled_one(
+    phase,
+):
+    pending = PendingCall(phase)
+    pending.connection.connectionLost(failure.Failure(error.ConnectionLost()))
+    (result,) = pending.results
+    assert result.check(exceptions.WriteOutcomeUnknown)
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -1,7 +1,15 @@
 import pytest
 
+from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.store import vms
 from hemlocktiller._internal.store import watch
+from tests.unit.gateway.conftest import GatewayHarness
+from tests.unit.gateway.conftest import make_target
+
+
+@pytest.fixture
+def harness():
+    return GatewayHarness()
 
 
 def write(platform, name, value, version=0):
@@ -215,3 +223,68 @@
     assert values == [1, 2]
     kind_watch.stop()
     platform.run(0.5)
+
+
+def watch_of_each_sort(platform, on_failure):
+    """Returns one watch of each sort, which report failures."""
+    store = platform.store()
+    watches = [
+        watch.watch_object(store, "thing", "a", lambda stored: None),
+        watch.watch_kind(store, "thing", lambda *change: None),
+        vms.watch_vms(store, 1.0, lambda vm_list: None),
+    ]
+    for one in watches:
+        one.on_failure = on_failure
+    return watches
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05, 1.0])
+@pytest.mark.parametrize("count", [1, 2, 20])
+def test_a_watch_that_restarts_its_own_poll_reports_no_failure(
+    platform, count, delay_s
+):
+    """Guards against review/2 at each watch, however often it restarts."""
+    failures = []
+    watches = watch_of_each_sort(platform, lambda: failures.append(1))
+    platform.run(2.0)
+    for _ in range(count):
+        for one in watches:
+            one.restart_poll()
+        platform.run(delay_s)
+    platform.run(1.0)
+    assert failures == []
+
+
+def test_a_restarted_watch_of_a_lost_store_still_reports_failures(platform):
+    failures = []
+    watches = watch_of_each_sort(platform, lambda: failures.append(1))
+    platform.run(2.0)
+    platform.faults(outage="refuse")
+    for one in watches:
+        one.restart_poll()
+    platform.run(1.0)
+    assert len(failures) >= len(watches)
+
+
+@pytest.mark.parametrize("restart_count", [0, 1, 3])
+def test_a_removed_target_is_gone_at_once_after_a_change_of_watchers(
+    platform, harness, restart_count
+):
+    """Guards against review/2: a removal delayed by a planned stop."""
+    value = make_target("a", service="plain", accelerator="")._asdict()
+    harness.targets._adapter = harness.adapter._replace(
+        decode_target=lambda name, value: fleet.Target(**value)
+    )
+    version = write(platform, "a", value)
+    kind_watch = watch.watch_kind(
+        platform.store(), "thing", harness.targets.apply_registrations, 0.1
+    )
+    kind_watch.on_failure = harness.targets.record_store_outage
+    platform.run(2.0)
+    assert "a" in harness.targets.by_name
+    for _ in range(restart_count):
+        kind_watch.restart_poll()
+        platform.run(0.2)
+    platform.result(platform.store().delete("thing", "a", version))
+    platform.run(0.5)
+    assert "a" not in harness.targets.by_name
