Don't take a watch that the store cuts off for an outage

What callers would see: the store may cut off a waiting watch at any time. On a pooled connection twisted repeats the call, which hides the first cut; a cut on a new connection, or of the repeat, isn't hidden.

Cause: each lost connection of a watch counts as an outage of the store.

Change: after a cut the next call of that watch doesn't wait, so its answer shows at once whether the store is there. Only if that fails too is an outage recorded. A single tolerated cut was tried first and ruled out: two cuts in a row broke the rule again.

Result: 6 cases fail before; an outage that begins with a cut is recorded as before (test_an_outage_that_begins_with_a_cut_watch_is_recorded).

--- a/src/hemlocktiller/_internal/exceptions.py
+++ b/src/hemlocktiller/_internal/exceptions.py
@@ -177,6 +177,10 @@
     """The object API is unavailable, and nothing was written."""
 
 
+class WatchCutOff(StoreUnavailable):
+    """The object API ended a waiting watch, as it may; watch again."""
+
+
 class WriteOutcomeUnknown(StoreError):
     """A write was sent, and whether it took effect is unknown."""
 
--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -108,6 +108,8 @@
         self.writer = writer
         self.era: int | None = None
         self.on_new_era: list[Callable[[int], None]] = []
+        # Paths of watches whose last call was cut off.
+        self._cut_off: set[tuple[str, ...]] = set()
         self._transport = custom_transport or transport.Transport(
             settings, reactor, agent
         )
@@ -327,8 +329,21 @@
         revision = -1
         if after >= 0 and self.is_current(after):
             revision = versions.revision_of(after)
+        if segments in self._cut_off:
+            # Answered at once, which shows whether the store is there.
+            wait_s = 0.0
         query = {"after": revision, "timeout_s": wait_s}
-        return await self._get("watch", kind, segments, query, wait_s)
+        try:
+            reply = await self._get("watch", kind, segments, query, wait_s)
+        except exceptions.StoreUnavailable as lost_reply:
+            if not wait_s or lost_reply.outcome != transport.CONNECTION_LOST:
+                raise
+            self._cut_off.add(segments)
+            raise exceptions.WatchCutOff.ended(
+                str(lost_reply), lost_reply.outcome
+            ) from lost_reply
+        self._cut_off.discard(segments)
+        return reply
 
     async def _get(self, method, kind, segments, query=None, wait_s=0.0):
         _CALLS.labels(method, kind).inc()
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -32,6 +32,8 @@
 CONNECT_TIMEOUT_RATIO = 0.5
 # Response header with the number of restores from a backup.
 DEFAULT_ERA_HEADER = "Object-Era"
+# Outcome of a call whose connection ended before any of its reply.
+CONNECTION_LOST = "connection lost"
 HTTP_SERVICE_UNAVAILABLE = 503
 HTTP_SERVER_ERROR_MIN = 500
 
@@ -231,6 +233,8 @@
             str(cause), "not sent"
         ) from cause
     outcome = "timeout" if is_timeout else "no answer"
+    if isinstance(cause, client.ResponseNeverReceived) and not is_timeout:
+        outcome = CONNECTION_LOST
     raise exceptions.WriteOutcomeUnknown.ended(
         f"no reply: {cause!r}", outcome
     ) from cause
--- a/src/hemlocktiller/_internal/store/watch.py
+++ b/src/hemlocktiller/_internal/store/watch.py
@@ -67,7 +67,8 @@
     """Repeats a poll until it is stopped; failed polls are retried.
 
     Attributes:
-        on_failure: Called after each failed poll.
+        on_failure: Called after each failed poll, but for waiting ones that
+            were cut off: the next one shows whether the store is there.
         retry_wait: Gives the time to wait after a failed poll.
     """
 
@@ -146,7 +147,8 @@
         if self._stopped:
             return 0.0
         _FAILURES.labels(self._subject).inc()
-        self.on_failure()
+        if not isinstance(error, exceptions.WatchCutOff):
+            self.on_failure()
         if not self._consecutive_failures:
             _LOG.warning(
                 "watch of {} failed, retrying: {}", self._subject, error
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -1,8 +1,14 @@
 import pytest
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.python import failure
+from twisted.web import client
 
 from hemlocktiller._internal.policy import fleet
+from hemlocktiller._internal.store import client as store_client
 from hemlocktiller._internal.store import vms
 from hemlocktiller._internal.store import watch
+from tests.fakes import memory
 from tests.unit.gateway.conftest import GatewayHarness
 from tests.unit.gateway.conftest import make_target
 
@@ -271,11 +277,7 @@
     platform, harness, restart_count
 ):
     """Guards against review/2: a removal delayed by a planned stop."""
-    value = make_target("a", service="plain", accelerator="")._asdict()
-    harness.targets._adapter = harness.adapter._replace(
-        decode_target=lambda name, value: fleet.Target(**value)
-    )
-    version = write(platform, "a", value)
+    version = register_target(platform, harness)
     kind_watch = watch.watch_kind(
         platform.store(), "thing", harness.targets.apply_registrations, 0.1
     )
@@ -288,3 +290,84 @@
     platform.result(platform.store().delete("thing", "a", version))
     platform.run(0.5)
     assert "a" not in harness.targets.by_name
+
+
+def register_target(platform, harness):
+    """Registers a plain target in the store; returns the version."""
+    value = make_target("a", service="plain", accelerator="")._asdict()
+    harness.targets._adapter = harness.adapter._replace(
+        decode_target=lambda name, value: fleet.Target(**value)
+    )
+    return write(platform, "a", value)
+
+
+class CuttingAgent:
+    """An HTTP agent whose waiting requests lose their connection on demand."""
+
+    def __init__(self, agent):
+        self._agent = agent
+        self._waiting = []
+
+    def request(self, *arguments):
+        """Sends a request; returns a Deferred of its response."""
+        response = defer.Deferred(lambda _: sent.cancel())
+        self._waiting.append(response)
+        sent = self._agent.request(*arguments)
+        sent.addBoth(
+            lambda result: (
+                None if response.called else response.callback(result)
+            )
+        )
+        return response
+
+    def cut(self):
+        """Ends the connections of all requests without an answer."""
+        waiting, self._waiting = self._waiting, []
+        for response in waiting:
+            if not response.called:
+                reasons = [failure.Failure(error.ConnectionDone())]
+                response.errback(client.ResponseNeverReceived(reasons))
+
+
+def cut_watch(platform, harness):
+    """Returns an agent, and a watch of targets that uses it."""
+    agent = CuttingAgent(platform._agent)
+    store = store_client.ObjectStore(
+        memory.STORE_SETTINGS, "w", platform.clock, agent
+    )
+    kind_watch = watch.watch_kind(
+        store, "thing", harness.targets.apply_registrations, 0.1
+    )
+    kind_watch.on_failure = harness.targets.record_store_outage
+    platform.run(2.0)
+    return agent
+
+
+@pytest.mark.parametrize("cuts", [1, 2, 5])
+@pytest.mark.parametrize("gap_s", [0.5, 3.0])
+def test_a_removed_target_is_gone_at_once_after_a_watch_was_cut_off(
+    platform, harness, cuts, gap_s
+):
+    """Guards against a removal delayed as the store ended a waiting watch."""
+    version = register_target(platform, harness)
+    agent = cut_watch(platform, harness)
+    assert "a" in harness.targets.by_name
+    for _ in range(cuts):
+        agent.cut()
+        platform.run(gap_s)
+    platform.result(platform.store().delete("thing", "a", version))
+    platform.run(0.5)
+    assert "a" not in harness.targets.by_name
+
+
+@pytest.mark.parametrize("outage", ["refuse", "hang"])
+def test_an_outage_that_begins_with_a_cut_watch_is_recorded(
+    platform, harness, outage
+):
+    register_target(platform, harness)
+    agent = cut_watch(platform, harness)
+    harness.targets.last_outage_s = -100.0
+    platform.faults(outage=outage, kinds=["thing"])
+    agent.cut()
+    platform.run(30.0)
+    assert harness.targets.last_outage_s == harness.reactor.seconds()
