Bound the memory that answers without end take on all connections

Found in two forms. Heads: gateways parse targets' heads with a limit, but connections to engines (entry and agent build) and to the store (both) use the client of twisted.web, which limits each line of a head and keeps any number of them: headers, control headers and folded lines were kept until the time-out, informational heads were read without end. Bodies: parts were kept one by one up to the limit, so that chunks of two bytes took 22 times their size (2.8 MB for 128 KB), in calls, replies and errors of streams; adding up an error body and splitting an unfinished event read all of it again with each part.

Change: connections of twisted's pools are aborted at the head limit that targets have; bodies are collected in one buffer; an unfinished event is searched once.

Chunk extensions and trailers without end were bounded already.

--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -44,7 +44,7 @@
         self.exchange: http_exchange.Exchange | None = None
         self.status = 0
         self.headers: platform_adapter.Headers = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         # Whether the target has been silent; it may answer probes again.
         self.was_silent = False
 
@@ -212,7 +212,7 @@
                 lambda status, headers: self._on_head(
                     attempt, status, headers
                 ),
-                attempt.body.append,
+                attempt.body.extend,
                 lambda failure: self._on_end(attempt, failure),
             ),
         )
@@ -284,7 +284,7 @@
         self._context.crash_evidence.record_first_data(self.digest)
         self._executed_attempts += 1
         response = _Response(
-            attempt.status, attempt.headers, b"".join(attempt.body)
+            attempt.status, attempt.headers, bytes(attempt.body)
         )
         is_server_error = attempt.status >= 500
         if not response_head.is_signed or not response_head.is_unencoded:
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -151,7 +151,7 @@
         self._first_event_latency_s = 0.0
         self._is_streaming = False
         self._error_head: tuple[int, platform_adapter.Headers] | None = None
-        self._error_body: list[bytes] = []
+        self._error_body = bytearray()
         self._last_activity_s = 0.0
         self._silent_checks = 0
         self._is_suspected = False
@@ -509,7 +509,7 @@
         self._splitter = sse.EventSplitter()
         self._framing = "none"
         self._error_head = None
-        self._error_body = []
+        self._error_body = bytearray()
 
     def _send(self, choice, callbacks):
         """Sends the request along a path; returns the exchange."""
@@ -603,7 +603,7 @@
             after_event=self._last_event_id,
             silent_ms=round((now_s - self._last_activity_s) * 1000),
             framing=self._framing,
-            unfinished_bytes=len(self._splitter.buffer),
+            unfinished_bytes=self._splitter.buffered_bytes,
         )
 
     def _seek_replacement(self, reason):
@@ -876,8 +876,8 @@
         if attempt_number != self._attempt_number or self._is_finished:
             return
         if self._error_head is not None:
-            self._error_body.append(data)
-            if sum(map(len, self._error_body)) > MAX_ERROR_BODY_BYTES:
+            self._error_body += data
+            if len(self._error_body) > MAX_ERROR_BODY_BYTES:
                 self._fail_attempt("error body too long")
             return
         for event in self._splitter.feed(data):
@@ -885,7 +885,7 @@
                 self._forward(event)
             else:
                 self._admitted.caller_request.write(event.raw)
-        if len(self._splitter.buffer) > MAX_EVENT_BYTES:
+        if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
             self._fail_attempt("event too long")
 
     def _fail_attempt(self, reason):
@@ -1061,7 +1061,7 @@
         self._context.targets.record_request_success(target)
         self._retry_budget().record_success(self._context.reactor.seconds())
         caller_request = self._admitted.caller_request
-        trailing_blank_lines = self._splitter.buffer
+        trailing_blank_lines = self._splitter.rest()
         if trailing_blank_lines:
             caller_request.write(trailing_blank_lines)
         self._record_length()
@@ -1143,7 +1143,7 @@
         if caller_request.is_response_started or not response_head.is_signed:
             self._fail(f"answered {status}", may_have_run=True)
             return
-        body = b"".join(self._error_body)
+        body = bytes(self._error_body)
         self._finish(str(status))
         caller_request.respond(status, headers, body)
 
@@ -1220,7 +1220,7 @@
             events=self._event_count,
             runs=self._started_attempts,
             framing=self._framing,
-            unfinished_bytes=len(self._splitter.buffer),
+            unfinished_bytes=self._splitter.buffered_bytes,
             path=[stage.target.name for stage in path],
         )
 
--- a/src/hemlocktiller/_internal/gateway/upstream.py
+++ b/src/hemlocktiller/_internal/gateway/upstream.py
@@ -41,7 +41,7 @@
     if body:
         headers.append((b"Content-Type", b"application/json"))
     status = 0
-    chunks: list[bytes] = []
+    body_read = bytearray()
 
     def on_head(response_status, response_headers):
         nonlocal status
@@ -52,7 +52,7 @@
         if timer.active():
             timer.cancel()
         if exchange_failure is None:
-            on_done(status, b"".join(chunks))
+            on_done(status, bytes(body_read))
         else:
             on_failed(exchange_failure)
 
@@ -75,6 +75,6 @@
         reactor,
         (target.host, target.port),
         (method, path, headers, body),
-        http_exchange.ExchangeCallbacks(on_head, chunks.append, on_end),
+        http_exchange.ExchangeCallbacks(on_head, body_read.extend, on_end),
         MAX_REPORT_BYTES,
     )
--- a/src/hemlocktiller/_internal/http_client.py
+++ b/src/hemlocktiller/_internal/http_client.py
@@ -15,6 +15,7 @@
 from zope.interface import implementer
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import head_limit
 from hemlocktiller._internal import http_exchange
 
 CONNECT_TIMEOUT_S = 1.0
@@ -104,16 +105,14 @@
             lambda _: self.transport.loseConnection()
         )
         self._max_bytes = max_bytes
-        self._received_bytes = 0
-        self._chunks: list[bytes] = []
+        self._content = bytearray()
 
     def dataReceived(self, data: bytes) -> None:
         """Stores a part of the body, or closes the connection."""
-        self._received_bytes += len(data)
-        if self._received_bytes <= self._max_bytes:
-            self._chunks.append(data)
+        if len(self._content) + len(data) <= self._max_bytes:
+            self._content += data
             return
-        self._chunks.clear()
+        self._content.clear()
         self.transport.loseConnection()
         if not self.done.called:
             self.done.errback(
@@ -128,7 +127,7 @@
             return
         is_delimited = reason.check(client.ResponseDone) is not None
         if is_delimited or reason.check(http.PotentialDataLoss):
-            self.done.callback(Body(b"".join(self._chunks), is_delimited))
+            self.done.callback(Body(bytes(self._content), is_delimited))
         else:
             self.done.errback(reason)
 
@@ -181,6 +180,7 @@
     pool = client.HTTPConnectionPool(reactor, persistent=True)
     pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
     pool.retryAutomatically = False
+    head_limit.limit_heads(pool)
     return pool
 
 
@@ -284,7 +284,7 @@
             reactor,
             *_parse_request(request),
             http_exchange.ExchangeCallbacks(
-                collected.on_head, collected.chunks.append, on_end
+                collected.on_head, collected.body.extend, on_end
             ),
             request.max_response_bytes,
         )
@@ -298,11 +298,11 @@
     """The response of an exchange so far.
 
     Attributes:
-        chunks: Parts of the body.
+        body: The body.
     """
 
     def __init__(self) -> None:
-        self.chunks: list[bytes] = []
+        self.body = bytearray()
         self._status = 0
         self._content_type = ""
 
@@ -315,7 +315,7 @@
 
     def reply(self) -> Reply:
         """Returns the response, which must be complete."""
-        return Reply(self._status, self._content_type, b"".join(self.chunks))
+        return Reply(self._status, self._content_type, bytes(self.body))
 
 
 def _parse_request(
--- a/src/hemlocktiller/_internal/store/transport.py
+++ b/src/hemlocktiller/_internal/store/transport.py
@@ -18,6 +18,7 @@
 from twisted.web import http_headers
 
 from hemlocktiller._internal import exceptions
+from hemlocktiller._internal import head_limit
 from hemlocktiller._internal import http_client
 from hemlocktiller._internal.schemas import entry_settings
 from hemlocktiller._internal.store import endpoints
@@ -78,6 +79,7 @@
         self._reactor = reactor
         self._pool = client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        head_limit.limit_heads(self._pool)
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
         connect_timeout_s = self._timeout_s * CONNECT_TIMEOUT_RATIO
         self._agent = agent or client.Agent.usingEndpointFactory(
--- a/tests/unit/gateway/test_endless_answers.py
+++ b/tests/unit/gateway/test_endless_answers.py
@@ -1,5 +1,8 @@
 """Bytes of targets without end, in heads, bodies and events."""
 
+import gc
+import tracemalloc
+
 import pytest
 
 from hemlocktiller._internal import http_exchange
@@ -171,3 +174,73 @@
             answer_reports(harness)
     assert not connection.transport.disconnecting
     assert admitted.caller_request.body.count(b"id: ") == 5
+
+
+# Small chunks have the most overhead for each byte that is kept.
+SMALL_CHUNK = b"2\r\nxy\r\n"
+HELD_BYTES = 131_072
+CHUNKED_HEAD = PLAIN_HEAD[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def held_bytes_of(send):
+    """Returns the memory that a function leaves in use."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        kept = send()
+        gc.collect()
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert kept is not None
+    return held
+
+
+@pytest.mark.parametrize("head", [PLAIN_HEAD, ERROR_HEAD])
+def test_a_body_of_small_chunks_takes_about_its_own_size(
+    harness, plain_service, booking_route, head
+):
+    """Guards against many small parts that take far more than their bytes."""
+    _, connection = start_call(harness, plain_service, booking_route)
+    connection.respond(head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n")
+
+    def send():
+        for _ in range(HELD_BYTES // 2 // 512):
+            connection.respond(SMALL_CHUNK * 512)
+        return connection
+
+    assert held_bytes_of(send) <= 2 * HELD_BYTES
+
+
+def test_an_event_of_small_chunks_takes_about_its_own_size(streaming):
+    harness, _, connection = streaming
+    connection.respond(RESPONSE_HEAD + b"6\r\ndata: \r\n")
+
+    def send():
+        for _ in range(HELD_BYTES // 2 // 512):
+            connection.respond(SMALL_CHUNK * 512)
+        return connection
+
+    assert held_bytes_of(send) <= 2 * HELD_BYTES
+
+
+EXTENSION = b"2;" + b"e" * 8192 + b"\r\nxy\r\n"
+
+
+@pytest.mark.parametrize(
+    "part", [b"e" * 8192, EXTENSION, b"e=f;" * 2048], ids=len
+)
+@pytest.mark.parametrize("start", [b"2;", b"0\r\nT: ", b"0\r\n"])
+def test_chunk_extensions_and_trailers_without_end_are_not_kept(
+    harness, plain_service, booking_route, start, part
+):
+    admitted, connection = start_call(harness, plain_service, booking_route)
+    connection.respond(CHUNKED_HEAD + start)
+
+    def send():
+        for _ in range(500):
+            if not connection.transport.disconnecting:
+                connection.respond(part)
+        return connection
+
+    assert held_bytes_of(send) <= 4 * http_exchange.MAX_HEAD_BYTES
