Answer all requests that a gateway has read before it stops

Looked for with callers on kept connections, idle and busy, with bodies by length, in chunks and without, in parts too. Gateways take no request late in the grace: after 2.6 s each is rejected with 503 and not passed on. Found are cuts without an answer at the end: requests still at work or waiting at the end of the grace, requests that a pause of the process holds back, and requests that were still arriving as the last one in progress ended, whose connection was closed with the process. A large answer that its caller had not read yet was cut in the same way.

Cause: the process ended once no handler was in progress, whatever its connections held, and left handlers to the end of the process.

Change: it ends once all callers' connections are closed, idle ones at once, or 0.2 s before the grace is over. What is still in progress 0.4 s before it is answered: 503 only if it was not sent to a target, else 502. A stream that has begun is aborted as before.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -69,9 +69,12 @@
 # How long connections are accepted after SIGTERM: the balancer checks the
 # readiness of a gateway once a second and removes it after two failed checks.
 STOP_ACCEPT_DURATION_S = 2.6
-# The streams still in progress are aborted this long before the grace period
+# The requests still in progress are given up this long before the grace period
 # ends.
 STOP_MARGIN_S = 0.4
+# The process ends this long before it, whether or not callers have read all
+# of their answers.
+EXIT_MARGIN_S = 0.2
 STOP_POLL_INTERVAL_S = 0.05
 # For requests that arrive before a configuration is loaded: the gateway asks
 # the store for it at least twice a second.
@@ -699,11 +702,27 @@
     def _on_sighup(self, number, frame):
         self._reactor.callFromThread(self.reload)
 
+    async def _close_callers(self, until_s):
+        """Closes callers' connections as their requests end.
+
+        Args:
+            until_s: Time at which those still open are left.
+        """
+        while True:
+            self._caller_factory.close_idle_connections()
+            if (
+                not self._caller_factory.has_open_connections()
+                or self._reactor.seconds() >= until_s
+            ):
+                return
+            await task.deferLater(self._reactor, STOP_POLL_INTERVAL_S)
+
     async def _shut_down(self):
         """Shuts down within the grace period.
 
         Connections are accepted until the balancer has removed this gateway.
-        New requests are then rejected, and those in progress awaited.
+        New requests are then rejected, and those in progress awaited. Those
+        that don't end in time are answered with an error.
         """
         grace_s = self._settings.stop_grace_s
         stop_started_s = self._reactor.seconds()
@@ -721,14 +740,13 @@
         # might not end within the grace period.
         self._rejects_requests = True
         await defer.maybeDeferred(self._ports[0].stopListening)
-        while (
-            self._in_progress
-            and self._reactor.seconds()
-            < stop_started_s + grace_s - STOP_MARGIN_S
-        ):
-            self._caller_factory.close_idle_connections()
-            await task.deferLater(self._reactor, STOP_POLL_INTERVAL_S)
-        self._caller_factory.close_idle_connections()
+        await self._close_callers(stop_started_s + grace_s - STOP_MARGIN_S)
+        # What is left gets an answer, as a close would not tell its callers
+        # whether it ran.
+        for handler in list(self._in_progress):
+            handler.abandon("stopping")
+        self._startup_queue.reject_all()
+        await self._close_callers(stop_started_s + grace_s - EXIT_MARGIN_S)
         for store_watch in self._watches:
             store_watch.stop()
         self._check_loop.stop()
--- a/src/hemlocktiller/_internal/gateway/calls.py
+++ b/src/hemlocktiller/_internal/gateway/calls.py
@@ -166,6 +166,15 @@
             attempt, http_exchange.ExchangeFailure(reason, was_sent=True)
         )
 
+    def abandon(self, reason: str) -> None:
+        """Gives up the call before the process ends."""
+        if self._active_attempts and self._error_response is None:
+            self._respond_with_error(
+                request_context.STATUS_BAD_GATEWAY, reason
+            )
+            return
+        self._finish_without_retry(reason)
+
     def awaits_output_from(self, target: fleet.Target) -> bool:
         """Returns whether a target runs the call and has not responded."""
         return target.name in self._active_attempts
--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -269,6 +269,13 @@
             if is_open and not channel.requests:
                 channel.loseConnection()
 
+    def has_open_connections(self) -> bool:
+        """Returns whether a caller's connection is not closed yet."""
+        return any(
+            channel.transport is not None and channel.transport.connected
+            for channel in self.connections
+        )
+
 
 class _StatusPageRequest(http.Request):
     """Responds with the page that `render_page` returns for a path."""
--- a/src/hemlocktiller/_internal/gateway/startup_queue.py
+++ b/src/hemlocktiller/_internal/gateway/startup_queue.py
@@ -52,6 +52,13 @@
             timer.cancel()
             self._serve(request)
 
+    def reject_all(self) -> None:
+        """Rejects all held requests, as the process stops."""
+        timers, self._timers_by_request = self._timers_by_request, {}
+        for request, timer in timers.items():
+            timer.cancel()
+            self._reject(request)
+
     def _expire(self, request):
         """Rejects a request that has been held for the maximum time."""
         del self._timers_by_request[request]
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -270,6 +270,11 @@
         if self._is_stalled_by_down_target(self._context.reactor.seconds()):
             self._seek_replacement(self._down_reason)
 
+    def abandon(self, reason: str) -> None:
+        """Gives up the request before the process ends."""
+        may_have_run = bool(self.path) or bool(self._started_at_targets)
+        self._fail(reason, may_have_run)
+
     def awaits_output_from(self, target: fleet.Target) -> bool:
         """Returns whether a target runs the request without output so far."""
         return self._is_running_at(target) and not self._has_produced_output()
