Reject requests late in the stop of an entry, and answer the last ones

Found on the entry-and-agent build. An entry that drains stops listening after its notice, but goes on taking requests on kept connections until none is in progress or the timeout is reached; those that are then in progress, and those that come while it removes its registration, are cut with the process. Its answers announce the close of their connection and don't close it.

Change: after the notice new requests are rejected as not run (stopping, 503), idle connections are closed, and the entry ends once all are closed. What is left at the timeout fails with an error that says whether it ran. The connections of callers are tracked by one class for both builds.

--- a/src/hemlocktiller/_internal/entry/app.py
+++ b/src/hemlocktiller/_internal/entry/app.py
@@ -6,6 +6,7 @@
 import logbook
 from twisted.internet import defer
 
+from hemlocktiller._internal import caller_connections
 from hemlocktiller._internal import process as process_module
 from hemlocktiller._internal.entry import controller
 from hemlocktiller._internal.entry import http_api
@@ -24,6 +25,8 @@
 from hemlocktiller._internal.store import watch
 
 ENTRY_KIND = "entry"
+# Callers may take this long to read the errors of requests that did not end.
+LAST_ANSWERS_S = 0.5
 STARTUP_LINK_WAIT_S = 3.0  # Then the entry is ready even if links are down.
 MAX_REGISTRATIONS_PER_MESSAGE = 4096  # Limit in the message schema.
 
@@ -62,6 +65,8 @@
         self.reactor = process.reactor
         self.settings = process.settings
         self.draining = False
+        self._rejects_requests = False
+        self._caller_connections = caller_connections.CallerConnections()
         self.registration: dict[str, Any] = {}
         self._watches: list[watch.Watch] = []
         self._drained = defer.Deferred()
@@ -135,13 +140,16 @@
             self.registry,
             lambda: self.process.feed.current,
             lambda: self.draining,
+            lambda: self._rejects_requests,
             self.targets.models,
             self.targets.services,
         )
         callers = self.settings["callers"]
+        site = http_api.build_site(self.reactor, context)
+        self._caller_connections = site.caller_connections
         self._listening = self.reactor.listenTCP(
             callers["port"],
-            http_api.build_site(self.reactor, context),
+            site,
             interface=callers["host"],
         )
         port = self._listening.getHost().port
@@ -222,18 +230,25 @@
 
     @defer.inlineCallbacks
     def _finish_drain(self) -> defer.Deferred[None]:
-        """Shuts down once no request is in progress, or after the timeout.
+        """Shuts down once callers have their answers, or after the timeout.
 
         The entry still accepts connections for `notice_s`, so that the
-        failed readiness check is noticed first.
+        failed readiness check is noticed first. New requests are then
+        rejected, as they might not end before the timeout. Those that are in
+        progress at the timeout fail with an error.
         """
         drain = self.settings["drain"]
         yield process_module.wait_until(
             self.reactor, lambda: False, drain["notice_s"]
         )
+        self._rejects_requests = True
         yield self._listening.stopListening()
         yield process_module.wait_until(
-            self.reactor, lambda: len(self.registry) == 0, drain["timeout_s"]
+            self.reactor, self._has_no_callers, drain["timeout_s"]
+        )
+        self.registry.abandon_all()
+        yield process_module.wait_until(
+            self.reactor, self._has_no_callers, LAST_ANSWERS_S
         )
         yield defer.Deferred.fromCoroutine(
             process_module.unregister(
@@ -253,6 +268,13 @@
             process_module.POLL_INTERVAL_S, self._drained.callback, None
         )
 
+    def _has_no_callers(self) -> bool:
+        """Closes idle connections; returns whether no request is left."""
+        self._caller_connections.close_idle()
+        return len(self.registry) == 0 and not (
+            self._caller_connections.has_open()
+        )
+
     def _admin_pages(self) -> admin.PageFunctions:
         return admin.PageFunctions(
             self.unready_reason,
--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -35,6 +35,8 @@
         ended: Whether the request has succeeded, failed or been cancelled.
     """
 
+    # Error of a request that may have run, if this process ends.
+    _interruption_type: type[exceptions.RequestError] = exceptions.Interrupted
     # Whether a retry after the loss of a target takes from the retry budget.
     _charges_lost_targets = True
 
@@ -101,6 +103,22 @@
             self._cancel_attempt()
             self._finish()
 
+    def abandon(self) -> None:
+        """Fails the request, as this process ends."""
+        if self.target is not None:
+            self._may_have_run = True
+        self._cancel_attempt()
+        error_type: type[exceptions.RequestError] = exceptions.Stopping
+        if self._may_have_run:
+            error_type = self._interruption_type
+        self._finish_with_error(
+            error_type(
+                "this entry is shutting down",
+                self._run_status,
+                DEFAULT_RETRY_AFTER_S,
+            )
+        )
+
     def _on_deadline(self) -> None:
         """Fails the request, as its deadline has passed."""
         raise NotImplementedError
--- a/src/hemlocktiller/_internal/entry/http_api.py
+++ b/src/hemlocktiller/_internal/entry/http_api.py
@@ -12,8 +12,10 @@
 from twisted.web import server
 import xxhash
 
+from hemlocktiller._internal import caller_connections
 from hemlocktiller._internal import exceptions
 from hemlocktiller._internal.config import snapshot as snapshot_module
+from hemlocktiller._internal.entry import base_request
 from hemlocktiller._internal.entry import call_types
 from hemlocktiller._internal.entry import request_bodies
 from hemlocktiller._internal.entry import request_registry
@@ -45,6 +47,7 @@
         registry: Requests in progress.
         current_config: Returns the configuration in force.
         is_draining: Returns whether the entry is shutting down.
+        rejects_requests: Returns whether it takes no new requests any more.
         models: Returns the models of all known targets.
         services: Returns the services of all known targets.
     """
@@ -53,6 +56,7 @@
     registry: request_registry.RequestRegistry
     current_config: Callable[[], snapshot_module.Snapshot]
     is_draining: Callable[[], bool]
+    rejects_requests: Callable[[], bool]
     models: Callable[[], list[str]]
     services: Callable[[], list[str]]
 
@@ -118,6 +122,7 @@
 
     Attributes:
         connections: Count of open connections.
+        caller_connections: Open connections.
         connection_limit: Maximum of `connections`.
         header_limit_bytes: Maximum size of the headers of a request.
     """
@@ -126,15 +131,17 @@
     connections = 0
     connection_limit = 0
     header_limit_bytes = 0
+    caller_connections: caller_connections.CallerConnections
 
     def buildProtocol(self, addr: Any) -> CallerChannel:
         """Returns the channel for a new connection."""
         channel = super().buildProtocol(addr)
         channel.totalHeadersSize = self.header_limit_bytes
+        self.caller_connections.add(channel)
         return channel
 
 
-def build_site(reactor: Any, context: ApiContext) -> server.Site:
+def build_site(reactor: Any, context: ApiContext) -> CallerSite:
     """Returns the site for callers."""
     limits = context.settings["limits"]
 
@@ -149,6 +156,7 @@
         timeout=limits["body_timeout_s"],
         reactor=reactor,
     )
+    caller_site.caller_connections = caller_connections.CallerConnections()
     caller_site.displayTracebacks = False
     caller_site.connection_limit = limits["connections"]
     caller_site.header_limit_bytes = limits["header_bytes"]
@@ -178,6 +186,7 @@
         request.setHeader(b"x-request-id", request_id.encode())
         if self._context.is_draining():
             request.setHeader(b"connection", b"close")
+            request.channel.persistent = False
         try:
             self._serve(request, request_id)
         except exceptions.RequestError as error:
@@ -186,6 +195,11 @@
 
     def _serve(self, request: http.Request, request_id: str) -> None:
         """Dispatches a request by its path and method."""
+        if self._context.rejects_requests():
+            raise exceptions.Stopping(
+                "this entry is shutting down",
+                retry_after_s=base_request.DEFAULT_RETRY_AFTER_S,
+            )
         path = request.path.decode("utf-8", "replace")
         method = request.method.decode("ascii", "replace")
         caller = self._authenticate(request)
--- a/src/hemlocktiller/_internal/entry/request_registry.py
+++ b/src/hemlocktiller/_internal/entry/request_registry.py
@@ -115,6 +115,11 @@
             self._remove(request_id, "cancelled")
             request.cancel()
 
+    def abandon_all(self) -> None:
+        """Fails all requests, as this process ends."""
+        for request in list(self._requests.values()):
+            request.abandon()
+
     def on_message(self, message: Any) -> None:
         """Dispatches a target's message to its request."""
         message_type = message["type"]
--- a/src/hemlocktiller/_internal/entry/service_requests.py
+++ b/src/hemlocktiller/_internal/entry/service_requests.py
@@ -29,6 +29,8 @@
 class ServiceRequest(base_request.BaseRequest):
     """State of a call of a plain service."""
 
+    _interruption_type = exceptions.OutcomeUnknown
+
     def __init__(
         self,
         context: request_context.RequestContext,
--- a/src/hemlocktiller/_internal/exceptions.py
+++ b/src/hemlocktiller/_internal/exceptions.py
@@ -109,6 +109,16 @@
     http_status = 503
 
 
+class Stopping(RequestError):
+    """This process is shutting down and takes no new requests.
+
+    Retry at once: another process takes new connections.
+    """
+
+    code = "stopping"
+    http_status = 503
+
+
 class StoreDown(RequestError):
     """The object API is unavailable; retry after `retry_after_s`."""
 
--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -708,10 +708,11 @@
         Args:
             until_s: Time at which those still open are left.
         """
+        connections = self._caller_factory.connections
         while True:
-            self._caller_factory.close_idle_connections()
+            connections.close_idle()
             if (
-                not self._caller_factory.has_open_connections()
+                not connections.has_open()
                 or self._reactor.seconds() >= until_s
             ):
                 return
--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -4,10 +4,10 @@
 import socket
 import struct
 from typing import Any
-import weakref
 
 from twisted.web import http
 
+from hemlocktiller._internal import caller_connections
 from hemlocktiller._internal.gateway import model
 from hemlocktiller._internal.gateway import platform_adapter
 
@@ -220,8 +220,7 @@
         limits: Limits on callers in force.
         is_draining: Whether responses close their connection, so that
             callers connect to another gateway.
-        connections: Open connections, and closed ones that were not
-            garbage-collected yet.
+        connections: Open connections.
     """
 
     noisy = False
@@ -237,7 +236,7 @@
         self.on_request = on_request
         self.limits = DEFAULT_LIMITS
         self.is_draining = False
-        self.connections: weakref.WeakSet[Any] = weakref.WeakSet()
+        self.connections = caller_connections.CallerConnections()
 
     def set_limits(self, limits: model.CallerLimits) -> None:
         """Applies limits to new connections and requests."""
@@ -257,24 +256,7 @@
     def start_draining(self) -> None:
         """Closes each connection after its current response."""
         self.is_draining = True
-        for channel in list(self.connections):
-            if channel.requests:
-                channel.persistent = False
-
-    def close_idle_connections(self) -> None:
-        """Closes connections on which no request is in progress."""
-        for channel in list(self.connections):
-            transport = channel.transport
-            is_open = transport is not None and transport.connected
-            if is_open and not channel.requests:
-                channel.loseConnection()
-
-    def has_open_connections(self) -> bool:
-        """Returns whether a caller's connection is not closed yet."""
-        return any(
-            channel.transport is not None and channel.transport.connected
-            for channel in self.connections
-        )
+        self.connections.close_after_response()
 
 
 class _StatusPageRequest(http.Request):
--- a/tests/unit/gateway/test_ingress.py
+++ b/tests/unit/gateway/test_ingress.py
@@ -64,7 +64,7 @@
 def test_idle_connections_are_closed_on_shutdown(server):
     server.send()
     server.requests[0].respond(200, [], b"ok")
-    server.factory.close_idle_connections()
+    server.factory.connections.close_idle()
     assert server.transport.disconnecting
 
 
