--- a/src/hemlocktiller/_internal/store/client.py
+++ b/src/hemlocktiller/_internal/store/client.py
@@ -24,6 +24,9 @@
 
 MAX_WRITE_ATTEMPTS = 3
 NONCE_BYTES = 12
+# The watch after one that was cut off is answered at once, which shows whether
+# the store is there.
+CHECK_WAIT_S = 0.001
 
 # Raised where an answer lacks a field, or where a field has another type.
 _STRUCTURE_ERRORS = (KeyError, TypeError, AttributeError, ValueError)
@@ -329,14 +332,14 @@
         revision = -1
         if after >= 0 and self.is_current(after):
             revision = versions.revision_of(after)
-        if segments in self._cut_off:
-            # Answered at once, which shows whether the store is there.
-            wait_s = 0.0
+        is_check = segments in self._cut_off
+        if is_check:
+            wait_s = CHECK_WAIT_S
         query = {"after": revision, "timeout_s": wait_s}
         try:
             reply = await self._get("watch", kind, segments, query, wait_s)
         except exceptions.StoreUnavailable as lost_reply:
-            if not wait_s or lost_reply.outcome != transport.CONNECTION_LOST:
+            if is_check or lost_reply.outcome != transport.CONNECTION_LOST:
                 raise
             self._cut_off.add(segments)
             raise exceptions.WatchCutOff.ended(
