Let the grace of expired registrations begin at the store's return

Cause (by reading, and by the test below): the time of an outage is that of the last failed call, up to some seconds before the store's return. Deployments that share the backoff of calls recorded the return itself.

The new test fails on the code before (last_outage_s 0.3 s or more early).

--- a/src/hemlocktiller/_internal/gateway/peers.py
+++ b/src/hemlocktiller/_internal/gateway/peers.py
@@ -389,9 +389,8 @@
         if self._is_store_lost:
             self._is_store_lost = False
             self._backoff.is_store_lost = False
-            if self._backoff.is_shared:
-                # The last call may have failed some time before its return.
-                self._hooks.targets.record_store_outage()
+            # The last call may have failed some time before its return.
+            self._hooks.targets.record_store_outage()
             events.emit("store_back")
             self._hooks.on_store_recovered()
         self._update_dialers(listing)
--- a/tests/unit/gateway/test_peers.py
+++ b/tests/unit/gateway/test_peers.py
@@ -414,6 +414,18 @@
     assert len(gateway.recovery_times_s) == 1
 
 
+def test_an_outage_lasts_until_the_store_answers_again(gateway, outage):
+    """Guards against removals of registrations that expired meanwhile."""
+    clock = gateway.harness.reactor
+    outage.append("down")
+    clock.pump([0.1] * 50)
+    outage.clear()
+    while not gateway.recovery_times_s:
+        clock.advance(0.01)
+    targets = gateway.harness.targets
+    assert targets.last_outage_s == gateway.recovery_times_s[0]
+
+
 def test_few_of_many_gateways_are_watchers(gateway):
     count = 30
     names = [f"gateway-{n}" for n in range(count)]
