Decide in one place when a half-open request should come back

The rule (not before a decision takes, as a trial's result is soon known) stood in the gateway's evidence and in the entry's requests. Both call the feed now; behaviour is as it was.

--- a/src/hemlocktiller/_internal/entry/base_request.py
+++ b/src/hemlocktiller/_internal/entry/base_request.py
@@ -260,8 +260,7 @@
     def _try_trial(self, digest: int) -> bool:
         """Fails a half-open request unless it is the next trial.
 
-        While a trial is under way its result is soon known. A trial that no
-        target has begun goes on.
+        A trial that no target has begun goes on.
 
         Returns:
             Whether it is the trial.
@@ -275,10 +274,7 @@
             exceptions.Overloaded(
                 "targets died while they ran this request; it is on trial",
                 self._run_status,
-                max(
-                    suspects.CONDEMNATION_DELAY_S,
-                    self._context.suspects.trial_wait_s(digest),
-                ),
+                self._context.suspects.trial_wait_s(digest),
             )
         )
         return False
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -95,11 +95,8 @@
         return self.feed.try_trial(digest)
 
     def trial_wait_s(self, digest: int) -> float:
-        """Returns when a caller of a half-open request should return, in s.
-
-        While a trial is under way its result is soon known.
-        """
-        return max(CONDEMNATION_DELAY_S, self.feed.trial_wait_s(digest))
+        """Returns after how long a half-open request should come back."""
+        return self.feed.trial_wait_s(digest)
 
     def has_condemned_part(self, prompt_parts: Sequence[int]) -> bool:
         """Returns whether a part of a prompt is known to crash targets."""
--- a/src/hemlocktiller/_internal/links/suspects_feed.py
+++ b/src/hemlocktiller/_internal/links/suspects_feed.py
@@ -90,10 +90,14 @@
         return may_run
 
     def trial_wait_s(self, digest: int) -> float:
-        """Returns the time until a half-open request may run; 0 if now."""
-        return self.suspects.trial_wait_s(
+        """Returns after how long a half-open request should come back.
+
+        While a trial is under way its result is soon known.
+        """
+        wait_s = self.suspects.trial_wait_s(
             digest, self.trial_turn(digest), self._reactor.seconds()
         )
+        return max(suspects.CONDEMNATION_DELAY_S, wait_s)
 
     def record_response(self, digest: int) -> None:
         """Clears a request that a target has responded to, at all peers."""
