--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -22,6 +22,8 @@
 ROOT = SUPPORT.parent.parent
 START_TIMEOUT_S = 30.0
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Tells a replica to leave without a word.
+LEAVE = signal.SIGTERM
 
 BOUNDS = """\
 first_start=true
@@ -159,6 +161,11 @@
 
         self.wait_for(is_loaded, "model replicas hold layers")
 
+    def is_gone(self, name):
+        """Returns whether a replica has no entry in the store."""
+        status, _ = self.call_store("GET", f"/api/objects/servers/{name}")
+        return status == 404
+
     def call_store(self, method, path, value=None):
         """Calls the store; returns status and body."""
         host, port = self.store.split(":")
--- a/review/support-2/replica.py
+++ b/review/support-2/replica.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import os
+import signal
 import time
 from urllib import request as url_request
 
@@ -34,6 +35,7 @@
         self.fence = 0
         self.beats = 0
         self.running = 0
+        self._leaving = asyncio.Event()
 
     def registration(self):
         """Returns the entry of this replica in the store."""
@@ -58,16 +60,29 @@
 
     async def beat_forever(self):
         """Writes the registration at each heartbeat."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
         await asyncio.sleep(self.options.first_beat_s)
-        while True:
-            await asyncio.to_thread(self._beat)
-            await asyncio.sleep(self.options.heartbeat_s)
+        while not self._leaving.is_set():
+            await asyncio.to_thread(self._call_store, "POST", "beat")
+            try:
+                await asyncio.wait_for(
+                    self._leaving.wait(), self.options.heartbeat_s
+                )
+            except TimeoutError:
+                pass
+        # It never reports `draining`: its entry goes, and it serves on.
+        await asyncio.to_thread(
+            self._call_store, "DELETE", "api/objects/servers"
+        )
+        await asyncio.sleep(self.options.serves_s)
 
-    def _beat(self):
+    def _call_store(self, method, path):
+        is_beat = method == "POST"
         call = url_request.Request(
-            f"http://{self.options.store}/beat/{self.options.id}",
-            json.dumps(self.registration()).encode(),
-            method="POST",
+            f"http://{self.options.store}/{path}/{self.options.id}",
+            json.dumps(self.registration()).encode() if is_beat else None,
+            method=method,
         )
         try:
             url_request.urlopen(call, timeout=2).read()
@@ -215,6 +230,7 @@
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--heartbeat-s", type=float, default=1.2)
     parser.add_argument("--first-beat-s", type=float, default=0.0)
+    parser.add_argument("--serves-s", type=float, default=3.0)
     parser.add_argument("--work-s", type=float, default=0.03)
     parser.add_argument("--piece-s", type=float, default=0.05)
     parser.add_argument("--body-bytes", type=int, default=800)
--- a/review/support-2/store.py
+++ b/review/support-2/store.py
@@ -115,6 +115,7 @@
         if expected and int(expected) != known["metadata"]["revision"]:
             return web.response(409, known)
         if request.method == "DELETE":
+            self.beats_s.pop(name, None)
             return web.response(200, self.delete(kind, name))
         return web.response(200, self.put(kind, name, value["spec"]))
 
--- a/review/support-2/web.py
+++ b/review/support-2/web.py
@@ -89,17 +89,3 @@
     return await asyncio.start_server(
         on_connection, host, port, limit=MAX_LINE_BYTES, backlog=512
     )
-
-
-def listen_forever(handle, port, on_start=None):
-    """Runs a server process until it is killed; prints its address."""
-
-    async def run():
-        server = await serve(handle, "127.0.0.1", port)
-        port_in_use = server.sockets[0].getsockname()[1]
-        if on_start is not None:
-            on_start(port_in_use)
-        print(f"listening {port_in_use}", flush=True)
-        await server.serve_forever()
-
-    asyncio.run(run())
