Keep the evidence of a death that a restarted plain target would withdraw

Cause: a target that was believed to have ended was taken for alive as soon as a health page came from its address. The page doesn't say which process serves it; the next one answers a probe 0.3 s before it registers. The death was withdrawn, and the evidence against the request with it.

Change: such a target is used again, but its death stays, in doubt. A request that deaths in doubt implicate gets trials, as a popular one does, and is cleared by a response; a registration with another start confirms the death, a report with the same start withdraws it. The same fault on related paths: a report and a registration that both lack a start time, a registration written before the end, a health page that names another target, and a process that is back before the first probe.

--- a/src/hemlocktiller/_internal/gateway/app.py
+++ b/src/hemlocktiller/_internal/gateway/app.py
@@ -232,9 +232,7 @@
             settings.name,
             waiting_calls.WaitingCalls(reactor, self.targets),
         )
-        self.targets.on_survival.append(
-            self._context.crash_evidence.record_survival
-        )
+        self._context.crash_evidence.follow(self.targets)
         self._lease = lease_module.Lease(
             store,
             LAYOUT_LEASE_NAME,
--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -21,13 +21,10 @@
 from hemlocktiller._internal.policy import fleet
 from hemlocktiller._internal.policy import suspects
 
-# An attempt fails some milliseconds before its target is marked as down: a
-# probe takes at most its timeout, and twice that if it had to wait for an
-# earlier one.
-EARLY_FAILURE_TTL_S = 2 * targets_module.PROBE_TIMEOUT_S
-# The end of a model target that is silent at first may show only as its
-# registration expires. A report of it drops its failures before that.
-MODEL_FAILURE_TTL_S = 5.0
+# The end of a target that is silent at first, or whose next process answers
+# for it, may show only as its registration is replaced or expires. A report of
+# a model target drops its failures before that.
+EARLY_FAILURE_TTL_S = 5.0
 # A failed attempt of a suspect waits for the probe of its target, which
 # shows whether this was the second crash.
 PROBE_WAIT_S = targets_module.PROBE_TIMEOUT_S
@@ -36,6 +33,8 @@
 CONDEMNED_REASON = "targets went down as they began to run this request"
 HALF_OPEN_REASON = "targets went down under this request; it is on trial"
 CONDEMNED_PART_REASON = "targets went down on a part of this prompt"
+# The oldest are forgotten first.
+MAX_DOUBTED_PROCESSES = 10_000
 # Evidence is kept for as long as in an entry process, since callers retry
 # requests in the same way.
 SUSPECT_SETTINGS = {"suspect_ttl_s": 600.0}
@@ -85,6 +84,14 @@
         )
         self._reactor = reactor
         self._failures_by_process: dict[str, list[_EarlyFailure]] = {}
+        # Deaths of processes that are in doubt, by process; see `_death_id`.
+        self._doubted_deaths: dict[str, int] = {}
+
+    def follow(self, targets: targets_module.Targets) -> None:
+        """Corrects the evidence by what shows whether targets survived."""
+        targets.on_survival.append(self.record_survival)
+        targets.on_unproven_survival.append(self.record_unproven_survival)
+        targets.on_confirmed_end.append(self.record_confirmed_end)
 
     def state(self, digest: int) -> suspects.State:
         """Returns the state of a request; see `Suspects.state`."""
@@ -116,13 +123,13 @@
             failures = self._failures_by_process.setdefault(
                 target.process_id, []
             )
-            ttl_s = (
-                MODEL_FAILURE_TTL_S
-                if target.accelerator
-                else EARLY_FAILURE_TTL_S
-            )
             failures.append(
-                _EarlyFailure(digest, request_id, now_s + ttl_s, prompt_parts)
+                _EarlyFailure(
+                    digest,
+                    request_id,
+                    now_s + EARLY_FAILURE_TTL_S,
+                    prompt_parts,
+                )
             )
 
     def record_first_data(self, digest: int) -> None:
@@ -156,7 +163,9 @@
         }
         requests.update(waiting)
         # Without returned data, a request counts as just started.
-        self.feed.record_death(process_id, dict.fromkeys(requests, 0.0))
+        self.feed.record_death(
+            self._death_id(process_id), dict.fromkeys(requests, 0.0)
+        )
         for digest, request_id in requests.items():
             events.emit(
                 "request_suspected",
@@ -175,7 +184,8 @@
     def _record_part_evidence(self, target, prompts):
         """Records that a target went down, as evidence against parts."""
         self.part_feed.record_death(
-            target.process_id, [prompt.parts for prompt in prompts]
+            self._death_id(target.process_id),
+            [prompt.parts for prompt in prompts],
         )
         for request_id, prompt_parts in prompts:
             if not prompt_parts:
@@ -207,8 +217,46 @@
     def record_survival(self, target: fleet.Target) -> None:
         """Withdraws the evidence of a target that was only silent."""
         self._failures_by_process.pop(target.process_id, None)
-        self.feed.suspects.record_survival(target.process_id)
-        self.part_feed.withdraw_death(target.process_id)
+        for death_id in self._death_ids(target.process_id):
+            self.feed.suspects.record_survival(death_id)
+            self.part_feed.withdraw_death(death_id)
+        self._doubted_deaths.pop(target.process_id, None)
+
+    def record_unproven_survival(self, target: fleet.Target) -> None:
+        """Records that a process of unknown start answers after a death.
+
+        The evidence stays, as that process may have been started since.
+        """
+        process_id = target.process_id
+        self.feed.suspects.record_doubt(self._death_id(process_id))
+        self._doubted_deaths[process_id] = (
+            self._doubted_deaths.get(process_id, 0) + 1
+        )
+        if len(self._doubted_deaths) > MAX_DOUBTED_PROCESSES:
+            del self._doubted_deaths[next(iter(self._doubted_deaths))]
+
+    def record_confirmed_end(self, target: fleet.Target) -> None:
+        """Ends the doubts in a target's death, as it has been replaced."""
+        for death_id in self._death_ids(target.process_id):
+            self.feed.record_confirmation(death_id)
+        self._doubted_deaths.pop(target.process_id, None)
+
+    def _death_id(self, process_id):
+        """Returns the id of the next death of a process.
+
+        A death after one that is in doubt is another one: that of a later
+        process that has not registered yet, for all that is known.
+        """
+        return _numbered_death(
+            process_id, self._doubted_deaths.get(process_id, 0)
+        )
+
+    def _death_ids(self, process_id):
+        """Returns the ids of all deaths recorded of a process."""
+        count = self._doubted_deaths.get(process_id, 0)
+        return [
+            _numbered_death(process_id, number) for number in range(count + 1)
+        ]
 
     def _drop_expired(self, now_s):
         """Drops early failures that are too old to be due to a crash."""
@@ -226,6 +274,11 @@
                 del self._failures_by_process[process_id]
 
 
+def _numbered_death(process_id, number):
+    """Returns the id of a death; the first is called as its process."""
+    return f"{process_id}+{number}" if number else process_id
+
+
 def _log_condemned_request(request_digest, targets):
     events.emit(
         "request_condemned", digest=f"{request_digest:x}", targets=targets
--- a/src/hemlocktiller/_internal/gateway/platform_adapter.py
+++ b/src/hemlocktiller/_internal/gateway/platform_adapter.py
@@ -86,6 +86,7 @@
         limit_per_s: Requests a second that the target takes from all
             processes together; None if it names no limit, or one that can't
             be read.
+        target_name: Name of the target that answers; empty if not given.
     """
 
     request_id: str
@@ -98,6 +99,7 @@
     pause_s: float | None = None
     names_limit: bool = False
     limit_per_s: float | None = None
+    target_name: str = ""
 
 
 class PlatformAdapter(NamedTuple):
--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -109,7 +109,7 @@
             decide(None)
 
     def on_report(target: fleet.Target, report: model.TargetReport) -> None:
-        if report.born_ms == target.born_ms:
+        if targets_module.is_same_process(report, target):
             on_survival(target)
         elif targets_module.is_other_process(report, target):
             decide(target, "started again")
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -50,6 +50,7 @@
 # a refusal shows no end for this long after output of the target. Twice the
 # pause between probes: it takes a second refusal.
 MAX_OUTPUT_AGE_S = 1.0
+OTHER_PROCESS_REASON = "another process answers"
 # Smaller relative changes of a target's pace are not sent to peers.
 PACE_CHANGE_MIN_RATIO = 0.2
 # Processes that have said that they leave, or that have ended; the oldest are
@@ -119,6 +120,11 @@
         on_survival: Called with a target that has answered a probe as the
             process that was registered, or that was wrongly believed to
             have ended.
+        on_unproven_survival: Called with a target that was believed to have
+            ended, and whose health page is served by a process that may have
+            been started since.
+        on_confirmed_end: Called with a target whose process is known to have
+            been replaced by another one.
         on_change: Called after any change of registrations or health.
         on_health: Called when this process marks a target as down or up,
             with the target, whether it is down, and the reason.
@@ -141,6 +147,8 @@
         self.by_name: dict[str, fleet.Target] = {}
         self.on_down: list[Callable[[fleet.Target, str], None]] = []
         self.on_survival: list[Callable[[fleet.Target], None]] = []
+        self.on_unproven_survival: list[Callable[[fleet.Target], None]] = []
+        self.on_confirmed_end: list[Callable[[fleet.Target], None]] = []
         self.on_change: list[Callable[[], None]] = []
         self.on_health: Callable[[fleet.Target, bool, str], None] = (
             lambda target, is_down, reason: None
@@ -174,6 +182,9 @@
         self._leaving_born_ms: dict[str, int] = {}
         # Ends of processes by their ids, oldest first.
         self._ended_processes: dict[str, _ProcessEnd] = {}
+        # Processes that were believed to have ended, and at whose address
+        # one of unknown start has answered; oldest first.
+        self._doubted_processes: dict[str, None] = {}
         # Time of the last output by process, unless an exchange with it has
         # ended since.
         self._output_s: dict[str, float] = {}
@@ -621,7 +632,7 @@
                     )
                 )
                 return
-            if report.born_ms == target.born_ms:
+            if is_same_process(report, target):
                 self._withdraw_end(target, "reports")
             if self._is_registered(target) and not is_other_process(
                 report, target
@@ -802,12 +813,16 @@
         if removal is not None:
             removal.cancel()
         self.by_name[name] = target
-        if target != previous:
+        if previous is None:
             self._withdraw_end(target, "registers")
+        elif target != previous:
+            # It may have written this before it ended.
+            self._doubt_end(target, "registers")
         if previous is None or previous.born_ms != target.born_ms:
             self._reset_health(name)
             if previous is not None:
                 self._add_ended_process(previous, "started again")
+                self._notify_confirmed_end(previous)
                 self._notify_down(previous, "started again")
         if previous is None or previous.state != target.state:
             events.emit(
@@ -868,7 +883,7 @@
         if self.has_ended(target):
             return
         if is_replaced:
-            self._record_ended(target, "another process has its address")
+            self._record_replaced(target, "another process has its address")
         elif is_down:
             self._probe_removed(target)
 
@@ -903,7 +918,11 @@
         def on_report(report):
             on_answer()
             if is_other_process(report, target):
-                self._record_ended(target, "another process answers")
+                self._record_replaced(target, OTHER_PROCESS_REASON)
+
+        def on_other_process():
+            on_answer()
+            self._record_replaced(target, OTHER_PROCESS_REASON)
 
         def on_failed(failure):
             if failure.was_answered:
@@ -926,7 +945,9 @@
             self._unanswered_removal_probes[target.process_id] = silent_probes
             self._reactor.callLater(PROBE_INTERVAL_S, probe_again)
 
-        self._send_probe(target, on_report, on_answer, on_failed)
+        self._send_probe(
+            target, on_report, on_answer, on_other_process, on_failed
+        )
 
     def _record_ended(self, target, reason):
         """Records that the process of a target has ended."""
@@ -936,6 +957,11 @@
         events.emit("target_ended", target=target.name, reason=reason)
         self._notify_down(target, reason)
 
+    def _record_replaced(self, target, reason):
+        """Records that another process has taken the place of a target's."""
+        self._notify_confirmed_end(target)
+        self._record_ended(target, reason)
+
     def _add_ended_process(self, target, reason):
         self._ended_processes.setdefault(
             target.process_id, _ProcessEnd(self._reactor.seconds(), reason)
@@ -945,9 +971,35 @@
 
     def _withdraw_end(self, target, evidence):
         """Drops the belief that a process has ended, as it shows itself."""
+        was_doubted = target.process_id in self._doubted_processes
+        self._doubted_processes.pop(target.process_id, None)
+        if self._drop_end(target, evidence) or was_doubted:
+            self._notify_survival(target)
+
+    def _doubt_end(self, target, evidence):
+        """Drops the belief that a process has ended, without a proof.
+
+        Something serves at its address, which may have been started since, so
+        what its end was evidence of is not withdrawn.
+        """
+        if not self._drop_end(target, evidence):
+            return
+        self._doubted_processes[target.process_id] = None
+        if len(self._doubted_processes) > MAX_ENDED_PROCESSES:
+            del self._doubted_processes[next(iter(self._doubted_processes))]
+        for callback in list(self.on_unproven_survival):
+            callback(target)
+
+    def _drop_end(self, target, evidence):
+        """Drops the belief that a process has ended; returns if it was held.
+
+        Args:
+            target: The target.
+            evidence: What it is dropped for, for logs.
+        """
         end = self._ended_processes.pop(target.process_id, None)
         if end is None:
-            return
+            return False
         ENDS_WITHDRAWN.inc()
         events.emit(
             "target_end_withdrawn",
@@ -957,12 +1009,17 @@
             reason=end.reason,
             evidence=evidence,
         )
-        self._notify_survival(target)
+        return True
 
     def _notify_survival(self, target):
         for callback in list(self.on_survival):
             callback(target)
 
+    def _notify_confirmed_end(self, target):
+        self._doubted_processes.pop(target.process_id, None)
+        for callback in list(self.on_confirmed_end):
+            callback(target)
+
     def _reset_health(self, name):
         """Drops what is known about the health of an earlier process."""
         self._circuit_breakers.forget(name)
@@ -1004,6 +1061,7 @@
             target,
             lambda report: self._on_report_probe_answered(target, report),
             lambda: self._on_health_probe_answered(target),
+            lambda: self._on_other_process_answered(target),
             lambda failure: self._on_probe_failed(target, failure),
         )
 
@@ -1023,31 +1081,69 @@
         if target.name in self._down_since_s:
             self._probe(target)
 
-    def _send_probe(self, target, on_report, on_health, on_failed):
-        """Requests the report of a model target, or a plain one's health."""
+    def _send_probe(
+        self, target, on_report, on_health, on_other_process, on_failed
+    ):
+        """Requests the report of a model target, or a plain one's health.
+
+        Args:
+            target: The target.
+            on_report: Called with the report of a model target.
+            on_health: Called if a plain target's health page was served.
+            on_other_process: Called instead if it names another target.
+            on_failed: Called with the failure if there is no valid answer.
+        """
         self.limits.record_probe_sent(target)
         if target.accelerator:
             self.request_report(target, on_report, on_failed)
             return
+        record_head = self.probe_head_recorder(target)
+        answering_name = ""
+
+        def on_head(status, headers):
+            nonlocal answering_name
+            head = self._adapter.decode_response_head(status, headers)
+            answering_name = head.target_name
+            if answering_name in ("", target.name):
+                record_head(status, headers)
+
+        def on_done(status, body):
+            if answering_name in ("", target.name):
+                on_health()
+            else:
+                on_other_process()
+
         upstream.request_once(
             self._reactor,
             target,
             ("GET", self._health_path(target.service), b""),
             PROBE_TIMEOUT_S,
-            lambda status, body: on_health(),
+            on_done,
             on_failed,
-            self.probe_head_recorder(target),
+            on_head,
         )
 
     def _on_report_probe_answered(self, target, report):
-        if report.born_ms == target.born_ms:
+        if is_same_process(report, target):
             self._notify_survival(target)
+        elif not is_other_process(report, target):
+            self._doubt_end(target, "report")
         self._on_probe_answered(target)
 
     def _on_health_probe_answered(self, target):
-        self._withdraw_end(target, "health page")
+        # A health page doesn't say when its process was started.
+        self._doubt_end(target, "health page")
         self._on_probe_answered(target)
 
+    def _on_other_process_answered(self, target):
+        """Handles a probe that another target has answered."""
+        PROBES.labels("dead").inc()
+        self._probing.discard(target.process_id)
+        self._record_replaced(target, OTHER_PROCESS_REASON)
+        if target.name in self._down_since_s:
+            self._probe_down_after(PROBE_INTERVAL_S, target)
+        self.mark_down(target, OTHER_PROCESS_REASON, has_ended=True)
+
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
         self._probing.discard(target.process_id)
@@ -1095,6 +1191,14 @@
     )
 
 
+def is_same_process(report: model.TargetReport, target: fleet.Target) -> bool:
+    """Returns whether a report shows that a target's process is alive.
+
+    Without a start time it may be of a process that was started since.
+    """
+    return report.born_ms == target.born_ms != 0
+
+
 def is_other_process(report: model.TargetReport, target: fleet.Target) -> bool:
     """Returns whether a report is of another process than the target's.
 
--- a/src/hemlocktiller/_internal/links/suspects_feed.py
+++ b/src/hemlocktiller/_internal/links/suspects_feed.py
@@ -132,6 +132,18 @@
             self.suspects.responses(entries, now_s), None
         )
 
+    def record_confirmation(self, target: str) -> None:
+        """Ends the doubt in a target's death; tells peers, as it did not."""
+        digests = set(self.suspects.record_confirmation(target))
+        self._broadcast(
+            [
+                entry
+                for entry in self.suspects.export(self._reactor.seconds())
+                if entry["digest"] in digests
+            ],
+            None,
+        )
+
     def on_open(self, link: link_module.Link) -> None:
         """Adds a new link and sends all evidence to its peer."""
         self._links.add(link)
--- a/src/hemlocktiller/_internal/policy/suspects.py
+++ b/src/hemlocktiller/_internal/policy/suspects.py
@@ -81,6 +81,8 @@
         ambiguous_targets: Targets whose death may have another cause.
         cleared_targets: Targets whose death the request did not cause, as it
             had a response later; reports of peers on them are ignored.
+        doubted_targets: Targets that may have survived, as something answers
+            at their address that does not show which process it is.
         is_own: Whether this process has recorded a death of its own.
         peer_response_s: Time of the latest response that a peer told.
         condemned_at_s: Time from which the request counts as condemned.
@@ -92,6 +94,7 @@
         self.targets: set[str] = set()
         self.ambiguous_targets: set[str] = set()
         self.cleared_targets: set[str] = set()
+        self.doubted_targets: set[str] = set()
         self.is_own = False
         self.peer_response_s = -math.inf
         self.condemned_at_s = 0.0
@@ -154,7 +157,10 @@
             return "undecided"
         response_s = self._latest_response_s(digest, now_s)
         had_response = now_s < response_s + self._ttl_s
-        if had_response and not _is_tried(record):
+        may_be_sound = had_response or bool(
+            record.targets & record.doubted_targets
+        )
+        if may_be_sound and not _is_tried(record):
             return "half_open"
         return "condemned"
 
@@ -311,16 +317,43 @@
             if target in record.targets | record.ambiguous_targets:
                 _clear(record, (target,))
 
+    def record_doubt(self, target: str) -> None:
+        """Records that a target may have survived the death recorded of it.
+
+        The death still counts, but the requests that it implicates get trials,
+        as a process that was restarted answers as well as one that survived.
+        """
+        for record in self._records.values():
+            if target in record.targets | record.ambiguous_targets:
+                record.doubted_targets.add(target)
+
+    def record_confirmation(self, target: str) -> list[int]:
+        """Ends the doubt in the death of a target.
+
+        Returns:
+            Digests of the requests that it is evidence against.
+        """
+        digests = []
+        for digest, record in self._records.items():
+            if target in record.doubted_targets:
+                record.doubted_targets.discard(target)
+                digests.append(digest)
+        return digests
+
     def export(self, now_s: float) -> list[messages.Suspect]:
-        """Returns the evidence to send to a peer."""
+        """Returns the evidence to send to a peer.
+
+        It leaves out the deaths in doubt, as peers can't tell them apart.
+        """
         return [
             {
                 "digest": digest,
-                "targets": sorted(record.targets),
+                "targets": sorted(record.targets - record.doubted_targets),
                 "expires_in_s": record.expires_at_s - now_s,
             }
             for digest, record in self._records.items()
-            if record.targets and record.expires_at_s > now_s
+            if record.targets - record.doubted_targets
+            and record.expires_at_s > now_s
         ]
 
     def merge(
@@ -489,6 +522,7 @@
     """Drops the deaths of targets; reports on them are ignored from now on."""
     record.targets.difference_update(targets)
     record.ambiguous_targets.difference_update(targets)
+    record.doubted_targets.difference_update(targets)
     record.cleared_targets.update(targets)
 
 
--- a/tests/unit/gateway/conftest.py
+++ b/tests/unit/gateway/conftest.py
@@ -145,9 +145,7 @@
                 self.context, self._in_progress, target, reason
             )
         )
-        self.targets.on_survival.append(
-            self.context.crash_evidence.record_survival
-        )
+        self.context.crash_evidence.follow(self.targets)
         self._handled_count = 0
 
     def register(self, *targets: fleet.Target) -> None:
@@ -290,6 +288,7 @@
         float(by_name[b"Pause"]) if b"Pause" in by_name else None,
         b"Limit" in by_name,
         float(by_name[b"Limit"]) if b"Limit" in by_name else None,
+        by_name.get(b"Target-Name", b"").decode(),
     )
 
 
