Look up the limits on callers on connections that are open

Cause: the limit was copied to a connection as it was accepted. So was the idle time, and above the HTTP library's own limits (16,384 bytes a line, 500 headers) no setting helped, on entries as well.

Change: the connections of both builds look the limit up at each line, and let the size of the head alone bind; a changed idle time is set on open connections. A line over the limit is answered 400 instead of closed without an answer.

--- a/src/hemlocktiller/_internal/entry/http_api.py
+++ b/src/hemlocktiller/_internal/entry/http_api.py
@@ -96,7 +96,7 @@
         self.channel.loseConnection()
 
 
-class CallerChannel(http.HTTPChannel):
+class CallerChannel(caller_connections.HeadLimitedChannel):
     """A caller's connection, counted against the connection limit."""
 
     def connectionMade(self) -> None:
@@ -136,7 +136,6 @@
     def buildProtocol(self, addr: Any) -> CallerChannel:
         """Returns the channel for a new connection."""
         channel = super().buildProtocol(addr)
-        channel.totalHeadersSize = self.header_limit_bytes
         self.caller_connections.add(channel)
         return channel
 
--- a/src/hemlocktiller/_internal/gateway/ingress.py
+++ b/src/hemlocktiller/_internal/gateway/ingress.py
@@ -166,7 +166,7 @@
             self.on_disconnect()
 
 
-class _CallerChannel(http.HTTPChannel):
+class _CallerChannel(caller_connections.HeadLimitedChannel):
     """A caller's connection; limits the time that headers may take."""
 
     requestFactory = CallerRequest
@@ -238,15 +238,22 @@
         self.is_draining = False
         self.connections = caller_connections.CallerConnections()
 
+    @property
+    def header_limit_bytes(self) -> int:
+        """Maximum size of the headers of a request."""
+        return self.limits.header_bytes
+
     def set_limits(self, limits: model.CallerLimits) -> None:
-        """Applies limits to new connections and requests."""
+        """Applies limits to requests, on connections that are open too."""
+        is_idle_timeout_changed = limits.idle_timeout_s != self.timeOut
         self.limits = limits
         self.timeOut = limits.idle_timeout_s
+        if is_idle_timeout_changed:
+            self.connections.set_idle_timeout(limits.idle_timeout_s)
 
     def buildProtocol(self, addr: Any) -> Any:
         """Returns the channel of a new connection."""
         channel = super().buildProtocol(addr)
-        channel.totalHeadersSize = self.limits.header_bytes
         self.connections.add(channel)
         return channel
 
--- a/tests/unit/test_entry_stop.py
+++ b/tests/unit/test_entry_stop.py
@@ -37,6 +37,10 @@
         return int(head.split(b" ")[1]), json.loads(body)["error"]["code"]
 
 
+# Longer than one line may be by default.
+HEADER_LIMIT_BYTES = 40_000
+
+
 @pytest.fixture
 def entry_run():
     return entry_simulation.EntryRun()
@@ -52,7 +56,7 @@
             **entry.settings,
             "limits": {
                 "connections": 100,
-                "header_bytes": 16_384,
+                "header_bytes": HEADER_LIMIT_BYTES,
                 "body_bytes": 1_000,
                 "body_timeout_s": 30.0,
             },
@@ -92,6 +96,25 @@
     assert len(agent.requests("call")) == 1
 
 
+@pytest.mark.parametrize("header_count", [1, 900])
+@pytest.mark.parametrize(
+    ("header_bytes", "is_allowed"), [(30_000, True), (50_000, False)]
+)
+def test_headers_are_limited_by_their_size_alone(
+    site, header_bytes, is_allowed, header_count
+):
+    """Guards against 400 for a request that the limit allows."""
+    size = header_bytes // header_count - len("Note: ")
+    notes = ("Note: " + "n" * size + "\r\n") * header_count
+    caller = Caller(site)
+    caller.channel.dataReceived(
+        f"GET /v1/models HTTP/1.1\r\nHost: a\r\n{notes}\r\n".encode()
+    )
+    response = caller.transport.value()
+    assert response.startswith(b"HTTP/1.1 ")
+    assert response.startswith(b"HTTP/1.1 400 ") != is_allowed
+
+
 def test_a_call_that_does_not_end_in_time_is_answered(entry_run, site):
     """Guards against a cut without an answer at the end of a stop."""
     agent = entry_run.add_service("a")
