Fail an answer whose status is above 599

On other systems an answer with the status 000 reached the client.

Cause: the parser of responses checks a lower bound alone.

Change: an exchange with such a status fails, as one without a status does.

--- a/src/hemlocktiller/_internal/http_exchange.py
+++ b/src/hemlocktiller/_internal/http_exchange.py
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT_S = 0.6
 # Bytes of a response up to its final head, informational responses included.
 MAX_HEAD_BYTES = 32_768
+# The parser takes any three digits from 200 on for the status of a response.
+MAX_STATUS = 599
 # Default limit on the body of a response, which is held in memory.
 MAX_BODY_BYTES = 1_048_576
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
@@ -138,6 +140,14 @@
 
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                self._finish(
+                    ExchangeFailure(
+                        f"not an answer: status {event.status_code}",
+                        was_sent=True,
+                    )
+                )
+                return
             headers = [
                 (name, value) for name, value in event.headers.raw_items()
             ]
--- a/tests/unit/gateway/test_broken_off_answers.py
+++ b/tests/unit/gateway/test_broken_off_answers.py
@@ -143,3 +143,39 @@
     getattr(connection, ending)()
     request = admitted.caller_request
     assert (request.status, request.ending) != (200, "whole")
+
+
+INVALID_STATUSES = [
+    b"000", b"001", b"099", b"600", b"999", b"0", b"20", b"0200", b"+20",
+    b"-01", b"abc", b"2 0", b"2_0", b"101",
+]  # fmt: skip
+
+
+# Guards against an answer with a status like 000 that reaches the caller.
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_a_call_whose_answer_has_an_invalid_status_fails(
+    harness, plain_service, booking_route, status, framing
+):
+    admitted, connection = start_call(harness, plain_service, booking_route)
+    answer = FRAMED_BODIES[framing].replace(b"200", status, 1)
+    connection.respond(answer)
+    connection.close()
+    assert admitted.caller_request.status == 502
+    assert not admitted.caller_request.header(b"Signature")
+
+
+@pytest.mark.parametrize("ending", ["close", "reset"])
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+def test_a_stream_whose_answer_has_an_invalid_status_fails(
+    harness, model_service, stream_route, status, ending
+):
+    admitted, connection = start_unresumable_stream(
+        harness, model_service, stream_route
+    )
+    head = HEADS["chunked"].replace(b"200", status, 1)
+    connection.respond(head + chunk(event(1)) + chunk(b""))
+    getattr(connection, ending)()
+    assert admitted.caller_request.status in (0, 502)
+    assert not admitted.caller_request.header(b"Signature")
+    assert b"id" not in admitted.caller_request.body
--- a/tests/unit/test_service_calls.py
+++ b/tests/unit/test_service_calls.py
@@ -130,6 +130,18 @@
     assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
 
 
+# Guards against an answer with a status like 000 that reaches the caller.
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"600", b"999", b"0", b"0200", b"-01", b"101"]
+)
+def test_an_answer_with_an_invalid_status_is_none(service_run, status):
+    answer = FRAMED_ANSWER.replace(b"200", status)
+    service_run.connection.respond(answer)
+    service_run.connection.close()
+    (result,) = service_run.link.sent
+    assert (result["ran"], result["reason"]) == ("unknown", "no_answer")
+
+
 def test_a_late_second_answer_reaches_no_other_call(service_run):
     first_connection = service_run.connection
     first_connection.respond(FRAMED_ANSWER)
