Complete a stream closed after a silence only by another run

Cause: a target that gives up a later stage closes a stream without framing as cleanly as one that has sent everything. A close after a silence was doubted, but the doubt ended after 1.6 s, if no second run was to be had, or if a second run was broken off by the same cause. The targets, which answer again by then, passed for a proof. Ruled out: cut chunks and lengths, which fail on each way.

Change: such a close completes a stream only once a run whose own end isn't doubtful has ended after the same event; else it is a failure after the window, and the stream is resumed or cut. A target that is no longer registered confirms no end.

Four tests held the opposite, to keep whole streams whole after a pause of the gateway.

--- a/src/hemlocktiller/_internal/gateway/stream_end.py
+++ b/src/hemlocktiller/_internal/gateway/stream_end.py
@@ -28,8 +28,6 @@
     def __init__(self) -> None:
         self._last_tick_s = math.inf
         self._pause_end_s = -math.inf
-        # Number of events before the last doubtful close.
-        self._doubted_after_event: int | None = None
 
     def begin(self, now_s: float) -> None:
         """Begins another run of the stream."""
@@ -42,26 +40,21 @@
             self._pause_end_s = now_s
         self._last_tick_s = now_s
 
-    def is_doubtful(
-        self, now_s: float, last_activity_s: float, event_count: int
-    ) -> bool:
+    def is_doubtful(self, now_s: float, last_activity_s: float) -> bool:
         """Returns whether events may be missing before a close.
 
-        Two runs that end after the same event confirm each other.
+        Another run that ends after the same event removes the doubt only if
+        its own end is not doubtful: what broke one off may break off both.
 
         Args:
             now_s: Time of the close.
             last_activity_s: Time of the last event before it.
-            event_count: Number of events before it, in all runs.
         """
         self.record_tick(now_s)
-        if (
-            now_s - last_activity_s <= MAX_CLOSE_DELAY_S
-            and now_s - self._pause_end_s > MAX_CLOSE_DELAY_S
-        ) or event_count == self._doubted_after_event:
-            return False
-        self._doubted_after_event = event_count
-        return True
+        return (
+            now_s - last_activity_s > MAX_CLOSE_DELAY_S
+            or now_s - self._pause_end_s <= MAX_CLOSE_DELAY_S
+        )
 
 
 def confirm(
@@ -100,7 +93,7 @@
             on_silent(target, reason, has_answered)
 
     def on_survival(target: fleet.Target) -> None:
-        if targets.is_leaving(target):
+        if targets.is_leaving(target) or not targets.is_registered(target):
             # It may have stopped at the end of its drain, in mid-stream.
             decide(target, "is leaving")
             return
--- a/src/hemlocktiller/_internal/gateway/streams.py
+++ b/src/hemlocktiller/_internal/gateway/streams.py
@@ -36,6 +36,7 @@
 # A new path is searched for during this time; after it, the caller has
 # probably timed out.
 RESUME_WINDOW_S = 1.6
+DOUBTFUL_CLOSE_REASON = "closed after a silence"
 # A request may be dispatched this many times more than its route allows
 # attempts, since targets may reject it before running it. Further dispatches
 # rarely find a target with room.
@@ -976,12 +977,10 @@
         path_targets = {stage.target.name: stage.target for stage in self.path}
         # They are asked now, and need no further probe.
         self._is_suspected = True
-        doubt_end_s = now_s
-        if self._close_check.is_doubtful(
-            now_s, self._last_activity_s, self._event_count
-        ):
-            doubt_end_s += RESUME_WINDOW_S
-            self._seek_replacement("closed after a silence")
+        doubt_end_s = None
+        if self._close_check.is_doubtful(now_s, self._last_activity_s):
+            doubt_end_s = now_s + RESUME_WINDOW_S
+            self._seek_replacement(DOUBTFUL_CLOSE_REASON)
         self._confirm_end(
             attempt_number, first_target, path_targets, doubt_end_s
         )
@@ -1015,8 +1014,9 @@
             attempt_number: Number of the attempt that has ended.
             first_target: Target that the attempt began at.
             unconfirmed: See `stream_end.confirm`.
-            doubt_end_s: Until then the answers of the targets don't complete
-                the stream while a replacement may show that events follow.
+            doubt_end_s: None if the answers of the targets complete the
+                stream. Otherwise events may be missing, which a replacement
+                shows; it is waited for until then.
             retry_delay_s: Pause before targets without proof are asked again.
         """
 
@@ -1038,13 +1038,15 @@
                 self._fail_attempt(
                     f"closed as {lost_target.name} was lost: {reason}"
                 )
+            elif doubt_end_s is None:
+                self._complete(first_target)
             elif (
                 self._context.reactor.seconds() < doubt_end_s
                 and self._has_pending_replacement()
             ):
                 confirm_again(retry_delay_s)
             else:
-                self._complete(first_target)
+                self._fail_attempt(DOUBTFUL_CLOSE_REASON)
 
         def on_silent(silent_target, reason, has_answered):
             if attempt_number != self._attempt_number or self._is_finished:
--- a/src/hemlocktiller/_internal/gateway/targets.py
+++ b/src/hemlocktiller/_internal/gateway/targets.py
@@ -318,7 +318,7 @@
             return True
         return target.process_id in self._ended_processes
 
-    def _is_registered(self, target):
+    def is_registered(self, target: fleet.Target) -> bool:
         """Returns whether the process of a target is the registered one."""
         registered = self.by_name.get(target.name)
         return registered is not None and registered.born_ms == target.born_ms
@@ -488,7 +488,7 @@
 
     def record_request_success(self, target: fleet.Target) -> None:
         """Records that a target answered a request."""
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             return
         self._circuit_breakers.record_success(target.name)
         self._update_failure_ratio(target.name, 0.0)
@@ -497,7 +497,7 @@
         self, target: fleet.Target, reason: str
     ) -> None:
         """Records a failed request, and probes the target."""
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             return
         self._circuit_breakers.record_failure(
             target.name, self._reactor.seconds()
@@ -549,7 +549,7 @@
         One that is no longer registered is probed until it answers or is known
         to have ended.
         """
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             if target.name not in self.by_name and not self.has_ended(target):
                 self._probe_removed(target)
             return
@@ -570,7 +570,7 @@
                 process has ended unless a response arrives from it.
         """
         name = target.name
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             return
         has_ended = has_ended and not self._has_recent_output(target)
         if name in self._down_since_s:
@@ -665,7 +665,7 @@
                 return
             if is_same_process(report, target):
                 self._withdraw_end(target, "reports")
-            if self._is_registered(target) and not is_other_process(
+            if self.is_registered(target) and not is_other_process(
                 report, target
             ):
                 self._record_reported_pace(target, report.pace)
@@ -1073,7 +1073,7 @@
         The target is marked as down or up by the result.
         """
         process_id = target.process_id
-        if not self._is_registered(target) or process_id in self._probing:
+        if not self.is_registered(target) or process_id in self._probing:
             return
         if not self.try_probe(target):
             if target.name in self._down_since_s:
@@ -1175,7 +1175,7 @@
     def _on_probe_answered(self, target):
         PROBES.labels("alive").inc()
         self._probing.discard(target.process_id)
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             return
         if self._down_since_s.pop(target.name, None) is not None:
             TARGETS_DOWN.set(len(self._down_since_s))
@@ -1186,7 +1186,7 @@
     def _on_probe_failed(self, target, failure):
         PROBES.labels("dead").inc()
         self._probing.discard(target.process_id)
-        if not self._is_registered(target):
+        if not self.is_registered(target):
             self._on_removed_target_failed(target, failure)
             return
         if target.name in self._down_since_s:
--- a/tests/functional/test_undelimited_answers.py
+++ b/tests/functional/test_undelimited_answers.py
@@ -138,9 +138,17 @@
 
 
 @pytest.mark.promise(2)
-@pytest.mark.parametrize("gateway_pauses", [False, True])
+@pytest.mark.parametrize(
+    ("gateway_pauses", "silence_s"),
+    [
+        (False, STAGE_TIMEOUT_S + 0.2),
+        (True, STAGE_TIMEOUT_S + 0.2),
+        # As long as a second run is waited for.
+        (False, STAGE_TIMEOUT_S + 1.6),
+    ],
+)
 def test_no_answer_closed_while_a_stage_is_silent_looks_complete(
-    tmp_path, gateway_pauses
+    tmp_path, gateway_pauses, silence_s
 ):
     request_id = "silent-stage-1"
     deployment = gateway_deployment.Deployment(
@@ -162,7 +170,7 @@
                 gateway.freeze()
                 time.sleep(0.1)
             stage.freeze()
-            time.sleep(STAGE_TIMEOUT_S + 0.2)
+            time.sleep(silence_s)
             stage.resume()
             gateway.resume()
             exchange = sent.result(2 * CALLER_TIMEOUT_S)
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -302,41 +302,58 @@
     assert_resumed_after_event_1(harness, admitted)
 
 
-def test_a_run_that_ends_late_after_the_same_event_completes_a_stream(
+def close_after_silence(harness, connection, data):
+    """Sends data, and closes when a later stage may have been given up."""
+    connection.respond(UNFRAMED_HEAD + data)
+    harness.advance_clock(0.4)
+    answer_reports(harness)
+    connection.close()
+
+
+# Guards against a stream that looks complete as what broke its first run off
+# broke the second one off as well.
+def test_two_runs_that_are_closed_after_a_silence_complete_no_stream(
     streaming,
 ):
     harness, admitted = streaming
     harness.start_stream(admitted)
-    connection = harness.accept_connection()
-    connection.respond(UNFRAMED_HEAD + event(1))
-    for _ in range(2):
-        assert admitted.caller_request.ending == ""
-        harness.advance_clock(0.4)
-        answer_reports(harness)
-        connection.close()
-        attempts = answer_reports(harness)
-        if attempts:
-            (connection,) = attempts
-            connection.respond(UNFRAMED_HEAD)
-    assert attempts == []
+    close_after_silence(harness, harness.accept_connection(), event(1))
+    for _ in range(3):
+        (connection,) = answer_reports(harness)
+        close_after_silence(harness, connection, b"")
+    assert admitted.caller_request.ending == ""
+
+
+def test_a_run_that_ends_at_once_after_the_same_event_completes_a_stream(
+    streaming,
+):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    close_after_silence(harness, harness.accept_connection(), event(1))
+    (connection,) = answer_reports(harness)
+    connection.respond(UNFRAMED_HEAD)
+    connection.close()
+    assert answer_reports(harness) == []
     assert admitted.caller_request.body == event(1)
     assert admitted.caller_request.ending == "whole"
 
 
-def test_a_stream_closed_after_a_silence_is_not_cut_if_not_resumable(
+# Guards against a stream that looks complete as no second run was to be had.
+def test_a_stream_closed_after_a_silence_is_cut_if_not_resumable(
     harness, model_service, stream_route
 ):
     admitted, connection = start_unresumable_stream(
         harness, model_service, stream_route
     )
-    connection.respond(UNFRAMED_HEAD + event(1))
-    harness.advance_clock(0.4)
-    connection.close()
+    close_after_silence(harness, connection, event(1))
     assert answer_reports(harness) == []
-    assert admitted.caller_request.ending == "whole"
+    assert admitted.caller_request.body == event(1)
+    assert admitted.caller_request.ending == "cut"
 
 
-def test_a_stream_closed_after_a_silence_is_not_cut_without_retries(streaming):
+def test_a_stream_closed_after_a_silence_is_not_complete_without_retries(
+    streaming,
+):
     harness, admitted = streaming
     harness.start_stream(admitted)
     connection = harness.accept_connection()
@@ -347,23 +364,44 @@
         pass
     connection.close()
     assert answer_reports(harness) == []
-    assert admitted.caller_request.ending == "whole"
+    for _ in range(30):
+        harness.advance_clock(0.1)
+        answer_reports(harness)
+    assert admitted.caller_request.ending != "whole"
+    assert admitted.caller_request.body == event(1)
 
 
-def test_a_silent_replacement_delays_the_end_of_a_stream_for_a_while_only(
-    streaming,
-):
+@pytest.mark.parametrize("is_answered_late", [True, False])
+def test_a_silent_replacement_completes_no_stream(streaming, is_answered_late):
+    harness, admitted = streaming
+    harness.start_stream(admitted)
+    close_after_silence(harness, harness.accept_connection(), event(1))
+    attempts = answer_reports(harness)
+    assert len(attempts) == 1
+    for _ in range(20):
+        harness.advance_clock(0.1)
+        attempts += answer_reports(harness)
+    assert admitted.caller_request.ending != "whole"
+    if is_answered_late:
+        attempts[-1].respond(RESPONSE_HEAD + chunk(event(2)) + RESPONSE_END)
+        assert admitted.caller_request.body == event(1) + event(2)
+        assert admitted.caller_request.ending == "whole"
+
+
+# Guards against a stream that looks complete as a target without registration
+# has answered just before it ended.
+@pytest.mark.parametrize("stage", [0, 1])
+def test_a_stream_closed_by_a_removed_target_is_not_complete(streaming, stage):
     harness, admitted = streaming
     harness.start_stream(admitted)
     connection = harness.accept_connection()
+    names = path_target_names(connection)
     connection.respond(UNFRAMED_HEAD + event(1))
-    harness.advance_clock(0.4)
+    harness.targets.apply_registrations([], [names[stage]], False, 2)
     connection.close()
-    assert len(answer_reports(harness)) == 1
-    for _ in range(20):
-        harness.advance_clock(0.1)
-        answer_reports(harness)
-    assert admitted.caller_request.ending == "whole"
+    (second_attempt,) = answer_reports(harness)
+    assert admitted.caller_request.ending == ""
+    assert b"Last-Event-Id: 1\r\n" in second_attempt.transport.value()
 
 
 def test_a_stream_closed_inside_an_event_is_not_complete(streaming):
