Count no attempt that fails after the death of its target

What callers would have seen: 503 for a popular sound request after two targets were restarted, if its connection to each was lost after the end of the target was known.

Change: an attempt that fails after the recorded death of its target is no evidence, until something answers there again.

Measured: the new test fails without the change and passes with it.

--- a/src/hemlocktiller/_internal/gateway/crashes.py
+++ b/src/hemlocktiller/_internal/gateway/crashes.py
@@ -35,6 +35,7 @@
 CONDEMNED_PART_REASON = "targets went down on a part of this prompt"
 # The oldest are forgotten first.
 MAX_DOUBTED_PROCESSES = 10_000
+MAX_DEAD_PROCESSES = 10_000
 # Evidence is kept for as long as in an entry process, since callers retry
 # requests in the same way.
 SUSPECT_SETTINGS = {"suspect_ttl_s": 600.0}
@@ -84,6 +85,8 @@
         )
         self._reactor = reactor
         self._failures_by_process: dict[str, list[_EarlyFailure]] = {}
+        # Processes that are dead for all that is known; oldest first.
+        self._dead_processes: dict[str, None] = {}
         # Deaths of processes that are in doubt, by process; see `_death_id`.
         self._doubted_deaths: dict[str, int] = {}
 
@@ -116,10 +119,16 @@
         targets: list[fleet.Target],
         prompt_parts: crashing_parts.Prompt = (),
     ) -> None:
-        """Records an attempt that failed before any data was returned."""
+        """Records an attempt that failed before any data was returned.
+
+        One that fails after the death of its target was in progress then, and
+        counts already.
+        """
         now_s = self._reactor.seconds()
         self._drop_expired(now_s)
         for target in targets:
+            if target.process_id in self._dead_processes:
+                continue
             failures = self._failures_by_process.setdefault(
                 target.process_id, []
             )
@@ -157,6 +166,9 @@
         now_s = self._reactor.seconds()
         self._drop_expired(now_s)
         process_id = target.process_id
+        self._dead_processes[process_id] = None
+        if len(self._dead_processes) > MAX_DEAD_PROCESSES:
+            del self._dead_processes[next(iter(self._dead_processes))]
         early_failures = self._failures_by_process.pop(process_id, [])
         requests = {
             attempt.digest: attempt.request_id for attempt in early_failures
@@ -217,6 +229,7 @@
     def record_survival(self, target: fleet.Target) -> None:
         """Withdraws the evidence of a target that was only silent."""
         self._failures_by_process.pop(target.process_id, None)
+        self._dead_processes.pop(target.process_id, None)
         for death_id in self._death_ids(target.process_id):
             self.feed.suspects.record_survival(death_id)
             self.part_feed.withdraw_death(death_id)
@@ -228,6 +241,7 @@
         The evidence stays, as that process may have been started since.
         """
         process_id = target.process_id
+        self._dead_processes.pop(process_id, None)
         self.feed.suspects.record_doubt(self._death_id(process_id))
         self._doubted_deaths[process_id] = (
             self._doubted_deaths.get(process_id, 0) + 1
--- a/tests/unit/gateway/test_restarted_targets.py
+++ b/tests/unit/gateway/test_restarted_targets.py
@@ -334,3 +334,23 @@
     harness.accept_connection().respond(HEALTH_PAGE % b"z")
     assert harness.targets.has_ended(target)
     assert not harness.targets.available("plain")
+
+
+# Guards against a popular sound request that counts as a suspect, since its
+# connection to a crashed target was lost after the end was known.
+def test_a_connection_lost_after_the_end_is_no_evidence_of_another_death(
+    harness, plain_service, booking_route
+):
+    harness.register(make_plain_target("a"))
+    call = harness.start_call(harness.admit(plain_service, booking_route))
+    connection = harness.accept_connection()
+    target = end_by_refusal(harness, "a")
+    evidence = harness.context.crash_evidence
+    assert evidence.state(call.digest) == "suspect"
+    evidence.record_first_data(call.digest)
+    connection.reset()
+    harness.reactor.advance(targets_module.PROBE_INTERVAL_S)
+    harness.accept_connection().respond(HEALTH_PAGE % b"")
+    harness.reactor.advance(1.0)
+    store_registration(harness, target._replace(born_ms=9), 2)
+    assert evidence.state(call.digest) == "clear"
