Show that cut streams complete if their end is held up

A gateway that is cut off for three seconds receives the last events of an undelimited stream together with its end, so it does not doubt an end that the loss of a later stage has caused. Both targets live, which completes the stream.

--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -100,6 +100,8 @@
         journal: File in which replicas record what they run.
         gateways: Gateways by name.
         replicas: Replicas by name.
+        relays: Relays before replicas, by the names of these.
+        advertised: Addresses of these relays.
     """
 
     def __init__(self, record):
@@ -110,6 +112,8 @@
         self.record = record
         self.gateways: dict[str, Process] = {}
         self.replicas: dict[str, Process] = {}
+        self.relays: dict[str, Process] = {}
+        self.advertised: dict[str, str] = {}
         self.ports: dict[str, int] = {}
         self._fronts: dict[str, tuple[str, int]] = {}
         self._ready: dict[str, tuple[str, int]] = {}
@@ -149,6 +153,25 @@
         self._wait_for_port(port)
         return self.replicas[name]
 
+    def start_relayed_replica(
+        self, name: str, script: str, service: str, **options
+    ):
+        """Starts a replica behind a relay, whose address it registers."""
+        port = self.ports.setdefault(name, free_port())
+        relay_port = free_port()
+        self.relays[name] = self._python(
+            f"to-{name}",
+            "relay.py",
+            "--port",
+            relay_port,
+            "--target-port",
+            port,
+        ).start()
+        self._wait_for_port(relay_port)
+        self.advertised[name] = f"127.0.0.1:{relay_port}"
+        options["advertised"] = self.advertised[name]
+        return self.start_replica(name, script, service, **options)
+
     def start_gateway(self, name: str, store_address: str = "") -> Process:
         """Starts a gateway, or starts one that has ended again."""
         if name not in self._settings:
@@ -238,7 +261,11 @@
 
     def stop(self) -> None:
         """Ends all processes that were started."""
-        children = [*self.gateways.values(), *self.replicas.values()]
+        children = [
+            *self.gateways.values(),
+            *self.replicas.values(),
+            *self.relays.values(),
+        ]
         for child in [*children, self.store]:
             child.signal(signal.SIGCONT)
             child.kill()
--- a/review/support-3/model_replica.py
+++ b/review/support-3/model_replica.py
@@ -1,7 +1,9 @@
-"""Stand-in of a model replica that holds all layers of its model.
+"""Stand-in of a model replica, which holds the layers that it is ordered to.
 
-It reads the prompt for a while, then writes numbered events. A request whose
-body begins with `crash` crashes it as it begins to run it.
+It reads the prompt for a while, then writes numbered events; before each it
+asks the other replicas of the path. Work that depends on one that doesn't
+answer stalls for `stall_ms` and is then cut off. A request whose body begins
+with `crash` crashes it as it begins to run it.
 """
 
 import asyncio
@@ -14,10 +16,17 @@
 
 LAYERS = 80
 LAYER_MB = 1750.0
-CARD_MB = 1_000_000.0
+# Cards that hold all layers, or a little more than half of them.
+LARGE_CARD_MB = 1_000_000.0
+SMALL_CARD_MB = 100_000.0
+STALL_S = 2.0
 
 
-def engine() -> dict:
+class CutOff(Exception):
+    """Another replica of the path is dead or cut off."""
+
+
+def engine(card_mb: float = LARGE_CARD_MB) -> dict:
     """Returns the engine of a service of these replicas."""
     return {
         "slots": 32,
@@ -34,7 +43,7 @@
         "layer_mb": LAYER_MB,
         "act_bytes": 90_000,
         "pipe_mbps": 18_000.0,
-        "kinds": [{"name": "card", "mb": CARD_MB, "pace": 1.0, "read_x": 1.0}],
+        "kinds": [{"name": "card", "mb": card_mb, "pace": 1.0, "read_x": 1.0}],
     }
 
 
@@ -43,6 +52,57 @@
     return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
 
 
+def parse_hops(text: str) -> list[tuple[str, int, int]]:
+    """Returns address, first layer and end of each part of a path."""
+    hops = []
+    for part in filter(None, text.split(",")):
+        address, _, span = part.partition("=")
+        first, _, end = span.partition("-")
+        hops.append((address, int(first), int(end)))
+    return hops
+
+
+class Stage:
+    """Another replica of a path, on one connection for one request.
+
+    Attributes:
+        address: Its address.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self._reader = None
+        self._writer = None
+
+    async def ask(self) -> None:
+        """Lets it run its layers for one event.
+
+        Raises:
+            CutOff: It has not answered in time.
+        """
+        try:
+            async with asyncio.timeout(STALL_S):
+                if self._writer is None:
+                    host, _, port = self.address.partition(":")
+                    self._reader, self._writer = await asyncio.open_connection(
+                        host, int(port)
+                    )
+                self._writer.write(http.encode_request("POST", "/stage", {}))
+                answer = await http.read_answer(self._reader)
+        except TimeoutError as error:
+            raise CutOff(self.address) from error
+        except (OSError, asyncio.IncompleteReadError) as error:
+            await asyncio.sleep(STALL_S)
+            raise CutOff(self.address) from error
+        if answer.status != 200:
+            raise CutOff(self.address)
+
+    def close(self) -> None:
+        """Closes its connection."""
+        if self._writer is not None:
+            self._writer.close()
+
+
 async def main():
     """Runs the replica until it is stopped."""
     parser = replica.parser(__doc__)
@@ -50,8 +110,10 @@
     parser.add_argument("--events", type=int, default=20)
     parser.add_argument("--pause-s", type=float, default=0.05)
     parser.add_argument("--framing", choices=("chunked", "close"))
+    parser.add_argument("--advertised", help="address of a relay before it")
     options = parser.parse_args()
     model = replica.Replica(options)
+    model.address = options.advertised or model.address
     orders = 0
     fence = 0
     held = (0, 0)
@@ -101,12 +163,16 @@
         await model.beat()
         return 202
 
-    async def stream(request, writer):
+    async def stream(request, writer, stages):
         request_id = request.headers["request-id"]
         after = int(request.headers.get("last-event-id") or 0)
         await asyncio.sleep(options.read_s)
         model.record(
-            "run", request_id, after=after, body=request.body[:24].decode()
+            "run",
+            request_id,
+            after=after,
+            body=request.body[:24].decode(),
+            later_stages=[stage.address for stage in stages],
         )
         if request.body.startswith(b"crash"):
             os.kill(os.getpid(), signal.SIGKILL)
@@ -117,6 +183,14 @@
             headers["Transfer-Encoding"] = "chunked"
         writer.write(http.encode_head(200, headers))
         for number in range(after + 1, options.events + 1):
+            try:
+                for stage in stages:
+                    await stage.ask()
+            except CutOff as cut_off:
+                model.record(
+                    "cut_off", request_id, event_number=number, at=str(cut_off)
+                )
+                return False
             event = event_of(request_id, number)
             if options.framing != "close":
                 event = b"%x\r\n%s\r\n" % (len(event), event)
@@ -127,20 +201,25 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
         model.record("answered", request_id)
+        return options.framing != "close"
 
     async def handle(request, writer):
         if request.path == "/health":
             writer.write(model.health())
         elif request.path == "/api/report":
             writer.write(http.encode_json(200, report()))
+        elif request.path == "/stage":
+            writer.write(http.encode_json(200, {}))
         elif request.path == "/api/order":
             writer.write(http.encode_json(await order(request), {}))
         else:
             refusal = model.refusal(request)
-            hops = request.headers.get("hop-count", "")
+            hops = parse_hops(request.headers.get("hop-count", "")) or [
+                (model.address, 0, LAYERS)
+            ]
+            address, first, end = hops[0]
             if refusal is None and (
-                held != (0, LAYERS)
-                or hops not in ("", f"{model.address}=0-{LAYERS}")
+                address != model.address or first < held[0] or end > held[1]
             ):
                 refusal = http.encode_json(
                     421,
@@ -152,8 +231,12 @@
                     },
                 )
             if refusal is None:
-                await stream(request, writer)
-                return options.framing != "close"
+                stages = [Stage(address) for address, _, _ in hops[1:]]
+                try:
+                    return await stream(request, writer, stages)
+                finally:
+                    for stage in stages:
+                        stage.close()
             writer.write(refusal)
         await writer.drain()
         return True
