Show proper requests denied for another gateway's crashes

The scripts take ports below those of the project's tests: one of these failed once beside them, as a port of its block was in use (test_free_ports_exclude_ports_in_use).

--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -281,8 +281,9 @@
         raise CannotRun(f"nothing listens on port {port}")
 
 
-# Below the ports that Linux takes for the near ends of connections.
-PORTS = range(21_000, 32_000)
+# Below the ports that Linux takes for the near ends of connections, and below
+# those of the project's tests, which may run beside a case.
+PORTS = range(10_000, 20_000)
 _used_ports: set[int] = set()
 
 
--- a/review/support-3/plain_replica.py
+++ b/review/support-3/plain_replica.py
@@ -1,10 +1,14 @@
 """Stand-in of a replica of a plain service.
 
 It writes its answer in pieces. With `--framing close` the answer has no length
-and ends with its connection.
+and ends with its connection. After SIGUSR1 it turns requests away for a while
+and says with `Retry-After` for how long it wants none. A request whose last
+part of the path begins with `crash` crashes it as it begins to run it.
 """
 
 import asyncio
+import os
+import signal
 
 import http_messages as http
 import replica
@@ -25,9 +29,19 @@
     parser.add_argument("--answer-bytes", type=int, default=800)
     parser.add_argument("--pieces", type=int, default=2)
     parser.add_argument("--pause-s", type=float, default=0.02)
+    parser.add_argument("--refuse-s", type=float, default=1.0)
+    parser.add_argument("--retry-after-s", type=int, default=0)
     options = parser.parse_args()
     plain = replica.Replica(options)
     slots = asyncio.Semaphore(options.slots)
+    loop = asyncio.get_running_loop()
+    refuses_until_s = 0.0
+
+    def refuse_for_a_while():
+        nonlocal refuses_until_s
+        refuses_until_s = loop.time() + options.refuse_s
+
+    loop.add_signal_handler(signal.SIGUSR1, refuse_for_a_while)
 
     async def handle(request, writer):
         if request.path == "/health":
@@ -40,6 +54,22 @@
             await writer.drain()
             return True
         request_id = request.headers["request-id"]
+        plain.record("arrival", request_id)
+        if loop.time() < refuses_until_s:
+            plain.record("refused", request_id)
+            writer.write(
+                http.encode_json(
+                    503,
+                    {},
+                    {
+                        "Request-Id": request_id,
+                        "Not-Executed": "1",
+                        "Retry-After": str(options.retry_after_s),
+                    },
+                )
+            )
+            await writer.drain()
+            return True
         async with slots:
             plain.record(
                 "run",
@@ -48,6 +78,8 @@
                 tenant=request.headers.get("tenant"),
                 key=request.headers.get("key"),
             )
+            if request.path.rpartition("/")[2].startswith("crash"):
+                os.kill(os.getpid(), signal.SIGKILL)
             await asyncio.sleep(options.work_s)
             body = answer_body(request_id, options.answer_bytes)
             headers = plain.head(request_id, Content_Type="text/plain")
