--- a/review/15/case.py
+++ b/review/15/case.py
@@ -30,8 +30,8 @@
 }
 
 
-async def case(site, record, is_disrupted):
-    """Returns the break of the rule, if too many requests reach it."""
+async def play(site, record, is_disrupted):
+    """Plays the case; see `case`."""
     names = ["booking-1", "booking-2", "booking-3"]
     for name in names:
         site.start_replica(name, "plain_replica.py", "booking", **REPLICAS)
@@ -98,5 +98,10 @@
     ]
 
 
+def case(site, record, is_disrupted):
+    """Returns the break of the rule, if too many requests reach it."""
+    return play(site, record, is_disrupted)
+
+
 if __name__ == "__main__":
     runner.run(case, FOLDER)
--- a/review/support-3/runner.py
+++ b/review/support-3/runner.py
@@ -1,7 +1,8 @@
 """Runs a case and writes its record.
 
-A case is a coroutine function that gets the deployment, the record and whether
-the disruption takes place, and returns a list of breaks of its rule.
+A case is a function that gets the deployment, the record and whether the
+disruption takes place. It returns a coroutine that plays it and returns a list
+of breaks of its rule.
 """
 
 import asyncio
