--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -127,8 +127,12 @@
             "--heartbeat-s",
             HEARTBEAT_S,
         ).start()
-        self._wait_for_port(self.store_port)
         self._is_config_stored = False
+        try:
+            self._wait_for_port(self.store_port)
+        except CannotRun:
+            self.stop()
+            raise
 
     def _python(self, name, script, *arguments):
         command = [sys.executable, str(SUPPORT / script)]
--- a/review/support-3/runner.py
+++ b/review/support-3/runner.py
@@ -9,6 +9,7 @@
 import json
 import os
 from pathlib import Path
+import signal
 import sys
 import time
 import traceback
@@ -50,6 +51,8 @@
 def run(case, folder: str) -> None:
     """Runs a case and exits with its result."""
     is_disrupted = os.environ.get("TROUBLE", "1") != "0"
+    # Ends by an exception, so that all processes are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(Path(folder) / "record.txt")
     record("begin", trouble=is_disrupted)
     result = COULD_NOT_RUN
